Workspace, shared types, state charts and the check runner

The crates of the design stand as shells; types and chart are whole. The protocols towards the platform, engines and services are written down first, so that stand-ins and clients can be built beside one another.

--- /dev/null
+++ b/crates/dandeliondeal/src/lib.rs
@@ -0,0 +1,1 @@
+//! Router for model pipelines over mixed accelerators.
--- /dev/null
+++ b/crates/dandeliondeal_balance/src/lib.rs
@@ -0,0 +1,1 @@
+//! Endpoint health, choice, slow start and the retry budget.
--- /dev/null
+++ b/crates/dandeliondeal_claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims for non-repeatable requests.
--- /dev/null
+++ b/crates/dandeliondeal_command/src/bin/dandeliondeal-entry.rs
@@ -0,0 +1,3 @@
+//! The `dandeliondeal-entry` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/dandeliondeal_command/src/bin/dandeliondeal-standin.rs
@@ -0,0 +1,3 @@
+//! The `dandeliondeal-standin` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/dandeliondeal_command/src/bin/dandeliondeal.rs
@@ -0,0 +1,3 @@
+//! The `dandeliondeal` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/dandeliondeal_command/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command line and the daemons.
--- /dev/null
+++ b/crates/dandeliondeal_config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings, the sheet, revisions and the audit trail.
--- /dev/null
+++ b/crates/dandeliondeal_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry instance: caller API, endpoint client, peer server.
--- /dev/null
+++ b/crates/dandeliondeal_limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Organisation limits over the whole fleet, queues and shedding.
--- /dev/null
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of the real code on loopback.
--- /dev/null
+++ b/crates/dandeliondeal_order/src/lib.rs
@@ -0,0 +1,1 @@
+//! Orders to endpoints with fencing numbers.
--- /dev/null
+++ b/crates/dandeliondeal_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership between instances and the spread of revisions.
--- /dev/null
+++ b/crates/dandeliondeal_pipeline/src/lib.rs
@@ -0,0 +1,1 @@
+//! Plans over layer ranges, sessions and recovery.
--- /dev/null
+++ b/crates/dandeliondeal_platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Typed client of the object API and the instance list.
--- /dev/null
+++ b/crates/dandeliondeal_replay/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replay of recorded traces against stated outcomes.
--- /dev/null
+++ b/crates/dandeliondeal_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, engines and services.
--- /dev/null
+++ b/crates/dandeliondeal_types/src/lib.rs
@@ -0,0 +1,42 @@
+//! Types and interfaces that every crate of dandeliondeal shares.
+//!
+//! The crate performs no input or output. It names things ([`id`]), passes time in ([`Clock`]),
+//! says how a request ended ([`Outcome`]) and where an error arose ([`RouteError`]), and gives the
+//! traits behind which the platform and the engines stand ([`ObjectStore`], [`InstanceList`],
+//! [`EngineClient`]).
+
+pub mod clock;
+pub mod endpoint_view;
+pub mod engine_client;
+pub mod id;
+pub mod instance_list;
+pub mod layer_range;
+pub mod object_store;
+pub mod outcome;
+pub mod rendezvous;
+pub mod route_error;
+pub mod sheet_model;
+pub mod token_step;
+
+#[doc(inline)]
+pub use clock::{Clock, ManualClock, SystemClock};
+#[doc(inline)]
+pub use endpoint_view::{EndpointView, IdleView};
+#[doc(inline)]
+pub use engine_client::EngineClient;
+#[doc(inline)]
+pub use id::*;
+#[doc(inline)]
+pub use instance_list::{InstanceList, InstanceRecord, InstanceRole, InstanceState};
+#[doc(inline)]
+pub use layer_range::LayerRange;
+#[doc(inline)]
+pub use object_store::{ObjectStore, ObjectValue, PutCondition, StoreError};
+#[doc(inline)]
+pub use outcome::Outcome;
+#[doc(inline)]
+pub use route_error::{ErrorKind, RequestStep, RouteError};
+#[doc(inline)]
+pub use sheet_model::SheetModel;
+#[doc(inline)]
+pub use token_step::{SessionStatus, StepAnswer, StepCall, StepName};
