--- /dev/null
+++ b/crates/dandeliondeal_balance/src/endpoint_slot.rs
@@ -0,0 +1,102 @@
+//! One endpoint on the board: profile, health, load and open calls.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::board_settings::{BoardSettings, HealthSettings};
+use crate::endpoint_health::EndpointHealth;
+use crate::endpoint_load::EndpointLoad;
+use crate::endpoint_profile::{CallResult, EndpointProfile, FailureSignal};
+use crate::health_chart::HealthTable;
+
+/// A call that is open.
+#[derive(Clone, Copy, Debug)]
+struct OpenCall {
+    started: Instant,
+    /// Predicted time with queueing as a multiple of the time without.
+    stretch: f64,
+}
+
+/// One endpoint on the board.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointSlot {
+    pub(crate) profile: EndpointProfile,
+    pub(crate) health: EndpointHealth,
+    pub(crate) load: EndpointLoad,
+    open: Vec<OpenCall>,
+}
+
+impl EndpointSlot {
+    pub(crate) fn new(
+        profile: EndpointProfile,
+        table: &Arc<HealthTable>,
+        settings: &HealthSettings,
+        now: Instant,
+    ) -> Self {
+        Self {
+            health: EndpointHealth::new(Arc::clone(table), settings, now),
+            load: EndpointLoad::new(&profile),
+            open: Vec::new(),
+            profile,
+        }
+    }
+
+    /// Places that may be used now: fewer during a slow start.
+    pub(crate) fn capacity(&self, settings: &HealthSettings, now: Instant) -> f64 {
+        f64::from(self.profile.capacity) * self.health.ramp_share(settings, now)
+    }
+
+    /// Notes a call that starts beside `others` calls of other instances.
+    pub(crate) fn started(&mut self, others: f64, now: Instant) {
+        let capacity = f64::from(self.profile.capacity);
+        self.open.push(OpenCall {
+            started: now,
+            stretch: self.load.stretch(others, capacity),
+        });
+        self.load.started();
+        self.health.started();
+    }
+
+    pub(crate) fn finished(
+        &mut self,
+        started: Instant,
+        result: CallResult,
+        allows_failure: bool,
+        settings: &BoardSettings,
+        now: Instant,
+    ) {
+        let place = self.open.iter().position(|call| call.started == started);
+        let call = place.map(|place| self.open.swap_remove(place));
+        if call.is_some() {
+            self.load.ended();
+        }
+        match result {
+            CallResult::Answered => {
+                let elapsed = now.saturating_duration_since(started);
+                let stretch = call.map_or(1.0, |call| call.stretch);
+                self.load.answered(elapsed, stretch, &settings.choice);
+                self.health.answered(started, &settings.health, now);
+            }
+            CallResult::Failed(signal) => {
+                if signal == FailureSignal::Busy {
+                    self.load.busy(self.profile.capacity, now);
+                }
+                let health = &settings.health;
+                self.health.failed(signal, allows_failure, health, now);
+            }
+            CallResult::Cancelled => self.health.cancelled(),
+        }
+    }
+
+    /// Open calls that are overdue and since whose start nothing came back.
+    pub(crate) fn overdue(&self, settings: &HealthSettings, now: Instant) -> u32 {
+        let usual = self.load.service_time().mul_f64(settings.overdue_factor);
+        let patience = usual.max(settings.overdue_floor);
+        let silent_since = self.health.last_answer();
+        let overdue = self.open.iter().filter(|call| {
+            let is_late = now.saturating_duration_since(call.started) > patience;
+            is_late && silent_since.is_none_or(|answer| answer <= call.started)
+        });
+        u32::try_from(overdue.count()).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/dandeliondeal_balance/tests/endpoint_health.rs
@@ -0,0 +1,189 @@
+//! Health of endpoints under several kinds of failure.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use dandeliondeal_balance::{
+    BoardSettings, CallResult, EndpointBoard, EndpointProfile, FailureSignal, HealthState,
+};
+use dandeliondeal_types::EndpointId;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const STEP: Duration = Duration::from_millis(100);
+
+struct BoardTest {
+    board: EndpointBoard,
+    now: Instant,
+}
+
+impl BoardTest {
+    fn new(endpoints: usize) -> Self {
+        let now = Instant::now();
+        let mut board = EndpointBoard::new("entry-1".into(), BoardSettings::default()).unwrap();
+        board.replace((0..endpoints).map(profile), now);
+        let mut test = Self { board, now };
+        test.pass(Duration::from_secs(6));
+        test
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.board.tick(self.now);
+    }
+
+    fn call(&mut self, number: usize, result: CallResult) {
+        let started = self.now;
+        self.board.started(&id(number), started);
+        self.pass(STEP);
+        self.board.finished(&id(number), started, result, self.now);
+    }
+
+    fn fail(&mut self, number: usize, signal: FailureSignal) {
+        self.call(number, CallResult::Failed(signal));
+    }
+
+    fn state(&self, number: usize) -> HealthState {
+        self.board.state(&id(number)).unwrap()
+    }
+
+    fn chosen(&self, is_repeatable: bool) -> Vec<EndpointId> {
+        let mut random = StdRng::seed_from_u64(7);
+        let board = &self.board;
+        (0..200)
+            .filter_map(|_| board.choose("draft", is_repeatable, &mut random, self.now))
+            .collect()
+    }
+}
+
+fn id(number: usize) -> EndpointId {
+    format!("endpoint-{number}").into()
+}
+
+fn profile(number: usize) -> EndpointProfile {
+    EndpointProfile {
+        id: id(number),
+        group: Arc::from("draft"),
+        accelerator: Arc::from("a10"),
+        capacity: 4,
+        link_delay: Duration::from_millis(1),
+        service_time: STEP,
+    }
+}
+
+#[test]
+fn dead_endpoint() {
+    let mut test = BoardTest::new(8);
+    for _ in 0..3 {
+        test.fail(0, FailureSignal::Refused);
+    }
+    assert_eq!(test.state(0), HealthState::Failed);
+    assert!(!test.chosen(true).contains(&id(0)));
+}
+
+#[test]
+fn tenth_call() {
+    let mut test = BoardTest::new(8);
+    for call in 0..40 {
+        match call % 10 {
+            9 => test.fail(0, FailureSignal::NoAnswer),
+            _ => test.call(0, CallResult::Answered),
+        }
+    }
+    assert_eq!(test.state(0), HealthState::Suspected);
+    assert!(!test.chosen(false).contains(&id(0)));
+    for _ in 0..100 {
+        test.call(0, CallResult::Answered);
+    }
+    assert_eq!(test.state(0), HealthState::InService);
+}
+
+#[test]
+fn silent_endpoint() {
+    let mut test = BoardTest::new(8);
+    for _ in 0..3 {
+        test.board.started(&id(0), test.now);
+        test.now += Duration::from_millis(1);
+    }
+    test.pass(Duration::from_secs(2));
+    assert_eq!(test.state(0), HealthState::Failed);
+}
+
+#[test]
+fn busy_endpoint() {
+    let mut test = BoardTest::new(8);
+    for _ in 0..50 {
+        test.fail(0, FailureSignal::Busy);
+    }
+    assert_eq!(test.state(0), HealthState::InService);
+}
+
+#[test]
+fn leaving_endpoint() {
+    let mut test = BoardTest::new(2);
+    test.fail(0, FailureSignal::Leaving);
+    assert_eq!(test.state(0), HealthState::Leaving);
+    assert!(!test.chosen(true).contains(&id(0)));
+    test.board.listed(&id(0), false, test.now);
+    assert_eq!(test.state(0), HealthState::SlowStart);
+}
+
+#[test]
+fn repeatable_test() {
+    let mut test = BoardTest::new(2);
+    for _ in 0..3 {
+        test.fail(0, FailureSignal::Refused);
+    }
+    test.pass(Duration::from_secs(2));
+    assert_eq!(test.state(0), HealthState::Testing);
+    assert!(!test.chosen(false).contains(&id(0)));
+    test.board.started(&id(0), test.now);
+    let second = test.chosen(true);
+    assert!(!second.contains(&id(0)), "one test at a time");
+}
+
+#[test]
+fn failed_test() {
+    let mut test = BoardTest::new(4);
+    for _ in 0..3 {
+        test.fail(0, FailureSignal::Refused);
+    }
+    test.pass(Duration::from_secs(2));
+    test.fail(0, FailureSignal::NoAnswer);
+    assert_eq!(test.state(0), HealthState::Failed);
+    test.pass(Duration::from_secs(3));
+    assert_eq!(test.state(0), HealthState::Failed, "the wait doubles");
+    test.pass(Duration::from_secs(2));
+    test.call(0, CallResult::Answered);
+    assert_eq!(test.state(0), HealthState::SlowStart);
+}
+
+#[test]
+fn late_answer() {
+    let mut test = BoardTest::new(4);
+    let early = test.now;
+    test.board.started(&id(0), early);
+    for _ in 0..3 {
+        test.fail(0, FailureSignal::NoAnswer);
+    }
+    assert_eq!(test.state(0), HealthState::Failed);
+    test.board
+        .finished(&id(0), early, CallResult::Answered, test.now);
+    assert_eq!(test.state(0), HealthState::Testing);
+    assert!(!test.chosen(false).contains(&id(0)));
+}
+
+#[test]
+fn overload_suspected() {
+    let mut test = BoardTest::new(8);
+    for number in 0..8 {
+        for _ in 0..5 {
+            test.fail(number, FailureSignal::NoAnswer);
+        }
+    }
+    let failed = (0..8)
+        .filter(|&number| test.state(number) != HealthState::Suspected)
+        .count();
+    assert_eq!(failed, 4, "at most half fail without proof");
+    assert!(!test.chosen(false).is_empty());
+}
