Choice: speeds by sampling, stale reports ignored, queues smoothed by uncertainty

Ruled out: a per-endpoint average of reports (it oscillates with the lag), larger samples (they herd more). Change: weight 0.05, remainder below a tenth dropped, scores compared in steps, sampling by throughput, and queues instead of completions compared unless the reports are fresh.

--- a/crates/dandeliondeal_balance/src/board_settings.rs
+++ b/crates/dandeliondeal_balance/src/board_settings.rs
@@ -20,8 +20,10 @@
     pub subset_size: usize,
     /// Entry instances that should know each endpoint, on average.
     pub subset_cover: usize,
-    /// Time constant with which a report fades towards the mean of its group.
-    pub report_fade: Duration,
+    /// Service times after which a report has faded towards what is usual.
+    ///
+    /// Calls that a report counted are answered after about one service time.
+    pub report_fade: f64,
     /// Weight of the newest answer in the measured service time.
     pub service_weight: f64,
     /// Predicted completion of a suspected endpoint is multiplied by this.
@@ -34,8 +36,8 @@
             samples: 3,
             subset_size: 16,
             subset_cover: 4,
-            report_fade: Duration::from_secs(2),
-            service_weight: 0.2,
+            report_fade: 1.0,
+            service_weight: 0.05,
             suspicion_penalty: 4.0,
         }
     }
--- a/crates/dandeliondeal_balance/src/endpoint_board.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_board.rs
@@ -11,13 +11,15 @@
 use crate::board_settings::BoardSettings;
 use crate::board_view::BoardView;
 use crate::endpoint_group::EndpointGroup;
+use crate::endpoint_load::OtherWork;
 use crate::endpoint_profile::{CallResult, EndpointProfile, FailureSignal};
 use crate::endpoint_slot::EndpointSlot;
 use crate::health_chart::{HealthState, HealthTable, health_table};
 use crate::load_report::LoadReport;
+use crate::sample_rank::{SampleScore, best_sample};
 
 /// Random picks for each sample before the whole subset is searched.
-const PICKS_PER_SAMPLE: usize = 4;
+const PICKS_PER_SAMPLE: usize = 8;
 
 /// Health and load of all endpoints, as one instance knows them.
 ///
@@ -129,7 +131,7 @@
         slot.load.report(report);
         let after = slot.load.reported_others();
         if let Some(group) = self.groups.get_mut(&slot.profile.group) {
-            group.update_mean(before, after);
+            group.update_mean(slot.profile.capacity, before, after);
         }
     }
 
@@ -152,6 +154,10 @@
             }
             self.slots[index].health.tick(&self.settings.health, now);
         }
+        for group in self.groups.values_mut() {
+            let rates = group.subset.iter().map(|&slot| self.slots[slot].rate());
+            group.best_rate = rates.fold(0.0, f64::max);
+        }
     }
 
     /// Chooses an endpoint of a group for one call.
@@ -165,9 +171,12 @@
     where
         Source: Rng,
     {
-        self.sample(group, is_repeatable, random)
+        let slots = self.sample(group, is_repeatable, random);
+        let scores: Vec<SampleScore> = slots
             .into_iter()
-            .min_by_key(|&slot| self.completion(slot, now))
+            .map(|slot| self.score(slot, now))
+            .collect();
+        best_sample(&scores, self.instances == 1)
             .map(|slot| Arc::clone(&self.slots[slot].profile.id))
     }
 
@@ -252,7 +261,10 @@
         let mut sampled = Vec::with_capacity(count);
         for _ in 0..count * PICKS_PER_SAMPLE {
             let slot = group.subset[random.random_range(0..group.subset.len())];
-            let is_fit = self.slots[slot].health.is_preferred(is_repeatable);
+            let endpoint = &self.slots[slot];
+            // Speeds differ: each endpoint is sampled as often as its throughput allows.
+            let is_drawn = random.random::<f64>() * group.best_rate < endpoint.rate();
+            let is_fit = is_drawn && endpoint.health.is_preferred(is_repeatable);
             if is_fit && !sampled.contains(&slot) {
                 sampled.push(slot);
             }
@@ -293,13 +305,19 @@
         Vec::new()
     }
 
-    fn completion(&self, index: usize, now: Instant) -> Duration {
+    fn score(&self, index: usize, now: Instant) -> SampleScore {
         let slot = &self.slots[index];
         let capacity = slot.capacity(&self.settings.health, now);
         let others = self.others(index, now);
-        slot.load
-            .expected_completion(&slot.profile, others, capacity)
-            .mul_f64(self.penalty(index))
+        let load = &slot.load;
+        SampleScore {
+            slot: index,
+            completion: load.expected_completion(&slot.profile, others, capacity),
+            service: load.service_time(),
+            queue: load.expected_queue(others, capacity),
+            freshness: load.freshness(&self.settings.choice, now),
+            penalty: self.penalty(index),
+        }
     }
 
     fn penalty(&self, slot: usize) -> f64 {
@@ -309,13 +327,12 @@
         }
     }
 
-    fn others(&self, index: usize, now: Instant) -> f64 {
+    fn others(&self, index: usize, now: Instant) -> OtherWork {
         let slot = &self.slots[index];
-        let mean = self
-            .groups
-            .get(&slot.profile.group)
-            .map_or(0.0, EndpointGroup::mean);
-        slot.load.others(mean, &self.settings.choice, now)
+        let group = self.groups.get(&slot.profile.group);
+        let per_place = group.map_or(0.0, EndpointGroup::mean);
+        let usual = per_place * f64::from(slot.profile.capacity);
+        slot.load.others(usual, &self.settings.choice, now)
     }
 
     /// Whether one more endpoint of the group may count as failed without proof.
--- a/crates/dandeliondeal_balance/src/endpoint_group.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_group.rs
@@ -16,7 +16,9 @@
     pub(crate) members: Vec<usize>,
     /// Those that this instance uses.
     pub(crate) subset: Vec<usize>,
-    reported: u32,
+    /// Highest throughput of a member, in calls a second.
+    pub(crate) best_rate: f64,
+    reported: f64,
     sum: f64,
 }
 
@@ -32,7 +34,8 @@
         for (index, slot) in slots.iter().enumerate() {
             let group = groups.entry(Arc::clone(&slot.profile.group)).or_default();
             group.members.push(index);
-            group.update_mean(None, slot.load.reported_others());
+            group.update_mean(slot.profile.capacity, None, slot.load.reported_others());
+            group.best_rate = group.best_rate.max(slot.rate());
         }
         for group in groups.values_mut() {
             let endpoints: Vec<EndpointId> = group
@@ -49,20 +52,20 @@
         groups
     }
 
-    /// Puts a report in place of the one before.
-    pub(crate) fn update_mean(&mut self, before: Option<f64>, after: Option<f64>) {
+    /// Puts a report of an endpoint with `capacity` places in place of the one before.
+    pub(crate) fn update_mean(&mut self, capacity: u32, before: Option<f64>, after: Option<f64>) {
         if before.is_none() && after.is_some() {
-            self.reported += 1;
+            self.reported += f64::from(capacity);
         }
         self.sum += after.unwrap_or(0.0) - before.unwrap_or(0.0);
     }
 
-    /// Mean work of other instances over the endpoints that reported.
+    /// Mean work of other instances for each place of the endpoints that reported.
     pub(crate) fn mean(&self) -> f64 {
-        if self.reported == 0 {
-            0.0
+        if self.reported > 0.0 {
+            (self.sum / self.reported).max(0.0)
         } else {
-            (self.sum / f64::from(self.reported)).max(0.0)
+            0.0
         }
     }
 }
--- a/crates/dandeliondeal_balance/src/endpoint_load.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_load.rs
@@ -9,6 +9,18 @@
 /// Share by which a full batch slows each call; it ranks endpoints that have no queue.
 const BATCH_SLOWDOWN: f64 = 0.25;
 
+/// Share of a report that is kept below which it is ignored.
+const LEAST_KEPT: f64 = 0.1;
+
+/// Estimate of the calls of other instances at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct OtherWork {
+    /// Expected number of calls.
+    pub calls: f64,
+    /// Variance of that number; it grows with the age of the report.
+    pub variance: f64,
+}
+
 /// Load of one endpoint as this instance knows it.
 #[derive(Clone, Debug)]
 pub struct EndpointLoad {
@@ -59,8 +71,8 @@
     }
 
     /// Predicted time of one more call as a multiple of its time at an idle endpoint.
-    pub fn stretch(&self, others: f64, capacity: f64) -> f64 {
-        1.0 + self.ahead(others, capacity) / capacity.max(1.0)
+    pub fn stretch(&self, others: OtherWork, capacity: f64) -> f64 {
+        1.0 + self.expected_queue(others, capacity)
     }
 
     /// Learns from the time that an answered call took, less its predicted queueing.
@@ -93,13 +105,23 @@
         }
     }
 
-    /// Work of other instances: the last report, faded towards `mean` with its age.
-    pub fn others(&self, mean: f64, settings: &ChoiceSettings, now: Instant) -> f64 {
-        let Some(age) = self.report_age(now) else {
-            return mean;
-        };
-        let kept = (-age.as_secs_f64() / settings.report_fade.as_secs_f64()).exp();
-        mean + (self.others - mean) * kept
+    /// Share of the last report that has not faded with its age.
+    pub fn freshness(&self, settings: &ChoiceSettings, now: Instant) -> f64 {
+        let kept = self.report_age(now).map_or(0.0, |age| {
+            let fade = self.service_seconds * settings.report_fade;
+            (-age.as_secs_f64() / fade).exp()
+        });
+        // A faint remainder would still break every tie, the same way at all instances.
+        if kept < LEAST_KEPT { 0.0 } else { kept }
+    }
+
+    /// Work of other instances: the last report, faded with its age towards `usual`.
+    pub fn others(&self, usual: f64, settings: &ChoiceSettings, now: Instant) -> OtherWork {
+        let kept = self.freshness(settings, now);
+        OtherWork {
+            calls: usual + (self.others - usual) * kept,
+            variance: usual * (1.0 - kept * kept),
+        }
     }
 
     /// Work of other instances as last reported.
@@ -108,26 +130,36 @@
     }
 
     /// Predicted wait before one more call starts at an endpoint with `capacity` places.
-    pub fn expected_wait(&self, others: f64, capacity: f64) -> Duration {
-        let ahead = self.ahead(others, capacity);
-        Duration::from_secs_f64(self.service_seconds * ahead / capacity.max(1.0))
-    }
-
-    fn ahead(&self, others: f64, capacity: f64) -> f64 {
-        (f64::from(self.in_flight) + others + 1.0 - capacity).max(0.0)
+    pub fn expected_wait(&self, others: OtherWork, capacity: f64) -> Duration {
+        let queue = self.expected_queue(others, capacity);
+        Duration::from_secs_f64(self.service_seconds * queue)
     }
 
     /// Predicted time until one more call is answered.
     pub fn expected_completion(
         &self,
         profile: &EndpointProfile,
-        others: f64,
+        others: OtherWork,
         capacity: f64,
     ) -> Duration {
-        let load = f64::from(self.in_flight) + others;
+        let load = f64::from(self.in_flight) + others.calls;
         let batch = 1.0 + BATCH_SLOWDOWN * (load / capacity.max(1.0)).min(1.0);
         self.expected_wait(others, capacity)
             + Duration::from_secs_f64(self.service_seconds * batch)
             + profile.link_delay * 2
     }
+
+    /// Predicted queue ahead of one more call, in calls a place.
+    pub fn expected_queue(&self, others: OtherWork, capacity: f64) -> f64 {
+        self.ahead(others, capacity) / capacity.max(1.0)
+    }
+
+    /// Expected calls in the queue ahead of one more call.
+    ///
+    /// The work of others is uncertain, so a queue is possible also where the mean leaves places
+    /// free: the positive part of the excess is smoothed by the spread.
+    fn ahead(&self, others: OtherWork, capacity: f64) -> f64 {
+        let excess = f64::from(self.in_flight) + others.calls + 1.0 - capacity;
+        f64::midpoint(excess, excess.hypot(others.variance.sqrt()))
+    }
 }
--- a/crates/dandeliondeal_balance/src/endpoint_slot.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_slot.rs
@@ -5,7 +5,7 @@
 
 use crate::board_settings::{BoardSettings, HealthSettings};
 use crate::endpoint_health::EndpointHealth;
-use crate::endpoint_load::EndpointLoad;
+use crate::endpoint_load::{EndpointLoad, OtherWork};
 use crate::endpoint_profile::{CallResult, EndpointProfile, FailureSignal};
 use crate::health_chart::HealthTable;
 
@@ -46,8 +46,14 @@
         f64::from(self.profile.capacity) * self.health.ramp_share(settings, now)
     }
 
+    /// Throughput in calls a second when all places are in use.
+    pub(crate) fn rate(&self) -> f64 {
+        let seconds = self.load.service_time().as_secs_f64();
+        f64::from(self.profile.capacity) / seconds.max(f64::MIN_POSITIVE)
+    }
+
     /// Notes a call that starts beside `others` calls of other instances.
-    pub(crate) fn started(&mut self, others: f64, now: Instant) {
+    pub(crate) fn started(&mut self, others: OtherWork, now: Instant) {
         let capacity = f64::from(self.profile.capacity);
         self.open.push(OpenCall {
             started: now,
--- a/crates/dandeliondeal_balance/src/lib.rs
+++ b/crates/dandeliondeal_balance/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod health_chart;
 pub mod load_report;
 pub mod retry_budget;
+mod sample_rank;
 pub mod signal_window;
 pub mod stable_subset;
 
