--- a/crates/dandeliondeal_command/src/bin/dandeliondeal-entry.rs
+++ b/crates/dandeliondeal_command/src/bin/dandeliondeal-entry.rs
@@ -1,3 +1,12 @@
-//! The `dandeliondeal-entry` program.
+//! The daemon of an entry instance.
 
-fn main() {}
+use std::process::ExitCode;
+
+use dandeliondeal_command::{command_error, entry_command};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    command_error::finish(entry_command::run(pico_args::Arguments::from_env()))
+}
--- a/crates/dandeliondeal_command/src/bin/dandeliondeal.rs
+++ b/crates/dandeliondeal_command/src/bin/dandeliondeal.rs
@@ -1,3 +1,12 @@
-//! The `dandeliondeal` program.
+//! The operators' command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+use dandeliondeal_command::{command_error, command_line};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    command_error::finish(command_line::run(pico_args::Arguments::from_env()))
+}
--- /dev/null
+++ b/crates/dandeliondeal_command/src/command_line.rs
@@ -0,0 +1,69 @@
+//! The subcommands of `dandeliondeal`.
+
+use pico_args::Arguments;
+
+use crate::{CommandError, settings_command, standalone};
+
+const HELP: &str = "\
+A router for pipelines over mixed accelerators.
+
+usage: dandeliondeal COMMAND [ARGUMENTS]
+
+  standalone     run an entry instance with stand-ins for all that it needs
+  settings       check a settings file, or print the defaults
+
+`dandeliondeal COMMAND --help` tells more.
+Exit codes: 0 done, 1 failed, 2 bad usage or input, 3 conflict with another operator.
+";
+
+/// Runs the command that the arguments name.
+///
+/// # Errors
+///
+/// Returns the command's error, or what is wrong with the arguments.
+pub fn run(mut arguments: Arguments) -> Result<(), CommandError> {
+    let command = arguments.subcommand()?;
+    let help = arguments.contains(["-h", "--help"]);
+    match command.as_deref() {
+        Some("standalone") => run_or_help(help, standalone::HELP, arguments, standalone::run),
+        Some("settings") => {
+            run_or_help(help, settings_command::HELP, arguments, settings_command::run)
+        }
+        Some(command) => Err(CommandError::usage(format!("there is no command {command}"))),
+        None if help => print_help(HELP),
+        None => Err(CommandError::usage("a command is missing; see --help")),
+    }
+}
+
+/// Refuses arguments that nobody took.
+///
+/// # Errors
+///
+/// Names the first argument that is left.
+pub fn reject_rest(arguments: Arguments) -> Result<(), CommandError> {
+    match arguments.finish().first() {
+        None => Ok(()),
+        Some(rest) => {
+            let rest = rest.to_string_lossy();
+            Err(CommandError::usage(format!("argument {rest} is not known; see --help")))
+        }
+    }
+}
+
+fn run_or_help<Run>(
+    help: bool,
+    text: &str,
+    arguments: Arguments,
+    run: Run,
+) -> Result<(), CommandError>
+where
+    Run: FnOnce(Arguments) -> Result<(), CommandError>,
+{
+    if help { print_help(text) } else { run(arguments) }
+}
+
+#[expect(clippy::unnecessary_wraps, reason = "printing help is one of the results of a command")]
+fn print_help(text: &str) -> Result<(), CommandError> {
+    print!("{text}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/dandeliondeal_command/src/entry_command.rs
@@ -0,0 +1,48 @@
+//! `dandeliondeal-entry`: the daemon of an entry instance.
+
+use dandeliondeal_entry::EntryServer;
+use dandeliondeal_types::SystemClock;
+use pico_args::Arguments;
+
+use crate::CommandError;
+use crate::command_line::reject_rest;
+use crate::json_log::start_log;
+use crate::settings_command::read_settings;
+use crate::stop_signal::wait_for_stop;
+
+const HELP: &str = "\
+Runs an entry instance until SIGINT or SIGTERM; open requests finish first.
+
+usage: dandeliondeal-entry --settings FILE
+
+`dandeliondeal settings default` prints a settings file with every key.
+";
+
+/// Runs the daemon.
+///
+/// # Errors
+///
+/// Says which argument, setting or address is wrong.
+pub fn run(mut arguments: Arguments) -> Result<(), CommandError> {
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let file: String = arguments.value_from_str("--settings")?;
+    reject_rest(arguments)?;
+    let settings = read_settings(&file)?;
+    start_log("info");
+    actix_rt::System::new().block_on(async {
+        let entry = EntryServer::start(settings, SystemClock)
+            .await
+            .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
+        tracing::info!(
+            callers = %entry.caller_address(),
+            operators = %entry.operator_address(),
+            "started"
+        );
+        wait_for_stop().await?;
+        entry.stop().await;
+        Ok(())
+    })
+}
--- a/crates/dandeliondeal_command/src/lib.rs
+++ b/crates/dandeliondeal_command/src/lib.rs
@@ -1,1 +1,15 @@
-//! The command line and the daemons.
+//! The command line of dandeliondeal and its daemons.
+//!
+//! Each subcommand is a module with a `run` function that takes the rest of the command line. The
+//! programs under `src/bin` only start a runtime and call in here.
+
+pub mod command_error;
+pub mod command_line;
+pub mod entry_command;
+pub mod json_log;
+pub mod settings_command;
+pub mod standalone;
+pub mod stop_signal;
+
+#[doc(inline)]
+pub use command_error::CommandError;
--- /dev/null
+++ b/crates/dandeliondeal_command/src/standalone.rs
@@ -0,0 +1,208 @@
+//! Standalone mode: one process with an entry instance and everything that it needs.
+//!
+//! The engines, the service and the platform are stand-ins on loopback sockets; the entry instance
+//! is the real one, and it reads its sheet from the platform as it would in a fleet.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use dandeliondeal_config::{
+    EXAMPLE_KEY, EntrySettings, InstanceSettings, ListenSettings, PlatformSettings, RowKey,
+    SheetKind, SheetRows, StopSettings, compile_sheet, example_sheet, read_sheet,
+};
+use dandeliondeal_entry::EntryServer;
+use dandeliondeal_standin::{
+    EngineSettings, EngineStandin, PlatformStandin, ServiceSettings, ServiceStandin, StandinError,
+};
+use dandeliondeal_types::sheet_model::{EndpointEntry, EndpointTarget};
+use dandeliondeal_types::{EndpointId, SheetModel, SystemClock};
+use pico_args::Arguments;
+
+use crate::CommandError;
+use crate::json_log::start_log;
+use crate::stop_signal::wait_for_stop;
+
+/// What `dandeliondeal standalone --help` prints.
+pub const HELP: &str = "\
+Runs an entry instance with stand-ins for the platform, four engines and a service.
+
+usage: dandeliondeal standalone [--listen ADDRESS] [--settings FILE]
+
+  --listen ADDRESS   address for callers (default 127.0.0.1:8080)
+  --settings FILE    settings of the entry instance; see `settings default`
+
+Ctrl-C stops it once every open request is answered.
+";
+
+const DEFAULT_LISTEN: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 8080);
+/// Time added to each step of an engine that is reached over a slow link.
+const SLOW_LINK: Duration = Duration::from_millis(2);
+
+/// Runs standalone mode until the process is asked to stop.
+///
+/// # Errors
+///
+/// Says which argument, file or address is wrong.
+pub fn run(mut arguments: Arguments) -> Result<(), CommandError> {
+    let listen: Option<SocketAddr> = arguments.opt_value_from_str("--listen")?;
+    let file: Option<String> = arguments.opt_value_from_str("--settings")?;
+    crate::command_line::reject_rest(arguments)?;
+    let settings = read_settings(file.as_deref(), listen)?;
+    start_log("warn");
+    actix_rt::System::new().block_on(serve(settings))
+}
+
+fn read_settings(
+    file: Option<&str>,
+    listen: Option<SocketAddr>,
+) -> Result<EntrySettings, CommandError> {
+    let mut settings = match file {
+        Some(file) => {
+            let text = fs::read_to_string(file)
+                .map_err(|error| CommandError::usage(format!("{file}: {error}")))?;
+            EntrySettings::parse_partial(file, &text).map_err(first_setting_error)?
+        }
+        None => EntrySettings {
+            instance: InstanceSettings::new("entry-1", "didube", "tbilisi"),
+            listen: ListenSettings { callers: DEFAULT_LISTEN, ..any_ports() },
+            stop: StopSettings { balancer_lag: Duration::ZERO, ..StopSettings::default() },
+            ..EntrySettings::default()
+        },
+    };
+    if let Some(listen) = listen {
+        settings.listen.callers = listen;
+    }
+    Ok(settings)
+}
+
+fn first_setting_error(errors: Vec<dandeliondeal_config::SettingError>) -> CommandError {
+    let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+    CommandError::usage(lines.join("; "))
+}
+
+fn any_ports() -> ListenSettings {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    ListenSettings { callers: any, operators: any, peers: any }
+}
+
+async fn serve(mut settings: EntrySettings) -> Result<(), CommandError> {
+    let platform = PlatformStandin::start(dandeliondeal_standin::PlatformSettings::default())
+        .map_err(standin_failed)?;
+    settings.platform =
+        PlatformSettings { address: platform.address(), ..settings.platform };
+    let standins = StandaloneStandins::start()?;
+    let entry = EntryServer::start(settings, SystemClock)
+        .await
+        .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
+    entry.install(Arc::clone(&standins.sheet));
+    print_addresses(entry.caller_address(), entry.operator_address(), platform.address());
+    for (name, address) in &standins.addresses {
+        println!("{name:<12} http://{address}");
+    }
+    print_curl(entry.caller_address());
+    wait_for_stop().await?;
+    eprintln!("stopping: open requests finish");
+    entry.stop().await;
+    Ok(())
+}
+
+/// The engines and the service that the example sheet names, on free ports.
+#[derive(Debug)]
+struct StandaloneStandins {
+    sheet: Arc<SheetModel>,
+    addresses: Vec<(EndpointId, SocketAddr)>,
+    _engines: Vec<EngineStandin>,
+    _services: Vec<ServiceStandin>,
+}
+
+impl StandaloneStandins {
+    fn start() -> Result<Self, CommandError> {
+        let mut rows = read_sheet(example_sheet().as_bytes()).map_err(first_sheet_error)?;
+        let template = compile_sheet(1, &rows).map_err(first_sheet_error)?;
+        let mut engines = Vec::new();
+        let mut services = Vec::new();
+        let mut addresses = Vec::new();
+        for (endpoint, entry) in &template.endpoints {
+            let address = match &entry.target {
+                EndpointTarget::Layers { .. } => {
+                    let engine = start_engine(&template, entry).map_err(standin_failed)?;
+                    let address = engine.address();
+                    engines.push(engine);
+                    address
+                }
+                EndpointTarget::Service { service } => {
+                    let settings = ServiceSettings {
+                        name: Arc::clone(service),
+                        ..ServiceSettings::default()
+                    };
+                    let service = ServiceStandin::start(settings).map_err(standin_failed)?;
+                    let address = service.address();
+                    services.push(service);
+                    address
+                }
+            };
+            set_address(&mut rows, endpoint, address);
+            addresses.push((Arc::clone(endpoint), address));
+        }
+        let sheet = Arc::new(compile_sheet(1, &rows).map_err(first_sheet_error)?);
+        Ok(Self { sheet, addresses, _engines: engines, _services: services })
+    }
+}
+
+fn start_engine(sheet: &SheetModel, entry: &EndpointEntry) -> Result<EngineStandin, StandinError> {
+    let EndpointTarget::Layers { model, range } = &entry.target else {
+        return EngineStandin::start(EngineSettings::default());
+    };
+    let layer_nanoseconds =
+        sheet.accelerators.get(&entry.accelerator).map_or(0, |kind| kind.layer_nanoseconds);
+    let remote = &*entry.failure_domain != "didube";
+    let link = if remote { SLOW_LINK } else { Duration::ZERO };
+    EngineStandin::start(EngineSettings {
+        model: Arc::clone(model),
+        layers: sheet.models.get(model).map_or(0, |entry| entry.layers),
+        range: *range,
+        layer_microseconds: layer_nanoseconds / 1_000,
+        link_microseconds: u64::try_from(link.as_micros()).unwrap_or(u64::MAX),
+        checks_fencing: entry.checks_fencing,
+        capacity: usize::try_from(entry.capacity).unwrap_or(usize::MAX),
+        ..EngineSettings::default()
+    })
+}
+
+fn set_address(rows: &mut SheetRows, endpoint: &EndpointId, address: SocketAddr) {
+    let key = RowKey {
+        kind: SheetKind::Endpoint,
+        name: Arc::clone(endpoint),
+        attribute: "address".into(),
+    };
+    rows.set(key, address.to_string().into());
+}
+
+fn print_addresses(callers: SocketAddr, operators: SocketAddr, platform: SocketAddr) {
+    println!("callers      http://{callers}");
+    println!("operators    http://{operators}");
+    println!("platform     http://{platform}");
+}
+
+fn print_curl(callers: SocketAddr) {
+    println!();
+    println!("Try:");
+    println!(
+        "curl -sN http://{callers}/v1/completions -H 'Authorization: Bearer {EXAMPLE_KEY}' \
+         -H 'Content-Type: application/json' \
+         -d '{{\"model\":\"drafting-desk\",\"prompt\":\"a copper kettle\",\"max_tokens\":8}}'"
+    );
+}
+
+fn first_sheet_error(errors: Vec<dandeliondeal_config::SheetError>) -> CommandError {
+    let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+    CommandError::failed(format!("example sheet: {}", lines.join("; ")))
+}
+
+#[expect(clippy::needless_pass_by_value, reason = "the signature that `map_err` takes")]
+fn standin_failed(error: StandinError) -> CommandError {
+    CommandError::failed(error.to_string())
+}
--- /dev/null
+++ b/crates/dandeliondeal_entry/src/completion_request.rs
@@ -0,0 +1,200 @@
+//! Completion requests as callers send them, and their checks.
+
+use std::sync::Arc;
+
+use dandeliondeal_types::{ErrorKind, RequestStep, RouteError, RouteId};
+use serde::Deserialize;
+use serde::de::IgnoredAny;
+
+/// Tokens generated where the caller names no number.
+const DEFAULT_MAX_TOKENS: u32 = 16;
+
+/// What both kinds of completion ask for.
+#[derive(Clone, Debug)]
+pub struct CompletionRequest {
+    /// Whether the chat form is used.
+    pub chat: bool,
+    /// Route that the caller names as `model`.
+    pub route: RouteId,
+    /// The prompt as one text.
+    pub prompt: Arc<str>,
+    /// Tokens to generate.
+    pub max_tokens: u32,
+    /// Whether the answer comes as a stream of events.
+    pub stream: bool,
+    /// Whether the stream ends with the token counts.
+    pub include_usage: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct CompletionBody {
+    model: Option<RouteId>,
+    prompt: Option<PromptBody>,
+    messages: Option<Vec<ChatMessage>>,
+    max_tokens: Option<i64>,
+    max_completion_tokens: Option<i64>,
+    #[serde(default)]
+    stream: bool,
+    stream_options: Option<StreamOptions>,
+    n: Option<i64>,
+    best_of: Option<i64>,
+    stop: Option<IgnoredAny>,
+    suffix: Option<IgnoredAny>,
+    tools: Option<IgnoredAny>,
+    logprobs: Option<LogprobsBody>,
+    response_format: Option<IgnoredAny>,
+    #[serde(default)]
+    echo: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum LogprobsBody {
+    Chosen(bool),
+    Count(#[expect(dead_code, reason = "any count is refused")] i64),
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum PromptBody {
+    Text(Arc<str>),
+    Texts(Vec<Arc<str>>),
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatMessage {
+    role: Arc<str>,
+    content: ChatContent,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum ChatContent {
+    Text(Arc<str>),
+    Parts(Vec<ChatPart>),
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatPart {
+    text: Option<Arc<str>>,
+}
+
+impl CompletionRequest {
+    /// Reads and checks a body; `chat` tells which of the two forms it has to have.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::InvalidInput`] naming the field that is wrong.
+    pub fn parse(body: &[u8], chat: bool) -> Result<Self, RouteError> {
+        let text = std::str::from_utf8(body)
+            .map_err(|error| invalid("body", format!("body is not UTF-8: {error}")))?;
+        let body: CompletionBody = serde_json::from_str(text)
+            .map_err(|error| invalid("body", format!("body is not the expected JSON: {error}")))?;
+        reject_unsupported(&body)?;
+        let max_tokens = token_count(&body)?;
+        let route = body
+            .model
+            .filter(|route| !route.is_empty())
+            .ok_or_else(|| invalid("model", "`model` is missing"))?;
+        let prompt = if chat {
+            chat_prompt(body.messages)?
+        } else {
+            completion_prompt(body.prompt)?
+        };
+        Ok(Self {
+            chat,
+            route,
+            prompt,
+            max_tokens,
+            stream: body.stream,
+            include_usage: body.stream_options.unwrap_or_default().include_usage,
+        })
+    }
+}
+
+fn reject_unsupported(body: &CompletionBody) -> Result<(), RouteError> {
+    let several = |count: Option<i64>| count.is_some_and(|count| count != 1);
+    let fields = [
+        ("n", several(body.n)),
+        ("best_of", several(body.best_of)),
+        ("stop", body.stop.is_some()),
+        ("suffix", body.suffix.is_some()),
+        ("tools", body.tools.is_some()),
+        (
+            "logprobs",
+            !matches!(body.logprobs, None | Some(LogprobsBody::Chosen(false))),
+        ),
+        ("response_format", body.response_format.is_some()),
+        ("echo", body.echo),
+    ];
+    match fields.iter().find(|(_, present)| *present) {
+        None => Ok(()),
+        Some((field, _)) => Err(invalid(field, format!("`{field}` is not supported"))),
+    }
+}
+
+fn token_count(body: &CompletionBody) -> Result<u32, RouteError> {
+    let (field, count) = match (body.max_completion_tokens, body.max_tokens) {
+        (Some(count), _) => ("max_completion_tokens", count),
+        (None, Some(count)) => ("max_tokens", count),
+        (None, None) => return Ok(DEFAULT_MAX_TOKENS),
+    };
+    u32::try_from(count)
+        .ok()
+        .filter(|count| *count > 0)
+        .ok_or_else(|| invalid(field, format!("`{field}` is {count}; expected 1 or more")))
+}
+
+fn completion_prompt(prompt: Option<PromptBody>) -> Result<Arc<str>, RouteError> {
+    let text = match prompt {
+        Some(PromptBody::Text(text)) => text,
+        Some(PromptBody::Texts(texts)) if texts.len() == 1 => Arc::clone(&texts[0]),
+        Some(PromptBody::Texts(_)) => {
+            return Err(invalid("prompt", "`prompt` must hold one text"));
+        }
+        None => return Err(invalid("prompt", "`prompt` is missing")),
+    };
+    if text.is_empty() {
+        return Err(invalid("prompt", "`prompt` is empty"));
+    }
+    Ok(text)
+}
+
+fn chat_prompt(messages: Option<Vec<ChatMessage>>) -> Result<Arc<str>, RouteError> {
+    let messages = messages
+        .filter(|messages| !messages.is_empty())
+        .ok_or_else(|| invalid("messages", "`messages` is missing or empty"))?;
+    let mut prompt = String::new();
+    for message in &messages {
+        prompt.push_str(&message.role);
+        prompt.push_str(": ");
+        match &message.content {
+            ChatContent::Text(text) => prompt.push_str(text),
+            ChatContent::Parts(parts) => {
+                for part in parts {
+                    let text = part.text.as_ref().ok_or_else(|| {
+                        invalid("messages", "`messages` may hold parts of text only")
+                    })?;
+                    prompt.push_str(text);
+                }
+            }
+        }
+        prompt.push('\n');
+    }
+    Ok(prompt.into())
+}
+
+fn invalid<Text>(field: &'static str, message: Text) -> RouteError
+where
+    Text: Into<Arc<str>>,
+{
+    RouteError::new(ErrorKind::InvalidInput, RequestStep::Input, message)
+        .at("caller")
+        .field(field)
+}
--- /dev/null
+++ b/crates/dandeliondeal_entry/src/engine_http.rs
@@ -0,0 +1,288 @@
+//! Model engines over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::{Method, StatusCode};
+use bytes::Bytes;
+use dandeliondeal_types::{
+    EndpointId, EngineClient, ErrorKind, Lineage, Outcome, RequestId, RequestStep, RouteError,
+    SessionStatus, StepAnswer, StepCall,
+};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::http_pool::{HttpPool, call_failure};
+use crate::route_table::RouteTable;
+
+/// Largest answer of an engine in bytes, an exported cache included.
+const ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Longest wait for the answer to a call that only manages a session.
+const SESSION_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Talks to the engines of one route table.
+#[derive(Clone, Debug)]
+pub struct EngineHttp {
+    pool: HttpPool,
+    table: Arc<RouteTable>,
+}
+
+#[derive(Debug, Deserialize)]
+struct EngineRefusal {
+    error: RefusalDetail,
+}
+
+#[derive(Debug, Deserialize)]
+struct RefusalDetail {
+    code: Arc<str>,
+    message: Arc<str>,
+}
+
+/// One HTTP call to an engine.
+#[derive(Debug)]
+struct EngineCall<'call> {
+    endpoint: &'call EndpointId,
+    step: RequestStep,
+    method: Method,
+    path: String,
+    body: Bytes,
+    timeout: Duration,
+    fresh: bool,
+}
+
+impl EngineHttp {
+    /// Talks to the engines that `table` names, over the connections of `pool`.
+    pub fn new(pool: HttpPool, table: Arc<RouteTable>) -> Self {
+        Self { pool, table }
+    }
+
+    fn address(&self, endpoint: &EndpointId, step: RequestStep) -> Result<SocketAddr, RouteError> {
+        let entry = self.table.sheet.endpoints.get(endpoint).ok_or_else(|| {
+            RouteError::new(
+                ErrorKind::NotFound,
+                step,
+                "the endpoint is not in the sheet",
+            )
+            .at(Arc::clone(endpoint))
+        })?;
+        Ok(entry.address)
+    }
+
+    async fn call(&self, call: EngineCall<'_>) -> Result<Bytes, RouteError> {
+        let step = call.step;
+        let peer = Arc::clone(call.endpoint);
+        let timeout = call.timeout;
+        match actix_rt::time::timeout(timeout, self.exchange(call)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(RouteError::new(
+                ErrorKind::NoAnswer,
+                step,
+                format!("no answer for {} ms", timeout.as_millis()),
+            )
+            .at(peer)),
+        }
+    }
+
+    async fn exchange(&self, call: EngineCall<'_>) -> Result<Bytes, RouteError> {
+        let address = self.address(call.endpoint, call.step)?;
+        let url = format!("http://{address}{}", call.path);
+        let request = self.pool.client(call.fresh).request(call.method, url);
+        let request = if call.fresh {
+            request.force_close()
+        } else {
+            request
+        };
+        let mut answer = request
+            .send_body(call.body)
+            .await
+            .map_err(|error| call_failure(&error, call.step, call.endpoint))?;
+        let status = answer.status();
+        let body = answer.body().limit(ANSWER_BYTES).await.map_err(|error| {
+            RouteError::new(ErrorKind::NoAnswer, call.step, error.to_string())
+                .at(Arc::clone(call.endpoint))
+        })?;
+        if status.is_success() {
+            return Ok(body);
+        }
+        Err(refusal(status, &body, call.step, call.endpoint))
+    }
+}
+
+impl EngineClient for EngineHttp {
+    async fn step(
+        &self,
+        endpoint: &EndpointId,
+        call: StepCall,
+        timeout: Duration,
+        fresh: bool,
+    ) -> Result<StepAnswer, RouteError> {
+        let step = if call.name.position == 0 {
+            RequestStep::FirstStep
+        } else {
+            RequestStep::Decode
+        };
+        let body = self
+            .call(EngineCall {
+                endpoint,
+                step,
+                method: Method::POST,
+                path: "/steps".into(),
+                body: encode(&call).into(),
+                timeout,
+                fresh,
+            })
+            .await?;
+        decode(&body, step, endpoint)
+    }
+
+    async fn status(
+        &self,
+        endpoint: &EndpointId,
+        request: &RequestId,
+        timeout: Duration,
+    ) -> Result<Option<SessionStatus>, RouteError> {
+        let answer = self
+            .call(EngineCall {
+                endpoint,
+                step: RequestStep::Recovery,
+                method: Method::GET,
+                path: format!("/sessions/{request}"),
+                body: Bytes::new(),
+                timeout,
+                fresh: true,
+            })
+            .await;
+        match answer {
+            Ok(body) => decode(&body, RequestStep::Recovery, endpoint).map(Some),
+            Err(error) if error.kind() == ErrorKind::Gone => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn export(
+        &self,
+        endpoint: &EndpointId,
+        request: &RequestId,
+        timeout: Duration,
+    ) -> Result<Arc<str>, RouteError> {
+        let body = self
+            .call(EngineCall {
+                endpoint,
+                step: RequestStep::Recovery,
+                method: Method::GET,
+                path: format!("/sessions/{request}/cache"),
+                body: Bytes::new(),
+                timeout,
+                fresh: true,
+            })
+            .await?;
+        match std::str::from_utf8(&body) {
+            Ok(text) => Ok(text.into()),
+            Err(error) => Err(bad_answer(
+                error.to_string(),
+                RequestStep::Recovery,
+                endpoint,
+            )),
+        }
+    }
+
+    async fn import(
+        &self,
+        endpoint: &EndpointId,
+        request: &RequestId,
+        lineage: Lineage,
+        cache: Arc<str>,
+        timeout: Duration,
+    ) -> Result<SessionStatus, RouteError> {
+        let body = self
+            .call(EngineCall {
+                endpoint,
+                step: RequestStep::Recovery,
+                method: Method::PUT,
+                path: format!("/sessions/{request}/cache?lineage={lineage}"),
+                body: Bytes::copy_from_slice(cache.as_bytes()),
+                timeout,
+                fresh: true,
+            })
+            .await?;
+        decode(&body, RequestStep::Recovery, endpoint)
+    }
+
+    async fn renew(
+        &self,
+        endpoint: &EndpointId,
+        request: &RequestId,
+        life: Duration,
+    ) -> Result<(), RouteError> {
+        let body = format!("{{\"life_milliseconds\":{}}}", life.as_millis());
+        self.call(EngineCall {
+            endpoint,
+            step: RequestStep::Decode,
+            method: Method::POST,
+            path: format!("/sessions/{request}/renewal"),
+            body: body.into(),
+            timeout: SESSION_TIMEOUT,
+            fresh: false,
+        })
+        .await
+        .map(drop)
+    }
+
+    async fn cancel(&self, endpoint: &EndpointId, request: &RequestId) -> Result<(), RouteError> {
+        self.call(EngineCall {
+            endpoint,
+            step: RequestStep::Decode,
+            method: Method::DELETE,
+            path: format!("/sessions/{request}"),
+            body: Bytes::new(),
+            timeout: SESSION_TIMEOUT,
+            fresh: false,
+        })
+        .await
+        .map(drop)
+    }
+}
+
+fn encode(call: &StepCall) -> Vec<u8> {
+    // Numbers and text only: serialisation into memory cannot fail.
+    serde_json::to_vec(call).unwrap_or_default()
+}
+
+fn decode<Answer>(
+    body: &[u8],
+    step: RequestStep,
+    endpoint: &EndpointId,
+) -> Result<Answer, RouteError>
+where
+    Answer: DeserializeOwned,
+{
+    serde_json::from_slice(body).map_err(|error| bad_answer(error.to_string(), step, endpoint))
+}
+
+fn bad_answer(message: String, step: RequestStep, endpoint: &EndpointId) -> RouteError {
+    RouteError::new(ErrorKind::BadAnswer, step, message).at(Arc::clone(endpoint))
+}
+
+/// An engine that refuses a call did not run it.
+fn refusal(
+    status: StatusCode,
+    body: &[u8],
+    step: RequestStep,
+    endpoint: &EndpointId,
+) -> RouteError {
+    let (code, message) = match serde_json::from_slice::<EngineRefusal>(body) {
+        Ok(refusal) => (refusal.error.code, refusal.error.message),
+        Err(_) => ("".into(), format!("status {status}").into()),
+    };
+    let kind = match (status, &*code) {
+        (StatusCode::GONE | StatusCode::NOT_FOUND, _) => ErrorKind::Gone,
+        (StatusCode::SERVICE_UNAVAILABLE, "leaving") => ErrorKind::Leaving,
+        (StatusCode::SERVICE_UNAVAILABLE, _) => ErrorKind::Refused,
+        (StatusCode::TOO_MANY_REQUESTS, _) => ErrorKind::Overloaded,
+        _ => ErrorKind::BadAnswer,
+    };
+    RouteError::new(kind, step, message)
+        .at(Arc::clone(endpoint))
+        .with_outcome(Outcome::NotRun)
+}
--- /dev/null
+++ b/crates/dandeliondeal_entry/src/entry_metrics.rs
@@ -0,0 +1,120 @@
+//! Metrics of an entry instance in the Prometheus format.
+
+use std::time::Duration;
+
+use dandeliondeal_types::{Outcome, RequestStep};
+use prometheus::{
+    Encoder, Error, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
+};
+
+/// Bounds of the time buckets, in seconds.
+const TIME_BUCKETS: [f64; 14] = [
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// What the instance counts.
+#[derive(Clone, Debug)]
+pub struct EntryMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    parts: HistogramVec,
+    /// Tokens delivered to callers.
+    pub tokens: IntCounter,
+    /// Requests without an outcome yet.
+    pub open_requests: IntGauge,
+    /// Revision of the sheet in force.
+    pub revision: IntGauge,
+    recoveries: IntCounterVec,
+    dropped_answers: IntCounterVec,
+}
+
+impl EntryMetrics {
+    /// Registers every metric.
+    ///
+    /// # Errors
+    ///
+    /// Returns the registry's error if two metrics have one name.
+    pub fn new() -> Result<Self, Error> {
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: IntCounterVec::new(
+                Opts::new("dandeliondeal_requests_total", "Requests by outcome"),
+                &["outcome"],
+            )?,
+            parts: HistogramVec::new(
+                HistogramOpts::new("dandeliondeal_part_seconds", "Time of a request by part")
+                    .buckets(TIME_BUCKETS.to_vec()),
+                &["part"],
+            )?,
+            tokens: IntCounter::new("dandeliondeal_tokens_total", "Tokens delivered")?,
+            open_requests: IntGauge::new("dandeliondeal_open_requests", "Requests in flight")?,
+            revision: IntGauge::new("dandeliondeal_sheet_revision", "Revision in force")?,
+            recoveries: IntCounterVec::new(
+                Opts::new("dandeliondeal_recoveries_total", "Recoveries by way"),
+                &["way"],
+            )?,
+            dropped_answers: IntCounterVec::new(
+                Opts::new(
+                    "dandeliondeal_dropped_answers_total",
+                    "Answers dropped by reason",
+                ),
+                &["reason"],
+            )?,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> Result<(), Error> {
+        self.registry.register(Box::new(self.requests.clone()))?;
+        self.registry.register(Box::new(self.parts.clone()))?;
+        self.registry.register(Box::new(self.tokens.clone()))?;
+        self.registry
+            .register(Box::new(self.open_requests.clone()))?;
+        self.registry.register(Box::new(self.revision.clone()))?;
+        self.registry.register(Box::new(self.recoveries.clone()))?;
+        self.registry
+            .register(Box::new(self.dropped_answers.clone()))
+    }
+
+    /// The registry, for metrics of other parts.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Counts the end of a request.
+    pub fn ended(&self, outcome: Outcome) {
+        self.requests
+            .with_label_values(&[&outcome.to_string()])
+            .inc();
+    }
+
+    /// Records the time of one part of a request.
+    pub fn part(&self, step: RequestStep, time: Duration) {
+        self.parts
+            .with_label_values(&[&step.to_string()])
+            .observe(time.as_secs_f64());
+    }
+
+    /// Counts a recovery by the way that it took.
+    pub fn recovered(&self, way: &str) {
+        self.recoveries.with_label_values(&[way]).inc();
+    }
+
+    /// Counts an answer that was dropped.
+    pub fn dropped(&self, reason: &str) {
+        self.dropped_answers.with_label_values(&[reason]).inc();
+    }
+
+    /// Every metric in the text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns the encoder's error.
+    pub fn render(&self) -> Result<Vec<u8>, Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -0,0 +1,115 @@
+//! An entry instance: its listeners, and its planned stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dandeliondeal_config::EntrySettings;
+use dandeliondeal_types::{Clock, SheetModel};
+
+use crate::drain_state::{DrainEvent, DrainState};
+use crate::entry_context::{EntryContext, EntryError};
+use crate::http_listener::{HttpListener, ListenerSettings};
+use crate::route_table::RouteTable;
+use crate::{caller_api, operator_api};
+
+/// Connections open at once on the operators' address.
+const OPERATOR_CONNECTIONS: usize = 64;
+/// Time between two looks at whether requests are still open.
+const IDLE_INTERVAL: Duration = Duration::from_millis(20);
+/// Time that answers have to leave the sockets before the process may end.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
+/// A running entry instance on the current arbiter.
+#[derive(Debug)]
+pub struct EntryServer<ClockSource> {
+    context: EntryContext<ClockSource>,
+    callers: HttpListener,
+    operators: HttpListener,
+}
+
+impl<ClockSource> EntryServer<ClockSource>
+where
+    ClockSource: Clock,
+{
+    /// Binds the addresses of `settings` and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the instance cannot start.
+    pub async fn start(settings: EntrySettings, clock: ClockSource) -> Result<Self, EntryError> {
+        let bounds = ListenerSettings {
+            connections: usize::try_from(settings.limits.connections).unwrap_or(usize::MAX),
+            header_time: settings.limits.header_time,
+            ..ListenerSettings::default()
+        };
+        let listen = settings.listen.clone();
+        let context = EntryContext::new(settings, clock)?;
+        let caller_context = context.clone();
+        let callers = HttpListener::start(listen.callers, bounds, move |request| {
+            caller_api::handle(caller_context.clone(), request)
+        })
+        .await?;
+        let operator_bounds = ListenerSettings {
+            connections: OPERATOR_CONNECTIONS,
+            ..bounds
+        };
+        let operator_context = context.clone();
+        let operators = HttpListener::start(listen.operators, operator_bounds, move |request| {
+            std::future::ready(operator_api::handle(&operator_context, &request))
+        })
+        .await?;
+        Ok(Self {
+            context,
+            callers,
+            operators,
+        })
+    }
+
+    /// The address for callers.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// The address for operators.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// The shared state of the instance.
+    pub fn context(&self) -> &EntryContext<ClockSource> {
+        &self.context
+    }
+
+    /// Puts a sheet in force if its revision is higher, and tells whether it did.
+    pub fn install(&self, sheet: Arc<SheetModel>) -> bool {
+        self.context.table().install(RouteTable::new(sheet))
+    }
+
+    /// Stops as planned: not ready at once, accepting while the balancer lags, then every open
+    /// request finishes.
+    pub async fn stop(self) {
+        let settings = self.context.settings().stop.clone();
+        self.drain(DrainEvent::Stop);
+        actix_rt::time::sleep(settings.balancer_lag).await;
+        self.callers.close();
+        self.drain(DrainEvent::BalancerMoved);
+        let limit = self.context.clock().now() + settings.drain_limit;
+        while self.is_busy() && self.context.clock().now() < limit {
+            actix_rt::time::sleep(IDLE_INTERVAL).await;
+        }
+        actix_rt::time::sleep(FLUSH_TIME).await;
+        self.drain(DrainEvent::Idle);
+        self.operators.close();
+    }
+
+    fn is_busy(&self) -> bool {
+        self.context.registry().borrow().open() > 0
+    }
+
+    fn drain(&self, event: DrainEvent) -> DrainState {
+        let state = self.context.drain().borrow_mut().apply(event);
+        tracing::info!(?event, ?state, "drain");
+        state
+    }
+}
--- /dev/null
+++ b/crates/dandeliondeal_entry/src/http_listener.rs
@@ -0,0 +1,140 @@
+//! One HTTP listener on the current arbiter.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{HttpService, Request, Response};
+use actix_service::{Service, ServiceFactory, fn_service};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::reply_body::ReplyBody;
+
+/// Bounds of a listener.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenerSettings {
+    /// Connections open at once; a further one is closed.
+    pub connections: usize,
+    /// Longest time for a request's head to arrive.
+    pub header_time: Duration,
+    /// Time that an idle connection is kept.
+    pub keep_alive: Duration,
+}
+
+impl Default for ListenerSettings {
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            header_time: Duration::from_secs(5),
+            keep_alive: Duration::from_secs(75),
+        }
+    }
+}
+
+/// A listener that accepts until it is closed; open connections finish their requests.
+#[derive(Debug)]
+pub struct HttpListener {
+    address: SocketAddr,
+    closing: watch::Sender<bool>,
+}
+
+impl HttpListener {
+    /// Binds `address` and serves each request with `handler` on the current arbiter.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if the address cannot be bound.
+    pub async fn start<Handler, Reply>(
+        address: SocketAddr,
+        settings: ListenerSettings,
+        handler: Handler,
+    ) -> io::Result<Self>
+    where
+        Handler: Fn(Request) -> Reply + Clone + 'static,
+        Reply: Future<Output = Response<ReplyBody>> + 'static,
+    {
+        let socket = TcpListener::bind(address).await?;
+        let address = socket.local_addr()?;
+        let (closing, closed) = watch::channel(false);
+        actix_rt::spawn(accept(socket, settings, handler, closed));
+        Ok(Self { address, closing })
+    }
+
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting and closes each connection once its request is answered.
+    pub fn close(&self) {
+        self.closing.send_replace(true);
+    }
+}
+
+async fn accept<Handler, Reply>(
+    socket: TcpListener,
+    settings: ListenerSettings,
+    handler: Handler,
+    mut closed: watch::Receiver<bool>,
+) where
+    Handler: Fn(Request) -> Reply + Clone + 'static,
+    Reply: Future<Output = Response<ReplyBody>> + 'static,
+{
+    let signal = closed.clone();
+    let factory = HttpService::build()
+        .client_request_timeout(settings.header_time)
+        .client_disconnect_timeout(settings.header_time)
+        .keep_alive(settings.keep_alive)
+        .h1_allow_half_closed(false)
+        .tcp_nodelay(true)
+        .graceful_shutdown_signal(move || wait_closed(signal.clone()))
+        .finish(fn_service(move |request: Request| {
+            let reply = handler(request);
+            async move { Ok::<_, Infallible>(reply.await) }
+        }))
+        .tcp();
+    let Ok(service) = factory.new_service(()).await else {
+        return;
+    };
+    let service = Rc::new(service);
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let accepted = tokio::select! {
+            () = wait_closed(closed.clone()) => break,
+            accepted = socket.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Out of file descriptors, most likely: let some connections end.
+            actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if open.get() >= settings.connections {
+            continue;
+        }
+        spawn_connection(Rc::clone(&service), stream, Rc::clone(&open));
+    }
+    closed.mark_unchanged();
+}
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+fn spawn_connection<Connection>(service: Rc<Connection>, stream: TcpStream, open: Rc<Cell<usize>>)
+where
+    Connection: Service<TcpStream> + 'static,
+{
+    open.set(open.get() + 1);
+    actix_rt::spawn(async move {
+        // An error here is the caller's connection breaking; its requests have been told already.
+        drop(service.call(stream).await);
+        open.set(open.get().saturating_sub(1));
+    });
+}
+
+async fn wait_closed(mut closed: watch::Receiver<bool>) {
+    // The sender goes away with the listener, which closes it just as well.
+    drop(closed.wait_for(|closed| *closed).await);
+}
--- a/crates/dandeliondeal_entry/src/lib.rs
+++ b/crates/dandeliondeal_entry/src/lib.rs
@@ -1,1 +1,33 @@
-//! The entry instance: caller API, endpoint client, peer server.
+//! The entry instance: caller API, endpoint client, peer server, metrics and the planned stop.
+//!
+//! Everything of one instance runs on one arbiter; what its parts share stands in
+//! [`EntryContext`]. Decisions live in the crates below; this crate holds sockets and timers.
+
+pub mod admission;
+pub mod body_reader;
+pub mod caller_api;
+pub mod caller_headers;
+pub mod completion_handler;
+pub mod completion_reply;
+pub mod completion_request;
+pub mod drain_state;
+pub mod engine_http;
+pub mod entry_context;
+pub mod entry_metrics;
+pub mod entry_server;
+pub mod generation;
+pub mod http_listener;
+pub mod http_pool;
+pub mod operator_api;
+pub mod reply;
+pub mod reply_body;
+pub mod request_life;
+pub mod route_table;
+pub mod service_call;
+pub mod table_cell;
+pub mod token_text;
+
+#[doc(inline)]
+pub use entry_context::{EntryContext, EntryError};
+#[doc(inline)]
+pub use entry_server::EntryServer;
--- /dev/null
+++ b/crates/dandeliondeal_entry/src/operator_api.rs
@@ -0,0 +1,50 @@
+//! The API for operators: health and metrics.
+
+use actix_http::{Method, Request, Response, StatusCode};
+use dandeliondeal_types::Clock;
+
+use crate::entry_context::EntryContext;
+use crate::reply;
+use crate::reply_body::ReplyBody;
+
+/// Answers one request of an operator or of the balancer's health check.
+pub fn handle<ClockSource>(
+    context: &EntryContext<ClockSource>,
+    request: &Request,
+) -> Response<ReplyBody>
+where
+    ClockSource: Clock,
+{
+    match (request.path(), request.method()) {
+        ("/health/live", &Method::GET) => reply::text(StatusCode::OK, "live\n"),
+        ("/health/ready", &Method::GET) => ready(context),
+        ("/metrics", &Method::GET) => metrics(context),
+        (path, _) => reply::text(StatusCode::NOT_FOUND, format!("there is no {path}\n")),
+    }
+}
+
+/// Ready means: a revision of the sheet is in force, and no stop is planned.
+fn ready<ClockSource>(context: &EntryContext<ClockSource>) -> Response<ReplyBody>
+where
+    ClockSource: Clock,
+{
+    if !context.drain().borrow().is_ready() {
+        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
+    }
+    if context.table().revision() == 0 {
+        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "no sheet in force\n");
+    }
+    reply::text(StatusCode::OK, "ready\n")
+}
+
+fn metrics<ClockSource>(context: &EntryContext<ClockSource>) -> Response<ReplyBody>
+where
+    ClockSource: Clock,
+{
+    let revision = i64::try_from(context.table().revision()).unwrap_or(i64::MAX);
+    context.metrics().revision.set(revision);
+    match context.metrics().render() {
+        Ok(text) => reply::text(StatusCode::OK, String::from_utf8_lossy(&text)),
+        Err(error) => reply::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+    }
+}
--- /dev/null
+++ b/crates/dandeliondeal_entry/src/reply.rs
@@ -0,0 +1,159 @@
+//! Answers to callers: JSON bodies, errors, and the headers that every answer carries.
+
+use std::time::Duration;
+
+use actix_http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use actix_http::{Response, StatusCode};
+use dandeliondeal_types::{ErrorKind, Outcome, RouteError};
+use serde::Serialize;
+
+use crate::reply_body::ReplyBody;
+
+/// Names the outcome of the request.
+pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("dandeliondeal-outcome");
+/// Names the request.
+pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("dandeliondeal-request-id");
+/// Names the caller's request across retries.
+pub const IDEMPOTENCY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+/// Bounds the wait, in milliseconds.
+pub const DEADLINE_HEADER: HeaderName = HeaderName::from_static("dandeliondeal-deadline-ms");
+/// Says whether a request may be run again: `yes` or `no`.
+pub const REPEATABLE_HEADER: HeaderName = HeaderName::from_static("dandeliondeal-repeatable");
+
+/// Body of an error, as OpenAI clients expect it.
+#[derive(Debug, Serialize)]
+pub struct ErrorReply<'text> {
+    /// The error.
+    pub error: ErrorDetail<'text>,
+}
+
+/// What an error says.
+#[derive(Debug, Serialize)]
+pub struct ErrorDetail<'text> {
+    /// Class of the error.
+    #[serde(rename = "type")]
+    pub class: &'static str,
+    /// Code that programs tell cases apart by.
+    pub code: &'static str,
+    /// Text for people, with step and peer.
+    pub message: String,
+    /// The input field that is wrong.
+    pub param: Option<&'text str>,
+}
+
+impl<'text> ErrorReply<'text> {
+    /// Describes `error` to a caller.
+    pub fn new(error: &'text RouteError) -> Self {
+        Self {
+            error: ErrorDetail {
+                class: class(error),
+                code: code(error.kind()),
+                message: error.to_string(),
+                param: error.input_field().map(AsRef::as_ref),
+            },
+        }
+    }
+}
+
+/// Answers with a JSON body.
+pub fn json<Body>(status: StatusCode, body: &Body) -> Response<ReplyBody>
+where
+    Body: Serialize,
+{
+    let text = serde_json::to_vec(body).unwrap_or_default();
+    let mut reply = Response::with_body(status, ReplyBody::from(text));
+    reply
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    reply
+}
+
+/// Answers with plain text.
+pub fn text<Content>(status: StatusCode, content: Content) -> Response<ReplyBody>
+where
+    Content: Into<String>,
+{
+    let mut reply = Response::with_body(status, ReplyBody::from(content.into()));
+    reply.headers_mut().insert(
+        CONTENT_TYPE,
+        HeaderValue::from_static("text/plain; charset=utf-8"),
+    );
+    reply
+}
+
+/// Answers with an error, its outcome, and when to come back.
+pub fn error(error: &RouteError) -> Response<ReplyBody> {
+    let mut reply = json(status(error), &ErrorReply::new(error));
+    set_outcome(&mut reply, error.outcome());
+    if let Some(wait) = error.wait() {
+        let seconds = HeaderValue::from(whole_seconds(wait));
+        reply.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    reply
+}
+
+/// Names the outcome in the answer's headers.
+pub fn set_outcome(reply: &mut Response<ReplyBody>, outcome: Outcome) {
+    let name = match outcome {
+        Outcome::Answered => "answered",
+        Outcome::NotRun => "not-run",
+        Outcome::InDoubt => "in-doubt",
+    };
+    reply
+        .headers_mut()
+        .insert(OUTCOME_HEADER, HeaderValue::from_static(name));
+}
+
+/// Names the request in the answer's headers.
+pub fn set_request_id(reply: &mut Response<ReplyBody>, id: &str) {
+    if let Ok(value) = HeaderValue::from_str(id) {
+        reply.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+}
+
+/// The status code for an error.
+pub fn status(error: &RouteError) -> StatusCode {
+    match error.kind() {
+        ErrorKind::InvalidInput => StatusCode::BAD_REQUEST,
+        ErrorKind::Unauthorised => StatusCode::UNAUTHORIZED,
+        ErrorKind::NotFound => StatusCode::NOT_FOUND,
+        ErrorKind::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+        ErrorKind::Limited => StatusCode::TOO_MANY_REQUESTS,
+        _ if error.is_not_run() => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+fn class(error: &RouteError) -> &'static str {
+    match error.kind() {
+        ErrorKind::InvalidInput | ErrorKind::NotFound | ErrorKind::KeyReused => {
+            "invalid_request_error"
+        }
+        ErrorKind::Unauthorised => "authentication_error",
+        ErrorKind::Limited => "rate_limit_error",
+        _ => "server_error",
+    }
+}
+
+fn code(kind: ErrorKind) -> &'static str {
+    match kind {
+        ErrorKind::InvalidInput => "invalid_input",
+        ErrorKind::Unauthorised => "invalid_api_key",
+        ErrorKind::NotFound => "not_found",
+        ErrorKind::KeyReused => "idempotency_key_reused",
+        ErrorKind::Limited => "rate_limit_exceeded",
+        ErrorKind::Overloaded => "overloaded",
+        ErrorKind::Refused => "endpoint_refused",
+        ErrorKind::NoAnswer => "no_answer",
+        ErrorKind::BadAnswer => "bad_answer",
+        ErrorKind::Gone => "session_gone",
+        ErrorKind::Leaving => "endpoint_leaving",
+        ErrorKind::Deadline => "deadline_exceeded",
+        ErrorKind::PlatformUnavailable => "platform_unavailable",
+        ErrorKind::CallerLeft => "caller_left",
+    }
+}
+
+fn whole_seconds(wait: Duration) -> u64 {
+    wait.as_secs() + u64::from(wait.subsec_nanos() > 0)
+}
