--- a/crates/dandeliondeal_types/src/sheet_model.rs
+++ b/crates/dandeliondeal_types/src/sheet_model.rs
@@ -35,6 +35,8 @@
     pub limits: BTreeMap<OrganisationId, LimitEntry>,
     /// Accelerator kinds.
     pub accelerators: BTreeMap<AcceleratorKind, AcceleratorEntry>,
+    /// Failure domains and the region of each.
+    pub failure_domains: BTreeMap<FailureDomain, Region>,
     /// Links between failure domains, in both directions; a missing one has the default cost.
     pub links: Vec<LinkEntry>,
 }
