Stand-ins for platform, engines and services

Each serves its protocol on a loopback socket, keeps a ledger of what took effect and brings about the faults of docs/PROTOCOLS.md.

--- /dev/null
+++ b/crates/dandeliondeal_standin/src/service/mod.rs
@@ -0,0 +1,7 @@
+//! The stand-in plain service.
+
+mod service_handler;
+mod service_standin;
+
+pub use service_handler::{ServiceEntry, ServiceSettings};
+pub use service_standin::ServiceStandin;
