Platform client with call budget, resolved writes and a store in memory

A write whose answer is lost is read back; if the object is unchanged, the same conditional write is sent again, so that the version moves on and the late one can no longer land. awc reports a connection that closes before the answer as Connect(Disconnected), so only errors of making the connection count as proof that nothing was sent. Redirects are off: awc would send the request again.

Proof that fails first: with the condition check of read_verdict taken out (every unchanged object read as not written), late_write, dropped_write, refused_after_loss and random_faults fail; with it all 7 of lost_answers pass.

--- a/crates/dandeliondeal_platform/src/lib.rs
+++ b/crates/dandeliondeal_platform/src/lib.rs
@@ -1,1 +1,27 @@
 //! Typed client of the object API and the instance list.
+//!
+//! [`PlatformClient`] makes the calls, within a [`CallBudget`]. [`put_resolved`] settles the fate
+//! of a write whose answer was lost.
+
+pub mod call_budget;
+#[cfg(feature = "test-util")]
+pub mod memory_store;
+mod object_record;
+pub mod platform_client;
+pub mod resolved_write;
+pub mod send_failure;
+pub mod write_stamp;
+
+#[doc(inline)]
+pub use call_budget::{BudgetSettings, CallBudget, CallClass, CallKind};
+#[cfg(feature = "test-util")]
+#[doc(inline)]
+pub use memory_store::{MemoryStore, StoreFault};
+#[doc(inline)]
+pub use platform_client::{PlatformClient, PlatformSettings};
+#[doc(inline)]
+pub use resolved_write::{ResolvedWrite, WriteVerdict, put_resolved};
+#[doc(inline)]
+pub use send_failure::SendFailure;
+#[doc(inline)]
+pub use write_stamp::{StampSource, WriteStamp};
