--- /dev/null
+++ b/crates/dandeliondeal_pipeline/tests/plan_search.rs
@@ -0,0 +1,252 @@
+//! Planning against the exhaustive best, gaps, and following the sheet.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bolero_generator::driver::{Options, Rng};
+use bolero_generator::{ValueGenerator, produce};
+use dandeliondeal_pipeline::{PlanChain, PlanIndex, PlanQuery, PlanSettings};
+use dandeliondeal_types::sheet_model::{
+    AcceleratorEntry, EndpointEntry, EndpointTarget, LinkEntry, ModelEntry,
+};
+use dandeliondeal_types::{
+    EndpointId, EndpointView, FailureDomain, LayerRange, ModelId, SheetModel,
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const LAYERS: u32 = 10;
+const CASES: u64 = 600;
+const DOMAINS: [&str; 3] = ["didube", "saburtalo", "isani"];
+/// Link delays differ a hundredfold.
+const DELAYS: [u64; 3] = [20, 200, 2_000];
+const LAYER_TIMES: [u64; 3] = [10_000, 90_000, 700_000];
+
+/// Start, length, accelerator, failure domain and wait of one engine.
+type EngineShape = (u8, u8, u8, u8, u8);
+
+#[derive(Debug, Default)]
+struct WaitView {
+    waits: BTreeMap<EndpointId, Duration>,
+}
+
+impl EndpointView for WaitView {
+    fn is_usable(&self, endpoint: &EndpointId) -> bool {
+        self.waits.contains_key(endpoint)
+    }
+
+    fn expected_wait(&self, endpoint: &EndpointId) -> Duration {
+        self.waits[endpoint]
+    }
+}
+
+fn shapes(seed: u64) -> Vec<EngineShape> {
+    let options = Options::default().with_max_len(4_096);
+    let mut driver = Rng::new(StdRng::seed_from_u64(seed), &options);
+    produce::<Vec<EngineShape>>()
+        .with()
+        .len(2_usize..9)
+        .generate(&mut driver)
+        .expect("the generator has enough input")
+}
+
+fn entry(shape: EngineShape) -> EndpointEntry {
+    let start = u32::from(shape.0) % LAYERS;
+    let end = (start + 1 + u32::from(shape.1) % LAYERS).min(LAYERS);
+    EndpointEntry {
+        address: ([127, 0, 0, 1], 1).into(),
+        target: EndpointTarget::Layers {
+            model: "m".into(),
+            range: LayerRange::new(start, end),
+        },
+        accelerator: format!("kind-{}", shape.2 % 3).into(),
+        failure_domain: DOMAINS[usize::from(shape.3 % 3)].into(),
+        region: "r".into(),
+        checks_fencing: true,
+        capacity: 1,
+    }
+}
+
+fn sheet(shapes: &[EngineShape]) -> SheetModel {
+    let mut sheet = SheetModel::default();
+    let model = ModelEntry {
+        layers: LAYERS,
+        context_tokens: 64,
+        version: "1".into(),
+    };
+    sheet.models.insert("m".into(), model);
+    for (index, time) in LAYER_TIMES.iter().enumerate() {
+        let accelerator = AcceleratorEntry {
+            layer_nanoseconds: *time,
+        };
+        sheet
+            .accelerators
+            .insert(format!("kind-{index}").into(), accelerator);
+        sheet.links.push(LinkEntry {
+            from: DOMAINS[0].into(),
+            to: DOMAINS[index].into(),
+            delay_microseconds: DELAYS[index],
+            kilobytes_per_second: 1_000_000,
+        });
+    }
+    for (index, shape) in shapes.iter().enumerate() {
+        sheet
+            .endpoints
+            .insert(format!("e{index}").into(), entry(*shape));
+    }
+    sheet
+}
+
+fn view(shapes: &[EngineShape]) -> WaitView {
+    let waits = shapes
+        .iter()
+        .enumerate()
+        .map(|(index, shape)| {
+            let wait = Duration::from_micros(u64::from(shape.4 % 4) * 50);
+            (format!("e{index}").into(), wait)
+        })
+        .collect();
+    WaitView { waits }
+}
+
+fn plan(
+    index: &PlanIndex,
+    view: &WaitView,
+    avoid: &[EndpointId],
+    spread: u64,
+) -> Option<PlanChain> {
+    let model: ModelId = "m".into();
+    let home: FailureDomain = DOMAINS[0].into();
+    let query = PlanQuery {
+        model: &model,
+        range: LayerRange::new(0, LAYERS),
+        domains: &[],
+        home: &home,
+        avoid,
+        spread,
+    };
+    index.plan(&query, view)
+}
+
+/// The cheapest chain by trying every one, at every layer, with no endpoint twice.
+fn exhaustive(shapes: &[EngineShape], view: &WaitView, start: u32, used: u32) -> Option<Duration> {
+    if start == LAYERS {
+        return Some(Duration::ZERO);
+    }
+    let mut best: Option<Duration> = None;
+    for (index, shape) in shapes.iter().enumerate() {
+        let EndpointTarget::Layers { range, .. } = entry(*shape).target else {
+            continue;
+        };
+        if used & (1 << index) != 0 || start < range.start || start >= range.end {
+            continue;
+        }
+        let id: EndpointId = format!("e{index}").into();
+        let transfer = Duration::from_micros(32);
+        let delay = Duration::from_micros(2 * DELAYS[usize::from(shape.3 % 3)]);
+        let enter = view.waits[&id] + delay + transfer;
+        let layer = Duration::from_nanos(LAYER_TIMES[usize::from(shape.2 % 3)]);
+        for end in start + 1..=range.end {
+            let rest = exhaustive(shapes, view, end, used | (1 << index));
+            let cost = rest.map(|rest| enter + layer * (end - start) + rest);
+            best = best.into_iter().chain(cost).min();
+        }
+    }
+    best
+}
+
+#[test]
+fn exhaustive_best() {
+    let mut gaps = 0;
+    for seed in 0..CASES {
+        let shapes = shapes(seed);
+        let mut index = PlanIndex::new(PlanSettings::default());
+        index.update(&sheet(&shapes));
+        let view = view(&shapes);
+        let chain = plan(&index, &view, &[], seed);
+        let best = exhaustive(&shapes, &view, 0, 0);
+        assert_eq!(
+            chain.as_ref().map(|chain| chain.cost),
+            best,
+            "seed {seed}: {shapes:?} gave {chain:?}"
+        );
+        gaps += usize::from(chain.is_none());
+        if let Some(chain) = chain {
+            check(&chain, &shapes, seed);
+        }
+    }
+    assert!(gaps > 0 && gaps < 500, "{gaps} cases with a gap");
+}
+
+fn check(chain: &PlanChain, shapes: &[EngineShape], seed: u64) {
+    assert!(chain.covers(LayerRange::new(0, LAYERS)), "seed {seed}");
+    for (place, stage) in chain.stages.iter().enumerate() {
+        let index: usize = stage.endpoint[1..]
+            .parse()
+            .expect("the name ends in a number");
+        let EndpointTarget::Layers { range, .. } = entry(shapes[index]).target else {
+            panic!("seed {seed}: not an engine");
+        };
+        assert!(range.contains(stage.range), "seed {seed}");
+        let twice = chain.stages[..place]
+            .iter()
+            .any(|other| other.endpoint == stage.endpoint);
+        assert!(!twice, "seed {seed}: endpoint twice");
+    }
+}
+
+#[test]
+fn returning_engine() {
+    // A slow engine over all layers and a fast one in the middle: coming back is not allowed.
+    let shapes = [(0, 9, 2, 0, 0), (4, 1, 0, 0, 0)];
+    let mut index = PlanIndex::new(PlanSettings::default());
+    index.update(&sheet(&shapes));
+    let chain = plan(&index, &view(&shapes), &[], 0).expect("one engine has all layers");
+    check(&chain, &shapes, 0);
+    assert_eq!(chain.stages.len(), 1);
+}
+
+#[test]
+fn avoided_endpoint() {
+    let shapes = [(0, 9, 0, 0, 0), (0, 9, 1, 0, 0)];
+    let mut index = PlanIndex::new(PlanSettings::default());
+    index.update(&sheet(&shapes));
+    let view = view(&shapes);
+    let first = plan(&index, &view, &[], 0).expect("two engines have all layers");
+    assert_eq!(&*first.stages[0].endpoint, "e0");
+    let second = plan(&index, &view, &["e0".into()], 0).expect("one engine is left");
+    assert_eq!(&*second.stages[0].endpoint, "e1");
+    assert!(plan(&index, &view, &["e0".into(), "e1".into()], 0).is_none());
+}
+
+#[test]
+fn incremental_update() {
+    for seed in 0..200 {
+        let (before, after) = (shapes(seed), shapes(seed + CASES));
+        let mut followed = PlanIndex::new(PlanSettings::default());
+        followed.update(&sheet(&before));
+        followed.update(&sheet(&after));
+        assert_eq!(followed.update(&sheet(&after)), 0, "seed {seed}");
+        let mut fresh = PlanIndex::new(PlanSettings::default());
+        fresh.update(&sheet(&after));
+        let view = view(&after);
+        assert_eq!(
+            plan(&followed, &view, &[], seed),
+            plan(&fresh, &view, &[], seed),
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn equal_spread() {
+    let shapes = [(0, 9, 0, 0, 0); 4];
+    let mut index = PlanIndex::new(PlanSettings::default());
+    index.update(&sheet(&shapes));
+    let view = view(&shapes);
+    let chosen: std::collections::BTreeSet<EndpointId> = (0..4)
+        .filter_map(|spread| plan(&index, &view, &[], spread))
+        .map(|chain| chain.stages[0].endpoint.clone())
+        .collect();
+    assert_eq!(chosen.len(), 4);
+}
