Thin whole path: caller, entry instance, stages, streamed answer

The service stand-in's ledger did not show the query, so that a lost query could not be seen; it does now.

Not yet: claims, recovery, limits, the sheet from the platform.

--- a/crates/dandeliondeal_command/src/command_line.rs
+++ b/crates/dandeliondeal_command/src/command_line.rs
@@ -2,7 +2,7 @@
 
 use pico_args::Arguments;
 
-use crate::{CommandError, settings_command, standalone};
+use crate::{CommandError, measure_command, settings_command, standalone};
 
 const HELP: &str = "\
 A router for pipelines over mixed accelerators.
@@ -10,6 +10,7 @@
 usage: dandeliondeal COMMAND [ARGUMENTS]
 
   standalone     run an entry instance with stand-ins for all that it needs
+  measure        measure the real code on loopback
   settings       check a settings file, or print the defaults
 
 `dandeliondeal COMMAND --help` tells more.
@@ -26,10 +27,18 @@
     let help = arguments.contains(["-h", "--help"]);
     match command.as_deref() {
         Some("standalone") => run_or_help(help, standalone::HELP, arguments, standalone::run),
-        Some("settings") => {
-            run_or_help(help, settings_command::HELP, arguments, settings_command::run)
+        Some("measure") => {
+            run_or_help(help, measure_command::HELP, arguments, measure_command::run)
         }
-        Some(command) => Err(CommandError::usage(format!("there is no command {command}"))),
+        Some("settings") => run_or_help(
+            help,
+            settings_command::HELP,
+            arguments,
+            settings_command::run,
+        ),
+        Some(command) => Err(CommandError::usage(format!(
+            "there is no command {command}"
+        ))),
         None if help => print_help(HELP),
         None => Err(CommandError::usage("a command is missing; see --help")),
     }
@@ -45,7 +54,9 @@
         None => Ok(()),
         Some(rest) => {
             let rest = rest.to_string_lossy();
-            Err(CommandError::usage(format!("argument {rest} is not known; see --help")))
+            Err(CommandError::usage(format!(
+                "argument {rest} is not known; see --help"
+            )))
         }
     }
 }
@@ -59,10 +70,17 @@
 where
     Run: FnOnce(Arguments) -> Result<(), CommandError>,
 {
-    if help { print_help(text) } else { run(arguments) }
+    if help {
+        print_help(text)
+    } else {
+        run(arguments)
+    }
 }
 
-#[expect(clippy::unnecessary_wraps, reason = "printing help is one of the results of a command")]
+#[expect(
+    clippy::unnecessary_wraps,
+    reason = "printing help is one of the results of a command"
+)]
 fn print_help(text: &str) -> Result<(), CommandError> {
     print!("{text}");
     Ok(())
--- a/crates/dandeliondeal_command/src/lib.rs
+++ b/crates/dandeliondeal_command/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod command_line;
 pub mod entry_command;
 pub mod json_log;
+pub mod measure_command;
 pub mod settings_command;
 pub mod standalone;
 pub mod stop_signal;
--- /dev/null
+++ b/crates/dandeliondeal_command/src/measure_command.rs
@@ -0,0 +1,48 @@
+//! `dandeliondeal measure`: measurements of the real code on loopback.
+
+use dandeliondeal_measure::{MeasureError, MeasureSettings, overhead};
+use pico_args::Arguments;
+
+use crate::CommandError;
+use crate::command_line::reject_rest;
+
+/// What `dandeliondeal measure --help` prints.
+pub const HELP: &str = "\
+Measures the real code with stand-ins on loopback; prints a table and JSON lines.
+
+usage: dandeliondeal measure NAME [--seed NUMBER] [--long]
+
+  overhead     time to the first token beside the engines' own, processor time a token
+
+  --seed NUMBER   seed of everything random (default 1)
+  --long          more samples; without it a measurement takes 40 s at most
+";
+
+/// Runs one measurement.
+///
+/// # Errors
+///
+/// Returns why the measurement did not finish, or what is wrong with the arguments.
+pub fn run(mut arguments: Arguments) -> Result<(), CommandError> {
+    let defaults = MeasureSettings::default();
+    let settings = MeasureSettings {
+        seed: arguments
+            .opt_value_from_str("--seed")?
+            .unwrap_or(defaults.seed),
+        long: arguments.contains("--long"),
+    };
+    let name: String = arguments.free_from_str()?;
+    reject_rest(arguments)?;
+    actix_rt::System::new().block_on(async {
+        match &*name {
+            "overhead" => finish(overhead::run(settings).await),
+            _ => Err(CommandError::usage(format!(
+                "there is no measurement {name}; see --help"
+            ))),
+        }
+    })
+}
+
+fn finish(result: Result<(), MeasureError>) -> Result<(), CommandError> {
+    result.map_err(|error| CommandError::failed(error.to_string()))
+}
--- a/crates/dandeliondeal_command/src/settings_command.rs
+++ b/crates/dandeliondeal_command/src/settings_command.rs
@@ -35,7 +35,9 @@
             println!("{file}: ok");
             Ok(())
         }
-        _ => Err(CommandError::usage("expected `settings check FILE` or `settings default`")),
+        _ => Err(CommandError::usage(
+            "expected `settings check FILE` or `settings default`",
+        )),
     }
 }
 
@@ -47,8 +49,5 @@
 pub fn read_settings(file: &str) -> Result<EntrySettings, CommandError> {
     let text = fs::read_to_string(file)
         .map_err(|error| CommandError::usage(format!("{file}: {error}")))?;
-    EntrySettings::parse(file, &text).map_err(|errors| {
-        let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
-        CommandError::usage(lines.join("\ndandeliondeal: "))
-    })
+    EntrySettings::parse(file, &text).map_err(|errors| CommandError::usage_lines(&errors))
 }
--- a/crates/dandeliondeal_command/src/standalone.rs
+++ b/crates/dandeliondeal_command/src/standalone.rs
@@ -36,8 +36,7 @@
 Ctrl-C stops it once every open request is answered.
 ";
 
-const DEFAULT_LISTEN: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 8080);
+const DEFAULT_LISTEN: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 8080);
 /// Time added to each step of an engine that is reached over a slow link.
 const SLOW_LINK: Duration = Duration::from_millis(2);
 
@@ -63,12 +62,19 @@
         Some(file) => {
             let text = fs::read_to_string(file)
                 .map_err(|error| CommandError::usage(format!("{file}: {error}")))?;
-            EntrySettings::parse_partial(file, &text).map_err(first_setting_error)?
+            EntrySettings::parse_partial(file, &text)
+                .map_err(|errors| CommandError::usage_lines(&errors))?
         }
         None => EntrySettings {
             instance: InstanceSettings::new("entry-1", "didube", "tbilisi"),
-            listen: ListenSettings { callers: DEFAULT_LISTEN, ..any_ports() },
-            stop: StopSettings { balancer_lag: Duration::ZERO, ..StopSettings::default() },
+            listen: ListenSettings {
+                callers: DEFAULT_LISTEN,
+                ..any_ports()
+            },
+            stop: StopSettings {
+                balancer_lag: Duration::ZERO,
+                ..StopSettings::default()
+            },
             ..EntrySettings::default()
         },
     };
@@ -78,27 +84,32 @@
     Ok(settings)
 }
 
-fn first_setting_error(errors: Vec<dandeliondeal_config::SettingError>) -> CommandError {
-    let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
-    CommandError::usage(lines.join("; "))
-}
-
 fn any_ports() -> ListenSettings {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    ListenSettings { callers: any, operators: any, peers: any }
+    ListenSettings {
+        callers: any,
+        operators: any,
+        peers: any,
+    }
 }
 
 async fn serve(mut settings: EntrySettings) -> Result<(), CommandError> {
     let platform = PlatformStandin::start(dandeliondeal_standin::PlatformSettings::default())
         .map_err(standin_failed)?;
-    settings.platform =
-        PlatformSettings { address: platform.address(), ..settings.platform };
+    settings.platform = PlatformSettings {
+        address: platform.address(),
+        ..settings.platform
+    };
     let standins = StandaloneStandins::start()?;
     let entry = EntryServer::start(settings, SystemClock)
         .await
         .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
     entry.install(Arc::clone(&standins.sheet));
-    print_addresses(entry.caller_address(), entry.operator_address(), platform.address());
+    print_addresses(
+        entry.caller_address(),
+        entry.operator_address(),
+        platform.address(),
+    );
     for (name, address) in &standins.addresses {
         println!("{name:<12} http://{address}");
     }
@@ -120,8 +131,10 @@
 
 impl StandaloneStandins {
     fn start() -> Result<Self, CommandError> {
-        let mut rows = read_sheet(example_sheet().as_bytes()).map_err(first_sheet_error)?;
-        let template = compile_sheet(1, &rows).map_err(first_sheet_error)?;
+        let mut rows = read_sheet(example_sheet().as_bytes())
+            .map_err(|errors| CommandError::usage_lines(&errors))?;
+        let template =
+            compile_sheet(1, &rows).map_err(|errors| CommandError::usage_lines(&errors))?;
         let mut engines = Vec::new();
         let mut services = Vec::new();
         let mut addresses = Vec::new();
@@ -147,8 +160,14 @@
             set_address(&mut rows, endpoint, address);
             addresses.push((Arc::clone(endpoint), address));
         }
-        let sheet = Arc::new(compile_sheet(1, &rows).map_err(first_sheet_error)?);
-        Ok(Self { sheet, addresses, _engines: engines, _services: services })
+        let sheet =
+            Arc::new(compile_sheet(1, &rows).map_err(|errors| CommandError::usage_lines(&errors))?);
+        Ok(Self {
+            sheet,
+            addresses,
+            _engines: engines,
+            _services: services,
+        })
     }
 }
 
@@ -156,8 +175,10 @@
     let EndpointTarget::Layers { model, range } = &entry.target else {
         return EngineStandin::start(EngineSettings::default());
     };
-    let layer_nanoseconds =
-        sheet.accelerators.get(&entry.accelerator).map_or(0, |kind| kind.layer_nanoseconds);
+    let layer_nanoseconds = sheet
+        .accelerators
+        .get(&entry.accelerator)
+        .map_or(0, |kind| kind.layer_nanoseconds);
     let remote = &*entry.failure_domain != "didube";
     let link = if remote { SLOW_LINK } else { Duration::ZERO };
     EngineStandin::start(EngineSettings {
@@ -197,12 +218,10 @@
     );
 }
 
-fn first_sheet_error(errors: Vec<dandeliondeal_config::SheetError>) -> CommandError {
-    let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
-    CommandError::failed(format!("example sheet: {}", lines.join("; ")))
-}
-
-#[expect(clippy::needless_pass_by_value, reason = "the signature that `map_err` takes")]
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the signature that `map_err` takes"
+)]
 fn standin_failed(error: StandinError) -> CommandError {
     CommandError::failed(error.to_string())
 }
--- a/crates/dandeliondeal_measure/src/lib.rs
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -1,1 +1,14 @@
-//! Measurements of the real code on loopback.
+//! Measurements of the real code on loopback sockets.
+//!
+//! Each measurement is a module with a `run` function that prints a table and JSON lines. Figures
+//! are ratios to a baseline or a bound in the same run, since machines are noisy.
+
+pub mod measure_error;
+pub mod measure_settings;
+pub mod overhead;
+pub mod site;
+
+#[doc(inline)]
+pub use measure_error::MeasureError;
+#[doc(inline)]
+pub use measure_settings::MeasureSettings;
--- a/crates/dandeliondeal_standin/src/service/service_handler.rs
+++ b/crates/dandeliondeal_standin/src/service/service_handler.rs
@@ -57,6 +57,8 @@
     pub method: Arc<str>,
     /// Path of the call.
     pub path: Arc<str>,
+    /// Query of the call without its `?`, empty if there was none.
+    pub query: Arc<str>,
 }
 
 /// What is known of a request id.
@@ -110,6 +112,7 @@
             key: call.header(KEY_HEADER).unwrap_or_default().into(),
             method: call.method.as_str().into(),
             path: call.path.as_str().into(),
+            query: call.query.as_str().into(),
         });
         let body = json!({
             "service": self.settings.name,
