--- a/crates/dandeliondeal_pipeline/src/session_answer.rs
+++ b/crates/dandeliondeal_pipeline/src/session_answer.rs
@@ -15,7 +15,7 @@
     Crossed,
     /// It belongs to an earlier step.
     Stale,
-    /// It belongs to no step that was sent.
+    /// It does not answer the call that it came for.
     Bad,
 }
 
@@ -30,20 +30,24 @@
     }
 
     fn fit(&self, attempt: AttemptNumber, answer: &StepAnswer) -> AnswerFit {
-        if answer.name.request != self.spec.request {
-            return AnswerFit::Crossed;
-        }
         let is_waiting = matches!(self.state(), SessionState::Stepping | SessionState::Asking);
-        let Some(pending) = self.pending.as_ref().filter(|_| is_waiting) else {
-            return AnswerFit::Stale;
-        };
-        if answer.name == pending.call.name && self.is_sound(pending.stage, &pending.call, answer) {
-            return AnswerFit::Matching;
+        let asking = self
+            .pending
+            .as_ref()
+            .filter(|pending| is_waiting && pending.was_sent_as(attempt));
+        if let Some(pending) = asking {
+            let is_same = answer.name == pending.call.name;
+            return if is_same && self.is_sound(pending.stage, &pending.call, answer) {
+                AnswerFit::Matching
+            } else {
+                AnswerFit::Bad
+            };
         }
-        if pending.sent.iter().any(|(sent, _)| *sent == attempt) {
-            return AnswerFit::Bad;
+        if answer.name.request == self.spec.request {
+            AnswerFit::Stale
+        } else {
+            AnswerFit::Crossed
         }
-        AnswerFit::Stale
     }
 
     fn is_sound(&self, stage: usize, call: &StepCall, answer: &StepAnswer) -> bool {
--- a/crates/dandeliondeal_pipeline/src/session_machine.rs
+++ b/crates/dandeliondeal_pipeline/src/session_machine.rs
@@ -33,6 +33,13 @@
     pub(crate) sent: Vec<(AttemptNumber, Instant)>,
 }
 
+impl PendingStep {
+    /// Whether `attempt` is one of the calls that sent this step.
+    pub(crate) fn was_sent_as(&self, attempt: AttemptNumber) -> bool {
+        self.sent.iter().any(|(sent, _)| *sent == attempt)
+    }
+}
+
 /// What a chain is sought for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum PlaceAim {
@@ -59,6 +66,11 @@
     pub(crate) lineage: Lineage,
     /// Endpoints that failed during this request.
     pub(crate) failed: Vec<EndpointId>,
+    /// Endpoints at which an unanswered call at position 0 may still arrive.
+    ///
+    /// It would start the session again if that had been ended, and run a position twice in one
+    /// lineage. So the session is not ended there but left to its time to live.
+    pub(crate) open_starts: Vec<EndpointId>,
     pub(crate) aim: PlaceAim,
     pub(crate) lost: Option<usize>,
     pub(crate) target: Option<MoveTarget>,
@@ -93,6 +105,7 @@
             attempt: 0,
             lineage: 0,
             failed: Vec::new(),
+            open_starts: Vec::new(),
             aim: PlaceAim::First,
             lost: None,
             target: None,
@@ -243,6 +256,9 @@
 
     /// Sends the pending step.
     pub(crate) fn send(&mut self, fresh: bool, now: Instant) {
+        if self.resumes > 0 {
+            self.keep_open_start();
+        }
         let attempt = self.next_attempt();
         let timeout = self.step_timeout();
         let Some(pending) = &mut self.pending else {
@@ -327,13 +343,35 @@
     }
 
     fn cancel_all(&mut self) {
-        let target = self.target.take().map(|target| target.endpoint);
-        let endpoints = self.stages.iter().map(|stage| stage.endpoint.clone());
-        self.actions.extend(
-            endpoints
-                .chain(target)
-                .map(|endpoint| SessionAction::Cancel { endpoint }),
-        );
+        self.keep_open_start();
+        for index in 0..self.stages.len() {
+            self.cancel(index);
+        }
+        if let Some(target) = self.target.take() {
+            self.cancel_at(target.endpoint);
+        }
+    }
+
+    /// Notes that an unanswered first step of the pending stage may still arrive.
+    pub(crate) fn keep_open_start(&mut self) {
+        if let Some(pending) = &self.pending
+            && pending.call.name.position == 0
+        {
+            let endpoint = self.stages[pending.stage].endpoint.clone();
+            self.open_starts.push(endpoint);
+        }
+    }
+
+    /// Ends a stage's session at its endpoint, unless a late call could start it again.
+    pub(crate) fn cancel(&mut self, index: usize) {
+        let endpoint = self.stages[index].endpoint.clone();
+        self.cancel_at(endpoint);
+    }
+
+    fn cancel_at(&mut self, endpoint: EndpointId) {
+        if !self.open_starts.contains(&endpoint) {
+            self.actions.push(SessionAction::Cancel { endpoint });
+        }
     }
 
     fn on_tick(&mut self, now: Instant) {
--- a/crates/dandeliondeal_pipeline/src/session_move.rs
+++ b/crates/dandeliondeal_pipeline/src/session_move.rs
@@ -1,7 +1,7 @@
 //! Moving a stage with its KV cache, away from an endpoint that still answers.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use dandeliondeal_types::{EndpointId, ErrorKind, Lineage, Position, RouteError, SessionStatus};
 
@@ -34,7 +34,7 @@
             .stages
             .iter()
             .filter_map(|stage| stage.estimate.mean())
-            .sum::<std::time::Duration>();
+            .sum::<Duration>();
         let rest = token_time.saturating_mul(u32::try_from(left).unwrap_or(u32::MAX));
         if rest <= self.settings.leave_grace {
             return None;
@@ -66,6 +66,7 @@
     }
 
     pub(crate) fn export(&mut self, stage: usize, chain: &PlanChain, now: Instant) {
+        self.keep_open_start();
         self.pending = None;
         let [only] = chain.stages.as_slice() else {
             return self.install_range(stage, chain, now);
@@ -126,6 +127,7 @@
         }
         self.count.imported += 1;
         self.target = None;
+        self.cancel(target.stage);
         let old = &mut self.stages[target.stage];
         let stage = SessionStage {
             applied,
@@ -133,8 +135,7 @@
             touched: Some(now),
             ..SessionStage::new(target.endpoint, old.range, target.lineage)
         };
-        let endpoint = std::mem::replace(old, stage).endpoint;
-        self.actions.push(SessionAction::Cancel { endpoint });
+        *old = stage;
         self.advance(now);
     }
 
--- a/crates/dandeliondeal_pipeline/src/session_recovery.rs
+++ b/crates/dandeliondeal_pipeline/src/session_recovery.rs
@@ -170,6 +170,9 @@
         if !self.signal(SessionSignal::Lost) {
             return;
         }
+        if !error.is_not_run() {
+            self.keep_open_start();
+        }
         if kind == LossKind::Endpoint {
             let endpoint = self.stages[stage].endpoint.clone();
             self.failed.push(endpoint);
@@ -277,9 +280,8 @@
         if self.aim == PlaceAim::Whole {
             self.count.restarted += 1;
         }
-        let old = std::mem::take(&mut self.stages);
-        for stage in &old {
-            self.cancel_unless_used(&stage.endpoint, chain);
+        for index in 0..self.stages.len() {
+            self.cancel_unless_used(index, chain);
         }
         self.stages = self.new_stages(chain);
         self.lost = None;
@@ -292,8 +294,7 @@
             return;
         }
         self.count.fed += 1;
-        let endpoint = self.stages[index].endpoint.clone();
-        self.cancel_unless_used(&endpoint, chain);
+        self.cancel_unless_used(index, chain);
         let mut stages = self.new_stages(chain);
         stages[0].log = std::mem::take(&mut self.stages[index].log);
         self.stages.splice(index..=index, stages);
@@ -328,12 +329,11 @@
             .collect()
     }
 
-    pub(crate) fn cancel_unless_used(&mut self, endpoint: &EndpointId, chain: &PlanChain) {
+    fn cancel_unless_used(&mut self, index: usize, chain: &PlanChain) {
+        let endpoint = &self.stages[index].endpoint;
         let is_used = chain.stages.iter().any(|stage| stage.endpoint == *endpoint);
         if !is_used {
-            self.actions.push(SessionAction::Cancel {
-                endpoint: endpoint.clone(),
-            });
+            self.cancel(index);
         }
     }
 }
