Claim log: shards of bounded segments, decisions without I/O

Keyed claims are lines of a log in the platform, appended by conditional update, so that the update itself fences a paused writer. One write carries every record that waits; a claim counts only once the log shows it; a claim that was given up after a write had been sent is withdrawn in the log. The table is a function of the lines alone, so every instance reads the same holder of a key. Ages are sums of monotonic time seen by the writers, so that retention needs no time of day.

--- a/crates/dandeliondeal_claim/src/lib.rs
+++ b/crates/dandeliondeal_claim/src/lib.rs
@@ -1,1 +1,33 @@
 //! At-most-once claims for non-repeatable requests.
+//!
+//! The claims of all instances stand in a log in the platform, split into shards by a hash of
+//! organisation and idempotency key. A [`ShardWriter`] decides the calls of one shard; the
+//! [`ClaimTable`] is what the log says. Nothing here performs input or output.
+
+pub mod claim_error;
+pub mod claim_key;
+pub mod claim_record;
+pub mod claim_settings;
+pub mod claim_state;
+pub mod claim_table;
+pub mod shard_log;
+pub mod shard_writer;
+
+#[doc(inline)]
+pub use claim_error::ClaimError;
+#[doc(inline)]
+pub use claim_key::{ClaimKey, RequestFingerprint, ShardIndex};
+#[doc(inline)]
+pub use claim_record::{BatchStart, ClaimAnswer, ClaimRecord, LogLine, OutcomeRecord};
+#[doc(inline)]
+pub use claim_settings::ClaimSettings;
+#[doc(inline)]
+pub use claim_state::{ClaimEvent, ClaimState, claim_chart};
+#[doc(inline)]
+pub use claim_table::{ClaimDecision, ClaimTable, ClaimView};
+#[doc(inline)]
+pub use shard_log::{SegmentIndex, SegmentWrite, ShardLog};
+#[doc(inline)]
+pub use shard_writer::{
+    ShardAction, ShardEvent, ShardReply, ShardTask, ShardWriter, TicketId, UnconfirmedCause,
+};
--- a/crates/dandeliondeal_platform/src/memory_store.rs
+++ b/crates/dandeliondeal_platform/src/memory_store.rs
@@ -60,6 +60,11 @@
         self.state.borrow_mut().faults.extend(faults);
     }
 
+    /// Takes back the faults that no call has met yet.
+    pub fn clear_faults(&self) {
+        self.state.borrow_mut().faults.clear();
+    }
+
     /// Lets every late write take effect, if its condition still holds.
     ///
     /// Returns how many took effect.
@@ -105,6 +110,20 @@
         self.state.borrow_mut().write(write)
     }
 
+    /// Deletes as [`ObjectStore::delete`] does, at once.
+    ///
+    /// # Errors
+    ///
+    /// As the next fault and the condition say.
+    pub fn delete_now(&self, name: &str, version: Version) -> Result<(), StoreError> {
+        let write = StoreWrite {
+            name: name.into(),
+            condition: PutCondition::Version(version),
+            body: None,
+        };
+        self.state.borrow_mut().write(write).map(|_version| ())
+    }
+
     /// Reads as [`ObjectStore::get`] does, at once.
     ///
     /// # Errors
@@ -206,12 +225,7 @@
     }
 
     async fn delete(&self, name: &str, version: Version) -> Result<(), StoreError> {
-        let write = StoreWrite {
-            name: name.into(),
-            condition: PutCondition::Version(version),
-            body: None,
-        };
-        self.state.borrow_mut().write(write).map(|_version| ())
+        self.delete_now(name, version)
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<ObjectValue>, StoreError> {
