--- a/crates/dandeliondeal_command/src/lib.rs
+++ b/crates/dandeliondeal_command/src/lib.rs
@@ -1,1 +1,3 @@
 //! The command line and the daemons.
+
+pub mod standin_command;
