Stand-ins: orders age while frozen; protocol tests

Cause: an order's life was counted from the end of a freeze, so an order that had waited in a frozen engine took effect past its life (expired_order failed). Calls now carry the time at which they were read.

--- a/crates/dandeliondeal_standin/src/engine/engine_handler.rs
+++ b/crates/dandeliondeal_standin/src/engine/engine_handler.rs
@@ -185,7 +185,6 @@
     }
 
     async fn order_reply(&self, call: &StandinCall) -> StandinReply {
-        let arrived = Instant::now();
         let (order, raw) = match (call.json::<OrderFields>(), call.json::<Value>()) {
             (Ok(order), Ok(raw)) => (order, raw),
             (Err(reply), _) | (_, Err(reply)) => return reply,
@@ -198,7 +197,7 @@
         if is_load && !load.is_zero() {
             sleep(load).await;
         }
-        match self.apply_order(order, raw, arrived) {
+        match self.apply_order(order, raw, call.arrived) {
             Err(refusal) => refusal_reply(&refusal),
             Ok(()) => StandinReply::json(200, &json!({"applied": true})),
         }
--- a/crates/dandeliondeal_standin/src/shell/standin_call.rs
+++ b/crates/dandeliondeal_standin/src/shell/standin_call.rs
@@ -1,5 +1,7 @@
 //! One call to a stand-in and its reply.
 
+use std::time::Instant;
+
 use actix_http::error::PayloadError;
 use actix_http::header::{CONTENT_TYPE, HeaderMap};
 use actix_http::{HttpMessage, Request, Response, ResponseBuilder, StatusCode};
@@ -20,6 +22,8 @@
     pub(crate) query: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// When it was read, before a freeze held it back.
+    pub(crate) arrived: Instant,
 }
 
 impl StandinCall {
@@ -32,6 +36,7 @@
             query: request.uri().query().unwrap_or_default().to_owned(),
             headers: request.headers().clone(),
             body,
+            arrived: Instant::now(),
         })
     }
 
--- a/crates/dandeliondeal_standin/src/shell/standin_handle.rs
+++ b/crates/dandeliondeal_standin/src/shell/standin_handle.rs
@@ -19,6 +19,11 @@
                 self.shell.faults().clone()
             }
 
+            /// Number of connections that wait for an answer, silent ones left out.
+            pub fn open_calls(&self) -> usize {
+                self.shell.open_calls()
+            }
+
             /// Takes no more connections, lets every open call finish, then ends.
             pub async fn stop(&self) {
                 self.shell.stop().await;
--- a/crates/dandeliondeal_standin/src/shell/standin_shell.rs
+++ b/crates/dandeliondeal_standin/src/shell/standin_shell.rs
@@ -134,6 +134,11 @@
         let _ = phase.wait_for(|phase| *phase == RunPhase::Ended).await;
     }
 
+    pub(crate) fn open_calls(&self) -> usize {
+        let gates = self.open_gates();
+        gates.iter().filter(|gate| !gate.is_idle()).count()
+    }
+
     fn is_stopping(&self) -> bool {
         *self.phase.borrow() != RunPhase::Running
     }
@@ -255,7 +260,14 @@
     gate.begin_call();
     let reply = match StandinCall::read(request).await {
         Err(reply) => Some(reply),
-        Ok(call) => run_detached(&shell, handler, call, &gate).await,
+        Ok(call) => {
+            let run = CallRun {
+                shell: Rc::clone(&shell),
+                handler,
+                gate: Rc::clone(&gate),
+            };
+            run.run_detached(call).await
+        }
     };
     let Some(reply) = reply else {
         return pending().await;
@@ -264,97 +276,90 @@
     Ok(reply.into_response(shell.is_stopping()))
 }
 
-/// Carries the call out even if its connection closes meanwhile, as a real peer would.
-async fn run_detached<Handler>(
-    shell: &Rc<StandinShell>,
+/// What one call needs while it runs.
+struct CallRun<Handler> {
+    shell: Rc<StandinShell>,
     handler: Rc<Handler>,
-    call: StandinCall,
-    gate: &Rc<ConnectionGate>,
-) -> Option<StandinReply>
-where
-    Handler: CallHandler,
-{
-    let (sender, receiver) = oneshot::channel();
-    let (task_shell, task_gate) = (Rc::clone(shell), Rc::clone(gate));
-    shell.spawn(async move {
-        let reply = run_call(&task_shell, handler, call, &task_gate).await;
-        // The receiver is gone if the connection has closed.
-        let _ = sender.send(reply);
-    });
-    receiver.await.ok().flatten()
+    gate: Rc<ConnectionGate>,
 }
 
-async fn run_call<Handler>(
-    shell: &Rc<StandinShell>,
-    handler: Rc<Handler>,
-    call: StandinCall,
-    gate: &Rc<ConnectionGate>,
-) -> Option<StandinReply>
+impl<Handler> CallRun<Handler>
 where
     Handler: CallHandler,
 {
-    match (call.method.as_str(), call.path.as_str()) {
-        ("GET", "/ledger") => {
-            let lines = handler.ledger_lines();
-            return Some(StandinReply::text(200, "application/jsonl", lines));
-        }
-        ("GET", "/faults") => return Some(StandinReply::json(200, &*shell.faults())),
-        ("POST", "/faults") => return Some(faults_reply(shell, &call, gate)),
-        _ => {}
+    /// Carries the call out even if its connection closes meanwhile, as a real peer would.
+    async fn run_detached(self, call: StandinCall) -> Option<StandinReply> {
+        let (sender, receiver) = oneshot::channel();
+        let shell = Rc::clone(&self.shell);
+        shell.spawn(async move {
+            let reply = self.run(call).await;
+            // The receiver is gone if the connection has closed.
+            let _ = sender.send(reply);
+        });
+        receiver.await.ok().flatten()
     }
-    run_with_faults(shell, handler, call, gate).await
-}
 
-fn faults_reply(
-    shell: &StandinShell,
-    call: &StandinCall,
-    gate: &Rc<ConnectionGate>,
-) -> StandinReply {
-    match call.json::<FaultChange>() {
-        Err(reply) => reply,
-        Ok(change) => {
-            shell.change_faults(change, Some(gate));
-            StandinReply::json(200, &*shell.faults())
+    /// The reply, `None` if none is to be sent.
+    async fn run(&self, call: StandinCall) -> Option<StandinReply> {
+        match (call.method.as_str(), call.path.as_str()) {
+            ("GET", "/ledger") => {
+                let lines = self.handler.ledger_lines();
+                Some(StandinReply::text(200, "application/jsonl", lines))
+            }
+            ("GET", "/faults") => Some(StandinReply::json(200, &*self.shell.faults())),
+            ("POST", "/faults") => Some(self.faults_reply(&call)),
+            _ => self.run_with_faults(call).await,
         }
     }
-}
 
-async fn run_with_faults<Handler>(
-    shell: &Rc<StandinShell>,
-    handler: Rc<Handler>,
-    call: StandinCall,
-    gate: &Rc<ConnectionGate>,
-) -> Option<StandinReply>
-where
-    Handler: CallHandler,
-{
-    shell.wait_thaw().await;
-    if gate.is_silent() {
-        return None;
-    }
-    if shell.faults().outage {
-        return Some(StandinReply::error(503, "outage", "outage", None));
-    }
-    let fate = shell.faults_mut().take_fate(&call);
-    if fate == CallFate::LoseCall {
-        gate.silence();
-        return None;
+    fn faults_reply(&self, call: &StandinCall) -> StandinReply {
+        match call.json::<FaultChange>() {
+            Err(reply) => reply,
+            Ok(change) => {
+                self.shell.change_faults(change, Some(&self.gate));
+                StandinReply::json(200, &*self.shell.faults())
+            }
+        }
     }
-    let answer = handler.handle(call, Rc::clone(shell)).await;
-    let slow = Duration::from_millis(shell.faults().slow_milliseconds);
-    if !slow.is_zero() {
-        sleep(slow).await;
+
+    async fn run_with_faults(&self, call: StandinCall) -> Option<StandinReply> {
+        self.shell.wait_thaw().await;
+        if self.gate.is_silent() {
+            return None;
+        }
+        if self.shell.faults().outage {
+            return Some(StandinReply::error(503, "outage", "outage", None));
+        }
+        let fate = self.shell.faults_mut().take_fate(&call);
+        if fate == CallFate::LoseCall {
+            self.gate.silence();
+            return None;
+        }
+        let handler = Rc::clone(&self.handler);
+        let answer = handler.handle(call, Rc::clone(&self.shell)).await;
+        self.hold_back().await;
+        self.deliver(fate, answer)
     }
-    shell.wait_thaw().await;
-    match (fate, answer) {
-        (CallFate::Answer | CallFate::LoseCall, HandlerAnswer::Reply(reply)) => Some(reply),
-        (CallFate::ResetAnswer, _) => {
-            gate.close();
-            None
+
+    async fn hold_back(&self) {
+        let slow = Duration::from_millis(self.shell.faults().slow_milliseconds);
+        if !slow.is_zero() {
+            sleep(slow).await;
         }
-        (CallFate::LoseAnswer, _) | (_, HandlerAnswer::Silence) => {
-            gate.silence();
-            None
+        self.shell.wait_thaw().await;
+    }
+
+    fn deliver(&self, fate: CallFate, answer: HandlerAnswer) -> Option<StandinReply> {
+        match (fate, answer) {
+            (CallFate::Answer | CallFate::LoseCall, HandlerAnswer::Reply(reply)) => Some(reply),
+            (CallFate::ResetAnswer, _) => {
+                self.gate.close();
+                None
+            }
+            (CallFate::LoseAnswer, _) | (_, HandlerAnswer::Silence) => {
+                self.gate.silence();
+                None
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/dandeliondeal_standin/tests/common/mod.rs
@@ -0,0 +1,117 @@
+//! Raw calls over connections that a test holds itself.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_rt::time::timeout;
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// A wait that is long enough to see that no answer comes.
+pub const SILENCE: Duration = Duration::from_millis(150);
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// An answer as received.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap()
+    }
+
+    pub fn code(&self) -> String {
+        self.json()["error"]["code"].as_str().unwrap().to_owned()
+    }
+
+    pub fn etag(&self) -> Option<u64> {
+        let line = self.head.lines().find(|line| line.starts_with("etag"))?;
+        line.split('"').nth(1)?.parse().ok()
+    }
+}
+
+/// One kept connection.
+pub struct Connection(TcpStream);
+
+impl Connection {
+    pub async fn open(address: SocketAddr) -> Self {
+        Self(TcpStream::connect(address).await.unwrap())
+    }
+
+    pub async fn send(&mut self, head: &str, headers: &str, body: &str) {
+        let length = body.len();
+        let text = format!(
+            "{head} HTTP/1.1\r\nhost: x\r\n{headers}content-length: {length}\r\n\r\n{body}"
+        );
+        self.0.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// The next answer, `None` if the connection ends without one.
+    pub async fn receive(&mut self) -> Option<Answer> {
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(b"\r\n\r\n") {
+            match self.0.read_u8().await {
+                Ok(byte) => bytes.push(byte),
+                Err(_) => return None,
+            }
+        }
+        let head = String::from_utf8(bytes).unwrap().to_lowercase();
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "))
+            .map_or(0, |length| length.parse().unwrap());
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).await.ok()?;
+        let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+        let body = String::from_utf8(body).unwrap();
+        Some(Answer { status, head, body })
+    }
+
+    pub async fn call(&mut self, head: &str, headers: &str, body: &str) -> Answer {
+        self.send(head, headers, body).await;
+        timeout(PATIENCE, self.receive()).await.unwrap().unwrap()
+    }
+
+    /// Whether neither an answer nor the end of the connection comes.
+    pub async fn is_silent(&mut self) -> bool {
+        timeout(SILENCE, self.receive()).await.is_err()
+    }
+
+    /// Whether the connection ends without an answer.
+    pub async fn is_closed(&mut self) -> bool {
+        timeout(PATIENCE, self.receive()).await.unwrap().is_none()
+    }
+}
+
+/// A call over a connection of its own.
+pub async fn call(address: SocketAddr, head: &str, headers: &str, body: &str) -> Answer {
+    Connection::open(address)
+        .await
+        .call(head, headers, body)
+        .await
+}
+
+/// Sets faults over the socket.
+pub async fn set_faults(address: SocketAddr, faults: &str) {
+    assert_eq!(call(address, "POST /faults", "", faults).await.status, 200);
+}
+
+/// Waits until `check` holds.
+pub async fn until<Check>(check: Check)
+where
+    Check: Fn() -> bool,
+{
+    let wait = async {
+        while !check() {
+            actix_rt::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(PATIENCE, wait).await.unwrap();
+}
--- /dev/null
+++ b/crates/dandeliondeal_standin/tests/engine_calls.rs
@@ -0,0 +1,248 @@
+//! Sessions, orders and wrong answers of an engine over sockets.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Answer, Connection, SILENCE, call, set_faults, until};
+use dandeliondeal_standin::{EngineSettings, EngineStandin, reference_answer};
+use dandeliondeal_types::{LayerRange, StepCall, StepName};
+use serde_json::json;
+
+const MODEL: &str = "model-a";
+
+fn engine() -> EngineStandin {
+    start(EngineSettings::default())
+}
+
+fn start(settings: EngineSettings) -> EngineStandin {
+    EngineStandin::start(settings).unwrap()
+}
+
+fn step_body(request: &str, lineage: u32, position: u64, inputs: &[u64]) -> String {
+    let call = StepCall {
+        name: StepName {
+            request: request.into(),
+            lineage,
+            position,
+            range: LayerRange::new(0, 8),
+        },
+        model: MODEL.into(),
+        inputs: inputs.into(),
+        life_milliseconds: 0,
+        priority: 0,
+    };
+    serde_json::to_string(&call).unwrap()
+}
+
+async fn step(engine: &EngineStandin, lineage: u32, position: u64, inputs: &[u64]) -> Answer {
+    let body = step_body("r", lineage, position, inputs);
+    call(engine.address(), "POST /steps", "", &body).await
+}
+
+fn refused(answer: &Answer) -> (u16, String) {
+    (answer.status, answer.code())
+}
+
+fn refusal(status: u16, code: &str) -> (u16, String) {
+    (status, code.to_owned())
+}
+
+#[actix_rt::test]
+async fn repeated_step() {
+    let engine = engine();
+    let first = step(&engine, 1, 0, &[5, 6]).await;
+    let again = step(&engine, 1, 0, &[5, 6]).await;
+    assert_eq!(first.body, again.body);
+    assert_eq!(engine.ledger().len(), 2);
+    let gap = step(&engine, 1, 3, &[7]).await;
+    assert_eq!(refused(&gap), refusal(409, "position"));
+    assert_eq!(gap.json()["error"]["expected"], 2);
+    assert_eq!(
+        refused(&step(&engine, 0, 2, &[7]).await),
+        refusal(409, "lineage")
+    );
+    assert_eq!(
+        refused(&step(&engine, 2, 2, &[7]).await),
+        refusal(409, "lineage")
+    );
+    assert_eq!(engine.ledger().len(), 2);
+    assert_eq!(step(&engine, 2, 0, &[5]).await.status, 200);
+    assert_eq!(
+        refused(&step(&engine, 1, 2, &[7]).await),
+        refusal(409, "lineage")
+    );
+}
+
+#[actix_rt::test]
+async fn refused_steps() {
+    let engine = start(EngineSettings {
+        capacity: 1,
+        ..EngineSettings::default()
+    });
+    assert_eq!(
+        refused(&step(&engine, 1, 4, &[1]).await),
+        refusal(410, "gone")
+    );
+    let range = step_body("r", 1, 0, &[1]).replace("\"end\":8", "\"end\":9");
+    let range = call(engine.address(), "POST /steps", "", &range).await;
+    assert_eq!(refused(&range), refusal(422, "range"));
+    let malformed = call(engine.address(), "POST /steps", "", "{").await;
+    assert_eq!(refused(&malformed), refusal(400, "malformed"));
+    assert_eq!(step(&engine, 1, 0, &[1]).await.status, 200);
+    let other = step_body("other", 1, 0, &[1]);
+    let busy = call(engine.address(), "POST /steps", "", &other).await;
+    assert_eq!(refused(&busy), refusal(429, "busy"));
+    set_faults(engine.address(), r#"{"leaving":true}"#).await;
+    let leaving = call(engine.address(), "POST /steps", "", &other).await;
+    assert_eq!(refused(&leaving), refusal(503, "leaving"));
+    assert_eq!(step(&engine, 1, 1, &[2]).await.status, 200);
+    assert_eq!(engine.ledger().len(), 2);
+}
+
+#[actix_rt::test]
+async fn crossed_steps() {
+    let engine = start(EngineSettings {
+        layer_microseconds: 10_000,
+        ..EngineSettings::default()
+    });
+    let body = step_body("r", 1, 0, &[5]);
+    let mut early = Connection::open(engine.address()).await;
+    let mut late = Connection::open(engine.address()).await;
+    early.send("POST /steps", "", &body).await;
+    late.send("POST /steps", "", &body).await;
+    let answers = (
+        early.receive().await.unwrap(),
+        late.receive().await.unwrap(),
+    );
+    assert_eq!(answers.0.body, answers.1.body);
+    assert_eq!(engine.ledger().len(), 1);
+}
+
+#[actix_rt::test]
+async fn moved_cache() {
+    let (old, new) = (engine(), engine());
+    step(&old, 1, 0, &[5, 6]).await;
+    let cache = call(old.address(), "GET /sessions/r/cache", "", "").await;
+    assert_eq!(cache.status, 200);
+    let head = "PUT /sessions/r/cache?lineage=2";
+    let status = call(new.address(), head, "", &cache.body).await;
+    assert_eq!(status.json()["next_position"], 2);
+    assert_eq!(call(new.address(), head, "", &cache.body).await.status, 200);
+    let token = reference_answer(MODEL, 8, &[5, 6], 2);
+    let answer = step(&new, 2, 2, &token[..1]).await;
+    assert_eq!(answer.json()["outputs"], json!([token[1]]));
+    let other = start(EngineSettings {
+        model: "model-b".into(),
+        ..EngineSettings::default()
+    });
+    assert_eq!(
+        call(other.address(), head, "", &cache.body).await.status,
+        422
+    );
+    assert_eq!(
+        call(new.address(), "GET /sessions/x/cache", "", "")
+            .await
+            .status,
+        404
+    );
+}
+
+#[actix_rt::test]
+async fn session_life() {
+    let engine = engine();
+    step(&engine, 1, 0, &[5]).await;
+    let renewal = "POST /sessions/r/renewal";
+    let life = r#"{"life_milliseconds":1}"#;
+    assert_eq!(call(engine.address(), renewal, "", life).await.status, 204);
+    until(|| engine.session_count() == 0).await;
+    assert_eq!(call(engine.address(), renewal, "", life).await.status, 404);
+    assert_eq!(
+        call(engine.address(), "GET /sessions/r", "", "")
+            .await
+            .status,
+        404
+    );
+    step(&engine, 1, 0, &[5]).await;
+    let status = call(engine.address(), "GET /sessions/r", "", "").await;
+    assert_eq!(status.json()["next_position"], 1);
+    assert_eq!(
+        call(engine.address(), "GET /load", "", "").await.json()["sessions"],
+        1
+    );
+    assert_eq!(
+        call(engine.address(), "DELETE /sessions/r", "", "")
+            .await
+            .status,
+        204
+    );
+    assert_eq!(
+        refused(&step(&engine, 1, 1, &[5]).await),
+        refusal(410, "gone")
+    );
+}
+
+#[actix_rt::test]
+async fn wrong_answers() {
+    let engine = engine();
+    for kind in ["range", "position", "request", "malformed", "oversized"] {
+        let good = step(&engine, 1, 0, &[5]).await;
+        let faults = format!(r#"{{"bad_answers":1,"bad_answer":"{kind}"}}"#);
+        set_faults(engine.address(), &faults).await;
+        assert_ne!(step(&engine, 1, 0, &[5]).await.body, good.body, "{kind}");
+    }
+    assert_eq!(engine.ledger().len(), 1);
+}
+
+#[actix_rt::test]
+async fn stale_fence() {
+    for checks_fencing in [true, false] {
+        let engine = start(EngineSettings {
+            checks_fencing,
+            ..EngineSettings::default()
+        });
+        let order =
+            |fence: u64, role: &str| json!({"fencing_number": fence, "role": role}).to_string();
+        let at = engine.address();
+        assert_eq!(
+            call(at, "POST /orders", "", &order(7, "decode"))
+                .await
+                .status,
+            200
+        );
+        let stale = call(at, "POST /orders", "", &order(6, "prefill")).await;
+        assert_eq!(stale.status, if checks_fencing { 409 } else { 200 });
+        let role = call(at, "GET /orders", "", "").await.json()["role"].clone();
+        assert_eq!(role, if checks_fencing { "decode" } else { "prefill" });
+    }
+}
+
+#[actix_rt::test]
+async fn expired_order() {
+    let engine = start(EngineSettings {
+        weight_load: Duration::from_millis(20),
+        ..EngineSettings::default()
+    });
+    let order = r#"{"fencing_number":1,"version":"2","life_milliseconds":10}"#;
+    set_faults(engine.address(), r#"{"freeze":true}"#).await;
+    let mut frozen = Connection::open(engine.address()).await;
+    frozen.send("POST /orders", "", order).await;
+    until(|| engine.open_calls() == 1).await;
+    actix_rt::time::sleep(SILENCE).await;
+    set_faults(engine.address(), r#"{"freeze":false}"#).await;
+    assert_eq!(
+        refused(&frozen.receive().await.unwrap()),
+        refusal(409, "expired")
+    );
+    let present = call(engine.address(), "GET /orders", "", "").await;
+    assert_eq!(present.json()["version"], "1");
+    let lasting = r#"{"fencing_number":1,"version":"2","life_milliseconds":60000}"#;
+    assert_eq!(
+        call(engine.address(), "POST /orders", "", lasting)
+            .await
+            .status,
+        200
+    );
+    let present = call(engine.address(), "GET /orders", "", "").await;
+    assert_eq!(present.json()["version"], "2");
+}
