--- a/crates/dandeliondeal_command/src/lib.rs
+++ b/crates/dandeliondeal_command/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod measure_command;
 pub mod settings_command;
 pub mod standalone;
+pub mod standin_command;
 pub mod stop_signal;
 
 #[doc(inline)]
