--- a/crates/dandeliondeal_balance/src/board_settings.rs
+++ b/crates/dandeliondeal_balance/src/board_settings.rs
@@ -70,7 +70,7 @@
     pub retry_wait: Duration,
     /// Longest wait before a failed endpoint is tested.
     pub retry_wait_limit: Duration,
-    /// Duration of the slow start; zero switches it off.
+    /// Duration of the slow start; zero, the default, switches it off.
     pub ramp: Duration,
     /// Share of a group that may count as failed without proof that the endpoint is gone.
     pub failed_share: f64,
@@ -91,7 +91,7 @@
             overdue_calls: 3,
             retry_wait: Duration::from_secs(2),
             retry_wait_limit: Duration::from_secs(30),
-            ramp: Duration::from_secs(5),
+            ramp: Duration::ZERO,
             failed_share: 0.5,
         }
     }
--- a/crates/dandeliondeal_measure/src/lib.rs
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -3,6 +3,10 @@
 //! Each measurement is a module with a `run` function that prints a table and JSON lines. Figures
 //! are ratios to a baseline or a bound in the same run, since machines are noisy.
 
+pub mod choice;
+pub mod choice_driver;
+pub mod choice_policy;
+pub mod choice_scenario;
 pub mod measure_error;
 pub mod measure_settings;
 pub mod overhead;
