Non-repeatable service calls: sent once, claimed by key, settled where possible

Entry: a non-repeatable call goes over a new connection to one endpoint; only a connection that was never made lets the next be tried. With a key it is claimed first (claim_desk runs the claim log against the platform); a repeat waits for the first request and gets its answer; other content under the key gets 422. A call in doubt is settled at every endpoint that may have run it; what stays open is told as in-doubt and asked for further. A claim without outcome past the service's timeout is settled by whoever meets it, never run again. The path /settlements is closed to callers of services that settle. The id of a keyed request names its shard, so that any instance can tell its state. All instances have to agree on shards and retention; the first writes claims/layout.

Additions to shared files: EntryContext::{platform, claims}, receive() takes the key, reply.rs gives 410 for an answer that was too long to keep.

--- a/crates/dandeliondeal_claim/src/claim_record.rs
+++ b/crates/dandeliondeal_claim/src/claim_record.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dandeliondeal_types::{Incarnation, InstanceId, Outcome, RequestId};
+use dandeliondeal_types::{EndpointId, Incarnation, InstanceId, Outcome, RequestId};
 use serde::{Deserialize, Serialize};
 
 use crate::claim_key::{ClaimKey, RequestFingerprint};
@@ -58,6 +58,9 @@
     pub fingerprint: RequestFingerprint,
     /// The request that runs; no two attempts share one.
     pub request: RequestId,
+    /// The endpoints that it may be sent to, and that have to be asked whether it ran.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub candidates: Vec<EndpointId>,
 }
 
 /// Tells what became of a request.
--- a/crates/dandeliondeal_claim/src/claim_table.rs
+++ b/crates/dandeliondeal_claim/src/claim_table.rs
@@ -1,12 +1,13 @@
 //! The claims of one shard, as its log tells them.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use dandeliondeal_chart::{ChartError, ChartMachine};
 use dandeliondeal_types::RequestId;
 
-use crate::claim_key::{ClaimKey, RequestFingerprint};
+use crate::claim_key::ClaimKey;
 use crate::claim_record::{ClaimAnswer, ClaimRecord, LogLine, OutcomeRecord};
 use crate::claim_state::{ClaimEvent, ClaimState, claim_chart};
 
@@ -17,6 +18,8 @@
     pub request: RequestId,
     /// Whether it ran.
     pub state: ClaimState,
+    /// Its claim; `None` if it was withdrawn before its claim was seen.
+    pub claim: Option<Rc<ClaimRecord>>,
     /// Its answer, once it is recorded.
     pub answer: Option<ClaimAnswer>,
     /// Age of the shard when it was claimed.
@@ -52,7 +55,7 @@
 
 #[derive(Debug)]
 struct ClaimEntry {
-    fingerprint: Option<RequestFingerprint>,
+    claim: Option<Rc<ClaimRecord>>,
     machine: ChartMachine<ClaimState, ClaimEvent>,
     answer: Option<ClaimAnswer>,
     claimed_at: Duration,
@@ -95,7 +98,8 @@
         let Some((request, entry)) = self.holder(&record.key) else {
             return ClaimDecision::Free;
         };
-        if entry.fingerprint != Some(record.fingerprint) {
+        let claim = entry.claim.as_ref();
+        if claim.is_none_or(|claim| claim.fingerprint != record.fingerprint) {
             return ClaimDecision::KeyReused;
         }
         ClaimDecision::Repeat(entry.view(request))
@@ -158,14 +162,15 @@
         if self.decide(&record) != ClaimDecision::Free {
             return Ok(());
         }
+        let (key, request) = (record.key.clone(), record.request.clone());
         let entry = ClaimEntry {
-            fingerprint: Some(record.fingerprint),
+            claim: Some(Rc::new(record)),
             machine: ChartMachine::new(claim_chart()?),
             answer: None,
             claimed_at: self.age,
         };
-        self.holders.insert(record.key, record.request.clone());
-        self.requests.insert(record.request, entry);
+        self.holders.insert(key, request.clone());
+        self.requests.insert(request, entry);
         Ok(())
     }
 
@@ -188,7 +193,7 @@
         let state = machine.apply(ClaimEvent::from(record.outcome))?;
         if state == ClaimState::NotRun {
             let entry = ClaimEntry {
-                fingerprint: None,
+                claim: None,
                 machine,
                 answer: None,
                 claimed_at: self.age,
@@ -204,6 +209,7 @@
         ClaimView {
             request: request.clone(),
             state: self.machine.state(),
+            claim: self.claim.clone(),
             answer: self.answer.clone(),
             claimed_at: self.claimed_at,
         }
--- a/crates/dandeliondeal_claim/src/shard_writer.rs
+++ b/crates/dandeliondeal_claim/src/shard_writer.rs
@@ -61,6 +61,8 @@
     Deadline,
     /// The log is broken.
     BrokenLog,
+    /// The instances differ in the number of shards or the retention.
+    OtherLayout,
 }
 
 /// What happened.
--- a/crates/dandeliondeal_claim/tests/random_claims.rs
+++ b/crates/dandeliondeal_claim/tests/random_claims.rs
@@ -74,6 +74,7 @@
         },
         fingerprint: RequestFingerprint::of([[key].as_slice()]),
         request: request.into(),
+        candidates: Vec::new(),
     })
 }
 
--- a/crates/dandeliondeal_claim/tests/shard_writer.rs
+++ b/crates/dandeliondeal_claim/tests/shard_writer.rs
@@ -99,6 +99,7 @@
         },
         fingerprint: RequestFingerprint::of([content.as_bytes()]),
         request: request.into(),
+        candidates: Vec::new(),
     })
 }
 
--- a/crates/dandeliondeal_entry/src/caller_api.rs
+++ b/crates/dandeliondeal_entry/src/caller_api.rs
@@ -15,9 +15,10 @@
 use crate::completion_reply::{ModelLine, ModelList};
 use crate::completion_request::CompletionRequest;
 use crate::entry_context::EntryContext;
-use crate::reply;
+use crate::reply::{self, IDEMPOTENCY_HEADER, REQUEST_ID_HEADER};
 use crate::reply_body::ReplyBody;
 use crate::request_life::RequestEvent;
+use crate::request_lookup::known_status;
 use crate::service_call::{ServiceCall, call_service};
 
 const SERVICE_PREFIX: &str = "/v1/services/";
@@ -70,7 +71,7 @@
         }
         ("/v1/models", Method::GET) => models(context),
         (path, Method::GET) if path.starts_with(REQUEST_PREFIX) => {
-            request_status(context, organisation, &path[REQUEST_PREFIX.len()..])
+            request_status(context, organisation, &path[REQUEST_PREFIX.len()..]).await
         }
         ("/v1/completions" | "/v1/chat/completions" | "/v1/models", method) => {
             let mut reply = reply::error(&invalid("method", format!("{method} is not allowed")));
@@ -98,7 +99,9 @@
 where
     ClockSource: Clock,
 {
-    let id = context.receive(organisation);
+    let key = request.headers().get(IDEMPOTENCY_HEADER);
+    let key = key.and_then(|value| value.to_str().ok());
+    let id = context.receive(organisation, key);
     let answer = dispatch(context, organisation, &id, request, kind).await;
     let mut reply = answer.unwrap_or_else(|error| {
         let event = if error.is_not_run() {
@@ -109,7 +112,10 @@
         context.end_open(&id, event);
         reply::error(&error)
     });
-    reply::set_request_id(&mut reply, &id);
+    // The answer to a repeat names the request that ran.
+    if !reply.headers().contains_key(REQUEST_ID_HEADER) {
+        reply::set_request_id(&mut reply, &id);
+    }
     reply
 }
 
@@ -189,7 +195,7 @@
     reply
 }
 
-fn request_status<ClockSource>(
+async fn request_status<ClockSource>(
     context: &EntryContext<ClockSource>,
     organisation: &OrganisationId,
     id: &str,
@@ -197,7 +203,7 @@
 where
     ClockSource: Clock,
 {
-    match context.registry().borrow().status(id, organisation) {
+    match known_status(context, organisation, id).await {
         Some(status) => {
             let mut reply = reply::json(StatusCode::OK, &status);
             reply::set_request_id(&mut reply, id);
--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -2,17 +2,22 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use dandeliondeal_chart::ChartError;
+use dandeliondeal_claim::{ClaimKey, ClaimSettings, ShardIndex};
 use dandeliondeal_config::EntrySettings;
+use dandeliondeal_platform::{CallClass, PlatformClient, PlatformSettings};
 use dandeliondeal_types::{Clock, Incarnation, OrganisationId, Outcome, RequestId};
 use derive_more::{Display, Error, From};
 
 use crate::admission::AdmissionGate;
+use crate::claim_desk::ClaimDesk;
 use crate::drain_state::DrainMachine;
 use crate::entry_metrics::EntryMetrics;
 use crate::http_pool::HttpPool;
+use crate::request_id::request_id;
 use crate::request_life::{RequestEvent, RequestRegistry, RequestState};
 use crate::table_cell::TableCell;
 
@@ -46,6 +51,8 @@
     metrics: EntryMetrics,
     admission: AdmissionGate,
     pool: HttpPool,
+    platform: PlatformClient<ClockSource>,
+    claims: ClaimDesk<PlatformClient<ClockSource>, ClockSource>,
     drain: RefCell<DrainMachine>,
     next_request: Cell<u64>,
 }
@@ -61,8 +68,18 @@
     /// Returns what is wrong with a chart or a metric.
     pub fn new(settings: EntrySettings, clock: ClockSource) -> Result<Self, EntryError> {
         let incarnation = unix_time(clock.wall()).as_micros();
+        let incarnation = u64::try_from(incarnation).unwrap_or(u64::MAX);
+        let platform =
+            PlatformClient::new(platform_settings(&settings, incarnation), clock.clone());
+        let claims = ClaimDesk::new(
+            platform.with_class(CallClass::Claims),
+            clock.clone(),
+            claim_settings(&settings, incarnation),
+        );
         let inner = ContextInner {
-            incarnation: u64::try_from(incarnation).unwrap_or(u64::MAX),
+            incarnation,
+            platform,
+            claims,
             table: TableCell::default(),
             registry: RefCell::new(RequestRegistry::new()?),
             metrics: EntryMetrics::new()?,
@@ -113,6 +130,16 @@
         &self.inner.pool
     }
 
+    /// The platform.
+    pub fn platform(&self) -> &PlatformClient<ClockSource> {
+        &self.inner.platform
+    }
+
+    /// The claims of non-repeatable requests.
+    pub fn claims(&self) -> &ClaimDesk<PlatformClient<ClockSource>, ClockSource> {
+        &self.inner.claims
+    }
+
     /// The chart of the planned stop.
     pub fn drain(&self) -> &RefCell<DrainMachine> {
         &self.inner.drain
@@ -123,12 +150,19 @@
         &self.inner.registry
     }
 
-    /// Enters a new request and returns its id.
-    pub fn receive(&self, organisation: &OrganisationId) -> RequestId {
+    /// Enters a new request and returns its id; a keyed one's id names the shard of its claim.
+    pub fn receive(&self, organisation: &OrganisationId, key: Option<&str>) -> RequestId {
         let number = self.inner.next_request.get() + 1;
         self.inner.next_request.set(number);
         let instance = &self.inner.settings.instance.id;
-        let id: RequestId = format!("{instance}-{:x}-{number}", self.inner.incarnation).into();
+        let shard = key.map(|key| {
+            let claim_key = ClaimKey {
+                organisation: Arc::clone(organisation),
+                key: key.into(),
+            };
+            claim_key.shard(self.inner.claims.settings().shards)
+        });
+        let id = request_id(instance, self.inner.incarnation, number, shard);
         self.inner.registry.borrow_mut().receive(&id, organisation);
         self.inner.metrics.open_requests.inc();
         id
@@ -164,6 +198,26 @@
     }
 }
 
+fn platform_settings(settings: &EntrySettings, seed: u64) -> PlatformSettings {
+    PlatformSettings {
+        address: settings.platform.address,
+        call_timeout: settings.platform.timeout,
+        seed,
+        ..PlatformSettings::default()
+    }
+}
+
+fn claim_settings(settings: &EntrySettings, incarnation: Incarnation) -> ClaimSettings {
+    ClaimSettings {
+        instance: Arc::clone(&settings.instance.id),
+        incarnation,
+        shards: ShardIndex::try_from(settings.claims.shards).unwrap_or(ShardIndex::MAX),
+        retention: settings.claims.retention,
+        answer_bytes: usize::try_from(settings.claims.answer_bytes).unwrap_or(usize::MAX),
+        ..ClaimSettings::default()
+    }
+}
+
 fn unix_time(wall: SystemTime) -> Duration {
     wall.duration_since(SystemTime::UNIX_EPOCH)
         .unwrap_or_default()
--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -104,7 +104,7 @@
     }
 
     fn is_busy(&self) -> bool {
-        self.context.registry().borrow().open() > 0
+        self.context.registry().borrow().open() > 0 || self.context.claims().backlog() > 0
     }
 
     fn drain(&self, event: DrainEvent) -> DrainState {
--- a/crates/dandeliondeal_entry/src/reply.rs
+++ b/crates/dandeliondeal_entry/src/reply.rs
@@ -120,6 +120,7 @@
         ErrorKind::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
         ErrorKind::Limited => StatusCode::TOO_MANY_REQUESTS,
         _ if error.is_not_run() => StatusCode::SERVICE_UNAVAILABLE,
+        _ if error.outcome() == Outcome::Answered => StatusCode::GONE,
         _ => StatusCode::GATEWAY_TIMEOUT,
     }
 }
--- /dev/null
+++ b/crates/dandeliondeal_entry/tests/claim_fleet/mod.rs
@@ -0,0 +1,217 @@
+//! A platform, services and three entry instances on loopback sockets.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dandeliondeal_config::{
+    EntrySettings, InstanceSettings, ListenSettings, PlatformSettings, RequestSettings,
+};
+use dandeliondeal_entry::EntryServer;
+use dandeliondeal_entry::route_table::key_hash;
+use dandeliondeal_standin::{PlatformStandin, ServiceEntry, ServiceSettings, ServiceStandin};
+use dandeliondeal_types::sheet_model::{
+    EndpointEntry, EndpointTarget, OrganisationEntry, ServiceEntry as SheetService,
+};
+use dandeliondeal_types::{SheetModel, SystemClock};
+
+const KEY: &str = "test-key";
+const INSTANCES: usize = 3;
+
+pub struct FleetSettings {
+    pub services: usize,
+    pub settles: bool,
+    pub service_timeout: Duration,
+    pub deadline: Duration,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            services: 1,
+            settles: true,
+            service_timeout: Duration::from_secs(2),
+            deadline: Duration::from_secs(3),
+        }
+    }
+}
+
+pub struct ClaimFleet {
+    pub platform: PlatformStandin,
+    pub services: Vec<ServiceStandin>,
+    pub entries: Vec<EntryServer<SystemClock>>,
+}
+
+#[derive(Debug)]
+pub struct CallReply {
+    pub status: u16,
+    pub outcome: String,
+    pub request: String,
+    pub body: String,
+}
+
+impl ClaimFleet {
+    pub async fn start(settings: FleetSettings) -> Self {
+        let platform = PlatformStandin::start(dandeliondeal_standin::PlatformSettings {
+            writes_per_second: 0,
+            reads_per_second: 0,
+            ..Default::default()
+        })
+        .expect("platform");
+        let services: Vec<ServiceStandin> = (0..settings.services)
+            .map(|_index| {
+                ServiceStandin::start(ServiceSettings {
+                    settles: settings.settles,
+                    capacity: 1000,
+                    ..ServiceSettings::default()
+                })
+                .expect("service")
+            })
+            .collect();
+        let sheet = Arc::new(sheet(&settings, &services));
+        let mut entries = Vec::new();
+        for index in 0..INSTANCES {
+            let entry = EntryServer::start(
+                entry_settings(index, platform.address(), settings.deadline),
+                SystemClock,
+            )
+            .await
+            .expect("entry");
+            entry.install(Arc::clone(&sheet));
+            entries.push(entry);
+        }
+        Self {
+            platform,
+            services,
+            entries,
+        }
+    }
+
+    pub async fn call(&self, entry: usize, key: Option<&str>, path: &str) -> CallReply {
+        self.call_with(entry, key, path, "body").await
+    }
+
+    pub async fn call_with(
+        &self,
+        entry: usize,
+        key: Option<&str>,
+        path: &str,
+        body: &str,
+    ) -> CallReply {
+        let address = self.entries[entry].caller_address();
+        let mut request = awc::Client::builder()
+            .disable_timeout()
+            .finish()
+            .post(format!("http://{address}/v1/services/order-desk/{path}"))
+            .insert_header(("authorization", format!("Bearer {KEY}")));
+        if let Some(key) = key {
+            request = request.insert_header(("idempotency-key", key));
+        }
+        let sent = request.send_body(body.to_owned()).await;
+        read(sent.expect("answer")).await
+    }
+
+    pub async fn state(&self, entry: usize, request: &str) -> CallReply {
+        let address = self.entries[entry].caller_address();
+        let sent = awc::Client::default()
+            .get(format!("http://{address}/v1/requests/{request}"))
+            .insert_header(("authorization", format!("Bearer {KEY}")))
+            .send()
+            .await;
+        read(sent.expect("answer")).await
+    }
+
+    pub fn ledger(&self) -> Vec<ServiceEntry> {
+        self.services
+            .iter()
+            .flat_map(ServiceStandin::ledger)
+            .collect()
+    }
+}
+
+async fn read<Payload>(mut answer: awc::ClientResponse<Payload>) -> CallReply
+where
+    Payload: futures_util::Stream<Item = Result<bytes::Bytes, actix_http::error::PayloadError>>
+        + Unpin
+        + 'static,
+{
+    let header = |name: &str| {
+        let value = answer.headers().get(name);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .to_owned()
+    };
+    let (outcome, request) = (
+        header("dandeliondeal-outcome"),
+        header("dandeliondeal-request-id"),
+    );
+    let status = answer.status().as_u16();
+    let body = answer.body().await.expect("body");
+    CallReply {
+        status,
+        outcome,
+        request,
+        body: String::from_utf8_lossy(&body).into_owned(),
+    }
+}
+
+fn entry_settings(index: usize, platform: SocketAddr, deadline: Duration) -> EntrySettings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    EntrySettings {
+        instance: InstanceSettings::new(
+            format!("entry-{index}"),
+            "didube".into(),
+            "tbilisi".into(),
+        ),
+        listen: ListenSettings {
+            callers: any,
+            operators: any,
+            peers: any,
+        },
+        platform: PlatformSettings {
+            address: platform,
+            timeout: Duration::from_millis(300),
+            ..PlatformSettings::default()
+        },
+        requests: RequestSettings {
+            deadline,
+            ..RequestSettings::default()
+        },
+        ..EntrySettings::default()
+    }
+}
+
+fn sheet(settings: &FleetSettings, services: &[ServiceStandin]) -> SheetModel {
+    let service = SheetService {
+        repeatable: false,
+        settles: settings.settles,
+        timeout: settings.service_timeout,
+    };
+    let organisation = OrganisationEntry {
+        key_hashes: vec![key_hash(KEY)],
+        weight: 1,
+    };
+    let endpoints = services.iter().enumerate().map(|(index, service)| {
+        let entry = EndpointEntry {
+            address: service.address(),
+            target: EndpointTarget::Service {
+                service: "order-desk".into(),
+            },
+            accelerator: "".into(),
+            failure_domain: "didube".into(),
+            region: "tbilisi".into(),
+            checks_fencing: false,
+            capacity: 64,
+        };
+        (format!("order-desk-{index}").into(), entry)
+    });
+    SheetModel {
+        revision: 1,
+        endpoints: endpoints.collect(),
+        services: BTreeMap::from([("order-desk".into(), service)]),
+        organisations: BTreeMap::from([("guild".into(), organisation)]),
+        ..SheetModel::default()
+    }
+}
--- /dev/null
+++ b/crates/dandeliondeal_entry/tests/claimed_calls.rs
@@ -0,0 +1,220 @@
+//! Keyed non-repeatable calls at three instances over real sockets.
+
+mod claim_fleet;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use claim_fleet::{CallReply, ClaimFleet, FleetSettings};
+use dandeliondeal_claim::{ClaimKey, ClaimRecord, RequestFingerprint, ShardReply, ShardTask};
+use dandeliondeal_standin::FaultChange;
+use dandeliondeal_types::{Clock as _, SystemClock};
+use futures_util::future::join_all;
+
+const KEYS: usize = 200;
+
+/// Calls with each key at the three instances at the same moment.
+async fn race(fleet: &ClaimFleet, keys: usize) -> Vec<(usize, CallReply)> {
+    let calls = (0..keys * 3).map(async |index| {
+        let key = format!("key-{}", index / 3);
+        (index / 3, fleet.call(index % 3, Some(&key), "book").await)
+    });
+    join_all(calls).await
+}
+
+fn runs(fleet: &ClaimFleet) -> BTreeMap<String, usize> {
+    let mut runs = BTreeMap::new();
+    for entry in fleet.ledger() {
+        *runs.entry(entry.key.to_string()).or_default() += 1;
+    }
+    runs
+}
+
+/// No key ran twice, and no key of which a caller was answered ran never.
+fn check(fleet: &ClaimFleet, replies: &[(usize, CallReply)]) {
+    let runs = runs(fleet);
+    assert!(runs.values().all(|count| *count == 1), "{runs:?}");
+    for (key, reply) in replies {
+        let ran = runs.contains_key(&format!("key-{key}"));
+        assert!(ran || reply.outcome != "answered", "key {key}: {reply:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn same_moment() {
+    let fleet = ClaimFleet::start(FleetSettings {
+        deadline: Duration::from_secs(20),
+        ..FleetSettings::default()
+    })
+    .await;
+    let replies = race(&fleet, KEYS).await;
+    check(&fleet, &replies);
+    assert_eq!(runs(&fleet).len(), KEYS);
+    let mut bodies: BTreeMap<usize, &str> = BTreeMap::new();
+    for (key, reply) in &replies {
+        assert_eq!(
+            (reply.status, &*reply.outcome),
+            (200, "answered"),
+            "{reply:?}"
+        );
+        let first = bodies.entry(*key).or_insert(&reply.body);
+        assert_eq!(*first, reply.body, "a repeat gets the first answer");
+    }
+}
+
+#[actix_rt::test]
+async fn other_content() {
+    let fleet = ClaimFleet::start(FleetSettings::default()).await;
+    assert_eq!(
+        fleet.call_with(0, Some("k"), "book", "one").await.status,
+        200
+    );
+    let reply = fleet.call_with(1, Some("k"), "book", "two").await;
+    assert_eq!((reply.status, &*reply.outcome), (422, "not-run"));
+    assert_eq!(fleet.ledger().len(), 1);
+}
+
+#[actix_rt::test]
+async fn state_elsewhere() {
+    let fleet = ClaimFleet::start(FleetSettings::default()).await;
+    let reply = fleet.call(0, Some("k"), "book").await;
+    let state = fleet.state(2, &reply.request).await;
+    assert_eq!((state.status, &*state.outcome), (200, "answered"));
+}
+
+#[actix_rt::test]
+async fn lost_store_answers() {
+    let fleet = ClaimFleet::start(FleetSettings {
+        deadline: Duration::from_secs(20),
+        ..FleetSettings::default()
+    })
+    .await;
+    let faults = [
+        FaultChange {
+            lose_answers: Some(5),
+            ..FaultChange::default()
+        },
+        FaultChange {
+            lose_calls: Some(5),
+            ..FaultChange::default()
+        },
+        FaultChange {
+            delay_writes: Some(5),
+            delay_writes_milliseconds: Some(500),
+            ..FaultChange::default()
+        },
+    ];
+    for change in faults {
+        fleet.platform.set_faults(FaultChange {
+            only_method: Some("PUT".into()),
+            ..change
+        });
+        let replies = race(&fleet, 20).await;
+        check(&fleet, &replies);
+        assert_eq!(runs(&fleet).len(), 20);
+    }
+}
+
+#[actix_rt::test]
+async fn outage_midway() {
+    let fleet = ClaimFleet::start(FleetSettings {
+        deadline: Duration::from_secs(2),
+        ..FleetSettings::default()
+    })
+    .await;
+    let outage = async {
+        for is_out in [true, false, true] {
+            actix_rt::time::sleep(Duration::from_millis(30)).await;
+            fleet.platform.set_faults(FaultChange {
+                outage: Some(is_out),
+                ..FaultChange::default()
+            });
+        }
+    };
+    let (replies, ()) = futures_util::future::join(race(&fleet, KEYS), outage).await;
+    check(&fleet, &replies);
+    fleet.platform.set_faults(FaultChange {
+        outage: Some(false),
+        ..FaultChange::default()
+    });
+    let later = race(&fleet, KEYS).await;
+    check(&fleet, &later);
+}
+
+/// Claims a key as an instance that dies right after.
+async fn claim_and_die(fleet: &ClaimFleet, request: &str) {
+    let key = ClaimKey {
+        organisation: "guild".into(),
+        key: "k".into(),
+    };
+    let desk = fleet.entries[0].context().claims();
+    let shard = key.shard(desk.settings().shards);
+    let parts: [&[u8]; 4] = [b"order-desk", b"POST", b"/book", b"body"];
+    let record = ClaimRecord {
+        key,
+        fingerprint: RequestFingerprint::of(parts),
+        request: request.into(),
+        candidates: vec!["order-desk-0".into()],
+    };
+    let deadline = SystemClock.now() + Duration::from_secs(2);
+    let reply = desk.submit(shard, ShardTask::Claim(record), deadline).await;
+    assert_eq!(reply, ShardReply::Claimed);
+}
+
+fn short() -> FleetSettings {
+    FleetSettings {
+        service_timeout: Duration::from_millis(100),
+        deadline: Duration::from_secs(6),
+        ..FleetSettings::default()
+    }
+}
+
+#[actix_rt::test]
+async fn dead_before_dispatch() {
+    let fleet = ClaimFleet::start(short()).await;
+    claim_and_die(&fleet, "dead-1").await;
+    let reply = fleet.call(1, Some("k"), "book").await;
+    assert_eq!(
+        (reply.status, &*reply.outcome),
+        (200, "answered"),
+        "{reply:?}"
+    );
+    assert_eq!(fleet.ledger().len(), 1, "settled as not run, then run once");
+}
+
+#[actix_rt::test]
+async fn dead_after_dispatch() {
+    let fleet = ClaimFleet::start(short()).await;
+    claim_and_die(&fleet, "dead-1").await;
+    let address = fleet.services[0].address();
+    let sent = awc::Client::default()
+        .post(format!("http://{address}/book"))
+        .insert_header(("dandeliondeal-request-id", "dead-1"))
+        .send();
+    sent.await.expect("answer");
+    let reply = fleet.call(1, Some("k"), "book").await;
+    assert_eq!(
+        (reply.status, &*reply.outcome),
+        (200, "answered"),
+        "{reply:?}"
+    );
+    assert_eq!(reply.request, "dead-1");
+    assert_eq!(fleet.ledger().len(), 1);
+}
+
+#[actix_rt::test]
+async fn dead_unsettled() {
+    let fleet = ClaimFleet::start(FleetSettings {
+        settles: false,
+        ..short()
+    })
+    .await;
+    claim_and_die(&fleet, "dead-1").await;
+    let reply = fleet.call(1, Some("k"), "book").await;
+    assert_eq!(
+        (reply.status, &*reply.outcome),
+        (504, "in-doubt"),
+        "{reply:?}"
+    );
+    assert_eq!(fleet.ledger().len(), 0);
+}
--- /dev/null
+++ b/crates/dandeliondeal_entry/tests/service_calls.rs
@@ -0,0 +1,142 @@
+//! Non-repeatable calls of plain services over real sockets, with the failures brought about.
+
+mod claim_fleet;
+
+use std::time::Duration;
+
+use claim_fleet::{ClaimFleet, FleetSettings};
+use dandeliondeal_standin::FaultChange;
+
+fn reset() -> FaultChange {
+    FaultChange {
+        reset_answers: Some(1),
+        only_method: Some("POST".into()),
+        ..FaultChange::default()
+    }
+}
+
+fn lose_call() -> FaultChange {
+    FaultChange {
+        lose_calls: Some(1),
+        only_method: Some("POST".into()),
+        ..FaultChange::default()
+    }
+}
+
+fn outage(is_out: bool) -> FaultChange {
+    FaultChange {
+        outage: Some(is_out),
+        ..FaultChange::default()
+    }
+}
+
+#[actix_rt::test]
+async fn reset_in_doubt() {
+    let fleet = ClaimFleet::start(FleetSettings {
+        settles: false,
+        services: 2,
+        ..FleetSettings::default()
+    })
+    .await;
+    fleet.services[0].set_faults(reset());
+    let reply = fleet.call(0, None, "book").await;
+    assert_eq!((reply.status, &*reply.outcome), (504, "in-doubt"));
+    assert_eq!(fleet.ledger().len(), 1);
+}
+
+#[actix_rt::test]
+async fn reset_settled() {
+    let fleet = ClaimFleet::start(FleetSettings::default()).await;
+    fleet.services[0].set_faults(reset());
+    let reply = fleet.call(0, None, "book").await;
+    assert_eq!((reply.status, &*reply.outcome), (200, "answered"));
+    assert!(reply.body.contains("/book"), "{reply:?}");
+    assert_eq!(fleet.ledger().len(), 1);
+}
+
+#[actix_rt::test]
+async fn settled_later() {
+    let fleet = ClaimFleet::start(FleetSettings {
+        deadline: Duration::from_millis(300),
+        ..FleetSettings::default()
+    })
+    .await;
+    let freeze = |is_frozen| FaultChange {
+        freeze: Some(is_frozen),
+        ..FaultChange::default()
+    };
+    fleet.services[0].set_faults(freeze(true));
+    let reply = fleet.call(0, None, "book").await;
+    assert_eq!((reply.status, &*reply.outcome), (504, "in-doubt"));
+    fleet.services[0].set_faults(freeze(false));
+    let mut state = fleet.state(0, &reply.request).await;
+    for _attempt in 0..100 {
+        if state.outcome != "in-doubt" {
+            break;
+        }
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        state = fleet.state(0, &reply.request).await;
+    }
+    let expected = if fleet.ledger().is_empty() {
+        "not-run"
+    } else {
+        "answered"
+    };
+    assert_eq!(state.outcome, expected);
+}
+
+#[actix_rt::test]
+async fn lost_call_settled() {
+    let fleet = ClaimFleet::start(FleetSettings {
+        service_timeout: Duration::from_millis(300),
+        ..FleetSettings::default()
+    })
+    .await;
+    fleet.services[0].set_faults(lose_call());
+    let reply = fleet.call(0, None, "book").await;
+    assert_eq!((reply.status, &*reply.outcome), (503, "not-run"));
+    assert_eq!(fleet.ledger().len(), 0);
+}
+
+#[actix_rt::test]
+async fn refused_connection() {
+    let fleet = ClaimFleet::start(FleetSettings {
+        services: 2,
+        ..FleetSettings::default()
+    })
+    .await;
+    fleet.services[0].kill();
+    fleet.services[0].ended().await;
+    let reply = fleet.call(0, None, "book").await;
+    assert_eq!((reply.status, &*reply.outcome), (200, "answered"));
+    assert_eq!(fleet.ledger().len(), 1);
+}
+
+#[actix_rt::test]
+async fn settlement_path() {
+    let fleet = ClaimFleet::start(FleetSettings::default()).await;
+    for path in [
+        "settlements/a",
+        "/settlements/a",
+        "%73ettlements/a",
+        "x/../settlements/a",
+    ] {
+        let reply = fleet.call(0, None, path).await;
+        assert_eq!((reply.status, &*reply.outcome), (404, "not-run"), "{path}");
+    }
+}
+
+#[actix_rt::test]
+async fn store_outage() {
+    let fleet = ClaimFleet::start(FleetSettings::default()).await;
+    fleet.platform.set_faults(outage(true));
+    let reply = fleet.call(0, Some("k"), "book").await;
+    assert_eq!((reply.status, &*reply.outcome), (503, "not-run"));
+    assert_eq!(fleet.ledger().len(), 0);
+    let reply = fleet.call(0, None, "book").await;
+    assert_eq!(reply.status, 200, "calls without a key go on");
+    fleet.platform.set_faults(outage(false));
+    let reply = fleet.call(1, Some("k"), "book").await;
+    assert_eq!(reply.status, 200);
+    assert_eq!(fleet.ledger().len(), 2);
+}
