Claims of non-repeatable completions

A keyed completion on a route that is not repeatable (or that its caller declares so) is claimed like a service call; its answer is gathered also after the caller left and recorded with the claim, and a repeat gets it whole or as a stream. A claim whose caller leaves before the start is withdrawn when it is dropped.

--- a/crates/dandeliondeal_entry/src/claim_flow.rs
+++ b/crates/dandeliondeal_entry/src/claim_flow.rs
@@ -139,6 +139,17 @@
 ///
 /// The first request's outcome is not known, or its answer was too long to keep.
 pub fn repeat_answer(view: &ClaimView) -> Result<Response<ReplyBody>, RouteError> {
+    let body = repeat_body(view)?;
+    let answer = view.answer.as_ref();
+    Ok(recorded_reply(answer, body, &view.request))
+}
+
+/// The body of the first request's answer.
+///
+/// # Errors
+///
+/// The first request's outcome is not known, or its answer was too long to keep.
+pub fn repeat_body(view: &ClaimView) -> Result<&str, RouteError> {
     let Some(answer) = view.answer.as_ref() else {
         let message = format!(
             "request {} holds the key and has no outcome yet",
@@ -149,23 +160,26 @@
                 .with_outcome(Outcome::InDoubt),
         );
     };
-    let Some(body) = answer.body.as_ref() else {
+    answer.body.as_deref().ok_or_else(|| {
         let message = format!(
             "the answer of request {} was too long to keep",
             view.request
         );
-        return Err(
-            RouteError::new(ErrorKind::Gone, RequestStep::Claim, message)
-                .with_outcome(Outcome::Answered),
-        );
-    };
-    Ok(recorded_reply(answer, body, &view.request))
+        RouteError::new(ErrorKind::Gone, RequestStep::Claim, message)
+            .with_outcome(Outcome::Answered)
+    })
 }
 
-fn recorded_reply(answer: &ClaimAnswer, body: &str, request: &RequestId) -> Response<ReplyBody> {
-    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+fn recorded_reply(
+    answer: Option<&ClaimAnswer>,
+    body: &str,
+    request: &RequestId,
+) -> Response<ReplyBody> {
+    let status = answer.and_then(|answer| StatusCode::from_u16(answer.status).ok());
+    let status = status.unwrap_or(StatusCode::OK);
     let mut reply = Response::with_body(status, ReplyBody::from(body.to_owned()));
-    if let Ok(value) = HeaderValue::from_str(&answer.content_type) {
+    let content_type = answer.map_or("", |answer| &*answer.content_type);
+    if let Ok(value) = HeaderValue::from_str(content_type) {
         reply.headers_mut().insert(CONTENT_TYPE, value);
     }
     reply::set_outcome(&mut reply, Outcome::Answered);
--- /dev/null
+++ b/crates/dandeliondeal_entry/src/completion_claim.rs
@@ -0,0 +1,248 @@
+//! Claims of non-repeatable completions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::Response;
+use dandeliondeal_claim::{
+    ClaimAnswer, ClaimKey, ClaimView, OutcomeRecord, RequestFingerprint, ShardIndex,
+};
+use dandeliondeal_types::{
+    Clock, ErrorKind, OrganisationId, Outcome, RequestId, RequestStep, RouteError, Token,
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+use crate::claim_flow::{ClaimCall, ClaimVerdict, claim, repeat_body};
+use crate::completion_reply::{CompletionReply, TokenUsage};
+use crate::completion_request::CompletionRequest;
+use crate::entry_context::EntryContext;
+use crate::generation::GenerationRequest;
+use crate::reply;
+use crate::reply_body::ReplyBody;
+use crate::token_text::token_text;
+
+/// Time added to the longest deadline before a completion counts as abandoned.
+const ABANDONED_MARGIN: Duration = Duration::from_secs(5);
+/// Content type under which an answer stands in the claim log.
+const RECORD_TYPE: &str = "application/json";
+
+/// An answer as it stands in the claim log.
+#[derive(Debug, Serialize, Deserialize)]
+struct RecordedCompletion {
+    text: String,
+    prompt_tokens: u64,
+    completion_tokens: u64,
+}
+
+/// A held claim. If it is dropped before the request was started, the request is withdrawn.
+#[derive(Debug)]
+pub struct HeldClaim<ClockSource>
+where
+    ClockSource: Clock,
+{
+    context: EntryContext<ClockSource>,
+    request: RequestId,
+    shard: ShardIndex,
+    is_finished: bool,
+}
+
+/// What a claim means for a completion.
+#[derive(Debug)]
+pub enum CompletionClaim<ClockSource>
+where
+    ClockSource: Clock,
+{
+    /// It needs no claim.
+    Unclaimed,
+    /// It may run.
+    Held(HeldClaim<ClockSource>),
+    /// An earlier request holds the key.
+    Earlier(ClaimView),
+}
+
+/// Claims the key of a non-repeatable completion, also if the caller leaves meanwhile.
+///
+/// # Errors
+///
+/// The key stands for another request, or the claim is not confirmed.
+pub async fn claim_completion<ClockSource>(
+    context: &EntryContext<ClockSource>,
+    organisation: &OrganisationId,
+    key: Option<&Arc<str>>,
+    request: &CompletionRequest,
+    generation: &GenerationRequest,
+) -> Result<CompletionClaim<ClockSource>, RouteError>
+where
+    ClockSource: Clock,
+{
+    let Some(key) = key.filter(|_key| !generation.repeatable) else {
+        return Ok(CompletionClaim::Unclaimed);
+    };
+    let limit = context.settings().requests.deadline_limit;
+    let call = ClaimCall {
+        id: Arc::clone(&generation.id),
+        organisation: Arc::clone(organisation),
+        key: Arc::clone(key),
+        fingerprint: fingerprint(request, generation),
+        candidates: Vec::new(),
+        settles: false,
+        abandoned_after: limit + ABANDONED_MARGIN,
+        deadline: generation.deadline,
+    };
+    let context = context.clone();
+    let task = actix_rt::spawn(async move {
+        Ok(match claim(&context, &call).await? {
+            ClaimVerdict::Earlier(view) => CompletionClaim::Earlier(view),
+            ClaimVerdict::Run => CompletionClaim::Held(HeldClaim::new(context, call)),
+        })
+    });
+    task.await.unwrap_or_else(|_panicked| {
+        let message = "the claim ended without result";
+        Err(RouteError::new(
+            ErrorKind::PlatformUnavailable,
+            RequestStep::Claim,
+            message,
+        ))
+    })
+}
+
+fn fingerprint(request: &CompletionRequest, generation: &GenerationRequest) -> RequestFingerprint {
+    let max_tokens = generation.max_tokens.to_le_bytes();
+    let parts: [&[u8]; 3] = [
+        request.route.as_bytes(),
+        request.prompt.as_bytes(),
+        &max_tokens,
+    ];
+    RequestFingerprint::of(parts)
+}
+
+impl<ClockSource> HeldClaim<ClockSource>
+where
+    ClockSource: Clock,
+{
+    fn new(context: EntryContext<ClockSource>, call: ClaimCall) -> Self {
+        let key = ClaimKey {
+            organisation: call.organisation,
+            key: call.key,
+        };
+        let shard = key.shard(context.claims().settings().shards);
+        Self {
+            context,
+            request: call.id,
+            shard,
+            is_finished: false,
+        }
+    }
+
+    /// Passes the tokens of the generation on, also after the caller left, and gathers the answer.
+    pub async fn relay(
+        mut received: mpsc::Receiver<Token>,
+        caller: mpsc::Sender<Token>,
+    ) -> (String, u64) {
+        let (mut text, mut count) = (String::new(), 0);
+        while let Some(token) = received.recv().await {
+            text.push_str(&token_text(token));
+            count += 1;
+            // A caller who left is not waited for.
+            let _ = caller.send(token).await;
+        }
+        (text, count)
+    }
+
+    /// Records how the request ended.
+    pub fn finish(mut self, result: &Result<(), RouteError>, text: String, usage: TokenUsage) {
+        self.is_finished = true;
+        let (outcome, answer) = match result {
+            Ok(()) => (Outcome::Answered, Some(self.recorded(text, usage))),
+            Err(error) => (error.outcome(), None),
+        };
+        self.record(outcome, answer);
+    }
+
+    fn recorded(&self, text: String, usage: TokenUsage) -> ClaimAnswer {
+        let completion = RecordedCompletion {
+            text,
+            prompt_tokens: usage.prompt_tokens,
+            completion_tokens: usage.completion_tokens,
+        };
+        ClaimAnswer {
+            status: 200,
+            content_type: RECORD_TYPE.into(),
+            body: serde_json::to_string(&completion).ok().map(Into::into),
+        }
+        .bounded(self.context.claims().settings().answer_bytes)
+    }
+
+    fn record(&self, outcome: Outcome, answer: Option<ClaimAnswer>) {
+        let record = OutcomeRecord {
+            request: Arc::clone(&self.request),
+            outcome,
+            answer,
+        };
+        self.context.claims().record(self.shard, record);
+    }
+}
+
+impl<ClockSource> Drop for HeldClaim<ClockSource>
+where
+    ClockSource: Clock,
+{
+    fn drop(&mut self) {
+        if !self.is_finished {
+            self.record(Outcome::NotRun, None);
+        }
+    }
+}
+
+/// The first request's answer, in the form that the repeat asks for.
+///
+/// # Errors
+///
+/// The first request's outcome is not known, or its answer was too long to keep.
+pub fn repeat_completion(
+    view: &ClaimView,
+    request: &CompletionRequest,
+    created: u64,
+) -> Result<Response<ReplyBody>, RouteError> {
+    let body = repeat_body(view)?;
+    let recorded: RecordedCompletion = serde_json::from_str(body).map_err(|error| {
+        RouteError::new(ErrorKind::BadAnswer, RequestStep::Claim, error.to_string())
+            .with_outcome(Outcome::Answered)
+    })?;
+    let usage = TokenUsage::new(recorded.prompt_tokens, recorded.completion_tokens);
+    let form = CompletionReply {
+        chat: request.chat,
+        id: Arc::clone(&view.request),
+        route: Arc::clone(&request.route),
+        created,
+    };
+    let mut reply = if request.stream {
+        reply::event_stream(stream_text(
+            &form,
+            &recorded.text,
+            usage,
+            request.include_usage,
+        ))
+    } else {
+        reply::json_bytes(form.whole(&recorded.text, usage))
+    };
+    reply::set_outcome(&mut reply, Outcome::Answered);
+    reply::set_request_id(&mut reply, &view.request);
+    Ok(reply)
+}
+
+fn stream_text(
+    form: &CompletionReply,
+    text: &str,
+    usage: TokenUsage,
+    include_usage: bool,
+) -> Vec<u8> {
+    let mut stream = form.chunk(text, true, false).to_vec();
+    stream.extend_from_slice(&form.chunk("", false, true));
+    if include_usage {
+        stream.extend_from_slice(&form.usage_chunk(usage));
+    }
+    stream.extend_from_slice(&CompletionReply::done());
+    stream
+}
--- a/crates/dandeliondeal_entry/src/completion_handler.rs
+++ b/crates/dandeliondeal_entry/src/completion_handler.rs
@@ -13,6 +13,7 @@
 
 use crate::admission::AdmissionRequest;
 use crate::caller_headers::CallerHeaders;
+use crate::completion_claim::{CompletionClaim, HeldClaim, claim_completion, repeat_completion};
 use crate::completion_reply::{CompletionReply, TokenUsage};
 use crate::completion_request::CompletionRequest;
 use crate::engine_http::EngineHttp;
@@ -70,11 +71,39 @@
         .metrics()
         .part(RequestStep::Admission, context.clock().now() - arrival);
 
+    let key = headers.idempotency_key.as_ref();
+    let held = match claim_completion(context, organisation, key, &request, &generation).await? {
+        CompletionClaim::Unclaimed => None,
+        CompletionClaim::Held(_unused) if context.clock().now() >= generation.deadline => {
+            return Err(late_claim());
+        }
+        CompletionClaim::Held(held) => Some(held),
+        CompletionClaim::Earlier(view) => {
+            context.apply(id, RequestEvent::Dispatch);
+            let reply = repeat_completion(&view, &request, context.unix_seconds())?;
+            context.end_open(id, RequestEvent::Complete);
+            return Ok(reply);
+        }
+    };
+
     let (token_sender, tokens) = mpsc::channel(TOKEN_BUFFER);
     let (end_sender, end) = oneshot::channel();
-    let run = run_generation(context.clone(), table, generation, token_sender, end_sender);
+    let task_context = context.clone();
     actix_rt::spawn(async move {
-        run.await;
+        match held {
+            None => run_generation(task_context, table, generation, token_sender, end_sender).await,
+            Some(held) => {
+                run_claimed(
+                    task_context,
+                    table,
+                    generation,
+                    token_sender,
+                    end_sender,
+                    held,
+                )
+                .await;
+            }
+        }
         drop(permit);
     });
     let running = RunningCompletion {
@@ -173,6 +202,29 @@
     drop(end.send(result));
 }
 
+/// Runs a claimed generation and records its answer, whether or not the caller still listens.
+async fn run_claimed<ClockSource>(
+    context: EntryContext<ClockSource>,
+    table: Arc<RouteTable>,
+    generation: GenerationRequest,
+    tokens: mpsc::Sender<Token>,
+    end: oneshot::Sender<Result<(), RouteError>>,
+    held: HeldClaim<ClockSource>,
+) where
+    ClockSource: Clock,
+{
+    let prompt_tokens = generation.prompt.len() as u64;
+    let (sender, received) = mpsc::channel(TOKEN_BUFFER);
+    let (end_sender, inner_end) = oneshot::channel();
+    let run = run_generation(context, table, generation, sender, end_sender);
+    let relay = HeldClaim::<ClockSource>::relay(received, tokens);
+    let ((), (text, count)) = futures_util::future::join(run, relay).await;
+    let result = end_of(inner_end).await;
+    held.finish(&result, text, TokenUsage::new(prompt_tokens, count));
+    // The receiver is gone if the caller left.
+    drop(end.send(result));
+}
+
 fn end_event(result: &Result<(), RouteError>) -> RequestEvent {
     match result {
         Ok(()) => RequestEvent::Complete,
@@ -247,6 +299,11 @@
     end.await.unwrap_or_else(|_| Err(lost_end()))
 }
 
+fn late_claim() -> RouteError {
+    let message = "the deadline passed before the request was started";
+    RouteError::new(ErrorKind::Deadline, RequestStep::Claim, message).with_outcome(Outcome::NotRun)
+}
+
 fn lost_end() -> RouteError {
     RouteError::new(
         ErrorKind::NoAnswer,
--- a/crates/dandeliondeal_entry/src/reply.rs
+++ b/crates/dandeliondeal_entry/src/reply.rs
@@ -68,6 +68,24 @@
     reply
 }
 
+/// Answers with a body that is JSON already.
+pub fn json_bytes(body: Vec<u8>) -> Response<ReplyBody> {
+    with_type(body, "application/json")
+}
+
+/// Answers with server-sent events that are all known.
+pub fn event_stream(body: Vec<u8>) -> Response<ReplyBody> {
+    with_type(body, "text/event-stream")
+}
+
+fn with_type(body: Vec<u8>, content_type: &'static str) -> Response<ReplyBody> {
+    let mut reply = Response::with_body(StatusCode::OK, ReplyBody::from(body));
+    reply
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    reply
+}
+
 /// Answers with plain text.
 pub fn text<Content>(status: StatusCode, content: Content) -> Response<ReplyBody>
 where
--- a/crates/dandeliondeal_entry/tests/claim_fleet/mod.rs
+++ b/crates/dandeliondeal_entry/tests/claim_fleet/mod.rs
@@ -1,5 +1,7 @@
 //! A platform, services and three entry instances on loopback sockets.
 
+#![allow(dead_code, reason = "each test file uses a part of the fleet")]
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,11 +12,14 @@
 };
 use dandeliondeal_entry::EntryServer;
 use dandeliondeal_entry::route_table::key_hash;
-use dandeliondeal_standin::{PlatformStandin, ServiceEntry, ServiceSettings, ServiceStandin};
+use dandeliondeal_standin::{
+    EngineSettings, EngineStandin, PlatformStandin, ServiceEntry, ServiceSettings, ServiceStandin,
+};
 use dandeliondeal_types::sheet_model::{
-    EndpointEntry, EndpointTarget, OrganisationEntry, ServiceEntry as SheetService,
+    EndpointEntry, EndpointTarget, ModelEntry, OrganisationEntry, PipelineEntry, RouteEntry,
+    ServiceEntry as SheetService,
 };
-use dandeliondeal_types::{SheetModel, SystemClock};
+use dandeliondeal_types::{EndpointId, LayerRange, SheetModel, SystemClock};
 
 const KEY: &str = "test-key";
 const INSTANCES: usize = 3;
@@ -40,6 +45,7 @@
 pub struct ClaimFleet {
     pub platform: PlatformStandin,
     pub services: Vec<ServiceStandin>,
+    pub engine: EngineStandin,
     pub entries: Vec<EntryServer<SystemClock>>,
 }
 
@@ -69,7 +75,8 @@
                 .expect("service")
             })
             .collect();
-        let sheet = Arc::new(sheet(&settings, &services));
+        let engine = EngineStandin::start(EngineSettings::default()).expect("engine");
+        let sheet = Arc::new(sheet(&settings, &services, engine.address()));
         let mut entries = Vec::new();
         for index in 0..INSTANCES {
             let entry = EntryServer::start(
@@ -84,6 +91,7 @@
         Self {
             platform,
             services,
+            engine,
             entries,
         }
     }
@@ -99,11 +107,23 @@
         path: &str,
         body: &str,
     ) -> CallReply {
+        let path = format!("services/order-desk/{path}");
+        self.post(entry, key, &path, body).await
+    }
+
+    pub async fn complete(&self, entry: usize, key: &str, stream: bool) -> CallReply {
+        let body = format!(
+            "{{\"model\":\"drafting-desk\",\"prompt\":\"a kettle\",\"max_tokens\":4,\"stream\":{stream}}}"
+        );
+        self.post(entry, Some(key), "completions", &body).await
+    }
+
+    async fn post(&self, entry: usize, key: Option<&str>, path: &str, body: &str) -> CallReply {
         let address = self.entries[entry].caller_address();
         let mut request = awc::Client::builder()
             .disable_timeout()
             .finish()
-            .post(format!("http://{address}/v1/services/order-desk/{path}"))
+            .post(format!("http://{address}/v1/{path}"))
             .insert_header(("authorization", format!("Bearer {KEY}")));
         if let Some(key) = key {
             request = request.insert_header(("idempotency-key", key));
@@ -183,7 +203,7 @@
     }
 }
 
-fn sheet(settings: &FleetSettings, services: &[ServiceStandin]) -> SheetModel {
+fn sheet(settings: &FleetSettings, services: &[ServiceStandin], engine: SocketAddr) -> SheetModel {
     let service = SheetService {
         repeatable: false,
         settles: settings.settles,
@@ -193,25 +213,56 @@
         key_hashes: vec![key_hash(KEY)],
         weight: 1,
     };
-    let endpoints = services.iter().enumerate().map(|(index, service)| {
-        let entry = EndpointEntry {
-            address: service.address(),
-            target: EndpointTarget::Service {
-                service: "order-desk".into(),
-            },
-            accelerator: "".into(),
-            failure_domain: "didube".into(),
-            region: "tbilisi".into(),
-            checks_fencing: false,
-            capacity: 64,
-        };
-        (format!("order-desk-{index}").into(), entry)
-    });
+    let service_target = EndpointTarget::Service {
+        service: "order-desk".into(),
+    };
+    let mut endpoints: BTreeMap<EndpointId, EndpointEntry> = services
+        .iter()
+        .enumerate()
+        .map(|(index, service)| {
+            let entry = endpoint(service.address(), service_target.clone());
+            (format!("order-desk-{index}").into(), entry)
+        })
+        .collect();
+    let engine_target = EndpointTarget::Layers {
+        model: "model-a".into(),
+        range: LayerRange::new(0, 8),
+    };
+    endpoints.insert("engine".into(), endpoint(engine, engine_target));
+    let route = RouteEntry {
+        pipeline: "drafting".into(),
+        repeatable: false,
+        priority: 0,
+    };
+    let pipeline = PipelineEntry {
+        model: "model-a".into(),
+        failure_domains: Vec::new(),
+    };
+    let model = ModelEntry {
+        layers: 8,
+        context_tokens: 1000,
+        version: "1".into(),
+    };
     SheetModel {
         revision: 1,
-        endpoints: endpoints.collect(),
+        endpoints,
+        routes: BTreeMap::from([("drafting-desk".into(), route)]),
+        pipelines: BTreeMap::from([("drafting".into(), pipeline)]),
+        models: BTreeMap::from([("model-a".into(), model)]),
         services: BTreeMap::from([("order-desk".into(), service)]),
         organisations: BTreeMap::from([("guild".into(), organisation)]),
         ..SheetModel::default()
     }
 }
+
+fn endpoint(address: SocketAddr, target: EndpointTarget) -> EndpointEntry {
+    EndpointEntry {
+        address,
+        target,
+        accelerator: "".into(),
+        failure_domain: "didube".into(),
+        region: "tbilisi".into(),
+        checks_fencing: false,
+        capacity: 64,
+    }
+}
