Claims go through the preferred instance of their shard

Rendezvous hashing over the live instances names the preferred one; it gathers the records of all into its next write. Without an answer within 500 ms, or half of what is left, the sender writes to the log itself and passes the peer over for 2 s.

--- a/crates/dandeliondeal_claim/src/lib.rs
+++ b/crates/dandeliondeal_claim/src/lib.rs
@@ -29,5 +29,6 @@
 pub use shard_log::{SegmentIndex, SegmentWrite, ShardLog};
 #[doc(inline)]
 pub use shard_writer::{
-    ShardAction, ShardEvent, ShardReply, ShardTask, ShardWriter, TicketId, UnconfirmedCause,
+    ClaimOrigin, ShardAction, ShardEvent, ShardReply, ShardTask, ShardWriter, TicketId,
+    UnconfirmedCause,
 };
--- a/crates/dandeliondeal_claim/src/shard_writer.rs
+++ b/crates/dandeliondeal_claim/src/shard_writer.rs
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ShardTask {
     /// Claim a key.
-    Claim(ClaimRecord),
+    Claim(ClaimRecord, ClaimOrigin),
     /// Record an outcome.
     Record(OutcomeRecord),
     /// Wait until the request is no longer running.
@@ -33,6 +33,18 @@
     Look(RequestId),
 }
 
+/// Who else may write a claim to the log, and so who withdraws it if it is given up.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ClaimOrigin {
+    /// Nobody else: it is withdrawn here if a write of it was sent.
+    #[default]
+    Local,
+    /// A peer asked for it; that peer decides whether it is withdrawn.
+    Peer,
+    /// A peer was asked first and did not answer: it is withdrawn here in any case.
+    Unanswered,
+}
+
 /// How a task ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ShardReply {
@@ -357,7 +369,7 @@
     fn decide(&self, task: &ShardTask) -> Option<ShardReply> {
         let table = self.log.table();
         match task {
-            ShardTask::Claim(record) => match table.decide(record) {
+            ShardTask::Claim(record, _origin) => match table.decide(record) {
                 ClaimDecision::Free => None,
                 ClaimDecision::Held => Some(ShardReply::Claimed),
                 ClaimDecision::Repeat(view) => Some(ShardReply::Repeat(view)),
@@ -399,8 +411,12 @@
             _ => ShardReply::Unconfirmed(cause),
         };
         reply_to(pending, reply, actions);
-        if let ShardTask::Claim(record) = &pending.task
-            && pending.is_sent
+        if let ShardTask::Claim(record, origin) = &pending.task
+            && match origin {
+                ClaimOrigin::Local => pending.is_sent,
+                ClaimOrigin::Peer => false,
+                ClaimOrigin::Unanswered => true,
+            }
         {
             self.pending.push_back(PendingTask {
                 ticket: None,
@@ -465,7 +481,7 @@
         let mut bytes = 0;
         for pending in &mut self.pending {
             let line = match &pending.task {
-                ShardTask::Claim(record) => LogLine::Claim(record.clone()),
+                ShardTask::Claim(record, _origin) => LogLine::Claim(record.clone()),
                 ShardTask::Record(record) => LogLine::Outcome(record.clone()),
                 ShardTask::Await(_) | ShardTask::Look(_) => continue,
             };
--- a/crates/dandeliondeal_claim/tests/random_claims.rs
+++ b/crates/dandeliondeal_claim/tests/random_claims.rs
@@ -6,7 +6,7 @@
 use bolero_generator::driver::{Options, Rng};
 use bolero_generator::{ValueGenerator as _, produce};
 use dandeliondeal_claim::{
-    ClaimAnswer, ClaimKey, ClaimRecord, ClaimSettings, ClaimState, OutcomeRecord,
+    ClaimAnswer, ClaimKey, ClaimOrigin, ClaimRecord, ClaimSettings, ClaimState, OutcomeRecord,
     RequestFingerprint, ShardAction, ShardEvent, ShardReply, ShardTask, ShardWriter, TicketId,
 };
 use dandeliondeal_platform::{MemoryStore, StoreFault};
@@ -67,7 +67,7 @@
 }
 
 fn claim(key: u8, request: &str) -> ShardTask {
-    ShardTask::Claim(ClaimRecord {
+    let record = ClaimRecord {
         key: ClaimKey {
             organisation: "guild".into(),
             key: key.to_string().into(),
@@ -75,7 +75,8 @@
         fingerprint: RequestFingerprint::of([[key].as_slice()]),
         request: request.into(),
         candidates: Vec::new(),
-    })
+    };
+    ShardTask::Claim(record, ClaimOrigin::Local)
 }
 
 impl Fleet {
--- a/crates/dandeliondeal_claim/tests/shard_writer.rs
+++ b/crates/dandeliondeal_claim/tests/shard_writer.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_claim::{
-    ClaimAnswer, ClaimKey, ClaimRecord, ClaimSettings, ClaimState, OutcomeRecord,
+    ClaimAnswer, ClaimKey, ClaimOrigin, ClaimRecord, ClaimSettings, ClaimState, OutcomeRecord,
     RequestFingerprint, ShardAction, ShardEvent, ShardReply, ShardTask, ShardWriter, TicketId,
 };
 use dandeliondeal_platform::{MemoryStore, StoreFault};
@@ -92,7 +92,7 @@
 }
 
 fn claim(key: &str, request: &str, content: &str) -> ShardTask {
-    ShardTask::Claim(ClaimRecord {
+    let record = ClaimRecord {
         key: ClaimKey {
             organisation: "guild".into(),
             key: key.into(),
@@ -100,7 +100,8 @@
         fingerprint: RequestFingerprint::of([content.as_bytes()]),
         request: request.into(),
         candidates: Vec::new(),
-    })
+    };
+    ShardTask::Claim(record, ClaimOrigin::Local)
 }
 
 fn outcome(request: &str, outcome: Outcome) -> ShardTask {
--- a/crates/dandeliondeal_entry/src/claim_desk.rs
+++ b/crates/dandeliondeal_entry/src/claim_desk.rs
@@ -7,32 +7,39 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_claim::{
-    ClaimSettings, OutcomeRecord, ShardAction, ShardEvent, ShardIndex, ShardReply, ShardTask,
-    ShardWriter, TicketId, UnconfirmedCause,
+    ClaimOrigin, ClaimRecord, ClaimSettings, OutcomeRecord, ShardAction, ShardEvent, ShardIndex,
+    ShardReply, ShardTask, ShardWriter, TicketId, UnconfirmedCause,
 };
 use dandeliondeal_platform::{ResolvedWrite, WriteVerdict, put_resolved};
 use dandeliondeal_types::{Clock, ObjectStore, PutCondition};
 use tokio::sync::{Mutex, oneshot};
 
+use crate::claim_link::{ClaimLink, ClaimRoute, ForwardCall, ForwardRecord, ForwardReply};
+
 /// Object that fixes what every instance has to agree on.
 const LAYOUT_OBJECT: &str = "claims/layout";
+/// Longest wait for the preferred instance of a shard.
+const FORWARD_TIME: Duration = Duration::from_millis(500);
 /// Time between two tries to read it.
 const LAYOUT_PAUSE: Duration = Duration::from_millis(100);
 
 /// The claims of one instance; clones share them.
 #[derive(Debug)]
-pub struct ClaimDesk<Store, ClockSource> {
-    inner: Rc<DeskInner<Store, ClockSource>>,
+pub struct ClaimDesk<Store, ClockSource, Link> {
+    inner: Rc<DeskInner<Store, ClockSource, Link>>,
 }
 
 #[derive(Debug)]
-struct DeskInner<Store, ClockSource> {
+struct DeskInner<Store, ClockSource, Link> {
     store: Store,
+    link: Link,
+    route: ClaimRoute,
     clock: ClockSource,
     settings: ClaimSettings,
     shards: RefCell<HashMap<ShardIndex, ShardCell>>,
     replies: RefCell<HashMap<TicketId, oneshot::Sender<ShardReply>>>,
     next_ticket: Cell<TicketId>,
+    recording: Rc<Cell<usize>>,
     is_layout_confirmed: Cell<bool>,
     layout_turn: Mutex<()>,
 }
@@ -43,7 +50,35 @@
     wake: Option<Instant>,
 }
 
-impl<Store, ClockSource> Clone for ClaimDesk<Store, ClockSource> {
+/// What became of a record that may have been forwarded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ForwardResult {
+    /// It is for this instance to write.
+    Here,
+    /// The preferred instance wrote it.
+    Written,
+    /// The preferred instance may write it or not.
+    Unsettled,
+}
+
+/// Counts one thing as open until it is dropped.
+#[derive(Debug)]
+struct OpenCount(Rc<Cell<usize>>);
+
+impl OpenCount {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl<Store, ClockSource, Link> Clone for ClaimDesk<Store, ClockSource, Link> {
     fn clone(&self) -> Self {
         Self {
             inner: Rc::clone(&self.inner),
@@ -51,20 +86,24 @@
     }
 }
 
-impl<Store, ClockSource> ClaimDesk<Store, ClockSource>
+impl<Store, ClockSource, Link> ClaimDesk<Store, ClockSource, Link>
 where
     Store: ObjectStore,
     ClockSource: Clock,
+    Link: ClaimLink,
 {
     /// Makes a desk; the platform is called once the first task arrives.
-    pub fn new(store: Store, clock: ClockSource, settings: ClaimSettings) -> Self {
+    pub fn new(store: Store, link: Link, clock: ClockSource, settings: ClaimSettings) -> Self {
         let inner = DeskInner {
             store,
+            link,
+            route: ClaimRoute::default(),
             clock,
             settings,
             shards: RefCell::default(),
             replies: RefCell::default(),
             next_ticket: Cell::new(0),
+            recording: Rc::default(),
             is_layout_confirmed: Cell::new(false),
             layout_turn: Mutex::new(()),
         };
@@ -78,10 +117,11 @@
         &self.inner.settings
     }
 
-    /// Number of tasks that wait for the platform.
+    /// Number of tasks and outcomes that are not in the log yet.
     pub fn backlog(&self) -> usize {
         let shards = self.inner.shards.borrow();
-        shards.values().map(|shard| shard.writer.backlog()).sum()
+        let tasks: usize = shards.values().map(|shard| shard.writer.backlog()).sum();
+        tasks + self.inner.recording.get()
     }
 
     /// Lower bound of a shard's age now.
@@ -118,6 +158,28 @@
             .unwrap_or(ShardReply::Unconfirmed(UnconfirmedCause::Deadline))
     }
 
+    /// Which instance is preferred for which shard.
+    pub fn route(&self) -> &ClaimRoute {
+        &self.inner.route
+    }
+
+    /// Claims a key, through the preferred instance of the shard if there is one.
+    pub async fn claim(
+        &self,
+        shard: ShardIndex,
+        record: ClaimRecord,
+        deadline: Instant,
+    ) -> ShardReply {
+        let call = ForwardRecord::Claim(record.clone());
+        let origin = match self.forward(shard, call, deadline).await {
+            ForwardResult::Written => return ShardReply::Claimed,
+            ForwardResult::Here => ClaimOrigin::Local,
+            ForwardResult::Unsettled => ClaimOrigin::Unanswered,
+        };
+        let task = ShardTask::Claim(record, origin);
+        self.submit(shard, task, deadline).await
+    }
+
     /// Records an outcome and waits for it, at most until `deadline`; goes on in the background.
     pub async fn record_by(&self, shard: ShardIndex, record: OutcomeRecord, deadline: Instant) {
         let task = ShardTask::Record(record.clone());
@@ -129,9 +191,15 @@
     /// Records an outcome in the background, for as long as the claim is kept.
     pub fn record(&self, shard: ShardIndex, record: OutcomeRecord) {
         let desk = self.clone();
+        let open = OpenCount::new(&self.inner.recording);
         let deadline = self.inner.clock.now() + self.inner.settings.retention;
         actix_rt::spawn(async move {
+            let _open = open;
             let request = Arc::clone(&record.request);
+            let call = ForwardRecord::Outcome(record.clone());
+            if desk.forward(shard, call, deadline).await == ForwardResult::Written {
+                return;
+            }
             let task = ShardTask::Record(record);
             if desk.submit(shard, task, deadline).await != ShardReply::Recorded {
                 tracing::error!(request = &*request, "outcome not recorded");
@@ -139,6 +207,35 @@
         });
     }
 
+    /// Sends a record to the preferred instance, unless it is this one.
+    async fn forward(
+        &self,
+        shard: ShardIndex,
+        record: ForwardRecord,
+        deadline: Instant,
+    ) -> ForwardResult {
+        let now = self.inner.clock.now();
+        let own = &self.inner.settings.instance;
+        let Some(member) = self.inner.route.preferred(shard, own, now) else {
+            return ForwardResult::Here;
+        };
+        let wait = FORWARD_TIME.min(deadline.saturating_duration_since(now) / 2);
+        let call = ForwardCall {
+            shard,
+            record,
+            wait_milliseconds: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        };
+        match self.inner.link.forward(member.address, call, wait).await {
+            Some(ForwardReply::Written) => ForwardResult::Written,
+            Some(ForwardReply::Declined) => ForwardResult::Unsettled,
+            None => {
+                let now = self.inner.clock.now();
+                self.inner.route.pass_over(&member.instance, now);
+                ForwardResult::Unsettled
+            }
+        }
+    }
+
     /// Makes sure that this instance counts shards and retention as all others do.
     async fn confirm_layout(&self, deadline: Instant) -> Result<(), UnconfirmedCause> {
         if self.inner.is_layout_confirmed.get() {
--- a/crates/dandeliondeal_entry/src/claim_flow.rs
+++ b/crates/dandeliondeal_entry/src/claim_flow.rs
@@ -77,9 +77,8 @@
         candidates: call.candidates.clone(),
     };
     loop {
-        let task = ShardTask::Claim(record.clone());
         let until = call.deadline.min(context.clock().now() + CONFIRM_TIME);
-        match context.claims().submit(shard, task, until).await {
+        match context.claims().claim(shard, record.clone(), until).await {
             ShardReply::Claimed => return Ok(ClaimVerdict::Run),
             ShardReply::Repeat(view) => {
                 let view = await_first(context, shard, call, view).await;
--- /dev/null
+++ b/crates/dandeliondeal_entry/src/claim_link.rs
@@ -0,0 +1,112 @@
+//! Claims that go to the preferred instance of their shard, so that many share one write.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use dandeliondeal_claim::{ClaimRecord, OutcomeRecord, ShardIndex};
+use dandeliondeal_types::InstanceId;
+use dandeliondeal_types::rendezvous::preferred;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Time for which a peer that did not answer is passed over.
+const PASSED_OVER_TIME: Duration = Duration::from_secs(2);
+
+/// A record for the preferred instance to write.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ForwardCall {
+    /// The shard.
+    pub shard: ShardIndex,
+    /// The record.
+    pub record: ForwardRecord,
+    /// Time for which the sender waits, in milliseconds.
+    pub wait_milliseconds: u64,
+}
+
+/// What is forwarded.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ForwardRecord {
+    /// A claim.
+    Claim(ClaimRecord),
+    /// An outcome.
+    Outcome(OutcomeRecord),
+}
+
+/// What the preferred instance tells.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ForwardReply {
+    /// The record is in the log, and a claim holds its key.
+    Written,
+    /// Anything else; the sender reads the log itself.
+    Declined,
+}
+
+/// Sends records to other instances.
+pub trait ClaimLink: Debug + 'static {
+    /// Sends a record once; `None` if no answer came in time.
+    fn forward(
+        &self,
+        address: SocketAddr,
+        call: ForwardCall,
+        wait: Duration,
+    ) -> impl Future<Output = Option<ForwardReply>>;
+}
+
+/// A live entry instance and its address for peers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClaimMember {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its address for peers.
+    pub address: SocketAddr,
+}
+
+impl AsRef<str> for ClaimMember {
+    fn as_ref(&self) -> &str {
+        &self.instance
+    }
+}
+
+/// Which instance is preferred for a shard, as this instance sees the fleet.
+///
+/// Instances may differ in this without harm: the log itself decides who holds a key.
+#[derive(Debug, Default)]
+pub struct ClaimRoute {
+    members: RefCell<Vec<ClaimMember>>,
+    passed_over: RefCell<HashMap<InstanceId, Instant>>,
+}
+
+impl ClaimRoute {
+    /// Replaces the live instances, this one among them.
+    pub fn set_members(&self, members: Vec<ClaimMember>) {
+        self.members.replace(members);
+    }
+
+    /// The instance that a shard's records go to; `None` to write them here.
+    pub fn preferred(
+        &self,
+        shard: ShardIndex,
+        own: &InstanceId,
+        now: Instant,
+    ) -> Option<ClaimMember> {
+        let members = self.members.borrow();
+        let index = preferred(&format!("claims-{shard}"), &members, Xxh3::new)?;
+        let member = &members[index];
+        let passed_over = self.passed_over.borrow();
+        let until = passed_over.get(&member.instance);
+        let is_usable = until.is_none_or(|until| now >= *until);
+        (is_usable && member.instance != *own).then(|| member.clone())
+    }
+
+    /// Passes an instance over for a while.
+    pub fn pass_over(&self, instance: &InstanceId, now: Instant) {
+        let mut passed_over = self.passed_over.borrow_mut();
+        passed_over.retain(|_instance, until| *until > now);
+        passed_over.insert(instance.clone(), now + PASSED_OVER_TIME);
+    }
+}
--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -14,6 +14,7 @@
 
 use crate::admission::AdmissionGate;
 use crate::claim_desk::ClaimDesk;
+use crate::claim_rpc::PeerLink;
 use crate::drain_state::DrainMachine;
 use crate::entry_metrics::EntryMetrics;
 use crate::http_pool::HttpPool;
@@ -35,6 +36,9 @@
     Listen(std::io::Error),
 }
 
+/// The claims of an entry instance.
+pub type EntryClaims<ClockSource> = ClaimDesk<PlatformClient<ClockSource>, ClockSource, PeerLink>;
+
 /// The shared state of an entry instance; clones share it.
 #[derive(Clone, Debug)]
 pub struct EntryContext<ClockSource> {
@@ -52,7 +56,7 @@
     admission: AdmissionGate,
     pool: HttpPool,
     platform: PlatformClient<ClockSource>,
-    claims: ClaimDesk<PlatformClient<ClockSource>, ClockSource>,
+    claims: EntryClaims<ClockSource>,
     drain: RefCell<DrainMachine>,
     next_request: Cell<u64>,
 }
@@ -73,6 +77,10 @@
             PlatformClient::new(platform_settings(&settings, incarnation), clock.clone());
         let claims = ClaimDesk::new(
             platform.with_class(CallClass::Claims),
+            PeerLink::new(
+                settings.secrets.peer.clone(),
+                settings.requests.connect_time,
+            ),
             clock.clone(),
             claim_settings(&settings, incarnation),
         );
@@ -136,7 +144,7 @@
     }
 
     /// The claims of non-repeatable requests.
-    pub fn claims(&self) -> &ClaimDesk<PlatformClient<ClockSource>, ClockSource> {
+    pub fn claims(&self) -> &EntryClaims<ClockSource> {
         &self.inner.claims
     }
 
--- a/crates/dandeliondeal_entry/src/lib.rs
+++ b/crates/dandeliondeal_entry/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod caller_headers;
 pub mod claim_desk;
 pub mod claim_flow;
+pub mod claim_link;
+pub mod claim_rpc;
 pub mod completion_claim;
 pub mod completion_handler;
 pub mod completion_reply;
--- a/crates/dandeliondeal_entry/tests/claim_fleet/mod.rs
+++ b/crates/dandeliondeal_entry/tests/claim_fleet/mod.rs
@@ -11,6 +11,8 @@
     EntrySettings, InstanceSettings, ListenSettings, PlatformSettings, RequestSettings,
 };
 use dandeliondeal_entry::EntryServer;
+use dandeliondeal_entry::claim_link::ClaimMember;
+use dandeliondeal_entry::claim_rpc::claim_module;
 use dandeliondeal_entry::route_table::key_hash;
 use dandeliondeal_standin::{
     EngineSettings, EngineStandin, PlatformStandin, ServiceEntry, ServiceSettings, ServiceStandin,
@@ -20,6 +22,7 @@
     ServiceEntry as SheetService,
 };
 use dandeliondeal_types::{EndpointId, LayerRange, SheetModel, SystemClock};
+use jsonrpsee::server::{Server, ServerHandle};
 
 const KEY: &str = "test-key";
 const INSTANCES: usize = 3;
@@ -29,6 +32,8 @@
     pub settles: bool,
     pub service_timeout: Duration,
     pub deadline: Duration,
+    /// Whether claims go to the preferred instance of their shard.
+    pub is_grouped: bool,
 }
 
 impl Default for FleetSettings {
@@ -38,6 +43,7 @@
             settles: true,
             service_timeout: Duration::from_secs(2),
             deadline: Duration::from_secs(3),
+            is_grouped: false,
         }
     }
 }
@@ -47,6 +53,7 @@
     pub services: Vec<ServiceStandin>,
     pub engine: EngineStandin,
     pub entries: Vec<EntryServer<SystemClock>>,
+    pub peers: Vec<ServerHandle>,
 }
 
 #[derive(Debug)]
@@ -88,11 +95,17 @@
             entry.install(Arc::clone(&sheet));
             entries.push(entry);
         }
+        let peers = if settings.is_grouped {
+            link_claims(&entries).await
+        } else {
+            Vec::new()
+        };
         Self {
             platform,
             services,
             engine,
             entries,
+            peers,
         }
     }
 
@@ -266,3 +279,28 @@
         capacity: 64,
     }
 }
+
+/// Starts a peer server at each instance and tells all of all.
+async fn link_claims(entries: &[EntryServer<SystemClock>]) -> Vec<ServerHandle> {
+    let (mut handles, mut members) = (Vec::new(), Vec::new());
+    for entry in entries {
+        let desk = entry.context().claims().clone();
+        let instance = Arc::clone(&desk.settings().instance);
+        let module = claim_module(desk, SystemClock).expect("module");
+        let server = Server::builder()
+            .build("127.0.0.1:0")
+            .await
+            .expect("server");
+        let address = server.local_addr().expect("address");
+        members.push(ClaimMember { instance, address });
+        handles.push(server.start(module));
+    }
+    for entry in entries {
+        entry
+            .context()
+            .claims()
+            .route()
+            .set_members(members.clone());
+    }
+    handles
+}
--- a/crates/dandeliondeal_entry/tests/claimed_calls.rs
+++ b/crates/dandeliondeal_entry/tests/claimed_calls.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use claim_fleet::{CallReply, ClaimFleet, FleetSettings};
-use dandeliondeal_claim::{ClaimKey, ClaimRecord, RequestFingerprint, ShardReply, ShardTask};
+use dandeliondeal_claim::{
+    ClaimKey, ClaimOrigin, ClaimRecord, RequestFingerprint, ShardReply, ShardTask,
+};
 use dandeliondeal_standin::FaultChange;
 use dandeliondeal_types::{Clock as _, SystemClock};
 use futures_util::future::join_all;
@@ -40,11 +42,11 @@
     }
 }
 
-#[actix_rt::test]
-async fn same_moment() {
+/// Every repeat gets the first answer.
+async fn check_same_moment(settings: FleetSettings) -> ClaimFleet {
     let fleet = ClaimFleet::start(FleetSettings {
         deadline: Duration::from_secs(20),
-        ..FleetSettings::default()
+        ..settings
     })
     .await;
     let replies = race(&fleet, KEYS).await;
@@ -60,6 +62,47 @@
         let first = bodies.entry(*key).or_insert(&reply.body);
         assert_eq!(*first, reply.body, "a repeat gets the first answer");
     }
+    fleet
+}
+
+#[actix_rt::test]
+async fn same_moment() {
+    check_same_moment(FleetSettings::default()).await;
+}
+
+#[actix_rt::test]
+async fn grouped_claims() {
+    let fleet = check_same_moment(FleetSettings {
+        is_grouped: true,
+        ..FleetSettings::default()
+    })
+    .await;
+    let shards = fleet.entries[0].context().claims().settings().shards;
+    let claims = (KEYS * 2) as u64;
+    let writes = fleet.platform.counts().writes;
+    assert!(
+        writes < claims,
+        "{writes} writes for {claims} records in {shards} shards"
+    );
+}
+
+/// The preferred instance stops answering its peers; the others write to the log themselves.
+#[actix_rt::test]
+async fn silent_preferred() {
+    let fleet = ClaimFleet::start(FleetSettings {
+        deadline: Duration::from_secs(20),
+        is_grouped: true,
+        ..FleetSettings::default()
+    })
+    .await;
+    let calls = race(&fleet, 40);
+    let stop = async {
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        fleet.peers[0].stop().expect("first stop");
+    };
+    let (replies, ()) = futures_util::future::join(calls, stop).await;
+    check(&fleet, &replies);
+    assert_eq!(runs(&fleet).len(), 40);
 }
 
 #[actix_rt::test]
@@ -157,7 +200,13 @@
         candidates: vec!["order-desk-0".into()],
     };
     let deadline = SystemClock.now() + Duration::from_secs(2);
-    let reply = desk.submit(shard, ShardTask::Claim(record), deadline).await;
+    let reply = desk
+        .submit(
+            shard,
+            ShardTask::Claim(record, ClaimOrigin::Local),
+            deadline,
+        )
+        .await;
     assert_eq!(reply, ShardReply::Claimed);
 }
 
