Planned stop: wait for connections, not only for requests

Cause: the stop waited until no request was open and then 100 ms. A request ends when its last token is generated, while a slow caller may still have the end of the answer in front of it, in the instance's own buffers; the process ended with it. Ruled out: the sockets' send buffers, which the kernel still delivers after the process ends (the test passed without the change while the answer fitted into them). Change: a connection counts as open until its answer has left; the stop waits for that. Seen failing: slow_reader with the wait for connections taken out, open_streams with no wait at all, lagging_balancer without the time for the balancer. All three pass with the change.

--- a/crates/dandeliondeal/src/lib.rs
+++ b/crates/dandeliondeal/src/lib.rs
@@ -1,1 +1,57 @@
-//! Router for model pipelines over mixed accelerators.
+//! A router for model pipelines over mixed accelerators.
+//!
+//! Callers speak HTTP to any of several entry instances. Each request has one true outcome: a
+//! whole answer, or an honest "not run". This crate re-exports the parts:
+//!
+//! - [`types`]: ids, the clock, outcomes, errors, and the interfaces to the outside;
+//! - [`chart`]: state charts that are read from files;
+//! - [`pipeline`]: plans over layer ranges, sessions, recovery;
+//! - [`platform`], [`claim`], [`order`]: the object API, at-most-once requests, orders;
+//! - [`config`], [`peer`]: settings, the sheet, the audit trail, membership;
+//! - [`balance`], [`limit`]: choice of endpoint, health, limits, admission;
+//! - [`replay`]: recorded traces against stated outcomes;
+//! - [`entry`]: the entry instance itself.
+//!
+//! # Examples
+//!
+//! ```no_run
+//! use dandeliondeal::prelude::*;
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let text = std::fs::read_to_string("entry.ini")?;
+//! let settings = EntrySettings::parse("entry.ini", &text).map_err(|errors| errors[0].clone())?;
+//! actix_rt::System::new().block_on(async {
+//!     let entry = EntryServer::start(settings, SystemClock).await?;
+//!     println!("callers: {}", entry.caller_address());
+//!     entry.stop().await;
+//!     Ok(())
+//! })
+//! # }
+//! ```
+
+#[doc(inline)]
+pub use dandeliondeal_balance as balance;
+#[doc(inline)]
+pub use dandeliondeal_chart as chart;
+#[doc(inline)]
+pub use dandeliondeal_claim as claim;
+#[doc(inline)]
+pub use dandeliondeal_config as config;
+#[doc(inline)]
+pub use dandeliondeal_entry as entry;
+#[doc(inline)]
+pub use dandeliondeal_limit as limit;
+#[doc(inline)]
+pub use dandeliondeal_order as order;
+#[doc(inline)]
+pub use dandeliondeal_peer as peer;
+#[doc(inline)]
+pub use dandeliondeal_pipeline as pipeline;
+#[doc(inline)]
+pub use dandeliondeal_platform as platform;
+#[doc(inline)]
+pub use dandeliondeal_replay as replay;
+#[doc(inline)]
+pub use dandeliondeal_types as types;
+
+pub mod prelude;
--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -17,8 +17,6 @@
 const OPERATOR_CONNECTIONS: usize = 64;
 /// Time between two looks at whether requests are still open.
 const IDLE_INTERVAL: Duration = Duration::from_millis(20);
-/// Time that answers have to leave the sockets before the process may end.
-const FLUSH_TIME: Duration = Duration::from_millis(100);
 
 /// A running entry instance on the current arbiter.
 #[derive(Debug)]
@@ -98,13 +96,13 @@
         while self.is_busy() && self.context.clock().now() < limit {
             actix_rt::time::sleep(IDLE_INTERVAL).await;
         }
-        actix_rt::time::sleep(FLUSH_TIME).await;
         self.drain(DrainEvent::Idle);
         self.operators.close();
     }
 
+    /// A connection closes once its answer has left, so an open one may still hold an answer.
     fn is_busy(&self) -> bool {
-        self.context.registry().borrow().open() > 0
+        self.context.registry().borrow().open() > 0 || self.callers.open_connections() > 0
     }
 
     fn drain(&self, event: DrainEvent) -> DrainState {
--- a/crates/dandeliondeal_entry/src/http_listener.rs
+++ b/crates/dandeliondeal_entry/src/http_listener.rs
@@ -40,6 +40,7 @@
 pub struct HttpListener {
     address: SocketAddr,
     closing: watch::Sender<bool>,
+    open: Rc<Cell<usize>>,
 }
 
 impl HttpListener {
@@ -60,8 +61,13 @@
         let socket = TcpListener::bind(address).await?;
         let address = socket.local_addr()?;
         let (closing, closed) = watch::channel(false);
-        actix_rt::spawn(accept(socket, settings, handler, closed));
-        Ok(Self { address, closing })
+        let open = Rc::new(Cell::new(0));
+        actix_rt::spawn(accept(socket, settings, handler, closed, Rc::clone(&open)));
+        Ok(Self {
+            address,
+            closing,
+            open,
+        })
     }
 
     /// The bound address.
@@ -69,6 +75,11 @@
         self.address
     }
 
+    /// Connections open now.
+    pub fn open_connections(&self) -> usize {
+        self.open.get()
+    }
+
     /// Stops accepting and closes each connection once its request is answered.
     pub fn close(&self) {
         self.closing.send_replace(true);
@@ -79,7 +90,8 @@
     socket: TcpListener,
     settings: ListenerSettings,
     handler: Handler,
-    mut closed: watch::Receiver<bool>,
+    closed: watch::Receiver<bool>,
+    open: Rc<Cell<usize>>,
 ) where
     Handler: Fn(Request) -> Reply + Clone + 'static,
     Reply: Future<Output = Response<ReplyBody>> + 'static,
@@ -101,7 +113,6 @@
         return;
     };
     let service = Rc::new(service);
-    let open = Rc::new(Cell::new(0_usize));
     loop {
         let accepted = tokio::select! {
             () = wait_closed(closed.clone()) => break,
@@ -117,7 +128,6 @@
         }
         spawn_connection(Rc::clone(&service), stream, Rc::clone(&open));
     }
-    closed.mark_unchanged();
 }
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
