--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -102,7 +102,9 @@
 
     /// A connection closes once its answer has left, so an open one may still hold an answer.
     fn is_busy(&self) -> bool {
-        self.context.registry().borrow().open() > 0 || self.callers.open_connections() > 0
+        self.context.registry().borrow().open() > 0
+            || self.context.claims().backlog() > 0
+            || self.callers.open_connections() > 0
     }
 
     fn drain(&self, event: DrainEvent) -> DrainState {
--- a/crates/dandeliondeal_entry/tests/planned_stop.rs
+++ b/crates/dandeliondeal_entry/tests/planned_stop.rs
@@ -125,7 +125,7 @@
 #[actix_rt::test]
 async fn slow_reader() {
     let entry = EntryThread::start(0).await;
-    let body = completion("copper", 2_000, true).replace("desk", &long_route());
+    let body = completion("copper", 1_400, true).replace("desk", &long_route());
     // A small window keeps most of the answer at the instance until the caller reads on.
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(4_096).unwrap();
@@ -146,7 +146,7 @@
             Ok(0) | Err(_) => break,
             Ok(count) => answer.extend_from_slice(&chunk[..count]),
         }
-        actix_rt::time::sleep(Duration::from_millis(1)).await;
+        actix_rt::time::sleep(Duration::from_millis(4)).await;
     }
     let answer = String::from_utf8_lossy(&answer);
     assert!(answer.contains("data: [DONE]"), "the answer was cut off");
