Acceptance by conditional update, and the audit trail

A revision is chunks and a manifest named by their hashes, then one conditional write of the head. A lost answer is settled by the platform client before the operator is told. The head carries its own change, so that the next writer adds it to the trail if the author's process ended in between.

Not proved: no test fails when close_segment replaces a longer closed segment.

--- a/crates/dandeliondeal_config/src/lib.rs
+++ b/crates/dandeliondeal_config/src/lib.rs
@@ -4,22 +4,46 @@
 //! [`read_sheet`] into [`SheetRows`] and compiled with [`compile_sheet`] into the
 //! [`SheetModel`](dandeliondeal_types::SheetModel) that instances run.
 
+pub mod accept_error;
+pub mod accept_plan;
+pub mod accept_sheet;
+pub mod audit_entry;
+pub mod audit_segment;
+pub mod audit_trail;
+pub mod content_hash;
 pub mod entry_settings;
 mod nearest_name;
+pub mod revision_stamp;
 pub mod secret_text;
 pub mod setting_error;
 mod setting_table;
 mod setting_value;
 mod settings_file;
 mod sheet_cells;
+pub mod sheet_chunk;
 pub mod sheet_compiler;
 pub mod sheet_error;
 pub mod sheet_example;
+pub mod sheet_manifest;
 pub mod sheet_reader;
 pub mod sheet_rows;
 pub mod sheet_schema;
 mod sheet_sections;
+mod sheet_store;
+pub mod store_call;
 
+#[doc(inline)]
+pub use accept_error::AcceptError;
+#[doc(inline)]
+pub use accept_plan::{AcceptPlan, ChangeRequest, plan_change};
+#[doc(inline)]
+pub use accept_sheet::AcceptReport;
+#[doc(inline)]
+pub use audit_entry::{ChangeEntry, ChangeVerdict};
+#[doc(inline)]
+pub use audit_segment::{AuditBreak, AuditRecord, AuditSegment, verify_trail};
+#[doc(inline)]
+pub use content_hash::{ContentHash, content_hash};
 #[doc(inline)]
 pub use entry_settings::{
     ClaimSettings, EntrySettings, InstanceSettings, LimitSettings, ListenSettings,
@@ -27,6 +51,8 @@
     StopSettings,
 };
 #[doc(inline)]
+pub use revision_stamp::RevisionStamp;
+#[doc(inline)]
 pub use secret_text::SecretText;
 #[doc(inline)]
 pub use setting_error::SettingError;
@@ -37,8 +63,12 @@
 #[doc(inline)]
 pub use sheet_example::{EXAMPLE_KEY, example_sheet};
 #[doc(inline)]
+pub use sheet_manifest::{SheetHead, SheetManifest, StoredSheet};
+#[doc(inline)]
 pub use sheet_reader::read_sheet;
 #[doc(inline)]
-pub use sheet_rows::{RowKey, RowValue, SheetRows};
+pub use sheet_rows::{RowChange, RowKey, RowValue, SheetRows};
 #[doc(inline)]
 pub use sheet_schema::SheetKind;
+#[doc(inline)]
+pub use store_call::StoreCall;
--- /dev/null
+++ b/crates/dandeliondeal_config/tests/accept_sheet.rs
@@ -0,0 +1,194 @@
+//! Acceptance with races, lost answers and faults of the store.
+
+mod common;
+
+use common::{SeededStore, request_of, run_paused, sheet_with};
+use dandeliondeal_config::{AcceptError, AcceptReport, ChangeVerdict, SheetRows, verify_trail};
+use dandeliondeal_platform::StoreFault;
+use futures_util::future::join_all;
+
+/// Head, history and trail agree with what the operators were told.
+async fn check_told(store: &SeededStore, told: &[(String, Result<AcceptReport, AcceptError>)]) {
+    store.memory.land_late();
+    store.memory.add_faults([]);
+    let history = store.call().load_history(1_000).await.unwrap();
+    let revisions: Vec<u64> = history.iter().map(|manifest| manifest.revision).collect();
+    let expected: Vec<u64> = (1..=history.len() as u64).rev().collect();
+    assert_eq!(revisions, expected);
+    let trail = store.call().read_trail().await.unwrap();
+    verify_trail(&trail).unwrap();
+    let entries: Vec<_> = trail.iter().flat_map(|segment| &segment.records).collect();
+    for manifest in &history {
+        let count = entries
+            .iter()
+            .filter(|record| record.entry.change == manifest.change)
+            .filter(|record| record.entry.verdict == ChangeVerdict::Accepted)
+            .count();
+        assert_eq!(count, 1, "{} in the trail", manifest.change);
+    }
+    for (change, result) in told {
+        let applied = history.iter().find(|manifest| *manifest.change == **change);
+        match result {
+            Ok(report) if report.changes.is_empty() => assert!(applied.is_none()),
+            Ok(report) => assert_eq!(applied.unwrap().revision, report.revision),
+            Err(error) if error.is_unknown() => {}
+            Err(error) => assert!(applied.is_none(), "{change} was applied after: {error}"),
+        }
+    }
+}
+
+#[test]
+fn lost_answers() {
+    for fault in [
+        StoreFault::Refused,
+        StoreFault::AnswerLost,
+        StoreFault::CallLost,
+        StoreFault::Late,
+    ] {
+        for position in 0..60 {
+            run_paused(async {
+                let store = SeededStore::new(position as u64, 0);
+                let request = request_of("nino", 0);
+                store
+                    .call()
+                    .accept_sheet(&sheet_with(16), &request)
+                    .await
+                    .unwrap();
+                let mut faults = vec![StoreFault::None; position];
+                faults.push(fault);
+                store.memory.add_faults(faults);
+                let request = request_of("nino", 1);
+                let result = store.call().accept_sheet(&sheet_with(17), &request).await;
+                store.memory.add_faults(vec![StoreFault::None; 0]);
+                check_told(&store, &[("nino-1".to_owned(), result)]).await;
+            });
+        }
+    }
+}
+
+#[test]
+fn racing_operators() {
+    for seed in 0..150 {
+        println!("seed {seed}");
+        run_paused(async {
+            let store = SeededStore::new(seed, if seed % 2 == 0 { 0 } else { 15 });
+            let operators = ["nino", "davit", "lali"];
+            let work = operators.iter().enumerate().map(|(index, author)| {
+                let store = store.clone();
+                async move {
+                    let mut told = Vec::new();
+                    for number in 0..4_u32 {
+                        let rows = sheet_with(20 + 10 * u32::try_from(index).unwrap() + number);
+                        let request = request_of(author, number);
+                        let result = store.call().accept_sheet(&rows, &request).await;
+                        told.push((request.change.to_string(), result));
+                    }
+                    told
+                }
+            });
+            let told: Vec<_> = join_all(work).await.into_iter().flatten().collect();
+            assert!(told.iter().any(|(_, result)| result.is_ok()));
+            check_told(&store, &told).await;
+        });
+    }
+}
+
+#[test]
+fn named_conflict() {
+    run_paused(async {
+        let store = SeededStore::new(1, 0);
+        let first = request_of("nino", 1);
+        store
+            .call()
+            .accept_sheet(&sheet_with(16), &first)
+            .await
+            .unwrap();
+        let mut second = request_of("davit", 1);
+        second.base = Some(0);
+        let result = store.call().accept_sheet(&sheet_with(18), &second).await;
+        let Err(AcceptError::Conflict {
+            revision, author, ..
+        }) = result
+        else {
+            panic!("{result:?}");
+        };
+        assert_eq!((revision, &*author), (1, "nino"));
+    });
+}
+
+#[test]
+fn refused_changes() {
+    run_paused(async {
+        let store = SeededStore::new(1, 0);
+        let call = store.call();
+        call.accept_sheet(&sheet_with(16), &request_of("nino", 1))
+            .await
+            .unwrap();
+        let error = call
+            .accept_sheet(&sheet_with(0), &request_of("nino", 2))
+            .await
+            .unwrap_err();
+        assert!(error.is_input());
+        let mut smaller = sheet_with(16);
+        smaller
+            .rows
+            .retain(|key, _| &*key.name != "order-desk" && &*key.name != "orders-1");
+        let error = call
+            .accept_sheet(&smaller, &request_of("nino", 3))
+            .await
+            .unwrap_err();
+        assert!(matches!(error, AcceptError::Removal { .. }));
+        let mut request = request_of("nino", 4);
+        request.allow_removals = true;
+        assert_eq!(
+            call.accept_sheet(&smaller, &request)
+                .await
+                .unwrap()
+                .revision,
+            2
+        );
+        let trail = call.read_trail().await.unwrap();
+        let verdicts: Vec<_> = trail[0]
+            .records
+            .iter()
+            .map(|record| record.entry.verdict)
+            .collect();
+        let refused = ChangeVerdict::Refused;
+        assert_eq!(
+            verdicts,
+            [
+                ChangeVerdict::Accepted,
+                refused,
+                refused,
+                ChangeVerdict::Accepted
+            ]
+        );
+    });
+}
+
+#[test]
+fn same_sheet() {
+    run_paused(async {
+        let store = SeededStore::new(1, 0);
+        let call = store.call();
+        call.accept_sheet(&sheet_with(16), &request_of("nino", 1))
+            .await
+            .unwrap();
+        let report = call
+            .accept_sheet(&sheet_with(16), &request_of("nino", 2))
+            .await
+            .unwrap();
+        assert_eq!((report.revision, report.changes.len()), (1, 0));
+        let writes = store.memory.writes();
+        let report = call
+            .accept_sheet(&sheet_with(17), &request_of("nino", 3))
+            .await
+            .unwrap();
+        assert_eq!(report.changes.len(), 1);
+        // One chunk, the manifest, the head and the audit trail.
+        assert_eq!(store.memory.writes() - writes, 4);
+        let stored = call.load_sheet().await.unwrap();
+        assert_eq!(stored.rows, sheet_with(17));
+        assert_ne!(stored.rows, SheetRows::default());
+    });
+}
--- /dev/null
+++ b/crates/dandeliondeal_config/tests/common/mod.rs
@@ -0,0 +1,141 @@
+//! A store that pauses and fails by seed, under a clock that jumps to the next timer.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use dandeliondeal_config::{ChangeRequest, SheetRows, StoreCall, example_sheet, read_sheet};
+use dandeliondeal_platform::{MemoryStore, StoreFault};
+use dandeliondeal_types::{Clock, ObjectStore, ObjectValue, PutCondition, StoreError, Version};
+
+/// Longest time that a change may take, by the paused clock.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The clock of the paused runtime.
+#[derive(Clone, Copy, Debug)]
+pub struct PausedClock;
+
+impl Clock for PausedClock {
+    fn now(&self) -> Instant {
+        tokio::time::Instant::now().into_std()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH
+    }
+}
+
+/// Runs a test whose timers fire at once and in order.
+pub fn run_paused<Test>(test: Test) -> Test::Output
+where
+    Test: Future,
+{
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build().unwrap();
+    runtime.block_on(test)
+}
+
+/// A store with pauses, faults and late writes drawn from a seed.
+#[derive(Clone, Debug)]
+pub struct SeededStore {
+    pub memory: MemoryStore,
+    random: Rc<RefCell<StdRng>>,
+    fault_percent: u32,
+}
+
+impl SeededStore {
+    pub fn new(seed: u64, fault_percent: u32) -> Self {
+        Self {
+            memory: MemoryStore::default(),
+            random: Rc::new(RefCell::new(StdRng::seed_from_u64(seed))),
+            fault_percent,
+        }
+    }
+
+    pub fn call(&self) -> StoreCall<'_, Self, PausedClock> {
+        StoreCall {
+            store: self,
+            clock: &PausedClock,
+            deadline: PausedClock.now() + PATIENCE,
+        }
+    }
+
+    async fn pause(&self) {
+        let pause = self.random.borrow_mut().random_range(0..30);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let mut random = self.random.borrow_mut();
+        if random.random_range(0..4) == 0 {
+            self.memory.land_late();
+        }
+        if random.random_range(0..100) < self.fault_percent {
+            let faults = [
+                StoreFault::Refused,
+                StoreFault::AnswerLost,
+                StoreFault::CallLost,
+                StoreFault::Late,
+            ];
+            self.memory.add_faults([faults[random.random_range(0..4)]]);
+        }
+    }
+}
+
+impl ObjectStore for SeededStore {
+    async fn get(&self, name: &str) -> Result<Option<ObjectValue>, StoreError> {
+        self.pause().await;
+        self.memory.get(name).await
+    }
+
+    async fn put(
+        &self,
+        name: &str,
+        condition: PutCondition,
+        body: Arc<str>,
+    ) -> Result<Version, StoreError> {
+        self.pause().await;
+        self.memory.put(name, condition, body).await
+    }
+
+    async fn delete(&self, name: &str, version: Version) -> Result<(), StoreError> {
+        self.pause().await;
+        self.memory.delete(name, version).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<ObjectValue>, StoreError> {
+        self.pause().await;
+        self.memory.list(prefix).await
+    }
+
+    async fn watch(
+        &self,
+        name: &str,
+        seen: Version,
+        limit: Duration,
+    ) -> Result<Option<ObjectValue>, StoreError> {
+        self.pause().await;
+        self.memory.watch(name, seen, limit).await
+    }
+}
+
+/// The example sheet with another capacity of the first engine.
+pub fn sheet_with(capacity: u32) -> SheetRows {
+    let text = example_sheet().replace(
+        "engine-1,capacity,16",
+        &format!("engine-1,capacity,{capacity}"),
+    );
+    read_sheet(text.as_bytes()).unwrap()
+}
+
+/// A request of an operator.
+pub fn request_of(author: &str, number: u32) -> ChangeRequest {
+    ChangeRequest {
+        change: format!("{author}-{number}").into(),
+        author: author.into(),
+        at_milliseconds: 0,
+        base: None,
+        allow_removals: false,
+    }
+}
