--- a/crates/dandeliondeal_config/src/lib.rs
+++ b/crates/dandeliondeal_config/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod content_hash;
 pub mod entry_settings;
 mod nearest_name;
+pub mod readiness_gate;
 pub mod revision_stamp;
+pub mod rollout_machine;
 pub mod secret_text;
 pub mod setting_error;
 mod setting_table;
@@ -51,8 +53,12 @@
     StopSettings,
 };
 #[doc(inline)]
+pub use readiness_gate::{ReadinessEvent, ReadinessGate};
+#[doc(inline)]
 pub use revision_stamp::RevisionStamp;
 #[doc(inline)]
+pub use rollout_machine::{RevisionSource, RolloutAction, RolloutEvent, RolloutMachine};
+#[doc(inline)]
 pub use secret_text::SecretText;
 #[doc(inline)]
 pub use setting_error::SettingError;
