Fix: a failed fetch was tried again at the same source

Cause: a new source went to the front of the list, and the rotation after a failure put the failed one back there.

--- a/crates/dandeliondeal_config/src/rollout_machine.rs
+++ b/crates/dandeliondeal_config/src/rollout_machine.rs
@@ -123,7 +123,7 @@
         }
         let target = self.target.as_mut()?;
         if target.stamp == stamp && !target.sources.contains(&source) {
-            target.sources.push_front(source);
+            target.sources.push_back(source);
         }
         (self.open_fetch.is_none())
             .then(|| self.proceed())
