--- a/crates/dandeliondeal_command/src/bin/dandeliondeal-standin.rs
+++ b/crates/dandeliondeal_command/src/bin/dandeliondeal-standin.rs
@@ -2,12 +2,13 @@
 
 use std::process::ExitCode;
 
-use dandeliondeal_command::standin_command::run_standin;
+use dandeliondeal_command::{command_error, standin_command};
 use mimalloc::MiMalloc;
+use pico_args::Arguments;
 
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
 
 fn main() -> ExitCode {
-    run_standin(std::env::args_os().skip(1).collect())
+    command_error::finish(standin_command::run(Arguments::from_env()))
 }
--- a/crates/dandeliondeal_command/src/standin_command.rs
+++ b/crates/dandeliondeal_command/src/standin_command.rs
@@ -1,9 +1,7 @@
 //! The command line of `dandeliondeal-standin`.
 
-use std::ffi::OsString;
 use std::fmt::Display;
 use std::net::SocketAddr;
-use std::process::ExitCode;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -13,12 +11,10 @@
 };
 use dandeliondeal_types::LayerRange;
 use pico_args::Arguments;
-use tokio::signal::unix::{SignalKind, signal};
 
-/// Exit code for a stand-in that failed or was told to die.
-const EXIT_FAILED: u8 = 1;
-/// Exit code for wrong usage.
-const EXIT_USAGE: u8 = 2;
+use crate::CommandError;
+use crate::command_line::reject_rest;
+use crate::stop_signal::wait_for_stop;
 
 const HELP: &str = "\
 Small stand-ins for what dandeliondeal talks to, each as a process.
@@ -45,103 +41,85 @@
     Service(ServiceSettings),
 }
 
-/// Runs the program with these arguments, the program's own name left out.
-pub fn run_standin(arguments: Vec<OsString>) -> ExitCode {
-    let command = match parse(Arguments::from_vec(arguments)) {
-        Ok(command) => command,
-        Err(message) => return fail(EXIT_USAGE, &format!("{message}; see --help")),
-    };
-    if matches!(command, StandinCommand::Help) {
-        print!("{HELP}");
-        return ExitCode::SUCCESS;
-    }
-    match actix_rt::System::new().block_on(serve(command)) {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => fail(EXIT_FAILED, "told to die"),
-        Err(error) => fail(EXIT_FAILED, &error),
-    }
-}
-
-fn fail<Message>(code: u8, message: &Message) -> ExitCode
-where
-    Message: Display + ?Sized,
-{
-    eprintln!("dandeliondeal-standin: {message}");
-    ExitCode::from(code)
+/// Runs the program with these arguments.
+///
+/// # Errors
+///
+/// Says what is wrong with the arguments, or why the stand-in ended.
+pub fn run(arguments: Arguments) -> Result<(), CommandError> {
+    let command = parse(arguments)?;
+    actix_rt::System::new().block_on(serve(command))
 }
 
-/// Runs until stopped (`true`) or told to die (`false`).
-async fn serve(command: StandinCommand) -> Result<bool, StandinError> {
+/// Runs until stopped or told to die.
+async fn serve(command: StandinCommand) -> Result<(), CommandError> {
     match command {
-        StandinCommand::Help => Ok(true),
+        StandinCommand::Help => {
+            print!("{HELP}");
+            Ok(())
+        }
         StandinCommand::Platform(settings) => {
-            let standin = PlatformStandin::start(settings)?;
+            let standin = PlatformStandin::start(settings).map_err(start_error)?;
             announce("platform", standin.address());
-            Ok(run_until_end(standin.ended(), standin.stop()).await)
+            run_until_end(standin.ended(), standin.stop()).await
         }
         StandinCommand::Engine(settings) => {
-            let standin = EngineStandin::start(settings)?;
+            let standin = EngineStandin::start(settings).map_err(start_error)?;
             announce("engine", standin.address());
-            Ok(run_until_end(standin.ended(), standin.stop()).await)
+            run_until_end(standin.ended(), standin.stop()).await
         }
         StandinCommand::Service(settings) => {
-            let standin = ServiceStandin::start(settings)?;
+            let standin = ServiceStandin::start(settings).map_err(start_error)?;
             announce("service", standin.address());
-            Ok(run_until_end(standin.ended(), standin.stop()).await)
+            run_until_end(standin.ended(), standin.stop()).await
         }
     }
 }
 
+#[expect(clippy::needless_pass_by_value, reason = "passed to `map_err`")]
+fn start_error(error: StandinError) -> CommandError {
+    CommandError::failed(error.to_string())
+}
+
 fn announce(kind: &str, address: SocketAddr) {
     println!("{kind} listening on {address}");
 }
 
-async fn run_until_end<Ended, Stop>(ended: Ended, stop: Stop) -> bool
+async fn run_until_end<Ended, Stop>(ended: Ended, stop: Stop) -> Result<(), CommandError>
 where
     Ended: Future<Output = ()>,
     Stop: Future<Output = ()>,
 {
     tokio::select! {
-        () = ended => false,
-        () = stop_signal() => {
+        () = ended => Err(CommandError::failed("stand-in was told to die")),
+        signal = wait_for_stop() => {
             stop.await;
-            true
+            signal
         }
     }
 }
 
-/// Waits for SIGINT or SIGTERM; without a handler the signal ends the process as usual.
-async fn stop_signal() {
-    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
-    }
-}
-
-fn parse(mut arguments: Arguments) -> Result<StandinCommand, String> {
+fn parse(mut arguments: Arguments) -> Result<StandinCommand, CommandError> {
     if arguments.contains(["-h", "--help"]) {
         return Ok(StandinCommand::Help);
     }
-    let kind = arguments
-        .subcommand()
-        .map_err(|error| error.to_string())?
-        .ok_or("platform, engine or service expected")?;
-    let command = match kind.as_str() {
-        "platform" => StandinCommand::Platform(platform_settings(&mut arguments)?),
-        "engine" => StandinCommand::Engine(engine_settings(&mut arguments)?),
-        "service" => StandinCommand::Service(service_settings(&mut arguments)?),
-        other => return Err(format!("unknown stand-in {other}")),
+    let kind = arguments.subcommand()?;
+    let command = match kind.as_deref() {
+        Some("platform") => StandinCommand::Platform(platform_settings(&mut arguments)?),
+        Some("engine") => StandinCommand::Engine(engine_settings(&mut arguments)?),
+        Some("service") => StandinCommand::Service(service_settings(&mut arguments)?),
+        Some(other) => return Err(CommandError::usage(format!("there is no stand-in {other}"))),
+        None => {
+            return Err(CommandError::usage(
+                "platform, engine or service is missing",
+            ));
+        }
     };
-    match arguments.finish().first() {
-        None => Ok(command),
-        Some(extra) => Err(format!("unexpected argument {}", extra.display())),
-    }
+    reject_rest(arguments)?;
+    Ok(command)
 }
 
-fn platform_settings(arguments: &mut Arguments) -> Result<PlatformSettings, String> {
+fn platform_settings(arguments: &mut Arguments) -> Result<PlatformSettings, CommandError> {
     let default = PlatformSettings::default();
     Ok(PlatformSettings {
         listen: listen_address(arguments)?,
@@ -151,13 +129,15 @@
     })
 }
 
-fn engine_settings(arguments: &mut Arguments) -> Result<EngineSettings, String> {
+fn engine_settings(arguments: &mut Arguments) -> Result<EngineSettings, CommandError> {
     let default = EngineSettings::default();
     let layers = value(arguments, "--layers", default.layers)?;
     let whole = LayerRange::new(0, layers);
     let range = value(arguments, "--range", RangeArgument(whole))?.0;
     if range.is_empty() || !whole.contains(range) {
-        return Err(format!("--range {range} is not within {whole}"));
+        return Err(CommandError::usage(format!(
+            "--range {range} is not within {whole}"
+        )));
     }
     Ok(EngineSettings {
         listen: listen_address(arguments)?,
@@ -173,7 +153,7 @@
     })
 }
 
-fn service_settings(arguments: &mut Arguments) -> Result<ServiceSettings, String> {
+fn service_settings(arguments: &mut Arguments) -> Result<ServiceSettings, CommandError> {
     let default = ServiceSettings::default();
     Ok(ServiceSettings {
         listen: listen_address(arguments)?,
@@ -198,17 +178,17 @@
     }
 }
 
-fn listen_address(arguments: &mut Arguments) -> Result<SocketAddr, String> {
+fn listen_address(arguments: &mut Arguments) -> Result<SocketAddr, CommandError> {
     arguments
         .value_from_str("--listen")
-        .map_err(|error| format!("--listen: {error}"))
+        .map_err(|error| wrong_value("--listen", &error))
 }
 
 fn value<Value>(
     arguments: &mut Arguments,
     name: &'static str,
     default: Value,
-) -> Result<Value, String>
+) -> Result<Value, CommandError>
 where
     Value: FromStr,
     Value::Err: Display,
@@ -216,25 +196,39 @@
     arguments
         .opt_value_from_str(name)
         .map(|given| given.unwrap_or(default))
-        .map_err(|error| format!("{name}: {error}"))
+        .map_err(|error| wrong_value(name, &error))
 }
 
 fn milliseconds(
     arguments: &mut Arguments,
     name: &'static str,
     default: Duration,
-) -> Result<Duration, String> {
+) -> Result<Duration, CommandError> {
     let given: Option<u64> = arguments
         .opt_value_from_str(name)
-        .map_err(|error| format!("{name}: {error}"))?;
+        .map_err(|error| wrong_value(name, &error))?;
     Ok(given.map_or(default, Duration::from_millis))
 }
 
-fn yes_or_no(arguments: &mut Arguments, name: &'static str, default: bool) -> Result<bool, String> {
+fn yes_or_no(
+    arguments: &mut Arguments,
+    name: &'static str,
+    default: bool,
+) -> Result<bool, CommandError> {
     let default = if default { "yes" } else { "no" };
     match value(arguments, name, default.to_owned())?.as_str() {
         "yes" => Ok(true),
         "no" => Ok(false),
-        other => Err(format!("{name}: yes or no expected, not {other}")),
+        other => Err(wrong_value(
+            name,
+            &format!("yes or no expected, not {other}"),
+        )),
     }
 }
+
+fn wrong_value<Reason>(name: &str, reason: &Reason) -> CommandError
+where
+    Reason: Display + ?Sized,
+{
+    CommandError::usage(format!("{name}: {reason}; see --help"))
+}
--- a/crates/dandeliondeal_standin/tests/connection_faults.rs
+++ b/crates/dandeliondeal_standin/tests/connection_faults.rs
@@ -29,6 +29,17 @@
     assert_eq!(service.ledger().len(), 2);
 }
 
+#[actix_rt::test]
+async fn silent_mid_call() {
+    let service = service(Duration::from_millis(50));
+    let mut open = Connection::open(service.address()).await;
+    open.send(DEPOSIT, "", "").await;
+    until(|| service.open_calls() == 1).await;
+    set_faults(service.address(), r#"{"silence_connections":true}"#).await;
+    until(|| service.ledger().len() == 1).await;
+    assert!(open.is_silent().await);
+}
+
 #[actix_rt::test]
 async fn lost_answer() {
     let service = service(Duration::ZERO);
