Leases with fencing numbers, decisions without I/O

A holder counts its term from before its write was sent, less a margin; a contender waits the life and a margin from when it saw the version. The version of the object is the fencing number.

--- a/crates/dandeliondeal_platform/src/lib.rs
+++ b/crates/dandeliondeal_platform/src/lib.rs
@@ -4,6 +4,8 @@
 //! of a write whose answer was lost.
 
 pub mod call_budget;
+pub mod lease_machine;
+pub mod lease_state;
 #[cfg(feature = "test-util")]
 pub mod memory_store;
 mod object_record;
@@ -14,6 +16,10 @@
 
 #[doc(inline)]
 pub use call_budget::{BudgetSettings, CallBudget, CallClass, CallKind};
+#[doc(inline)]
+pub use lease_machine::{LeaseAction, LeaseEvent, LeaseMachine, LeaseSettings, LeaseTime};
+#[doc(inline)]
+pub use lease_state::{LeaseSight, LeaseState, lease_chart};
 #[cfg(feature = "test-util")]
 #[doc(inline)]
 pub use memory_store::{MemoryStore, StoreFault};
