--- a/crates/dandeliondeal_command/src/command_line.rs
+++ b/crates/dandeliondeal_command/src/command_line.rs
@@ -2,7 +2,7 @@
 
 use pico_args::Arguments;
 
-use crate::{CommandError, measure_command, settings_command, standalone};
+use crate::{CommandError, measure_command, replay_command, settings_command, standalone};
 
 const HELP: &str = "\
 A router for pipelines over mixed accelerators.
@@ -11,6 +11,7 @@
 
   standalone     run an entry instance with stand-ins for all that it needs
   measure        measure the real code on loopback
+  replay         replay traces against their stated outcomes
   settings       check a settings file, or print the defaults
 
 `dandeliondeal COMMAND --help` tells more.
@@ -30,6 +31,7 @@
         Some("measure") => {
             run_or_help(help, measure_command::HELP, arguments, measure_command::run)
         }
+        Some("replay") => run_or_help(help, replay_command::HELP, arguments, replay_command::run),
         Some("settings") => run_or_help(
             help,
             settings_command::HELP,
--- a/crates/dandeliondeal_command/src/lib.rs
+++ b/crates/dandeliondeal_command/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod entry_command;
 pub mod json_log;
 pub mod measure_command;
+pub mod replay_command;
 pub mod settings_command;
 pub mod standalone;
 pub mod standin_command;
--- /dev/null
+++ b/crates/dandeliondeal_command/src/replay_command.rs
@@ -0,0 +1,74 @@
+//! `dandeliondeal replay`: traces against their stated outcomes.
+
+use std::path::{Path, PathBuf};
+
+use dandeliondeal_replay::{ReplayReport, Trace, replay};
+use pico_args::Arguments;
+use serde_json::json;
+
+use crate::CommandError;
+
+/// What `dandeliondeal replay --help` prints.
+pub const HELP: &str = "\
+Replays traces and compares what comes with what they state.
+
+usage: dandeliondeal replay [--json] FILE...
+
+Prints a line for each trace and for each mismatch. docs/TRACES.md tells the format.
+Exit codes: 0 all as stated, 1 a mismatch, 2 a file cannot be read or makes no sense.
+";
+
+/// Replays the files that the arguments name.
+///
+/// # Errors
+///
+/// Returns how many traces did not match, or which file is wrong.
+pub fn run(mut arguments: Arguments) -> Result<(), CommandError> {
+    let is_json = arguments.contains("--json");
+    let paths: Vec<PathBuf> = arguments.finish().into_iter().map(PathBuf::from).collect();
+    if paths.is_empty() {
+        return Err(CommandError::usage("a trace file is missing; see --help"));
+    }
+    let mut failed = 0;
+    for path in &paths {
+        let report = replay_file(path)?;
+        print_report(path, &report, is_json);
+        failed += usize::from(!report.is_match());
+    }
+    if failed > 0 {
+        let message = format!("{failed} of {} traces did not match", paths.len());
+        return Err(CommandError::failed(message));
+    }
+    Ok(())
+}
+
+fn replay_file(path: &Path) -> Result<ReplayReport, CommandError> {
+    let wrong = |reason: String| CommandError::usage(format!("{}: {reason}", path.display()));
+    let text = std::fs::read_to_string(path).map_err(|error| wrong(error.to_string()))?;
+    let trace = Trace::parse(&text).map_err(|error| wrong(error.to_string()))?;
+    replay(&trace).map_err(|error| wrong(error.to_string()))
+}
+
+fn print_report(path: &Path, report: &ReplayReport, is_json: bool) {
+    let mismatches: Vec<String> = report.mismatches.iter().map(ToString::to_string).collect();
+    if is_json {
+        let line = json!({
+            "file": path,
+            "trace": report.trace,
+            "events": report.events,
+            "outcomes": report.outcomes,
+            "mismatches": mismatches,
+        });
+        println!("{line}");
+        return;
+    }
+    let verdict = if report.is_match() { "ok" } else { "MISMATCH" };
+    let (events, outcomes) = (report.events, report.outcomes);
+    println!(
+        "{}: {verdict}, {events} events, {outcomes} outcomes",
+        path.display()
+    );
+    for mismatch in mismatches {
+        println!("  {mismatch}");
+    }
+}
--- /dev/null
+++ b/crates/dandeliondeal_command/tests/replay_command.rs
@@ -0,0 +1,38 @@
+//! `dandeliondeal replay` as a process.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+fn traces() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../traces")
+}
+
+fn replay(paths: &[PathBuf]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_dandeliondeal"))
+        .arg("replay")
+        .args(paths)
+        .output()
+        .unwrap()
+}
+
+#[test]
+fn exit_codes() {
+    let good = traces().join("stage-death.jsonl");
+    assert_eq!(replay(std::slice::from_ref(&good)).status.code(), Some(0));
+
+    let text = std::fs::read_to_string(&good).unwrap();
+    let wrong = std::env::temp_dir().join(format!("wrong-trace-{}.jsonl", std::process::id()));
+    std::fs::write(&wrong, text.replace("\"answered\"", "\"not-run\"")).unwrap();
+    let output = replay(&[good, wrong.clone()]);
+    std::fs::remove_file(&wrong).unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    assert!(
+        String::from_utf8(output.stdout)
+            .unwrap()
+            .contains("MISMATCH")
+    );
+
+    let missing = replay(&[traces().join("no-such-file")]);
+    assert_eq!(missing.status.code(), Some(2));
+    assert_eq!(replay(&[]).status.code(), Some(2));
+}
--- a/crates/dandeliondeal_standin/src/engine/engine_core.rs
+++ b/crates/dandeliondeal_standin/src/engine/engine_core.rs
@@ -30,18 +30,27 @@
 
 /// Why nothing ran.
 #[derive(Clone, Debug)]
-pub(crate) struct EngineRefusal {
-    pub(crate) status: u16,
-    pub(crate) code: &'static str,
-    pub(crate) message: String,
-    pub(crate) expected: Option<u64>,
+pub struct EngineRefusal {
+    /// HTTP status.
+    pub status: u16,
+    /// Code of the error.
+    pub code: &'static str,
+    /// What was refused.
+    pub message: String,
+    /// What would not have been refused.
+    pub expected: Option<u64>,
 }
 
 /// What is to be done with a step call.
 #[derive(Debug)]
-pub(crate) enum StepDecision {
+pub enum StepDecision {
     /// Spend this time, then [`EngineCore::complete`] the session with this serial number.
-    Run { duration: Duration, serial: u64 },
+    Run {
+        /// Time that the step takes.
+        duration: Duration,
+        /// Serial number of the session.
+        serial: u64,
+    },
     /// Another step of the session is running; ask again after it.
     Wait,
     /// The step ran before; this is its answer.
@@ -50,7 +59,7 @@
 
 /// Sessions, ledger and orders of one engine.
 #[derive(Debug)]
-pub(crate) struct EngineCore {
+pub struct EngineCore {
     pub(crate) settings: EngineSettings,
     pub(crate) orders: OrderState,
     pub(crate) ledger: Vec<EngineEntry>,
@@ -59,7 +68,8 @@
 }
 
 impl EngineCore {
-    pub(crate) fn new(settings: EngineSettings) -> Self {
+    /// An engine without sessions.
+    pub fn new(settings: EngineSettings) -> Self {
         Self {
             orders: OrderState::new(&settings),
             settings,
@@ -70,7 +80,11 @@
     }
 
     /// Decides on a step call and reserves the session if it is to run.
-    pub(crate) fn begin(
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a step that may not run.
+    pub fn begin(
         &mut self,
         call: &StepCall,
         is_leaving: bool,
@@ -93,7 +107,11 @@
     }
 
     /// Runs the step that [`EngineCore::begin`] reserved.
-    pub(crate) fn complete(
+    ///
+    /// # Errors
+    ///
+    /// The session is no longer there.
+    pub fn complete(
         &mut self,
         call: &StepCall,
         serial: u64,
@@ -115,7 +133,8 @@
         Ok(answer(call, outputs))
     }
 
-    pub(crate) fn status(&mut self, request: &RequestId, now: Instant) -> Option<SessionStatus> {
+    /// Where a session stands.
+    pub fn status(&mut self, request: &RequestId, now: Instant) -> Option<SessionStatus> {
         self.expire(now);
         Some(self.sessions.get(request)?.status(request))
     }
@@ -125,6 +144,34 @@
         Some(self.sessions.get(request)?.export(&self.orders.model))
     }
 
+    /// Every position that ran, in order.
+    pub fn ledger(&self) -> &[EngineEntry] {
+        &self.ledger
+    }
+
+    /// The exported cache of a session as text.
+    pub fn export_text(&mut self, request: &RequestId, now: Instant) -> Option<String> {
+        serde_json::to_string(&self.export(request, now)?).ok()
+    }
+
+    /// Starts a session from the text of an exported cache.
+    ///
+    /// # Errors
+    ///
+    /// The cache is malformed or may not be taken in.
+    pub fn import_text(
+        &mut self,
+        request: &RequestId,
+        lineage: Lineage,
+        text: &str,
+        is_leaving: bool,
+        now: Instant,
+    ) -> Result<SessionStatus, EngineRefusal> {
+        let exported = serde_json::from_str(text)
+            .map_err(|error| refusal(400, "malformed", &error.to_string()))?;
+        self.import(request, lineage, exported, is_leaving, now)
+    }
+
     /// Starts a session from an exported cache; a repeat of the import changes nothing.
     pub(crate) fn import(
         &mut self,
@@ -154,7 +201,8 @@
         Ok(status)
     }
 
-    pub(crate) fn renew(&mut self, request: &RequestId, life: Duration, now: Instant) -> bool {
+    /// Prolongs a session's life; `false` if there is none.
+    pub fn renew(&mut self, request: &RequestId, life: Duration, now: Instant) -> bool {
         self.expire(now);
         match self.sessions.get_mut(request) {
             None => false,
@@ -165,17 +213,19 @@
         }
     }
 
-    pub(crate) fn cancel(&mut self, request: &RequestId) {
+    /// Ends a session.
+    pub fn cancel(&mut self, request: &RequestId) {
         self.sessions.remove(request);
     }
 
-    pub(crate) fn session_count(&mut self, now: Instant) -> usize {
+    /// Number of sessions.
+    pub fn session_count(&mut self, now: Instant) -> usize {
         self.expire(now);
         self.sessions.len()
     }
 
-    /// Undisturbed time of a step with one position.
-    pub(crate) fn step_duration(&self, positions: usize) -> Duration {
+    /// Undisturbed time of a step with so many positions.
+    pub fn step_duration(&self, positions: usize) -> Duration {
         let batches = positions.div_ceil(self.settings.batch_positions.max(1)) as u64;
         let layers = u64::from(self.orders.range.len());
         let compute = self.settings.layer_microseconds * layers * batches;
--- a/crates/dandeliondeal_standin/src/engine/mod.rs
+++ b/crates/dandeliondeal_standin/src/engine/mod.rs
@@ -7,6 +7,6 @@
 mod engine_settings;
 mod engine_standin;
 
-pub use engine_core::EngineEntry;
+pub use engine_core::{EngineCore, EngineEntry, EngineRefusal, StepDecision};
 pub use engine_settings::EngineSettings;
 pub use engine_standin::EngineStandin;
--- a/crates/dandeliondeal_standin/src/lib.rs
+++ b/crates/dandeliondeal_standin/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod token_model;
 
 #[doc(inline)]
-pub use engine::{EngineEntry, EngineSettings, EngineStandin};
+pub use engine::{
+    EngineCore, EngineEntry, EngineRefusal, EngineSettings, EngineStandin, StepDecision,
+};
 #[doc(inline)]
 pub use platform::{CallCounts, PlatformEntry, PlatformSettings, PlatformStandin};
 #[doc(inline)]
