Sheets accepted at the platform come into force; sheet, set and audit commands

The entry instance follows the platform's head by a bounded watch and swaps the route table; readiness waits for a confirmed revision.

--- a/crates/dandeliondeal_command/src/command_line.rs
+++ b/crates/dandeliondeal_command/src/command_line.rs
@@ -2,7 +2,10 @@
 
 use pico_args::Arguments;
 
-use crate::{CommandError, measure_command, settings_command, standalone};
+use crate::{
+    CommandError, audit_command, measure_command, set_command, settings_command, sheet_command,
+    standalone,
+};
 
 const HELP: &str = "\
 A router for pipelines over mixed accelerators.
@@ -11,6 +14,9 @@
 
   standalone     run an entry instance with stand-ins for all that it needs
   measure        measure the real code on loopback
+  sheet          print, check and accept sheets, show what is accepted
+  set            change an attribute of the accepted sheet
+  audit          read and verify the audit trail
   settings       check a settings file, or print the defaults
 
 `dandeliondeal COMMAND --help` tells more.
@@ -30,6 +36,9 @@
         Some("measure") => {
             run_or_help(help, measure_command::HELP, arguments, measure_command::run)
         }
+        Some("sheet") => run_or_help(help, sheet_command::HELP, arguments, sheet_command::run),
+        Some("set") => run_or_help(help, set_command::HELP, arguments, set_command::run),
+        Some("audit") => run_or_help(help, audit_command::HELP, arguments, audit_command::run),
         Some("settings") => run_or_help(
             help,
             settings_command::HELP,
--- a/crates/dandeliondeal_command/src/entry_command.rs
+++ b/crates/dandeliondeal_command/src/entry_command.rs
@@ -33,9 +33,10 @@
     let settings = read_settings(&file)?;
     start_log("info");
     actix_rt::System::new().block_on(async {
-        let entry = EntryServer::start(settings, SystemClock)
+        let mut entry = EntryServer::start(settings, SystemClock)
             .await
             .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
+        entry.follow_platform();
         tracing::info!(
             callers = %entry.caller_address(),
             operators = %entry.operator_address(),
--- a/crates/dandeliondeal_command/src/lib.rs
+++ b/crates/dandeliondeal_command/src/lib.rs
@@ -3,12 +3,16 @@
 //! Each subcommand is a module with a `run` function that takes the rest of the command line. The
 //! programs under `src/bin` only start a runtime and call in here.
 
+pub mod audit_command;
 pub mod command_error;
 pub mod command_line;
 pub mod entry_command;
 pub mod json_log;
 pub mod measure_command;
+pub mod platform_access;
+pub mod set_command;
 pub mod settings_command;
+pub mod sheet_command;
 pub mod standalone;
 pub mod standin_command;
 pub mod stop_signal;
--- /dev/null
+++ b/crates/dandeliondeal_command/src/sheet_command.rs
@@ -0,0 +1,184 @@
+//! `dandeliondeal sheet`: prints, checks and accepts sheets, and shows what is accepted.
+
+use std::fs;
+use std::sync::Arc;
+
+use dandeliondeal_config::{
+    AcceptError, AcceptReport, SheetManifest, SheetRows, compile_sheet, example_sheet, read_sheet,
+};
+use pico_args::Arguments;
+
+use crate::CommandError;
+use crate::command_line::reject_rest;
+use crate::platform_access::{PlatformAccess, accept_failed, print_json, store_call, utc_text};
+
+/// What `dandeliondeal sheet --help` prints.
+pub const HELP: &str = "\
+Prints, checks and accepts sheets, and shows what is accepted.
+
+usage: dandeliondeal sheet example
+       dandeliondeal sheet check FILE
+       dandeliondeal sheet accept FILE [--base REVISION] [--allow-removals] ACCESS
+       dandeliondeal sheet show ACCESS
+       dandeliondeal sheet diff FILE ACCESS
+       dandeliondeal sheet history [--limit COUNT] ACCESS
+
+ACCESS:
+  --platform ADDRESS   address of the platform, or
+  --settings FILE      settings of an entry instance, which name it
+  --author NAME        who makes a change (default: the user's login name)
+  --json               JSON lines in place of text
+
+  --base REVISION      accept only if this revision is still the last one
+  --allow-removals     accept a sheet that removes more than a tenth of what runs
+";
+
+const DEFAULT_LIMIT: usize = 20;
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// What is wrong with the arguments or the sheet, or why the platform did not take it.
+pub fn run(mut arguments: Arguments) -> Result<(), CommandError> {
+    match arguments.subcommand()?.as_deref() {
+        Some("example") => {
+            reject_rest(arguments)?;
+            print!("{}", example_sheet());
+            Ok(())
+        }
+        Some("check") => check(arguments),
+        Some("accept") => accept(arguments),
+        Some("show") => show(arguments),
+        Some("diff") => diff(arguments),
+        Some("history") => history(arguments),
+        _ => Err(CommandError::usage(
+            "expected `sheet example|check|accept|show|diff|history`",
+        )),
+    }
+}
+
+fn read_bytes(file: &str) -> Result<Vec<u8>, CommandError> {
+    fs::read(file).map_err(|error| CommandError::usage(format!("{file}: {error}")))
+}
+
+fn parse_rows(file: &str) -> Result<SheetRows, CommandError> {
+    read_sheet(&read_bytes(file)?).map_err(|errors| CommandError::usage_lines(&errors))
+}
+
+fn check(mut arguments: Arguments) -> Result<(), CommandError> {
+    let file: String = arguments.free_from_str()?;
+    reject_rest(arguments)?;
+    let rows = parse_rows(&file)?;
+    let model = compile_sheet(1, &rows).map_err(|errors| CommandError::usage_lines(&errors))?;
+    println!(
+        "{file}: ok: {} rows, {} routes, {} models, {} services, {} endpoints, {} organisations",
+        rows.rows.len(),
+        model.routes.len(),
+        model.models.len(),
+        model.services.len(),
+        model.endpoints.len(),
+        model.organisations.len(),
+    );
+    Ok(())
+}
+
+fn accept(mut arguments: Arguments) -> Result<(), CommandError> {
+    let access = PlatformAccess::parse(&mut arguments)?;
+    let mut request = access.request()?;
+    request.base = arguments.opt_value_from_str("--base")?;
+    request.allow_removals = arguments.contains("--allow-removals");
+    let file: String = arguments.free_from_str()?;
+    reject_rest(arguments)?;
+    let bytes = read_bytes(&file)?;
+    actix_rt::System::new().block_on(async {
+        let client = access.client();
+        let call = store_call(&client);
+        let rows = match read_sheet(&bytes) {
+            Ok(rows) => rows,
+            Err(errors) => {
+                let error = AcceptError::Invalid { errors };
+                if let Err(failure) = call.record_refusal(&request, &error).await {
+                    eprintln!("dandeliondeal: the refusal is not in the audit trail: {failure}");
+                }
+                return Err(accept_failed(error));
+            }
+        };
+        let report = call
+            .accept_sheet(&rows, &request)
+            .await
+            .map_err(accept_failed)?;
+        print_report(&report, access.json);
+        Ok(())
+    })
+}
+
+/// Prints what became of an accepted change.
+pub(crate) fn print_report(report: &AcceptReport, json: bool) {
+    let revision = report.revision;
+    let count = report.changes.len();
+    if json {
+        print_json(&serde_json::json!({"revision": revision, "rows_changed": count}));
+    } else if count == 0 {
+        println!("revision {revision} says this already; nothing changed");
+    } else {
+        println!("accepted as revision {revision}: {count} rows changed");
+    }
+    if !report.audited {
+        eprintln!("dandeliondeal: the next change or `audit` adds this one to the audit trail");
+    }
+}
+
+fn show(mut arguments: Arguments) -> Result<(), CommandError> {
+    let access = PlatformAccess::parse(&mut arguments)?;
+    reject_rest(arguments)?;
+    let stored = actix_rt::System::new().block_on(async {
+        let client = access.client();
+        store_call(&client).load_sheet().await
+    });
+    let stored = stored.map_err(accept_failed)?;
+    eprintln!("revision {}", stored.head.stamp.revision);
+    print!("{}", stored.rows.to_csv());
+    Ok(())
+}
+
+fn diff(mut arguments: Arguments) -> Result<(), CommandError> {
+    let access = PlatformAccess::parse(&mut arguments)?;
+    let file: String = arguments.free_from_str()?;
+    reject_rest(arguments)?;
+    let rows = parse_rows(&file)?;
+    let stored = actix_rt::System::new().block_on(async {
+        let client = access.client();
+        store_call(&client).load_sheet().await
+    });
+    let stored = stored.map_err(accept_failed)?;
+    for change in rows.changes_since(&stored.rows) {
+        if access.json {
+            print_json(&change);
+        } else {
+            println!("{change}");
+        }
+    }
+    Ok(())
+}
+
+fn history(mut arguments: Arguments) -> Result<(), CommandError> {
+    let access = PlatformAccess::parse(&mut arguments)?;
+    let limit: Option<usize> = arguments.opt_value_from_str("--limit")?;
+    reject_rest(arguments)?;
+    let history: Result<Vec<SheetManifest>, AcceptError> =
+        actix_rt::System::new().block_on(async {
+            let client = access.client();
+            let limit = limit.unwrap_or(DEFAULT_LIMIT);
+            store_call(&client).load_history(limit).await
+        });
+    for manifest in history.map_err(accept_failed)? {
+        if access.json {
+            print_json(&manifest);
+        } else {
+            let time: Arc<str> = utc_text(manifest.at_milliseconds);
+            println!("{:>8}  {time}  {}", manifest.revision, manifest.author);
+        }
+    }
+    Ok(())
+}
--- a/crates/dandeliondeal_config/src/accept_plan.rs
+++ b/crates/dandeliondeal_config/src/accept_plan.rs
@@ -49,16 +49,13 @@
 ///
 /// # Errors
 ///
-/// That the sheet is wrong, removes too much, or that its base is no longer in force.
+/// That the sheet is wrong or removes too much.
 pub fn plan_change(
     stored: &StoredSheet,
     rows: &SheetRows,
     request: &ChangeRequest,
 ) -> Result<Option<AcceptPlan>, AcceptError> {
     let from = stored.head.stamp.revision;
-    if request.base.is_some_and(|base| base != from) {
-        return Err(conflict_with(stored, Vec::new()));
-    }
     let model = compile_sheet(from + 1, rows).map_err(|errors| AcceptError::Invalid { errors })?;
     let changes = rows.changes_since(&stored.rows);
     if changes.is_empty() {
--- a/crates/dandeliondeal_config/src/accept_sheet.rs
+++ b/crates/dandeliondeal_config/src/accept_sheet.rs
@@ -88,6 +88,13 @@
     where
         Edit: FnOnce(&SheetRows) -> Result<SheetRows, AcceptError>,
     {
+        if let Some(base) = request
+            .base
+            .filter(|base| *base != stored.head.stamp.revision)
+        {
+            let changes = self.changes_since(stored, base).await?;
+            return Err(conflict_with(stored, changes));
+        }
         let rows = edit(&stored.rows)?;
         let Some(plan) = plan_change(stored, &rows, request)? else {
             return Ok(AcceptReport {
@@ -107,6 +114,27 @@
         })
     }
 
+    /// What changed since a revision; nothing is shown if it is unknown.
+    async fn changes_since(
+        &self,
+        stored: &StoredSheet,
+        base: Revision,
+    ) -> Result<Vec<RowChange>, AcceptError> {
+        let mut next = stored.manifest.clone();
+        while let Some(manifest) = next.filter(|manifest| manifest.revision > base) {
+            if manifest.parent.is_empty() {
+                return Ok(stored.rows.changes_since(&SheetRows::default()));
+            }
+            let parent = self.load_manifest(&manifest.parent).await?;
+            if parent.revision == base {
+                let rows = self.load_rows(&parent).await?;
+                return Ok(stored.rows.changes_since(&rows));
+            }
+            next = Some(parent);
+        }
+        Ok(Vec::new())
+    }
+
     async fn write_contents(&self, plan: &AcceptPlan) -> Result<(), AcceptError> {
         for (hash, body) in &plan.contents {
             let name = content_name(hash);
--- a/crates/dandeliondeal_config/src/entry_settings.rs
+++ b/crates/dandeliondeal_config/src/entry_settings.rs
@@ -95,7 +95,7 @@
         Self {
             address: loopback(8090),
             timeout: Duration::from_secs(2),
-            watch_limit: Duration::from_secs(10),
+            watch_limit: Duration::from_secs(5),
             fleet_calls_per_second: 1_000,
         }
     }
--- a/crates/dandeliondeal_config/src/sheet_rows.rs
+++ b/crates/dandeliondeal_config/src/sheet_rows.rs
@@ -101,6 +101,11 @@
         removed as f64 / names.len() as f64
     }
 
+    /// Whether the sheet has a thing of this name.
+    pub fn has(&self, kind: SheetKind, name: &str) -> bool {
+        self.names().contains(&(kind, name))
+    }
+
     /// Sets one row.
     pub fn set(&mut self, key: RowKey, text: Arc<str>) {
         self.rows.insert(key, RowValue { text, line: 0 });
--- a/crates/dandeliondeal_config/tests/accept_sheet.rs
+++ b/crates/dandeliondeal_config/tests/accept_sheet.rs
@@ -97,22 +97,25 @@
 fn named_conflict() {
     run_paused(async {
         let store = SeededStore::new(1, 0);
-        let first = request_of("nino", 1);
-        store
-            .call()
-            .accept_sheet(&sheet_with(16), &first)
-            .await
-            .unwrap();
+        for (author, capacity) in [("nino", 16), ("lali", 17), ("nino", 18)] {
+            let request = request_of(author, capacity);
+            let rows = sheet_with(capacity);
+            store.call().accept_sheet(&rows, &request).await.unwrap();
+        }
         let mut second = request_of("davit", 1);
-        second.base = Some(0);
-        let result = store.call().accept_sheet(&sheet_with(18), &second).await;
+        second.base = Some(1);
+        let result = store.call().accept_sheet(&sheet_with(19), &second).await;
         let Err(AcceptError::Conflict {
-            revision, author, ..
+            revision,
+            author,
+            changes,
         }) = result
         else {
             panic!("{result:?}");
         };
-        assert_eq!((revision, &*author), (1, "nino"));
+        assert_eq!((revision, &*author), (3, "nino"));
+        let changes: Vec<String> = changes.iter().map(ToString::to_string).collect();
+        assert_eq!(changes, ["endpoint engine-1 capacity: 16 -> 18"]);
     });
 }
 
--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime};
 
 use dandeliondeal_chart::ChartError;
-use dandeliondeal_config::EntrySettings;
+use dandeliondeal_config::{EntrySettings, ReadinessGate};
 use dandeliondeal_types::{Clock, Incarnation, OrganisationId, Outcome, RequestId};
 use derive_more::{Display, Error, From};
 
@@ -47,6 +47,7 @@
     admission: AdmissionGate,
     pool: HttpPool,
     drain: RefCell<DrainMachine>,
+    readiness: RefCell<Option<ReadinessGate>>,
     next_request: Cell<u64>,
 }
 
@@ -69,6 +70,7 @@
             admission: AdmissionGate::new(settings.limits.organisation_requests),
             pool: HttpPool::new(settings.requests.connect_time),
             drain: RefCell::new(DrainMachine::new()?),
+            readiness: RefCell::new(None),
             next_request: Cell::new(0),
             clock,
             settings,
@@ -98,6 +100,11 @@
         &self.inner.table
     }
 
+    /// The gate of readiness; `None` while nobody follows the accepted revision.
+    pub fn readiness(&self) -> &RefCell<Option<ReadinessGate>> {
+        &self.inner.readiness
+    }
+
     /// The metrics.
     pub fn metrics(&self) -> &EntryMetrics {
         &self.inner.metrics
--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use dandeliondeal_config::EntrySettings;
+use dandeliondeal_platform::PlatformClient;
 use dandeliondeal_types::{Clock, SheetModel};
 
 use crate::drain_state::{DrainEvent, DrainState};
 use crate::entry_context::{EntryContext, EntryError};
 use crate::http_listener::{HttpListener, ListenerSettings};
+use crate::rollout::{NoPeers, Rollout};
 use crate::route_table::RouteTable;
 use crate::{caller_api, operator_api};
 
@@ -26,6 +28,7 @@
     context: EntryContext<ClockSource>,
     callers: HttpListener,
     operators: HttpListener,
+    rollout: Option<Rollout<ClockSource, NoPeers>>,
 }
 
 impl<ClockSource> EntryServer<ClockSource>
@@ -63,9 +66,23 @@
             context,
             callers,
             operators,
+            rollout: None,
         })
     }
 
+    /// Starts to put in force what the platform has accepted.
+    pub fn follow_platform(&mut self) {
+        let settings = self.context.settings();
+        let platform_settings = dandeliondeal_platform::PlatformSettings {
+            address: settings.platform.address,
+            call_timeout: settings.platform.timeout,
+            seed: self.context.incarnation(),
+            ..dandeliondeal_platform::PlatformSettings::default()
+        };
+        let platform = PlatformClient::new(platform_settings, self.context.clock().clone());
+        self.rollout = Some(Rollout::start(self.context.clone(), platform, NoPeers));
+    }
+
     /// The address for callers.
     pub fn caller_address(&self) -> SocketAddr {
         self.callers.address()
@@ -100,6 +117,9 @@
         }
         actix_rt::time::sleep(FLUSH_TIME).await;
         self.drain(DrainEvent::Idle);
+        if let Some(rollout) = &self.rollout {
+            rollout.stop();
+        }
         self.operators.close();
     }
 
--- a/crates/dandeliondeal_entry/src/lib.rs
+++ b/crates/dandeliondeal_entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod reply;
 pub mod reply_body;
 pub mod request_life;
+pub mod rollout;
 pub mod route_table;
 pub mod service_call;
 pub mod table_cell;
--- a/crates/dandeliondeal_entry/src/operator_api.rs
+++ b/crates/dandeliondeal_entry/src/operator_api.rs
@@ -23,7 +23,7 @@
     }
 }
 
-/// Ready means: a revision of the sheet is in force, and no stop is planned.
+/// Ready means: a confirmed revision of the sheet is in force, and no stop is planned.
 fn ready<ClockSource>(context: &EntryContext<ClockSource>) -> Response<ReplyBody>
 where
     ClockSource: Clock,
@@ -34,6 +34,17 @@
     if context.table().revision() == 0 {
         return reply::text(StatusCode::SERVICE_UNAVAILABLE, "no sheet in force\n");
     }
+    if context
+        .readiness()
+        .borrow()
+        .as_ref()
+        .is_some_and(|gate| !gate.is_ready())
+    {
+        return reply::text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the sheet in force is not confirmed\n",
+        );
+    }
     reply::text(StatusCode::OK, "ready\n")
 }
 
--- /dev/null
+++ b/crates/dandeliondeal_entry/src/rollout.rs
@@ -0,0 +1,221 @@
+//! Puts accepted revisions of the sheet in force at this instance.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use dandeliondeal_config::content_hash::ContentHash;
+use dandeliondeal_config::sheet_manifest::{HEAD_NAME, content_name};
+use dandeliondeal_config::{
+    ReadinessEvent, ReadinessGate, RevisionSource, RevisionStamp, RolloutAction, RolloutEvent,
+    RolloutMachine, SheetHead,
+};
+use dandeliondeal_platform::PlatformClient;
+use dandeliondeal_types::{Clock, InstanceId, ObjectStore, ObjectValue, StoreError, Version};
+
+use crate::entry_context::EntryContext;
+use crate::route_table::RouteTable;
+
+/// Fetches manifests and chunks from another instance.
+pub trait ContentFetch: Clone + std::fmt::Debug + 'static {
+    /// The bodies with these hashes that the peer has; none if it cannot be reached.
+    fn fetch(
+        &self,
+        peer: &InstanceId,
+        hashes: &[ContentHash],
+    ) -> impl Future<Output = Vec<Arc<str>>>;
+}
+
+/// Stands where there are no other instances.
+#[derive(Clone, Copy, Debug)]
+pub struct NoPeers;
+
+impl ContentFetch for NoPeers {
+    async fn fetch(&self, _peer: &InstanceId, _hashes: &[ContentHash]) -> Vec<Arc<str>> {
+        Vec::new()
+    }
+}
+
+/// Follows the accepted revision; clones share it.
+#[derive(Debug)]
+pub struct Rollout<ClockSource, Peers> {
+    inner: Rc<RolloutInner<ClockSource, Peers>>,
+}
+
+impl<ClockSource, Peers> Clone for Rollout<ClockSource, Peers> {
+    fn clone(&self) -> Self {
+        Self {
+            inner: Rc::clone(&self.inner),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct RolloutInner<ClockSource, Peers> {
+    context: EntryContext<ClockSource>,
+    platform: PlatformClient<ClockSource>,
+    peers: Peers,
+    machine: RefCell<RolloutMachine>,
+    is_watcher: Cell<bool>,
+    is_stopped: Cell<bool>,
+}
+
+impl<ClockSource, Peers> Rollout<ClockSource, Peers>
+where
+    ClockSource: Clock,
+    Peers: ContentFetch,
+{
+    /// Starts to follow the platform.
+    pub fn start(
+        context: EntryContext<ClockSource>,
+        platform: PlatformClient<ClockSource>,
+        peers: Peers,
+    ) -> Self {
+        let confirming = context.settings().rollout.confirming_peers;
+        let gate = ReadinessGate::new(usize::try_from(confirming).unwrap_or(usize::MAX));
+        context.readiness().replace(Some(gate));
+        let rollout = Self {
+            inner: Rc::new(RolloutInner {
+                context,
+                platform,
+                peers,
+                machine: RefCell::new(RolloutMachine::default()),
+                is_watcher: Cell::new(true),
+                is_stopped: Cell::new(false),
+            }),
+        };
+        actix_rt::spawn(rollout.clone().follow());
+        rollout
+    }
+
+    /// The revision in force.
+    pub fn in_force(&self) -> RevisionStamp {
+        self.inner.machine.borrow().in_force().clone()
+    }
+
+    /// A manifest or chunk, for a peer that asks.
+    pub fn content(&self, hash: &str) -> Option<Arc<str>> {
+        self.inner.machine.borrow().content(hash)
+    }
+
+    /// Tells of the revision that a peer has in force.
+    pub fn peer_has(&self, peer: &InstanceId, stamp: RevisionStamp) {
+        self.note(ReadinessEvent::PeerRevision {
+            peer: Arc::clone(peer),
+            revision: stamp.revision,
+        });
+        let source = RevisionSource::Peer(Arc::clone(peer));
+        self.apply(RolloutEvent::Offered { stamp, source });
+    }
+
+    /// Says whether this instance waits on the platform or leaves that to others.
+    pub fn set_watcher(&self, is_watcher: bool) {
+        self.inner.is_watcher.set(is_watcher);
+    }
+
+    /// Ends the loop after its present wait.
+    pub fn stop(&self) {
+        self.inner.is_stopped.set(true);
+    }
+
+    async fn follow(self) {
+        let settings = self.inner.context.settings().clone();
+        let mut seen: Version = 0;
+        let mut is_first = true;
+        while !self.inner.is_stopped.get() {
+            // Whoever is not a watcher still looks now and then, should its peers fail it.
+            let is_read = is_first || !self.inner.is_watcher.get();
+            let result = if is_read {
+                self.inner.platform.get(HEAD_NAME).await
+            } else {
+                let limit = settings.platform.watch_limit;
+                self.inner.platform.watch(HEAD_NAME, seen, limit).await
+            };
+            is_first = result.is_err();
+            let is_idle = result.is_err() || is_read && !self.inner.is_watcher.get();
+            seen = self.head_read(result).unwrap_or(seen);
+            self.apply(RolloutEvent::Retry);
+            if is_idle {
+                let factor = if is_first { 1 } else { SPARE_READ_FACTOR };
+                actix_rt::time::sleep(settings.rollout.retry_interval * factor).await;
+            }
+        }
+    }
+
+    fn head_read(&self, result: Result<Option<ObjectValue>, StoreError>) -> Option<Version> {
+        let value = match result {
+            Ok(value) => value,
+            Err(error) => {
+                tracing::warn!(%error, "head not read");
+                self.note(ReadinessEvent::PlatformDown);
+                return None;
+            }
+        };
+        let Some(value) = value else {
+            self.note(ReadinessEvent::PlatformHead { revision: 0 });
+            return Some(0);
+        };
+        match serde_json::from_str::<SheetHead>(&value.body) {
+            Ok(head) => {
+                let stamp = head.stamp;
+                let source = RevisionSource::Platform;
+                let revision = stamp.revision;
+                self.note(ReadinessEvent::PlatformHead { revision });
+                self.apply(RolloutEvent::Offered { stamp, source });
+            }
+            Err(error) => tracing::error!(%error, "head is damaged"),
+        }
+        Some(value.version)
+    }
+
+    fn apply(&self, event: RolloutEvent) {
+        let action = self.inner.machine.borrow_mut().apply(event);
+        match action {
+            None => {}
+            Some(RolloutAction::Apply { model }) => {
+                let revision = model.revision;
+                self.inner.context.table().install(RouteTable::new(model));
+                self.note(ReadinessEvent::InForce { revision });
+                tracing::info!(revision, "sheet in force");
+            }
+            Some(RolloutAction::Fetch {
+                number,
+                hashes,
+                source,
+            }) => {
+                let rollout = self.clone();
+                actix_rt::spawn(async move {
+                    let bodies = rollout.fetch(&hashes, &source).await;
+                    rollout.apply(RolloutEvent::FetchEnded { number, bodies });
+                });
+            }
+        }
+    }
+
+    async fn fetch(&self, hashes: &[ContentHash], source: &RevisionSource) -> Vec<Arc<str>> {
+        if let RevisionSource::Peer(peer) = source {
+            return self.inner.peers.fetch(peer, hashes).await;
+        }
+        let mut bodies = Vec::new();
+        for hash in hashes {
+            match self.inner.platform.get(&content_name(hash)).await {
+                Ok(Some(value)) => bodies.push(value.body),
+                Ok(None) => tracing::error!(%hash, "content is missing"),
+                Err(error) => {
+                    tracing::warn!(%error, "content not read");
+                    break;
+                }
+            }
+        }
+        bodies
+    }
+
+    fn note(&self, event: ReadinessEvent) {
+        if let Some(gate) = self.inner.context.readiness().borrow_mut().as_mut() {
+            gate.apply(event);
+        }
+    }
+}
+
+/// Retry intervals between two reads of an instance that is no watcher.
+const SPARE_READ_FACTOR: u32 = 30;
