--- a/crates/dandeliondeal_entry/src/lib.rs
+++ b/crates/dandeliondeal_entry/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod request_id;
 pub mod request_life;
 pub mod request_lookup;
+pub mod rollout;
 pub mod route_table;
 pub mod service_call;
 pub mod service_dispatch;
