--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dandeliondeal_config::EntrySettings;
-use dandeliondeal_platform::PlatformClient;
+use dandeliondeal_platform::CallClass;
 use dandeliondeal_types::{Clock, SheetModel};
 
 use crate::drain_state::{DrainEvent, DrainState};
@@ -19,8 +19,6 @@
 const OPERATOR_CONNECTIONS: usize = 64;
 /// Time between two looks at whether requests are still open.
 const IDLE_INTERVAL: Duration = Duration::from_millis(20);
-/// Time that answers have to leave the sockets before the process may end.
-const FLUSH_TIME: Duration = Duration::from_millis(100);
 
 /// A running entry instance on the current arbiter.
 #[derive(Debug)]
@@ -72,14 +70,7 @@
 
     /// Starts to put in force what the platform has accepted.
     pub fn follow_platform(&mut self) {
-        let settings = self.context.settings();
-        let platform_settings = dandeliondeal_platform::PlatformSettings {
-            address: settings.platform.address,
-            call_timeout: settings.platform.timeout,
-            seed: self.context.incarnation(),
-            ..dandeliondeal_platform::PlatformSettings::default()
-        };
-        let platform = PlatformClient::new(platform_settings, self.context.clock().clone());
+        let platform = self.context.platform().with_class(CallClass::Configuration);
         self.rollout = Some(Rollout::start(self.context.clone(), platform, NoPeers));
     }
 
@@ -115,7 +106,6 @@
         while self.is_busy() && self.context.clock().now() < limit {
             actix_rt::time::sleep(IDLE_INTERVAL).await;
         }
-        actix_rt::time::sleep(FLUSH_TIME).await;
         self.drain(DrainEvent::Idle);
         if let Some(rollout) = &self.rollout {
             rollout.stop();
@@ -123,8 +113,11 @@
         self.operators.close();
     }
 
+    /// A connection closes once its answer has left, so an open one may still hold an answer.
     fn is_busy(&self) -> bool {
         self.context.registry().borrow().open() > 0
+            || self.context.claims().backlog() > 0
+            || self.callers.open_connections() > 0
     }
 
     fn drain(&self, event: DrainEvent) -> DrainState {
