Bad input over real sockets; a wrong type and a long head are named

bad_input has 15 tests: nothing is dispatched (ledgers), others go on, the status is 4xx and names the field.

Found: a value of the wrong type was refused with param body, since serde does not name the field (wrong_types failed: body for model). On that error each field is now tried alone. Found: a head of up to 128 KiB was accepted, and its headers would be passed on to services; a head above 16 KiB now gets 400 naming its longest header (wrong_headers, x-filler, 200 before). Statuses 413 and 408 for bodies were weighed; 400 stays, as one code for what the caller has to mend.

--- a/crates/dandeliondeal_entry/src/caller_headers.rs
+++ b/crates/dandeliondeal_entry/src/caller_headers.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName};
+use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use dandeliondeal_types::{ErrorKind, RequestStep, RouteError};
 
 use crate::reply::{DEADLINE_HEADER, IDEMPOTENCY_HEADER, REPEATABLE_HEADER};
 
+/// Longest head of a request in bytes.
+const HEAD_BYTES: usize = 16 * 1024;
 /// Longest idempotency key in bytes.
 const KEY_BYTES: usize = 255;
 
@@ -29,6 +31,7 @@
     ///
     /// [`ErrorKind::InvalidInput`] naming the header that is wrong.
     pub fn parse(headers: &HeaderMap) -> Result<Self, RouteError> {
+        check_length(headers)?;
         Ok(Self {
             idempotency_key: idempotency_key(headers)?,
             repeatable: repeatable(headers)?,
@@ -60,6 +63,25 @@
         })
 }
 
+/// Refuses a head that is too long, naming its longest header.
+fn check_length(headers: &HeaderMap) -> Result<(), RouteError> {
+    let length = |name: &HeaderName, value: &HeaderValue| name.as_str().len() + value.len();
+    let total: usize = headers
+        .iter()
+        .map(|(name, value)| length(name, value))
+        .sum();
+    let longest = headers
+        .iter()
+        .max_by_key(|(name, value)| length(name, value));
+    match longest {
+        Some((name, _)) if total > HEAD_BYTES => {
+            let message = format!("the head is longer than {HEAD_BYTES} bytes");
+            Err(invalid(name, message))
+        }
+        _ => Ok(()),
+    }
+}
+
 fn idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, RouteError> {
     let Some(key) = text(headers, &IDEMPOTENCY_HEADER)? else {
         return Ok(None);
--- a/crates/dandeliondeal_entry/src/completion_request.rs
+++ b/crates/dandeliondeal_entry/src/completion_request.rs
@@ -5,9 +5,24 @@
 use dandeliondeal_types::{ErrorKind, RequestStep, RouteError, RouteId};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
+use serde_json::{Map, Value, json};
 
 /// Tokens generated where the caller names no number.
 const DEFAULT_MAX_TOKENS: u32 = 16;
+/// Fields whose type is checked.
+const FIELDS: [&str; 11] = [
+    "model",
+    "prompt",
+    "messages",
+    "max_tokens",
+    "max_completion_tokens",
+    "stream",
+    "stream_options",
+    "n",
+    "best_of",
+    "logprobs",
+    "echo",
+];
 
 /// What both kinds of completion ask for.
 #[derive(Clone, Debug)]
@@ -94,8 +109,10 @@
     pub fn parse(body: &[u8], chat: bool) -> Result<Self, RouteError> {
         let text = std::str::from_utf8(body)
             .map_err(|error| invalid("body", format!("body is not UTF-8: {error}")))?;
-        let body: CompletionBody = serde_json::from_str(text)
-            .map_err(|error| invalid("body", format!("body is not the expected JSON: {error}")))?;
+        let body: CompletionBody = serde_json::from_str(text).map_err(|error| {
+            let message = format!("body is not the expected JSON: {error}");
+            invalid(wrong_field(text), message)
+        })?;
         reject_unsupported(&body)?;
         let max_tokens = token_count(&body)?;
         let route = body
@@ -118,6 +135,23 @@
     }
 }
 
+/// The first field whose value does not fit; `body` if none stands out.
+fn wrong_field(text: &str) -> &'static str {
+    let Ok(fields) = serde_json::from_str::<Map<String, Value>>(text) else {
+        return "body";
+    };
+    let is_wrong = |name: &str| {
+        fields.get(name).is_some_and(|value| {
+            let alone = json!({ name: value });
+            serde_json::from_value::<CompletionBody>(alone).is_err()
+        })
+    };
+    FIELDS
+        .into_iter()
+        .find(|name| is_wrong(name))
+        .unwrap_or("body")
+}
+
 fn reject_unsupported(body: &CompletionBody) -> Result<(), RouteError> {
     let several = |count: Option<i64>| count.is_some_and(|count| count != 1);
     let fields = [
--- /dev/null
+++ b/crates/dandeliondeal_entry/tests/bad_input.rs
@@ -0,0 +1,485 @@
+//! Bad input over real sockets: refused with the field named, nothing dispatched, others untouched.
+
+mod common;
+
+use std::time::Duration;
+
+use actix_rt::time::{sleep, timeout};
+use awc::http::Method;
+use common::{KEY, LAYERS, OTHER_KEY, TestSite, completion, engine, settings, text_of};
+use dandeliondeal_config::{EntrySettings, LimitSettings};
+use dandeliondeal_standin::{EngineSettings, reference_answer};
+use dandeliondeal_types::LayerRange;
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const COMPLETIONS: &str = "/v1/completions";
+const CHAT: &str = "/v1/chat/completions";
+const PATIENCE: Duration = Duration::from_secs(10);
+const BODY_BYTES: u64 = 4_096;
+const SHORT: Duration = Duration::from_millis(200);
+
+fn tight() -> EntrySettings {
+    EntrySettings {
+        limits: LimitSettings {
+            header_time: SHORT,
+            body_time: SHORT,
+            body_bytes: BODY_BYTES,
+            organisation_requests: 2,
+            ..LimitSettings::default()
+        },
+        ..settings()
+    }
+}
+
+async fn site() -> TestSite {
+    site_with(tight(), 0).await
+}
+
+async fn site_with(settings: EntrySettings, layer_microseconds: u64) -> TestSite {
+    let whole = EngineSettings {
+        layer_microseconds,
+        ..engine(LayerRange::new(0, LAYERS))
+    };
+    TestSite::start(settings, vec![whole]).await
+}
+
+/// Nothing of a refused request has reached an engine or the service.
+fn assert_untouched(site: &TestSite) {
+    assert!(site.engines.iter().all(|engine| engine.ledger().is_empty()));
+    assert!(site.service.ledger().is_empty());
+}
+
+fn param(body: &str) -> String {
+    let body: Value = serde_json::from_str(body).unwrap();
+    body["error"]["param"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned()
+}
+
+/// A connection of which the test writes every byte.
+struct RawConnection(TcpStream);
+
+impl RawConnection {
+    async fn open(site: &TestSite) -> Self {
+        Self(
+            TcpStream::connect(site.entry.caller_address())
+                .await
+                .unwrap(),
+        )
+    }
+
+    async fn send(&mut self, bytes: &[u8]) -> bool {
+        self.0.write_all(bytes).await.is_ok()
+    }
+
+    async fn send_completion(&mut self, headers: &str, body: &[u8]) {
+        let length = body.len();
+        let head = format!(
+            "POST {COMPLETIONS} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n{headers}content-length: {length}\r\n\r\n"
+        );
+        self.send(head.as_bytes()).await;
+        self.send(body).await;
+    }
+
+    /// Status and body of the next answer; `None` if the connection ends first.
+    async fn receive(&mut self) -> Option<(u16, String)> {
+        timeout(PATIENCE, self.read_answer())
+            .await
+            .expect("an answer or an end")
+    }
+
+    async fn read_answer(&mut self) -> Option<(u16, String)> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(self.0.read_u8().await.ok()?);
+        }
+        let head = String::from_utf8(head).unwrap().to_lowercase();
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "))
+            .map_or(0, |length| length.parse().unwrap());
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).await.ok()?;
+        Some((status, String::from_utf8(body).unwrap()))
+    }
+}
+
+#[actix_rt::test]
+async fn wrong_fields() {
+    let site = site().await;
+    let long = "x".repeat(4_090);
+    let cases = [
+        (COMPLETIONS, "{", 400, "body"),
+        (COMPLETIONS, "", 400, "body"),
+        (COMPLETIONS, "[1,2]", 400, "body"),
+        (COMPLETIONS, r#"{"prompt":"a"}"#, 400, "model"),
+        (COMPLETIONS, r#"{"model":"desk"}"#, 400, "prompt"),
+        (
+            COMPLETIONS,
+            r#"{"model":"desk","prompt":""}"#,
+            400,
+            "prompt",
+        ),
+        (
+            COMPLETIONS,
+            r#"{"model":"none","prompt":"a"}"#,
+            404,
+            "model",
+        ),
+        (
+            COMPLETIONS,
+            r#"{"model":"desk","prompt":"a","max_tokens":0}"#,
+            400,
+            "max_tokens",
+        ),
+        (
+            COMPLETIONS,
+            r#"{"model":"desk","prompt":"a","max_tokens":-1}"#,
+            400,
+            "max_tokens",
+        ),
+        (
+            COMPLETIONS,
+            r#"{"model":"desk","prompt":"a","max_tokens":4096}"#,
+            400,
+            "max_tokens",
+        ),
+        (
+            COMPLETIONS,
+            r#"{"model":"desk","prompt":"a","n":2}"#,
+            400,
+            "n",
+        ),
+        (CHAT, r#"{"model":"desk","messages":[]}"#, 400, "messages"),
+        (CHAT, r#"{"model":"desk","prompt":"a"}"#, 400, "messages"),
+    ];
+    for (path, body, status, field) in cases {
+        let answer = site.call(Method::POST, path, body).await;
+        assert_eq!(
+            (answer.status, &*param(&answer.body)),
+            (status, field),
+            "{body}"
+        );
+        assert_eq!(answer.outcome, "not-run", "{body}");
+    }
+    let answer = site
+        .call(Method::POST, COMPLETIONS, &completion(&long, 9, false))
+        .await;
+    assert_eq!(answer.status, 400);
+    let nested = "[".repeat(2_000);
+    let answer = site.call(Method::POST, COMPLETIONS, &nested).await;
+    assert_eq!((answer.status, &*param(&answer.body)), (400, "body"));
+    assert_untouched(&site);
+}
+
+#[actix_rt::test]
+async fn wrong_types() {
+    let site = site().await;
+    let cases = [
+        (r#"{"model":7,"prompt":"a"}"#, "model"),
+        (r#"{"model":"desk","prompt":7}"#, "prompt"),
+        (
+            r#"{"model":"desk","prompt":"a","max_tokens":"many"}"#,
+            "max_tokens",
+        ),
+        (
+            r#"{"model":"desk","prompt":"a","max_tokens":1e40}"#,
+            "max_tokens",
+        ),
+        (r#"{"model":"desk","prompt":"a","stream":"yes"}"#, "stream"),
+        (r#"{"model":"desk","prompt":"a","n":"two"}"#, "n"),
+    ];
+    for (body, field) in cases {
+        let answer = site.call(Method::POST, COMPLETIONS, body).await;
+        assert_eq!(
+            (answer.status, &*param(&answer.body)),
+            (400, field),
+            "{body}"
+        );
+    }
+    let chat = r#"{"model":"desk","messages":[{"role":"user"}]}"#;
+    let answer = site.call(Method::POST, CHAT, chat).await;
+    assert_eq!((answer.status, &*param(&answer.body)), (400, "messages"));
+    assert_untouched(&site);
+}
+
+#[actix_rt::test]
+async fn wrong_keys() {
+    let site = site().await;
+    let body = completion("a", 2, false);
+    let cases: [&[(&'static str, &str)]; 5] = [
+        &[],
+        &[("authorization", "Bearer key-z")],
+        &[("authorization", "Basic key-a")],
+        &[("authorization", "Bearer ")],
+        &[("authorization", "bearer")],
+    ];
+    for headers in cases {
+        let answer = site
+            .call_with(Method::POST, COMPLETIONS, &body, headers)
+            .await;
+        assert_eq!(
+            (answer.status, &*param(&answer.body)),
+            (401, "Authorization"),
+            "{headers:?}"
+        );
+        assert_eq!(answer.outcome, "not-run");
+    }
+    assert_untouched(&site);
+}
+
+#[actix_rt::test]
+async fn wrong_headers() {
+    let site = site().await;
+    let (long, filler) = ("k".repeat(256), "f".repeat(20_000));
+    let cases = [
+        ("idempotency-key", long.as_str()),
+        ("idempotency-key", ""),
+        ("x-filler", filler.as_str()),
+        ("dandeliondeal-repeatable", "maybe"),
+        ("dandeliondeal-deadline-ms", "soon"),
+        ("dandeliondeal-deadline-ms", "0"),
+    ];
+    let body = completion("a", 2, false);
+    for (name, value) in cases {
+        let headers = [("authorization", "Bearer key-a"), (name, value)];
+        let answer = site
+            .call_with(Method::POST, COMPLETIONS, &body, &headers)
+            .await;
+        assert_eq!(
+            (answer.status, &*param(&answer.body)),
+            (400, name),
+            "{value}"
+        );
+    }
+    assert_untouched(&site);
+}
+
+#[actix_rt::test]
+async fn wrong_paths() {
+    let site = site().await;
+    for (method, path, status) in [
+        (Method::GET, COMPLETIONS, 405),
+        (Method::POST, "/v1/models", 405),
+        (Method::POST, "/v1/none", 404),
+        (Method::POST, "/v1/services/none/deposits", 404),
+        (Method::POST, "/v1/services/", 404),
+        (Method::PUT, "/v1/services/orders/settlements/r1", 404),
+        (Method::GET, "/v1/requests/none", 404),
+    ] {
+        let answer = site.call(method, path, "").await;
+        assert_eq!(answer.status, status, "{path}");
+        assert_ne!(param(&answer.body), "", "{path}");
+    }
+    assert_untouched(&site);
+}
+
+#[actix_rt::test]
+async fn bad_encoding() {
+    let site = site().await;
+    let mut connection = RawConnection::open(&site).await;
+    connection
+        .send_completion("", b"{\"model\":\"desk\",\"prompt\":\"\xff\xfe\"}")
+        .await;
+    let (status, body) = connection.receive().await.unwrap();
+    assert_eq!((status, &*param(&body)), (400, "body"));
+    connection
+        .send(b"GET /v1/models HTTP/1.1\r\nhost: x\r\nauthorization: Bearer \xff\xfe\r\n\r\n")
+        .await;
+    let (status, body) = connection.receive().await.unwrap();
+    assert_eq!((status, &*param(&body)), (401, "Authorization"));
+    assert_untouched(&site);
+    // The connection goes on.
+    connection
+        .send_completion("", completion("a", 2, false).as_bytes())
+        .await;
+    assert_eq!(connection.receive().await.unwrap().0, 200);
+}
+
+#[actix_rt::test]
+async fn no_http() {
+    let site = site().await;
+    for bytes in [
+        &b"\x16\x03\x01\x02\x00\x01\x00\x01"[..],
+        b"hello there\r\n\r\n",
+        b"POST /v1/completions HTTP/1.1\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"POST /v1/completions HTTP/1.1\r\ncontent-length: -5\r\n\r\n",
+    ] {
+        let mut connection = RawConnection::open(&site).await;
+        connection.send(bytes).await;
+        let answer = connection.receive().await;
+        assert_eq!(answer.map(|(status, _)| status), Some(400));
+    }
+    assert_untouched(&site);
+}
+
+#[actix_rt::test]
+async fn long_body() {
+    let site = site().await;
+    let long = completion(&"x".repeat(5_000), 2, false);
+    let answer = site.call(Method::POST, COMPLETIONS, &long).await;
+    assert_eq!((answer.status, &*param(&answer.body)), (400, "body"));
+    let mut endless = RawConnection::open(&site).await;
+    let head = format!(
+        "POST {COMPLETIONS} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    endless.send(head.as_bytes()).await;
+    let chunk = [b"400\r\n".as_slice(), &[b' '; 1_024], b"\r\n"].concat();
+    for _ in 0..5 {
+        endless.send(&chunk).await;
+    }
+    let (status, body) = endless.receive().await.unwrap();
+    assert_eq!((status, &*param(&body)), (400, "body"));
+    assert_untouched(&site);
+}
+
+#[actix_rt::test]
+async fn long_head() {
+    let site = site().await;
+    let mut endless = RawConnection::open(&site).await;
+    endless
+        .send(b"GET /v1/models HTTP/1.1\r\nhost: x\r\n")
+        .await;
+    let line = format!("x-filler: {}\r\n", "y".repeat(1_000));
+    let mut is_open = true;
+    for _ in 0..400 {
+        is_open &= endless.send(line.as_bytes()).await;
+    }
+    let answer = endless.receive().await;
+    assert!(!is_open, "the connection takes no more");
+    // The reset that follows may overtake the answer.
+    assert!(answer.is_none_or(|(status, _)| status == 431));
+    assert_untouched(&site);
+}
+
+#[actix_rt::test]
+async fn slow_head() {
+    let site = site().await;
+    let mut slow = RawConnection::open(&site).await;
+    slow.send(b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n")
+        .await;
+    let answer = slow.receive().await;
+    assert_eq!(answer.map(|(status, _)| status), Some(408));
+    assert_untouched(&site);
+}
+
+#[actix_rt::test]
+async fn slow_body() {
+    let site = site().await;
+    let mut slow = RawConnection::open(&site).await;
+    let head = format!(
+        "POST {COMPLETIONS} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\ncontent-length: 50\r\n\r\n{{"
+    );
+    slow.send(head.as_bytes()).await;
+    let (status, body) = slow.receive().await.unwrap();
+    assert_eq!((status, &*param(&body)), (400, "body"));
+    assert_untouched(&site);
+}
+
+#[actix_rt::test]
+async fn broken_body() {
+    let site = site().await;
+    let mut broken = RawConnection::open(&site).await;
+    let head = format!(
+        "POST {COMPLETIONS} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\ncontent-length: 500\r\n\r\n{{"
+    );
+    broken.send(head.as_bytes()).await;
+    drop(broken);
+    sleep(SHORT * 2).await;
+    assert_untouched(&site);
+    let answer = site
+        .call(Method::POST, COMPLETIONS, &completion("a", 2, false))
+        .await;
+    assert_eq!(answer.status, 200);
+}
+
+#[actix_rt::test]
+async fn requests_in_flight() {
+    let site = site_with(tight(), 5_000).await;
+    let mut open = Vec::new();
+    for _ in 0..2 {
+        let mut connection = RawConnection::open(&site).await;
+        connection
+            .send_completion("", completion("a", 8, false).as_bytes())
+            .await;
+        open.push(connection);
+    }
+    let is_running = || site.engines[0].session_count() == 2;
+    timeout(PATIENCE, async {
+        while !is_running() {
+            sleep(Duration::from_millis(1)).await;
+        }
+    })
+    .await
+    .unwrap();
+    let refused = site
+        .call(Method::POST, COMPLETIONS, &completion("b", 2, false))
+        .await;
+    assert_eq!((refused.status, &*refused.outcome), (429, "not-run"));
+    assert!(refused.retry_after.is_some());
+    let other = [("authorization", "Bearer key-b")];
+    assert_eq!(other[0].1, format!("Bearer {OTHER_KEY}"));
+    let answer = site
+        .call_with(
+            Method::POST,
+            COMPLETIONS,
+            &completion("b", 2, false),
+            &other,
+        )
+        .await;
+    assert_eq!(answer.status, 200);
+    for mut connection in open {
+        assert_eq!(connection.receive().await.unwrap().0, 200);
+    }
+}
+
+#[actix_rt::test]
+async fn open_connections() {
+    let mut settings = tight();
+    settings.limits.connections = 3;
+    settings.limits.header_time = PATIENCE;
+    let site = site_with(settings, 0).await;
+    let mut kept = RawConnection::open(&site).await;
+    kept.send_completion("", completion("a", 2, false).as_bytes())
+        .await;
+    assert_eq!(kept.receive().await.unwrap().0, 200);
+    let _idle = (
+        RawConnection::open(&site).await,
+        RawConnection::open(&site).await,
+    );
+    let mut refused = RawConnection::open(&site).await;
+    refused
+        .send_completion("", completion("a", 2, false).as_bytes())
+        .await;
+    assert!(refused.receive().await.is_none());
+    kept.send_completion("", completion("a", 2, false).as_bytes())
+        .await;
+    assert_eq!(kept.receive().await.unwrap().0, 200);
+}
+
+#[actix_rt::test]
+async fn others_untouched() {
+    let site = site_with(tight(), 1_000).await;
+    let mut good = RawConnection::open(&site).await;
+    good.send_completion("", completion("quote", 20, false).as_bytes())
+        .await;
+    for _ in 0..10 {
+        let mut bad = RawConnection::open(&site).await;
+        bad.send_completion("", b"{\"model\":").await;
+        assert_eq!(bad.receive().await.unwrap().0, 400);
+        let mut garbage = RawConnection::open(&site).await;
+        garbage.send(b"\x00\x01\x02\r\n\r\n").await;
+        garbage.receive().await;
+    }
+    let (status, body) = good.receive().await.unwrap();
+    assert_eq!(status, 200);
+    let body: Value = serde_json::from_str(&body).unwrap();
+    let prompt: Vec<u64> = "quote".bytes().map(u64::from).collect();
+    let expected = text_of(&reference_answer("model-a", LAYERS, &prompt, 20));
+    assert_eq!(body["choices"][0]["text"], expected);
+    assert_eq!(site.engines[0].ledger().len(), prompt.len() + 19);
+}
--- a/crates/dandeliondeal_replay/src/replay_claims.rs
+++ b/crates/dandeliondeal_replay/src/replay_claims.rs
@@ -103,6 +103,7 @@
             },
             fingerprint: RequestFingerprint::of([keyed.service.as_bytes()]),
             request: Arc::clone(request),
+            candidates: vec![Arc::clone(&keyed.service)],
         };
         self.services.entry(Arc::clone(&keyed.service)).or_default();
         self.keyed.insert(Arc::clone(request), keyed);
