The time of a head is bounded on kept connections too

Cause: the HTTP library's timeout for a head holds for the first request of a connection; a later head could take the keep-alive time, 75 s, in place of the 5 s of the settings (slow_second_head saw no end within 10 s). Ruled out: a shorter keep-alive, which would close idle connections of well-behaved callers. Change: a stream that starts a timer with the first byte between two requests. slow_second_head passes; idle_connection shows that idle connections stay.

--- a/crates/dandeliondeal_entry/src/http_listener.rs
+++ b/crates/dandeliondeal_entry/src/http_listener.rs
@@ -9,9 +9,10 @@
 
 use actix_http::{HttpService, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::head_timer::{GuardedBody, OpenRequests, TimedStream};
 use crate::reply_body::ReplyBody;
 
 /// Bounds of a listener.
@@ -102,13 +103,19 @@
         .client_disconnect_timeout(settings.header_time)
         .keep_alive(settings.keep_alive)
         .h1_allow_half_closed(false)
-        .tcp_nodelay(true)
+        .on_connect_ext(|stream: &TimedStream, data| {
+            data.insert(stream.open().clone());
+        })
         .graceful_shutdown_signal(move || wait_closed(signal.clone()))
-        .finish(fn_service(move |request: Request| {
+        .h1(fn_service(move |request: Request| {
+            let open = request.conn_data::<OpenRequests>().cloned();
+            let guard = open.unwrap_or_default().begin();
             let reply = handler(request);
-            async move { Ok::<_, Infallible>(reply.await) }
-        }))
-        .tcp();
+            async move {
+                let reply = reply.await;
+                Ok::<_, Infallible>(reply.map_body(|_, body| GuardedBody::new(body, guard)))
+            }
+        }));
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
@@ -118,7 +125,7 @@
             () = wait_closed(closed.clone()) => break,
             accepted = socket.accept() => accepted,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, peer)) = accepted else {
             // Out of file descriptors, most likely: let some connections end.
             actix_rt::time::sleep(ACCEPT_PAUSE).await;
             continue;
@@ -126,15 +133,24 @@
         if open.get() >= settings.connections {
             continue;
         }
-        spawn_connection(Rc::clone(&service), stream, Rc::clone(&open));
+        // Without it answers are only slower.
+        drop(stream.set_nodelay(true));
+        let stream = TimedStream::new(stream, settings.header_time);
+        spawn_connection(Rc::clone(&service), (stream, Some(peer)), Rc::clone(&open));
     }
 }
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-fn spawn_connection<Connection>(service: Rc<Connection>, stream: TcpStream, open: Rc<Cell<usize>>)
-where
-    Connection: Service<TcpStream> + 'static,
+/// A connection with the address of its caller.
+type CallerStream = (TimedStream, Option<SocketAddr>);
+
+fn spawn_connection<Connection>(
+    service: Rc<Connection>,
+    stream: CallerStream,
+    open: Rc<Cell<usize>>,
+) where
+    Connection: Service<CallerStream> + 'static,
 {
     open.set(open.get() + 1);
     actix_rt::spawn(async move {
--- a/crates/dandeliondeal_entry/src/lib.rs
+++ b/crates/dandeliondeal_entry/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod entry_metrics;
 pub mod entry_server;
 pub mod generation;
+pub mod head_timer;
 pub mod http_listener;
 pub mod http_pool;
 pub mod operator_api;
--- a/crates/dandeliondeal_entry/tests/bad_input.rs
+++ b/crates/dandeliondeal_entry/tests/bad_input.rs
@@ -367,6 +367,35 @@
     assert_untouched(&site);
 }
 
+#[actix_rt::test]
+async fn slow_second_head() {
+    let site = site().await;
+    let mut slow = RawConnection::open(&site).await;
+    slow.send_completion("", completion("a", 2, false).as_bytes())
+        .await;
+    assert_eq!(slow.receive().await.unwrap().0, 200);
+    slow.send(b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n")
+        .await;
+    let answer = slow.receive().await;
+    assert!(answer.is_none_or(|(status, _)| status == 408));
+}
+
+#[actix_rt::test]
+async fn idle_connection() {
+    let site = site().await;
+    let mut kept = RawConnection::open(&site).await;
+    for _ in 0..2 {
+        kept.send_completion("", completion("a", 2, false).as_bytes())
+            .await;
+        assert_eq!(kept.receive().await.unwrap().0, 200);
+        sleep(SHORT * 2).await;
+        let models = format!("GET /v1/models HTTP/1.1\r\nauthorization: Bearer {KEY}\r\n\r\n");
+        kept.send(models.as_bytes()).await;
+        assert_eq!(kept.receive().await.unwrap().0, 200);
+        sleep(SHORT * 2).await;
+    }
+}
+
 #[actix_rt::test]
 async fn slow_body() {
     let site = site().await;
