--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -7,13 +7,14 @@
 
 use dandeliondeal_chart::ChartError;
 use dandeliondeal_claim::{ClaimKey, ClaimSettings, ShardIndex};
-use dandeliondeal_config::EntrySettings;
+use dandeliondeal_config::{EntrySettings, ReadinessGate};
 use dandeliondeal_platform::{CallClass, PlatformClient, PlatformSettings};
 use dandeliondeal_types::{Clock, Incarnation, OrganisationId, Outcome, RequestId};
 use derive_more::{Display, Error, From};
 
 use crate::admission::AdmissionGate;
 use crate::claim_desk::ClaimDesk;
+use crate::claim_rpc::PeerLink;
 use crate::drain_state::DrainMachine;
 use crate::entry_metrics::EntryMetrics;
 use crate::http_pool::HttpPool;
@@ -35,6 +36,9 @@
     Listen(std::io::Error),
 }
 
+/// The claims of an entry instance.
+pub type EntryClaims<ClockSource> = ClaimDesk<PlatformClient<ClockSource>, ClockSource, PeerLink>;
+
 /// The shared state of an entry instance; clones share it.
 #[derive(Clone, Debug)]
 pub struct EntryContext<ClockSource> {
@@ -52,8 +56,9 @@
     admission: AdmissionGate,
     pool: HttpPool,
     platform: PlatformClient<ClockSource>,
-    claims: ClaimDesk<PlatformClient<ClockSource>, ClockSource>,
+    claims: EntryClaims<ClockSource>,
     drain: RefCell<DrainMachine>,
+    readiness: RefCell<Option<ReadinessGate>>,
     next_request: Cell<u64>,
 }
 
@@ -73,6 +78,10 @@
             PlatformClient::new(platform_settings(&settings, incarnation), clock.clone());
         let claims = ClaimDesk::new(
             platform.with_class(CallClass::Claims),
+            PeerLink::new(
+                settings.secrets.peer.clone(),
+                settings.requests.connect_time,
+            ),
             clock.clone(),
             claim_settings(&settings, incarnation),
         );
@@ -86,6 +95,7 @@
             admission: AdmissionGate::new(settings.limits.organisation_requests),
             pool: HttpPool::new(settings.requests.connect_time),
             drain: RefCell::new(DrainMachine::new()?),
+            readiness: RefCell::new(None),
             next_request: Cell::new(0),
             clock,
             settings,
@@ -115,6 +125,11 @@
         &self.inner.table
     }
 
+    /// The gate of readiness; `None` while nobody follows the accepted revision.
+    pub fn readiness(&self) -> &RefCell<Option<ReadinessGate>> {
+        &self.inner.readiness
+    }
+
     /// The metrics.
     pub fn metrics(&self) -> &EntryMetrics {
         &self.inner.metrics
@@ -136,7 +151,7 @@
     }
 
     /// The claims of non-repeatable requests.
-    pub fn claims(&self) -> &ClaimDesk<PlatformClient<ClockSource>, ClockSource> {
+    pub fn claims(&self) -> &EntryClaims<ClockSource> {
         &self.inner.claims
     }
 
