Standalone takes its sheet through the platform; reads wait for the call budget

Cause: an instance that reads an accepted sheet of more than eight chunks at once spent its share of reads, the fetch failed with the budget's error, and the sheet was not in force for seconds (standalone: not within 4 s). Ruled out: the platform's own rate, which was not reached.

--- a/crates/dandeliondeal_command/src/platform_access.rs
+++ b/crates/dandeliondeal_command/src/platform_access.rs
@@ -28,6 +28,18 @@
 }
 
 impl PlatformAccess {
+    /// Access of a named author, without a command line.
+    pub fn new<Text>(address: SocketAddr, author: Text) -> Self
+    where
+        Text: Into<String>,
+    {
+        Self {
+            address,
+            author: Some(author.into()),
+            json: false,
+        }
+    }
+
     /// Takes the shared arguments.
     ///
     /// # Errors
--- a/crates/dandeliondeal_command/src/standalone.rs
+++ b/crates/dandeliondeal_command/src/standalone.rs
@@ -6,7 +6,7 @@
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dandeliondeal_config::{
     EXAMPLE_KEY, EntrySettings, InstanceSettings, ListenSettings, PlatformSettings, RowKey,
@@ -22,6 +22,7 @@
 
 use crate::CommandError;
 use crate::json_log::start_log;
+use crate::platform_access::{PlatformAccess, accept_failed, store_call};
 use crate::stop_signal::wait_for_stop;
 
 /// What `dandeliondeal standalone --help` prints.
@@ -40,6 +41,11 @@
 /// Time added to each step of an engine that is reached over a slow link.
 const SLOW_LINK: Duration = Duration::from_millis(2);
 
+/// Longest wait for the sheet to come into force.
+const START_TIME: Duration = Duration::from_secs(10);
+/// Time between two looks at whether it is in force.
+const START_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Runs standalone mode until the process is asked to stop.
 ///
 /// # Errors
@@ -101,10 +107,12 @@
         ..settings.platform
     };
     let standins = StandaloneStandins::start()?;
-    let entry = EntryServer::start(settings, SystemClock)
+    accept_sheet(platform.address(), &standins.rows).await?;
+    let mut entry = EntryServer::start(settings, SystemClock)
         .await
         .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
-    entry.install(Arc::clone(&standins.sheet));
+    entry.follow_platform();
+    wait_in_force(&entry).await?;
     print_addresses(
         entry.caller_address(),
         entry.operator_address(),
@@ -120,10 +128,34 @@
     Ok(())
 }
 
+/// Accepts the sheet at the platform, as an operator does.
+async fn accept_sheet(platform: SocketAddr, rows: &SheetRows) -> Result<(), CommandError> {
+    let access = PlatformAccess::new(platform, "standalone");
+    let request = access.request()?;
+    let client = access.client();
+    store_call(&client)
+        .accept_sheet(rows, &request)
+        .await
+        .map_err(accept_failed)?;
+    Ok(())
+}
+
+async fn wait_in_force(entry: &EntryServer<SystemClock>) -> Result<(), CommandError> {
+    let deadline = Instant::now() + START_TIME;
+    while entry.context().table().revision() == 0 {
+        if Instant::now() > deadline {
+            let message = format!("no sheet in force after {} s", START_TIME.as_secs());
+            return Err(CommandError::failed(message));
+        }
+        actix_rt::time::sleep(START_INTERVAL).await;
+    }
+    Ok(())
+}
+
 /// The engines and the service that the example sheet names, on free ports.
 #[derive(Debug)]
 struct StandaloneStandins {
-    sheet: Arc<SheetModel>,
+    rows: SheetRows,
     addresses: Vec<(EndpointId, SocketAddr)>,
     _engines: Vec<EngineStandin>,
     _services: Vec<ServiceStandin>,
@@ -160,10 +192,8 @@
             set_address(&mut rows, endpoint, address);
             addresses.push((Arc::clone(endpoint), address));
         }
-        let sheet =
-            Arc::new(compile_sheet(1, &rows).map_err(|errors| CommandError::usage_lines(&errors))?);
         Ok(Self {
-            sheet,
+            rows,
             addresses,
             _engines: engines,
             _services: services,
--- a/crates/dandeliondeal_platform/src/platform_client.rs
+++ b/crates/dandeliondeal_platform/src/platform_client.rs
@@ -152,6 +152,7 @@
         timeout: Duration,
     ) -> Result<PlatformAnswer, StoreError> {
         let mut attempt = 0;
+        let mut patience = timeout;
         loop {
             let call = PlatformCall {
                 name,
@@ -169,6 +170,11 @@
                     actix_rt::time::sleep(pause).await;
                     attempt += 1;
                 }
+                // A read may wait for its turn; a write tells its caller, who may have a deadline.
+                Err(StoreError::OverBudget { wait }) if wait <= patience => {
+                    patience -= wait;
+                    actix_rt::time::sleep(wait).await;
+                }
                 result => return result,
             }
         }
--- /dev/null
+++ b/crates/dandeliondeal_platform/tests/call_budget.rs
@@ -0,0 +1,50 @@
+//! The call budget towards a platform on a real socket.
+
+use dandeliondeal_platform::{BudgetSettings, PlatformClient, PlatformSettings};
+use dandeliondeal_standin::PlatformStandin;
+use dandeliondeal_types::{ObjectStore, PutCondition, StoreError, SystemClock};
+
+/// A client that may make two calls at once and some ten more a second.
+fn client(platform: &PlatformStandin) -> PlatformClient<SystemClock> {
+    let budget = BudgetSettings {
+        fleet_reads_per_second: 50.0,
+        fleet_writes_per_second: 5.0,
+        least_burst: 2.0,
+        ..BudgetSettings::default()
+    };
+    let settings = PlatformSettings {
+        address: platform.address(),
+        budget,
+        ..PlatformSettings::default()
+    };
+    PlatformClient::new(settings, SystemClock)
+}
+
+#[actix_rt::test]
+async fn reads_wait() {
+    let platform = PlatformStandin::start(dandeliondeal_standin::PlatformSettings::default());
+    let client = client(&platform.unwrap());
+    for number in 0..8 {
+        let answer = client.get("sheet/head").await;
+        assert_eq!(answer, Ok(None), "read {number}");
+    }
+}
+
+#[actix_rt::test]
+async fn writes_refused() {
+    let platform = PlatformStandin::start(dandeliondeal_standin::PlatformSettings::default());
+    let client = client(&platform.unwrap());
+    for name in ["a", "b"] {
+        assert!(
+            client
+                .put(name, PutCondition::Absent, "x".into())
+                .await
+                .is_ok()
+        );
+    }
+    let third = client.put("c", PutCondition::Absent, "x".into()).await;
+    assert!(
+        matches!(third, Err(StoreError::OverBudget { .. })),
+        "{third:?}"
+    );
+}
