Generations run on the session core over real sockets

The driver carries out the core's actions with engine calls and timers; the naive loop is gone. - engine_http keeps one client an engine. A fresh call replaces it, so that idle connections which went silent with the one that failed are not tried one after the other. Wrongly sized answers are bad answers; 409 counts as a lost session, 422 as a wrong endpoint. - engine_use counts sessions by engine for planning and knows which engines leave; log_budget bounds the logged inputs of all sessions. - Tokens to the caller are no longer bounded by a channel, so a slow reader holds up no engine.

--- a/crates/dandeliondeal_command/src/command_error.rs
+++ b/crates/dandeliondeal_command/src/command_error.rs
@@ -34,7 +34,9 @@
     where
         Text: Into<Arc<str>>,
     {
-        Self::Failed { message: message.into() }
+        Self::Failed {
+            message: message.into(),
+        }
     }
 
     /// The command line or an input file is wrong.
@@ -42,7 +44,9 @@
     where
         Text: Into<Arc<str>>,
     {
-        Self::Usage { message: message.into() }
+        Self::Usage {
+            message: message.into(),
+        }
     }
 
     /// Another operator was first.
@@ -50,7 +54,9 @@
     where
         Text: Into<Arc<str>>,
     {
-        Self::Conflict { message: message.into() }
+        Self::Conflict {
+            message: message.into(),
+        }
     }
 
     /// The exit code of the process: 1 failed, 2 bad usage or input, 3 conflict.
--- a/crates/dandeliondeal_command/src/command_line.rs
+++ b/crates/dandeliondeal_command/src/command_line.rs
@@ -26,10 +26,15 @@
     let help = arguments.contains(["-h", "--help"]);
     match command.as_deref() {
         Some("standalone") => run_or_help(help, standalone::HELP, arguments, standalone::run),
-        Some("settings") => {
-            run_or_help(help, settings_command::HELP, arguments, settings_command::run)
-        }
-        Some(command) => Err(CommandError::usage(format!("there is no command {command}"))),
+        Some("settings") => run_or_help(
+            help,
+            settings_command::HELP,
+            arguments,
+            settings_command::run,
+        ),
+        Some(command) => Err(CommandError::usage(format!(
+            "there is no command {command}"
+        ))),
         None if help => print_help(HELP),
         None => Err(CommandError::usage("a command is missing; see --help")),
     }
@@ -45,7 +50,9 @@
         None => Ok(()),
         Some(rest) => {
             let rest = rest.to_string_lossy();
-            Err(CommandError::usage(format!("argument {rest} is not known; see --help")))
+            Err(CommandError::usage(format!(
+                "argument {rest} is not known; see --help"
+            )))
         }
     }
 }
@@ -59,10 +66,17 @@
 where
     Run: FnOnce(Arguments) -> Result<(), CommandError>,
 {
-    if help { print_help(text) } else { run(arguments) }
+    if help {
+        print_help(text)
+    } else {
+        run(arguments)
+    }
 }
 
-#[expect(clippy::unnecessary_wraps, reason = "printing help is one of the results of a command")]
+#[expect(
+    clippy::unnecessary_wraps,
+    reason = "printing help is one of the results of a command"
+)]
 fn print_help(text: &str) -> Result<(), CommandError> {
     print!("{text}");
     Ok(())
--- a/crates/dandeliondeal_command/src/settings_command.rs
+++ b/crates/dandeliondeal_command/src/settings_command.rs
@@ -35,7 +35,9 @@
             println!("{file}: ok");
             Ok(())
         }
-        _ => Err(CommandError::usage("expected `settings check FILE` or `settings default`")),
+        _ => Err(CommandError::usage(
+            "expected `settings check FILE` or `settings default`",
+        )),
     }
 }
 
--- a/crates/dandeliondeal_command/src/standalone.rs
+++ b/crates/dandeliondeal_command/src/standalone.rs
@@ -36,8 +36,7 @@
 Ctrl-C stops it once every open request is answered.
 ";
 
-const DEFAULT_LISTEN: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 8080);
+const DEFAULT_LISTEN: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 8080);
 /// Time added to each step of an engine that is reached over a slow link.
 const SLOW_LINK: Duration = Duration::from_millis(2);
 
@@ -67,8 +66,14 @@
         }
         None => EntrySettings {
             instance: InstanceSettings::new("entry-1", "didube", "tbilisi"),
-            listen: ListenSettings { callers: DEFAULT_LISTEN, ..any_ports() },
-            stop: StopSettings { balancer_lag: Duration::ZERO, ..StopSettings::default() },
+            listen: ListenSettings {
+                callers: DEFAULT_LISTEN,
+                ..any_ports()
+            },
+            stop: StopSettings {
+                balancer_lag: Duration::ZERO,
+                ..StopSettings::default()
+            },
             ..EntrySettings::default()
         },
     };
@@ -85,20 +90,30 @@
 
 fn any_ports() -> ListenSettings {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    ListenSettings { callers: any, operators: any, peers: any }
+    ListenSettings {
+        callers: any,
+        operators: any,
+        peers: any,
+    }
 }
 
 async fn serve(mut settings: EntrySettings) -> Result<(), CommandError> {
     let platform = PlatformStandin::start(dandeliondeal_standin::PlatformSettings::default())
         .map_err(standin_failed)?;
-    settings.platform =
-        PlatformSettings { address: platform.address(), ..settings.platform };
+    settings.platform = PlatformSettings {
+        address: platform.address(),
+        ..settings.platform
+    };
     let standins = StandaloneStandins::start()?;
     let entry = EntryServer::start(settings, SystemClock)
         .await
         .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
     entry.install(Arc::clone(&standins.sheet));
-    print_addresses(entry.caller_address(), entry.operator_address(), platform.address());
+    print_addresses(
+        entry.caller_address(),
+        entry.operator_address(),
+        platform.address(),
+    );
     for (name, address) in &standins.addresses {
         println!("{name:<12} http://{address}");
     }
@@ -148,7 +163,12 @@
             addresses.push((Arc::clone(endpoint), address));
         }
         let sheet = Arc::new(compile_sheet(1, &rows).map_err(first_sheet_error)?);
-        Ok(Self { sheet, addresses, _engines: engines, _services: services })
+        Ok(Self {
+            sheet,
+            addresses,
+            _engines: engines,
+            _services: services,
+        })
     }
 }
 
@@ -156,8 +176,10 @@
     let EndpointTarget::Layers { model, range } = &entry.target else {
         return EngineStandin::start(EngineSettings::default());
     };
-    let layer_nanoseconds =
-        sheet.accelerators.get(&entry.accelerator).map_or(0, |kind| kind.layer_nanoseconds);
+    let layer_nanoseconds = sheet
+        .accelerators
+        .get(&entry.accelerator)
+        .map_or(0, |kind| kind.layer_nanoseconds);
     let remote = &*entry.failure_domain != "didube";
     let link = if remote { SLOW_LINK } else { Duration::ZERO };
     EngineStandin::start(EngineSettings {
@@ -202,7 +224,10 @@
     CommandError::failed(format!("example sheet: {}", lines.join("; ")))
 }
 
-#[expect(clippy::needless_pass_by_value, reason = "the signature that `map_err` takes")]
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the signature that `map_err` takes"
+)]
 fn standin_failed(error: StandinError) -> CommandError {
     CommandError::failed(error.to_string())
 }
--- a/crates/dandeliondeal_entry/src/completion_handler.rs
+++ b/crates/dandeliondeal_entry/src/completion_handler.rs
@@ -6,6 +6,7 @@
 use actix_http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
+use dandeliondeal_pipeline::SessionSettings;
 use dandeliondeal_types::{
     Clock, ErrorKind, OrganisationId, Outcome, RequestId, RequestStep, RouteError, Token,
 };
@@ -17,20 +18,23 @@
 use crate::completion_request::CompletionRequest;
 use crate::engine_http::EngineHttp;
 use crate::entry_context::EntryContext;
-use crate::generation::{GenerationRequest, generate};
+use crate::generation::{GenerationRequest, GenerationSite, generate};
 use crate::reply;
 use crate::reply_body::ReplyBody;
 use crate::request_life::RequestEvent;
 use crate::route_table::RouteTable;
 use crate::token_text::{prompt_tokens, token_text};
 
-/// Tokens that may wait between the generation and the caller's connection.
-const TOKEN_BUFFER: usize = 64;
+/// Chunks that may wait for the caller's connection.
+///
+/// The tokens before them are bounded by the request's own number; an engine is never made to wait
+/// for a slow caller.
+const CHUNK_BUFFER: usize = 64;
 
 /// A completion that runs: its tokens, then its end.
 #[derive(Debug)]
 struct RunningCompletion {
-    tokens: mpsc::Receiver<Token>,
+    tokens: mpsc::UnboundedReceiver<Token>,
     end: oneshot::Receiver<Result<(), RouteError>>,
     reply: CompletionReply,
     prompt_tokens: u64,
@@ -70,7 +74,7 @@
         .metrics()
         .part(RequestStep::Admission, context.clock().now() - arrival);
 
-    let (token_sender, tokens) = mpsc::channel(TOKEN_BUFFER);
+    let (token_sender, tokens) = mpsc::unbounded_channel();
     let (end_sender, end) = oneshot::channel();
     let run = run_generation(context.clone(), table, generation, token_sender, end_sender);
     actix_rt::spawn(async move {
@@ -143,6 +147,7 @@
     Ok(GenerationRequest {
         id: Arc::clone(id),
         model: Arc::clone(&pipeline.model),
+        domains: pipeline.failure_domains.clone(),
         prompt,
         max_tokens: request.max_tokens,
         priority: route.priority,
@@ -156,7 +161,7 @@
     context: EntryContext<ClockSource>,
     table: Arc<RouteTable>,
     generation: GenerationRequest,
-    tokens: mpsc::Sender<Token>,
+    tokens: mpsc::UnboundedSender<Token>,
     end: oneshot::Sender<Result<(), RouteError>>,
 ) where
     ClockSource: Clock,
@@ -164,7 +169,8 @@
     let id = Arc::clone(&generation.id);
     let engine = EngineHttp::new(context.pool().clone(), Arc::clone(&table));
     context.apply(&id, RequestEvent::Dispatch);
-    let result = generate(&engine, context.clock(), &table.sheet, &generation, &tokens).await;
+    let site = generation_site(&context, table, engine);
+    let result = generate(&site, &generation, &tokens).await;
     context.apply(&id, end_event(&result));
     if let Err(error) = &result {
         tracing::warn!(request = &*id, %error, outcome = %error.outcome(), "request failed");
@@ -173,6 +179,32 @@
     drop(end.send(result));
 }
 
+fn generation_site<ClockSource>(
+    context: &EntryContext<ClockSource>,
+    table: Arc<RouteTable>,
+    engine: EngineHttp,
+) -> GenerationSite<EngineHttp, ClockSource>
+where
+    ClockSource: Clock,
+{
+    let settings = context.settings();
+    GenerationSite {
+        engine,
+        clock: context.clock().clone(),
+        table,
+        engines: context.engines().clone(),
+        budget: context.budget().clone(),
+        settings: SessionSettings {
+            life: settings.requests.session_life,
+            least_timeout: settings.requests.step_floor,
+            most_timeout: settings.requests.step_limit,
+            ..SessionSettings::default()
+        },
+        home: Arc::clone(&settings.instance.failure_domain),
+        metrics: context.metrics().clone(),
+    }
+}
+
 fn end_event(result: &Result<(), RouteError>) -> RequestEvent {
     match result {
         Ok(()) => RequestEvent::Complete,
@@ -205,7 +237,7 @@
         end_of(running.end).await?;
         return Err(lost_end());
     };
-    let (chunks, body) = mpsc::channel(TOKEN_BUFFER);
+    let (chunks, body) = mpsc::channel(CHUNK_BUFFER);
     actix_rt::spawn(send_chunks(running, first, chunks));
     let mut reply = Response::with_body(StatusCode::OK, ReplyBody::Stream(body));
     let headers = reply.headers_mut();
--- a/crates/dandeliondeal_entry/src/engine_http.rs
+++ b/crates/dandeliondeal_entry/src/engine_http.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_http::error::PayloadError;
 use actix_http::{Method, StatusCode};
 use bytes::Bytes;
 use dandeliondeal_types::{
@@ -16,8 +17,12 @@
 use crate::http_pool::{HttpPool, call_failure};
 use crate::route_table::RouteTable;
 
-/// Largest answer of an engine in bytes, an exported cache included.
-const ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Largest exported cache in bytes.
+const CACHE_BYTES: usize = 64 * 1024 * 1024;
+/// Largest answer without outputs in bytes.
+const PLAIN_BYTES: usize = 16 * 1024;
+/// Largest output of one position in bytes.
+const OUTPUT_BYTES: usize = 32;
 /// Longest wait for the answer to a call that only manages a session.
 const SESSION_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -49,6 +54,7 @@
     body: Bytes,
     timeout: Duration,
     fresh: bool,
+    answer_bytes: usize,
 }
 
 impl EngineHttp {
@@ -87,21 +93,16 @@
     async fn exchange(&self, call: EngineCall<'_>) -> Result<Bytes, RouteError> {
         let address = self.address(call.endpoint, call.step)?;
         let url = format!("http://{address}{}", call.path);
-        let request = self.pool.client(call.fresh).request(call.method, url);
-        let request = if call.fresh {
-            request.force_close()
-        } else {
-            request
-        };
-        let mut answer = request
+        let mut answer = self
+            .pool
+            .engine(address, call.fresh)
+            .request(call.method, url)
             .send_body(call.body)
             .await
             .map_err(|error| call_failure(&error, call.step, call.endpoint))?;
         let status = answer.status();
-        let body = answer.body().limit(ANSWER_BYTES).await.map_err(|error| {
-            RouteError::new(ErrorKind::NoAnswer, call.step, error.to_string())
-                .at(Arc::clone(call.endpoint))
-        })?;
+        let body = answer.body().limit(call.answer_bytes).await;
+        let body = body.map_err(|error| body_failure(&error, call.step, call.endpoint))?;
         if status.is_success() {
             return Ok(body);
         }
@@ -122,6 +123,7 @@
         } else {
             RequestStep::Decode
         };
+        let answer_bytes = PLAIN_BYTES + OUTPUT_BYTES * call.inputs.len();
         let body = self
             .call(EngineCall {
                 endpoint,
@@ -131,6 +133,7 @@
                 body: encode(&call).into(),
                 timeout,
                 fresh,
+                answer_bytes,
             })
             .await?;
         decode(&body, step, endpoint)
@@ -151,6 +154,7 @@
                 body: Bytes::new(),
                 timeout,
                 fresh: true,
+                answer_bytes: PLAIN_BYTES,
             })
             .await;
         match answer {
@@ -175,6 +179,7 @@
                 body: Bytes::new(),
                 timeout,
                 fresh: true,
+                answer_bytes: CACHE_BYTES,
             })
             .await?;
         match std::str::from_utf8(&body) {
@@ -204,6 +209,7 @@
                 body: Bytes::copy_from_slice(cache.as_bytes()),
                 timeout,
                 fresh: true,
+                answer_bytes: PLAIN_BYTES,
             })
             .await?;
         decode(&body, RequestStep::Recovery, endpoint)
@@ -224,6 +230,7 @@
             body: body.into(),
             timeout: SESSION_TIMEOUT,
             fresh: false,
+            answer_bytes: PLAIN_BYTES,
         })
         .await
         .map(drop)
@@ -238,12 +245,21 @@
             body: Bytes::new(),
             timeout: SESSION_TIMEOUT,
             fresh: false,
+            answer_bytes: PLAIN_BYTES,
         })
         .await
         .map(drop)
     }
 }
 
+fn body_failure(error: &PayloadError, step: RequestStep, endpoint: &EndpointId) -> RouteError {
+    let kind = match error {
+        PayloadError::Overflow => ErrorKind::BadAnswer,
+        _ => ErrorKind::NoAnswer,
+    };
+    RouteError::new(kind, step, error.to_string()).at(Arc::clone(endpoint))
+}
+
 fn encode(call: &StepCall) -> Vec<u8> {
     // Numbers and text only: serialisation into memory cannot fail.
     serde_json::to_vec(call).unwrap_or_default()
@@ -276,7 +292,8 @@
         Err(_) => ("".into(), format!("status {status}").into()),
     };
     let kind = match (status, &*code) {
-        (StatusCode::GONE | StatusCode::NOT_FOUND, _) => ErrorKind::Gone,
+        (StatusCode::GONE | StatusCode::NOT_FOUND | StatusCode::CONFLICT, _) => ErrorKind::Gone,
+        (StatusCode::UNPROCESSABLE_ENTITY, _) => ErrorKind::InvalidInput,
         (StatusCode::SERVICE_UNAVAILABLE, "leaving") => ErrorKind::Leaving,
         (StatusCode::SERVICE_UNAVAILABLE, _) => ErrorKind::Refused,
         (StatusCode::TOO_MANY_REQUESTS, _) => ErrorKind::Overloaded,
--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -11,8 +11,10 @@
 
 use crate::admission::AdmissionGate;
 use crate::drain_state::DrainMachine;
+use crate::engine_use::EngineUse;
 use crate::entry_metrics::EntryMetrics;
 use crate::http_pool::HttpPool;
+use crate::log_budget::LogBudget;
 use crate::request_life::{RequestEvent, RequestRegistry, RequestState};
 use crate::table_cell::TableCell;
 
@@ -46,6 +48,8 @@
     metrics: EntryMetrics,
     admission: AdmissionGate,
     pool: HttpPool,
+    engines: EngineUse,
+    budget: LogBudget,
     drain: RefCell<DrainMachine>,
     next_request: Cell<u64>,
 }
@@ -68,6 +72,8 @@
             metrics: EntryMetrics::new()?,
             admission: AdmissionGate::new(settings.limits.organisation_requests),
             pool: HttpPool::new(settings.requests.connect_time),
+            engines: EngineUse::default(),
+            budget: LogBudget::new(settings.limits.recovery_bytes),
             drain: RefCell::new(DrainMachine::new()?),
             next_request: Cell::new(0),
             clock,
@@ -113,6 +119,16 @@
         &self.inner.pool
     }
 
+    /// Sessions of this instance at the engines.
+    pub fn engines(&self) -> &EngineUse {
+        &self.inner.engines
+    }
+
+    /// Memory for the inputs that sessions keep for recovery.
+    pub fn budget(&self) -> &LogBudget {
+        &self.inner.budget
+    }
+
     /// The chart of the planned stop.
     pub fn drain(&self) -> &RefCell<DrainMachine> {
         &self.inner.drain
--- a/crates/dandeliondeal_entry/src/entry_metrics.rs
+++ b/crates/dandeliondeal_entry/src/entry_metrics.rs
@@ -97,14 +97,16 @@
             .observe(time.as_secs_f64());
     }
 
-    /// Counts a recovery by the way that it took.
-    pub fn recovered(&self, way: &str) {
-        self.recoveries.with_label_values(&[way]).inc();
+    /// Counts recoveries by the way that they took.
+    pub fn recovered(&self, way: &str, number: u64) {
+        self.recoveries.with_label_values(&[way]).inc_by(number);
     }
 
-    /// Counts an answer that was dropped.
-    pub fn dropped(&self, reason: &str) {
-        self.dropped_answers.with_label_values(&[reason]).inc();
+    /// Counts answers that were dropped.
+    pub fn dropped(&self, reason: &str, number: u64) {
+        self.dropped_answers
+            .with_label_values(&[reason])
+            .inc_by(number);
     }
 
     /// Every metric in the text format.
--- a/crates/dandeliondeal_entry/src/generation.rs
+++ b/crates/dandeliondeal_entry/src/generation.rs
@@ -1,14 +1,22 @@
-//! Runs one generation through the stages of its pipeline.
+//! Runs one generation: the session core between engines, planning and the caller.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use dandeliondeal_types::sheet_model::EndpointTarget;
+use dandeliondeal_pipeline::{
+    PlanChain, PlanQuery, SessionCount, SessionMachine, SessionSettings, SessionSpec,
+};
 use dandeliondeal_types::{
-    Clock, EndpointId, EngineClient, ErrorKind, LayerRange, ModelId, Position, RequestId,
-    RequestStep, RouteError, SheetModel, StepCall, StepName, Token,
+    Clock, EndpointId, EndpointView, EngineClient, ErrorKind, FailureDomain, LayerRange, ModelId,
+    RequestId, RequestStep, RouteError, Token,
 };
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::engine_use::EngineUse;
+use crate::entry_metrics::EntryMetrics;
+use crate::log_budget::LogBudget;
+use crate::route_table::RouteTable;
+use crate::session_driver::{ChainSource, SessionDriver};
 
 /// What to generate.
 #[derive(Clone, Debug)]
@@ -17,8 +25,10 @@
     pub id: RequestId,
     /// Model to run.
     pub model: ModelId,
+    /// Failure domains that stages may use; empty means all.
+    pub domains: Vec<FailureDomain>,
     /// Tokens of the prompt.
-    pub prompt: Arc<[u64]>,
+    pub prompt: Arc<[Token]>,
     /// Tokens to generate.
     pub max_tokens: u32,
     /// Priority, 0 the lowest.
@@ -29,114 +39,138 @@
     pub deadline: Instant,
 }
 
-/// Life of a session at an engine without another call.
-const SESSION_LIFE: Duration = Duration::from_secs(10);
-
+/// What a generation runs with.
 #[derive(Clone, Debug)]
-struct ChainStage {
-    endpoint: EndpointId,
-    range: LayerRange,
+pub struct GenerationSite<Engine, ClockSource> {
+    /// The engines.
+    pub engine: Engine,
+    /// The clock.
+    pub clock: ClockSource,
+    /// The route table that the request keeps.
+    pub table: Arc<RouteTable>,
+    /// Sessions at the engines.
+    pub engines: EngineUse,
+    /// Memory for logged inputs.
+    pub budget: LogBudget,
+    /// Bounds of a session.
+    pub settings: SessionSettings,
+    /// Failure domain of this instance.
+    pub home: FailureDomain,
+    /// The metrics.
+    pub metrics: EntryMetrics,
+}
+
+/// Plans chains for one request.
+#[derive(Debug)]
+struct RequestChains<'site, Engine, ClockSource> {
+    site: &'site GenerationSite<Engine, ClockSource>,
+    request: &'site GenerationRequest,
+}
+
+impl<Engine, ClockSource> ChainSource for RequestChains<'_, Engine, ClockSource>
+where
+    Engine: std::fmt::Debug,
+    ClockSource: Clock,
+{
+    fn plan(&self, range: LayerRange, avoid: &[EndpointId]) -> Option<PlanChain> {
+        let site = self.site;
+        let query = PlanQuery {
+            model: &self.request.model,
+            range,
+            domains: &self.request.domains,
+            home: &site.home,
+            avoid,
+            spread: spread(&self.request.id),
+        };
+        let start = site.clock.now();
+        let chain = site.table.plans.plan(&query, &site.engines);
+        let time = site.clock.now().duration_since(start);
+        site.metrics.part(RequestStep::Planning, time);
+        chain
+    }
+
+    fn is_leaving(&self, endpoint: &EndpointId) -> bool {
+        !self.site.engines.is_usable(endpoint)
+    }
 }
 
 /// Generates the answer and sends its tokens in order.
 ///
 /// # Errors
 ///
-/// The error of the step that failed; the caller's leaving is one of them.
+/// Why the request was given up, with its outcome; the caller's leaving is one of the reasons.
 pub async fn generate<Engine, ClockSource>(
-    engine: &Engine,
-    clock: &ClockSource,
-    sheet: &SheetModel,
+    site: &GenerationSite<Engine, ClockSource>,
     request: &GenerationRequest,
-    tokens: &mpsc::Sender<Token>,
+    tokens: &UnboundedSender<Token>,
 ) -> Result<(), RouteError>
 where
     Engine: EngineClient,
     ClockSource: Clock,
 {
-    let chain = first_chain(sheet, &request.model)?;
-    let mut inputs = Arc::clone(&request.prompt);
-    let mut position: Position = 0;
-    for _ in 0..request.max_tokens {
-        let width = inputs.len() as Position;
-        for stage in &chain {
-            let left = request.deadline.saturating_duration_since(clock.now());
-            let call = StepCall {
-                name: StepName {
-                    request: Arc::clone(&request.id),
-                    lineage: 1,
-                    position,
-                    range: stage.range,
-                },
-                model: Arc::clone(&request.model),
-                inputs,
-                life_milliseconds: u64::try_from(SESSION_LIFE.as_millis()).unwrap_or(u64::MAX),
-                priority: request.priority,
-            };
-            inputs = engine
-                .step(&stage.endpoint, call, left, false)
-                .await?
-                .outputs;
-        }
-        position += width;
-        let token = last_token(&inputs)?;
-        inputs = Arc::from([u64::from(token)]);
-        if tokens.send(token).await.is_err() && request.repeatable {
-            return Err(RouteError::new(
-                ErrorKind::CallerLeft,
-                RequestStep::Decode,
-                "the caller left",
-            ));
-        }
-    }
-    for stage in &chain {
-        drop(engine.cancel(&stage.endpoint, &request.id).await);
+    let machine = SessionMachine::new(session_spec(site, request), site.settings.clone()).map_err(
+        |error| {
+            RouteError::new(
+                ErrorKind::Overloaded,
+                RequestStep::Planning,
+                error.to_string(),
+            )
+        },
+    )?;
+    let mut driver = SessionDriver {
+        engine: site.engine.clone(),
+        chains: RequestChains { site, request },
+        clock: site.clock.clone(),
+        machine,
+        request: Arc::clone(&request.id),
+        deadline: request.deadline,
+        hold: site.engines.hold(),
+        share: site.budget.share(),
+    };
+    let end = driver.run(tokens).await;
+    record(&site.metrics, &driver.machine.count());
+    end
+}
+
+fn session_spec<Engine, ClockSource>(
+    site: &GenerationSite<Engine, ClockSource>,
+    request: &GenerationRequest,
+) -> SessionSpec {
+    let model = site.table.sheet.models.get(&request.model);
+    SessionSpec {
+        request: Arc::clone(&request.id),
+        model: Arc::clone(&request.model),
+        layers: model.map_or(0, |entry| entry.layers),
+        prompt: Arc::clone(&request.prompt),
+        max_tokens: usize::try_from(request.max_tokens).unwrap_or(usize::MAX),
+        end_token: None,
+        priority: request.priority,
+        repeatable: request.repeatable,
     }
-    Ok(())
 }
 
-fn last_token(outputs: &[u64]) -> Result<Token, RouteError> {
-    outputs
-        .last()
-        .and_then(|token| Token::try_from(*token).ok())
-        .ok_or_else(|| {
-            RouteError::new(
-                ErrorKind::BadAnswer,
-                RequestStep::Decode,
-                "the last output is no token",
-            )
-        })
+/// Chooses among chains of equal cost.
+fn spread(id: &RequestId) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes())
 }
 
-fn first_chain(sheet: &SheetModel, model: &ModelId) -> Result<Vec<ChainStage>, RouteError> {
-    let layers = sheet.models.get(model).map_or(0, |entry| entry.layers);
-    let mut chain: Vec<ChainStage> = Vec::new();
-    let mut next = 0;
-    while next < layers {
-        let stage = sheet
-            .endpoints
-            .iter()
-            .find_map(|(endpoint, entry)| match &entry.target {
-                EndpointTarget::Layers { model: held, range }
-                    if held == model && range.start <= next && next < range.end =>
-                {
-                    Some(ChainStage {
-                        endpoint: Arc::clone(endpoint),
-                        range: LayerRange::new(next, range.end),
-                    })
-                }
-                _ => None,
-            });
-        let Some(stage) = stage else {
-            return Err(RouteError::new(
-                ErrorKind::Overloaded,
-                RequestStep::Planning,
-                format!("no endpoint holds layer {next} of {model}"),
-            )
-            .retry_after(Duration::from_secs(1)));
-        };
-        next = stage.range.end;
-        chain.push(stage);
+fn record(metrics: &EntryMetrics, count: &SessionCount) {
+    let ways = [
+        ("resume", count.resumed),
+        ("import", count.imported),
+        ("feed", count.fed),
+        ("rerun", count.rerun),
+        ("restart", count.restarted),
+    ];
+    for (way, number) in ways {
+        metrics.recovered(way, number);
+    }
+    let reasons = [
+        ("crossed", count.crossed),
+        ("stale", count.stale),
+        ("bad", count.bad),
+    ];
+    for (reason, number) in reasons {
+        metrics.dropped(reason, number);
     }
-    Ok(chain)
 }
--- a/crates/dandeliondeal_entry/src/http_pool.rs
+++ b/crates/dandeliondeal_entry/src/http_pool.rs
@@ -1,5 +1,9 @@
 //! HTTP connections to endpoints, and what their failures prove.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use awc::error::{ConnectError, SendRequestError};
@@ -14,6 +18,9 @@
 pub struct HttpPool {
     #[debug(skip)]
     kept: Client,
+    /// One client an engine, so that the kept connections of one engine can be dropped alone.
+    #[debug(skip)]
+    engines: Rc<RefCell<HashMap<SocketAddr, Client>>>,
     connect_time: Duration,
 }
 
@@ -22,6 +29,7 @@
     pub fn new(connect_time: Duration) -> Self {
         Self {
             kept: client(connect_time, IDLE_TIME),
+            engines: Rc::default(),
             connect_time,
         }
     }
@@ -34,6 +42,17 @@
             self.kept.clone()
         }
     }
+
+    /// The client of one engine. A fresh one starts without connections and takes the place of the
+    /// present one, whose idle connections may have gone silent.
+    pub fn engine(&self, address: SocketAddr, fresh: bool) -> Client {
+        let mut engines = self.engines.borrow_mut();
+        let new = || client(self.connect_time, IDLE_TIME);
+        if fresh {
+            engines.insert(address, new());
+        }
+        engines.entry(address).or_insert_with(new).clone()
+    }
 }
 
 fn client(connect_time: Duration, idle_time: Duration) -> Client {
--- a/crates/dandeliondeal_entry/src/route_table.rs
+++ b/crates/dandeliondeal_entry/src/route_table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use dandeliondeal_pipeline::{PlanIndex, PlanSettings};
 use dandeliondeal_types::sheet_model::EndpointTarget;
 use dandeliondeal_types::{
     EndpointId, ErrorKind, OrganisationId, RequestStep, RouteError, ServiceId, SheetModel,
@@ -14,6 +15,8 @@
 pub struct RouteTable {
     /// The sheet.
     pub sheet: Arc<SheetModel>,
+    /// The engines, ready for planning.
+    pub plans: PlanIndex,
     keys: HashMap<Arc<str>, OrganisationId>,
     replicas: HashMap<ServiceId, Vec<EndpointId>>,
 }
@@ -36,8 +39,11 @@
                     .push(Arc::clone(endpoint));
             }
         }
+        let mut plans = PlanIndex::new(PlanSettings::default());
+        plans.update(&sheet);
         Self {
             sheet,
+            plans,
             keys,
             replicas,
         }
--- a/crates/dandeliondeal_entry/src/token_text.rs
+++ b/crates/dandeliondeal_entry/src/token_text.rs
@@ -8,8 +8,8 @@
 use dandeliondeal_types::Token;
 
 /// The tokens of a prompt.
-pub fn prompt_tokens(prompt: &str) -> Arc<[u64]> {
-    prompt.bytes().map(u64::from).collect()
+pub fn prompt_tokens(prompt: &str) -> Arc<[Token]> {
+    prompt.bytes().map(Token::from).collect()
 }
 
 /// The text of one token.
--- a/crates/dandeliondeal_pipeline/src/input_log.rs
+++ b/crates/dandeliondeal_pipeline/src/input_log.rs
@@ -23,6 +23,16 @@
         self.first + self.values.len() as Position
     }
 
+    /// Number of positions held.
+    pub fn len(&self) -> usize {
+        self.values.len()
+    }
+
+    /// Whether no position is held.
+    pub fn is_empty(&self) -> bool {
+        self.values.is_empty()
+    }
+
     /// Whether every position from 0 is held.
     pub fn is_whole(&self) -> bool {
         self.first == 0
--- a/crates/dandeliondeal_pipeline/src/session_machine.rs
+++ b/crates/dandeliondeal_pipeline/src/session_machine.rs
@@ -165,6 +165,18 @@
         &self.tokens[self.spec.prompt.len()..]
     }
 
+    /// Inputs that the logs of all stages hold.
+    pub fn logged(&self) -> usize {
+        self.stages.iter().map(|stage| stage.log.len()).sum()
+    }
+
+    /// Lets the log of each stage keep at most `limit` inputs that have been used.
+    pub fn trim_logs(&mut self, limit: usize) {
+        for stage in &mut self.stages {
+            stage.log.trim(stage.applied, limit);
+        }
+    }
+
     /// What can be said of the request if it ends without its whole answer now.
     pub fn outcome(&self) -> Outcome {
         if self.has_run || !self.unproved.is_empty() {
