--- a/crates/dandeliondeal_command/src/bin/dandeliondeal-standin.rs
+++ b/crates/dandeliondeal_command/src/bin/dandeliondeal-standin.rs
@@ -1,3 +1,14 @@
 //! The `dandeliondeal-standin` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+use dandeliondeal_command::{command_error, standin_command};
+use mimalloc::MiMalloc;
+use pico_args::Arguments;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+fn main() -> ExitCode {
+    command_error::finish(standin_command::run(Arguments::from_env()))
+}
--- a/crates/dandeliondeal_command/src/command_error.rs
+++ b/crates/dandeliondeal_command/src/command_error.rs
@@ -59,6 +59,15 @@
         }
     }
 
+    /// An input has these errors; each stands on a line of its own.
+    pub fn usage_lines<Line>(errors: &[Line]) -> Self
+    where
+        Line: ToString,
+    {
+        let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+        Self::usage(lines.join("\ndandeliondeal: "))
+    }
+
     /// The exit code of the process: 1 failed, 2 bad usage or input, 3 conflict.
     pub fn exit_code(&self) -> ExitCode {
         match self {
--- a/crates/dandeliondeal_command/src/command_line.rs
+++ b/crates/dandeliondeal_command/src/command_line.rs
@@ -2,7 +2,7 @@
 
 use pico_args::Arguments;
 
-use crate::{CommandError, settings_command, standalone};
+use crate::{CommandError, measure_command, replay_command, settings_command, standalone};
 
 const HELP: &str = "\
 A router for pipelines over mixed accelerators.
@@ -10,6 +10,8 @@
 usage: dandeliondeal COMMAND [ARGUMENTS]
 
   standalone     run an entry instance with stand-ins for all that it needs
+  measure        measure the real code on loopback
+  replay         replay traces against their stated outcomes
   settings       check a settings file, or print the defaults
 
 `dandeliondeal COMMAND --help` tells more.
@@ -26,6 +28,10 @@
     let help = arguments.contains(["-h", "--help"]);
     match command.as_deref() {
         Some("standalone") => run_or_help(help, standalone::HELP, arguments, standalone::run),
+        Some("measure") => {
+            run_or_help(help, measure_command::HELP, arguments, measure_command::run)
+        }
+        Some("replay") => run_or_help(help, replay_command::HELP, arguments, replay_command::run),
         Some("settings") => run_or_help(
             help,
             settings_command::HELP,
--- a/crates/dandeliondeal_command/src/standalone.rs
+++ b/crates/dandeliondeal_command/src/standalone.rs
@@ -62,7 +62,8 @@
         Some(file) => {
             let text = fs::read_to_string(file)
                 .map_err(|error| CommandError::usage(format!("{file}: {error}")))?;
-            EntrySettings::parse_partial(file, &text).map_err(first_setting_error)?
+            EntrySettings::parse_partial(file, &text)
+                .map_err(|errors| CommandError::usage_lines(&errors))?
         }
         None => EntrySettings {
             instance: InstanceSettings::new("entry-1", "didube", "tbilisi"),
@@ -83,11 +84,6 @@
     Ok(settings)
 }
 
-fn first_setting_error(errors: Vec<dandeliondeal_config::SettingError>) -> CommandError {
-    let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
-    CommandError::usage(lines.join("; "))
-}
-
 fn any_ports() -> ListenSettings {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     ListenSettings {
@@ -135,8 +131,10 @@
 
 impl StandaloneStandins {
     fn start() -> Result<Self, CommandError> {
-        let mut rows = read_sheet(example_sheet().as_bytes()).map_err(first_sheet_error)?;
-        let template = compile_sheet(1, &rows).map_err(first_sheet_error)?;
+        let mut rows = read_sheet(example_sheet().as_bytes())
+            .map_err(|errors| CommandError::usage_lines(&errors))?;
+        let template =
+            compile_sheet(1, &rows).map_err(|errors| CommandError::usage_lines(&errors))?;
         let mut engines = Vec::new();
         let mut services = Vec::new();
         let mut addresses = Vec::new();
@@ -162,7 +160,8 @@
             set_address(&mut rows, endpoint, address);
             addresses.push((Arc::clone(endpoint), address));
         }
-        let sheet = Arc::new(compile_sheet(1, &rows).map_err(first_sheet_error)?);
+        let sheet =
+            Arc::new(compile_sheet(1, &rows).map_err(|errors| CommandError::usage_lines(&errors))?);
         Ok(Self {
             sheet,
             addresses,
@@ -219,11 +218,6 @@
     );
 }
 
-fn first_sheet_error(errors: Vec<dandeliondeal_config::SheetError>) -> CommandError {
-    let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
-    CommandError::failed(format!("example sheet: {}", lines.join("; ")))
-}
-
 #[expect(
     clippy::needless_pass_by_value,
     reason = "the signature that `map_err` takes"
--- /dev/null
+++ b/crates/dandeliondeal_entry/tests/claim_fleet/mod.rs
@@ -0,0 +1,306 @@
+//! A platform, services and three entry instances on loopback sockets.
+
+#![allow(dead_code, reason = "each test file uses a part of the fleet")]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dandeliondeal_config::{
+    EntrySettings, InstanceSettings, ListenSettings, PlatformSettings, RequestSettings,
+};
+use dandeliondeal_entry::EntryServer;
+use dandeliondeal_entry::claim_link::ClaimMember;
+use dandeliondeal_entry::claim_rpc::claim_module;
+use dandeliondeal_entry::route_table::key_hash;
+use dandeliondeal_standin::{
+    EngineSettings, EngineStandin, PlatformStandin, ServiceEntry, ServiceSettings, ServiceStandin,
+};
+use dandeliondeal_types::sheet_model::{
+    EndpointEntry, EndpointTarget, ModelEntry, OrganisationEntry, PipelineEntry, RouteEntry,
+    ServiceEntry as SheetService,
+};
+use dandeliondeal_types::{EndpointId, LayerRange, SheetModel, SystemClock};
+use jsonrpsee::server::{Server, ServerHandle};
+
+const KEY: &str = "test-key";
+const INSTANCES: usize = 3;
+
+pub struct FleetSettings {
+    pub services: usize,
+    pub settles: bool,
+    pub service_timeout: Duration,
+    pub deadline: Duration,
+    /// Whether claims go to the preferred instance of their shard.
+    pub is_grouped: bool,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            services: 1,
+            settles: true,
+            service_timeout: Duration::from_secs(2),
+            deadline: Duration::from_secs(3),
+            is_grouped: false,
+        }
+    }
+}
+
+pub struct ClaimFleet {
+    pub platform: PlatformStandin,
+    pub services: Vec<ServiceStandin>,
+    pub engine: EngineStandin,
+    pub entries: Vec<EntryServer<SystemClock>>,
+    pub peers: Vec<ServerHandle>,
+}
+
+#[derive(Debug)]
+pub struct CallReply {
+    pub status: u16,
+    pub outcome: String,
+    pub request: String,
+    pub body: String,
+}
+
+impl ClaimFleet {
+    pub async fn start(settings: FleetSettings) -> Self {
+        let platform = PlatformStandin::start(dandeliondeal_standin::PlatformSettings {
+            writes_per_second: 0,
+            reads_per_second: 0,
+            ..Default::default()
+        })
+        .expect("platform");
+        let services: Vec<ServiceStandin> = (0..settings.services)
+            .map(|_index| {
+                ServiceStandin::start(ServiceSettings {
+                    settles: settings.settles,
+                    capacity: 1000,
+                    ..ServiceSettings::default()
+                })
+                .expect("service")
+            })
+            .collect();
+        let engine = EngineStandin::start(EngineSettings::default()).expect("engine");
+        let sheet = Arc::new(sheet(&settings, &services, engine.address()));
+        let mut entries = Vec::new();
+        for index in 0..INSTANCES {
+            let entry = EntryServer::start(
+                entry_settings(index, platform.address(), settings.deadline),
+                SystemClock,
+            )
+            .await
+            .expect("entry");
+            entry.install(Arc::clone(&sheet));
+            entries.push(entry);
+        }
+        let peers = if settings.is_grouped {
+            link_claims(&entries).await
+        } else {
+            Vec::new()
+        };
+        Self {
+            platform,
+            services,
+            engine,
+            entries,
+            peers,
+        }
+    }
+
+    pub async fn call(&self, entry: usize, key: Option<&str>, path: &str) -> CallReply {
+        self.call_with(entry, key, path, "body").await
+    }
+
+    pub async fn call_with(
+        &self,
+        entry: usize,
+        key: Option<&str>,
+        path: &str,
+        body: &str,
+    ) -> CallReply {
+        let path = format!("services/order-desk/{path}");
+        self.post(entry, key, &path, body).await
+    }
+
+    pub async fn complete(&self, entry: usize, key: &str, stream: bool) -> CallReply {
+        let body = format!(
+            "{{\"model\":\"drafting-desk\",\"prompt\":\"a kettle\",\"max_tokens\":4,\"stream\":{stream}}}"
+        );
+        self.post(entry, Some(key), "completions", &body).await
+    }
+
+    async fn post(&self, entry: usize, key: Option<&str>, path: &str, body: &str) -> CallReply {
+        let address = self.entries[entry].caller_address();
+        let mut request = awc::Client::builder()
+            .disable_timeout()
+            .finish()
+            .post(format!("http://{address}/v1/{path}"))
+            .insert_header(("authorization", format!("Bearer {KEY}")));
+        if let Some(key) = key {
+            request = request.insert_header(("idempotency-key", key));
+        }
+        let sent = request.send_body(body.to_owned()).await;
+        read(sent.expect("answer")).await
+    }
+
+    pub async fn state(&self, entry: usize, request: &str) -> CallReply {
+        let address = self.entries[entry].caller_address();
+        let sent = awc::Client::default()
+            .get(format!("http://{address}/v1/requests/{request}"))
+            .insert_header(("authorization", format!("Bearer {KEY}")))
+            .send()
+            .await;
+        read(sent.expect("answer")).await
+    }
+
+    pub fn ledger(&self) -> Vec<ServiceEntry> {
+        self.services
+            .iter()
+            .flat_map(ServiceStandin::ledger)
+            .collect()
+    }
+}
+
+async fn read<Payload>(mut answer: awc::ClientResponse<Payload>) -> CallReply
+where
+    Payload: futures_util::Stream<Item = Result<bytes::Bytes, actix_http::error::PayloadError>>
+        + Unpin
+        + 'static,
+{
+    let header = |name: &str| {
+        let value = answer.headers().get(name);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .to_owned()
+    };
+    let (outcome, request) = (
+        header("dandeliondeal-outcome"),
+        header("dandeliondeal-request-id"),
+    );
+    let status = answer.status().as_u16();
+    let body = answer.body().await.expect("body");
+    CallReply {
+        status,
+        outcome,
+        request,
+        body: String::from_utf8_lossy(&body).into_owned(),
+    }
+}
+
+fn entry_settings(index: usize, platform: SocketAddr, deadline: Duration) -> EntrySettings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    EntrySettings {
+        instance: InstanceSettings::new(
+            format!("entry-{index}"),
+            "didube".into(),
+            "tbilisi".into(),
+        ),
+        listen: ListenSettings {
+            callers: any,
+            operators: any,
+            peers: any,
+        },
+        platform: PlatformSettings {
+            address: platform,
+            timeout: Duration::from_millis(300),
+            ..PlatformSettings::default()
+        },
+        requests: RequestSettings {
+            deadline,
+            ..RequestSettings::default()
+        },
+        ..EntrySettings::default()
+    }
+}
+
+fn sheet(settings: &FleetSettings, services: &[ServiceStandin], engine: SocketAddr) -> SheetModel {
+    let service = SheetService {
+        repeatable: false,
+        settles: settings.settles,
+        timeout: settings.service_timeout,
+    };
+    let organisation = OrganisationEntry {
+        key_hashes: vec![key_hash(KEY)],
+        weight: 1,
+    };
+    let service_target = EndpointTarget::Service {
+        service: "order-desk".into(),
+    };
+    let mut endpoints: BTreeMap<EndpointId, EndpointEntry> = services
+        .iter()
+        .enumerate()
+        .map(|(index, service)| {
+            let entry = endpoint(service.address(), service_target.clone());
+            (format!("order-desk-{index}").into(), entry)
+        })
+        .collect();
+    let engine_target = EndpointTarget::Layers {
+        model: "model-a".into(),
+        range: LayerRange::new(0, 8),
+    };
+    endpoints.insert("engine".into(), endpoint(engine, engine_target));
+    let route = RouteEntry {
+        pipeline: "drafting".into(),
+        repeatable: false,
+        priority: 0,
+    };
+    let pipeline = PipelineEntry {
+        model: "model-a".into(),
+        failure_domains: Vec::new(),
+    };
+    let model = ModelEntry {
+        layers: 8,
+        context_tokens: 1000,
+        version: "1".into(),
+    };
+    SheetModel {
+        revision: 1,
+        endpoints,
+        routes: BTreeMap::from([("drafting-desk".into(), route)]),
+        pipelines: BTreeMap::from([("drafting".into(), pipeline)]),
+        models: BTreeMap::from([("model-a".into(), model)]),
+        services: BTreeMap::from([("order-desk".into(), service)]),
+        organisations: BTreeMap::from([("guild".into(), organisation)]),
+        ..SheetModel::default()
+    }
+}
+
+fn endpoint(address: SocketAddr, target: EndpointTarget) -> EndpointEntry {
+    EndpointEntry {
+        address,
+        target,
+        accelerator: "".into(),
+        failure_domain: "didube".into(),
+        region: "tbilisi".into(),
+        checks_fencing: false,
+        capacity: 64,
+    }
+}
+
+/// Starts a peer server at each instance and tells all of all.
+async fn link_claims(entries: &[EntryServer<SystemClock>]) -> Vec<ServerHandle> {
+    let (mut handles, mut members) = (Vec::new(), Vec::new());
+    for entry in entries {
+        let desk = entry.context().claims().clone();
+        let instance = Arc::clone(&desk.settings().instance);
+        let module = claim_module(desk, SystemClock).expect("module");
+        let server = Server::builder()
+            .build("127.0.0.1:0")
+            .await
+            .expect("server");
+        let address = server.local_addr().expect("address");
+        members.push(ClaimMember { instance, address });
+        handles.push(server.start(module));
+    }
+    for entry in entries {
+        entry
+            .context()
+            .claims()
+            .route()
+            .set_members(members.clone());
+    }
+    handles
+}
