--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -7,7 +7,7 @@
 
 use dandeliondeal_chart::ChartError;
 use dandeliondeal_claim::{ClaimKey, ClaimSettings, ShardIndex};
-use dandeliondeal_config::EntrySettings;
+use dandeliondeal_config::{EntrySettings, ReadinessGate};
 use dandeliondeal_platform::{CallClass, PlatformClient, PlatformSettings};
 use dandeliondeal_types::{Clock, Incarnation, OrganisationId, Outcome, RequestId};
 use derive_more::{Display, Error, From};
@@ -62,6 +62,7 @@
     platform: PlatformClient<ClockSource>,
     claims: EntryClaims<ClockSource>,
     drain: RefCell<DrainMachine>,
+    readiness: RefCell<Option<ReadinessGate>>,
     next_request: Cell<u64>,
 }
 
@@ -100,6 +101,7 @@
             engines: EngineUse::default(),
             budget: LogBudget::new(settings.limits.recovery_bytes),
             drain: RefCell::new(DrainMachine::new()?),
+            readiness: RefCell::new(None),
             next_request: Cell::new(0),
             clock,
             settings,
@@ -129,6 +131,11 @@
         &self.inner.table
     }
 
+    /// The gate of readiness; `None` while nobody follows the accepted revision.
+    pub fn readiness(&self) -> &RefCell<Option<ReadinessGate>> {
+        &self.inner.readiness
+    }
+
     /// The metrics.
     pub fn metrics(&self) -> &EntryMetrics {
         &self.inner.metrics
--- a/crates/dandeliondeal_measure/src/overhead.rs
+++ b/crates/dandeliondeal_measure/src/overhead.rs
@@ -163,7 +163,10 @@
     number: u32,
 ) -> Result<Duration, MeasureError> {
     let start = Instant::now();
-    let mut inputs = prompt_tokens(PROMPT);
+    let mut inputs: Arc<[u64]> = prompt_tokens(PROMPT)
+        .iter()
+        .map(|token| u64::from(*token))
+        .collect();
     for (index, range) in ranges.iter().enumerate() {
         let name = StepName {
             request: format!("direct-{number}").into(),
