--- a/crates/dandeliondeal_entry/src/completion_claim.rs
+++ b/crates/dandeliondeal_entry/src/completion_claim.rs
@@ -137,15 +137,15 @@
 
     /// Passes the tokens of the generation on, also after the caller left, and gathers the answer.
     pub async fn relay(
-        mut received: mpsc::Receiver<Token>,
-        caller: mpsc::Sender<Token>,
+        mut received: mpsc::UnboundedReceiver<Token>,
+        caller: mpsc::UnboundedSender<Token>,
     ) -> (String, u64) {
         let (mut text, mut count) = (String::new(), 0);
         while let Some(token) = received.recv().await {
             text.push_str(&token_text(token));
             count += 1;
             // A caller who left is not waited for.
-            let _ = caller.send(token).await;
+            let _ = caller.send(token);
         }
         (text, count)
     }
