--- a/crates/dandeliondeal_entry/tests/bad_input.rs
+++ b/crates/dandeliondeal_entry/tests/bad_input.rs
@@ -389,7 +389,8 @@
             .await;
         assert_eq!(kept.receive().await.unwrap().0, 200);
         sleep(SHORT * 2).await;
-        let models = format!("GET /v1/models HTTP/1.1\r\nauthorization: Bearer {KEY}\r\n\r\n");
+        let models =
+            format!("GET /v1/models HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\r\n");
         kept.send(models.as_bytes()).await;
         assert_eq!(kept.receive().await.unwrap().0, 200);
         sleep(SHORT * 2).await;
