--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dandeliondeal_config::EntrySettings;
-use dandeliondeal_platform::PlatformClient;
+use dandeliondeal_platform::CallClass;
 use dandeliondeal_types::{Clock, SheetModel};
 
 use crate::drain_state::{DrainEvent, DrainState};
@@ -70,14 +70,7 @@
 
     /// Starts to put in force what the platform has accepted.
     pub fn follow_platform(&mut self) {
-        let settings = self.context.settings();
-        let platform_settings = dandeliondeal_platform::PlatformSettings {
-            address: settings.platform.address,
-            call_timeout: settings.platform.timeout,
-            seed: self.context.incarnation(),
-            ..dandeliondeal_platform::PlatformSettings::default()
-        };
-        let platform = PlatformClient::new(platform_settings, self.context.clock().clone());
+        let platform = self.context.platform().with_class(CallClass::Configuration);
         self.rollout = Some(Rollout::start(self.context.clone(), platform, NoPeers));
     }
 
