--- a/crates/dandeliondeal_balance/src/endpoint_board.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_board.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 
 use crate::board_settings::BoardSettings;
-use crate::board_view::BoardView;
+use crate::board_view::{BoardView, WholeView};
 use crate::endpoint_group::EndpointGroup;
 use crate::endpoint_load::OtherWork;
 use crate::endpoint_profile::{CallResult, EndpointProfile, FailureSignal};
@@ -138,7 +138,8 @@
     /// Notes what the instance list says of an endpoint.
     pub fn listed(&mut self, endpoint: &EndpointId, is_leaving: bool, now: Instant) {
         if let Some(&slot) = self.index.get(endpoint) {
-            self.slots[slot].health.listed(is_leaving, now);
+            let health = &mut self.slots[slot].health;
+            health.listed(is_leaving, &self.settings.health, now);
         }
     }
 
@@ -202,6 +203,11 @@
         BoardView::new(self, is_repeatable, seed, now)
     }
 
+    /// Every usable endpoint, for a planner that found no way through the sampled ones.
+    pub fn whole_view(&self, is_repeatable: bool, now: Instant) -> WholeView<'_> {
+        WholeView::new(self, is_repeatable, now)
+    }
+
     /// Health of an endpoint.
     pub fn state(&self, endpoint: &EndpointId) -> Option<HealthState> {
         self.slot_of(endpoint)
@@ -251,6 +257,11 @@
         &self.slots[slot].profile.group
     }
 
+    pub(crate) fn is_usable(&self, endpoint: &EndpointId, is_repeatable: bool) -> bool {
+        self.slot_of(endpoint)
+            .is_some_and(|slot| self.slots[slot].health.is_usable(is_repeatable))
+    }
+
     pub(crate) fn expected_wait(&self, endpoint: &EndpointId, now: Instant) -> Duration {
         let Some(index) = self.slot_of(endpoint) else {
             return Duration::ZERO;
@@ -276,6 +287,9 @@
             return Vec::new();
         };
         let count = self.settings.choice.samples;
+        if group.subset.len() <= count {
+            return self.search(group, is_repeatable, random);
+        }
         let mut sampled = Vec::with_capacity(count);
         for _ in 0..count * PICKS_PER_SAMPLE {
             let slot = group.subset[random.random_range(0..group.subset.len())];
@@ -307,15 +321,19 @@
     where
         Source: Rng,
     {
-        let count = self.settings.choice.samples;
         for members in [&group.subset, &group.members] {
             let start = random.random_range(0..members.len());
-            let turned = members[start..].iter().chain(&members[..start]);
-            let found: Vec<usize> = turned
-                .copied()
-                .filter(|&slot| self.slots[slot].health.is_usable(is_repeatable))
-                .take(count)
-                .collect();
+            let usable = || {
+                let turned = members[start..].iter().chain(&members[..start]).copied();
+                turned.filter(|&slot| self.slots[slot].health.is_usable(is_repeatable))
+            };
+            let preferred =
+                usable().filter(|&slot| self.slots[slot].health.is_preferred(is_repeatable));
+            let count = self.settings.choice.samples;
+            let mut found: Vec<usize> = preferred.take(count).collect();
+            if found.is_empty() {
+                found = usable().take(count).collect();
+            }
             if !found.is_empty() {
                 return found;
             }
--- a/crates/dandeliondeal_balance/src/lib.rs
+++ b/crates/dandeliondeal_balance/src/lib.rs
@@ -22,7 +22,7 @@
 #[doc(inline)]
 pub use board_settings::{BoardSettings, ChoiceSettings, HealthSettings};
 #[doc(inline)]
-pub use board_view::BoardView;
+pub use board_view::{BoardView, WholeView};
 #[doc(inline)]
 pub use endpoint_board::EndpointBoard;
 #[doc(inline)]
--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -7,7 +7,7 @@
 
 use dandeliondeal_chart::ChartError;
 use dandeliondeal_claim::{ClaimKey, ClaimSettings, ShardIndex};
-use dandeliondeal_config::EntrySettings;
+use dandeliondeal_config::{EntrySettings, ReadinessGate};
 use dandeliondeal_platform::{CallClass, PlatformClient, PlatformSettings};
 use dandeliondeal_types::{Clock, Incarnation, OrganisationId, Outcome, RequestId, SheetModel};
 use derive_more::{Display, Error, From};
@@ -17,8 +17,10 @@
 use crate::claim_desk::ClaimDesk;
 use crate::claim_rpc::PeerLink;
 use crate::drain_state::DrainMachine;
+use crate::engine_use::EngineUse;
 use crate::entry_metrics::EntryMetrics;
 use crate::http_pool::HttpPool;
+use crate::log_budget::LogBudget;
 use crate::request_id::request_id;
 use crate::request_life::{RequestEvent, RequestRegistry, RequestState};
 use crate::route_table::RouteTable;
@@ -59,9 +61,12 @@
     admission: AdmissionGate<ClockSource>,
     pool: HttpPool,
     board: SharedBoard<ClockSource>,
+    engines: EngineUse,
+    budget: LogBudget,
     platform: PlatformClient<ClockSource>,
     claims: EntryClaims<ClockSource>,
     drain: RefCell<DrainMachine>,
+    readiness: RefCell<Option<ReadinessGate>>,
     next_request: Cell<u64>,
 }
 
@@ -103,7 +108,10 @@
                 xxh3_64(settings.instance.id.as_bytes()),
                 clock.clone(),
             )?,
+            engines: EngineUse::default(),
+            budget: LogBudget::new(settings.limits.recovery_bytes),
             drain: RefCell::new(DrainMachine::new()?),
+            readiness: RefCell::new(None),
             next_request: Cell::new(0),
             clock,
             settings,
@@ -133,6 +141,11 @@
         &self.inner.table
     }
 
+    /// The gate of readiness; `None` while nobody follows the accepted revision.
+    pub fn readiness(&self) -> &RefCell<Option<ReadinessGate>> {
+        &self.inner.readiness
+    }
+
     /// The metrics.
     pub fn metrics(&self) -> &EntryMetrics {
         &self.inner.metrics
@@ -165,6 +178,16 @@
         &self.inner.pool
     }
 
+    /// Sessions of this instance at the engines.
+    pub fn engines(&self) -> &EngineUse {
+        &self.inner.engines
+    }
+
+    /// Memory for the inputs that sessions keep for recovery.
+    pub fn budget(&self) -> &LogBudget {
+        &self.inner.budget
+    }
+
     /// The platform.
     pub fn platform(&self) -> &PlatformClient<ClockSource> {
         &self.inner.platform
--- a/crates/dandeliondeal_entry/src/shared_board.rs
+++ b/crates/dandeliondeal_entry/src/shared_board.rs
@@ -7,7 +7,7 @@
 
 use dandeliondeal_balance::{
     BoardSettings, BoardView, CallResult, EndpointBoard, EndpointProfile, FailureSignal,
-    HealthState, LoadReport,
+    HealthState, LoadReport, WholeView,
 };
 use dandeliondeal_chart::ChartError;
 use dandeliondeal_types::sheet_model::{EndpointEntry, EndpointTarget};
@@ -104,6 +104,15 @@
         ask(&board.view(is_repeatable, seed, self.clock.now()))
     }
 
+    /// Asks the board about every usable endpoint, not only about sampled ones.
+    pub fn with_whole_view<Ask, Answer>(&self, is_repeatable: bool, ask: Ask) -> Answer
+    where
+        Ask: FnOnce(&WholeView<'_>) -> Answer,
+    {
+        let board = self.board.borrow();
+        ask(&board.whole_view(is_repeatable, self.clock.now()))
+    }
+
     /// Notes the start of a call.
     pub fn start(&self, endpoint: &EndpointId) -> BoardCall<ClockSource> {
         let started = self.clock.now();
