--- a/crates/dandeliondeal_command/src/measure_command.rs
+++ b/crates/dandeliondeal_command/src/measure_command.rs
@@ -1,6 +1,6 @@
 //! `dandeliondeal measure`: measurements of the real code on loopback.
 
-use dandeliondeal_measure::{MeasureError, MeasureSettings, choice, overhead};
+use dandeliondeal_measure::{MeasureError, MeasureSettings, choice, limits, overhead, overload};
 use pico_args::Arguments;
 
 use crate::CommandError;
@@ -13,7 +13,9 @@
 usage: dandeliondeal measure NAME [--seed NUMBER] [--long]
 
   choice       ways to choose an endpoint, at several lags of load reports, in virtual time
+  limits       grants of an organisation's limit among instances, in virtual time
   overhead     time to the first token beside the engines' own, processor time a token
+  overload     goodput above the capacity; a small organisation beside a burst; virtual time
 
   --seed NUMBER   seed of everything random (default 1)
   --long          more samples; without it a measurement takes 40 s at most
@@ -37,7 +39,9 @@
     actix_rt::System::new().block_on(async {
         match &*name {
             "choice" => finish(choice::run(settings)),
+            "limits" => finish(limits::run(settings)),
             "overhead" => finish(overhead::run(settings).await),
+            "overload" => finish(overload::run(settings)),
             _ => Err(CommandError::usage(format!(
                 "there is no measurement {name}; see --help"
             ))),
--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use dandeliondeal_balance::{RetryBudget, RetrySettings};
 use dandeliondeal_chart::ChartError;
 use dandeliondeal_claim::{ClaimKey, ClaimSettings, ShardIndex};
 use dandeliondeal_config::{EntrySettings, ReadinessGate};
@@ -61,6 +62,7 @@
     admission: AdmissionGate<ClockSource>,
     pool: HttpPool,
     board: SharedBoard<ClockSource>,
+    retries: RefCell<RetryBudget>,
     engines: EngineUse,
     budget: LogBudget,
     platform: PlatformClient<ClockSource>,
@@ -108,6 +110,7 @@
                 xxh3_64(settings.instance.id.as_bytes()),
                 clock.clone(),
             )?,
+            retries: RefCell::new(RetryBudget::new(RetrySettings::default())),
             engines: EngineUse::default(),
             budget: LogBudget::new(settings.limits.recovery_bytes),
             drain: RefCell::new(DrainMachine::new()?),
@@ -173,6 +176,11 @@
         &self.inner.board
     }
 
+    /// Retries of calls of plain services that this instance may make.
+    pub fn retries(&self) -> &RefCell<RetryBudget> {
+        &self.inner.retries
+    }
+
     /// Connections to endpoints.
     pub fn pool(&self) -> &HttpPool {
         &self.inner.pool
--- a/crates/dandeliondeal_entry/src/service_call.rs
+++ b/crates/dandeliondeal_entry/src/service_call.rs
@@ -244,7 +244,12 @@
         .min(context.clock().now() + planned.timeout);
     let is_fresh = !planned.is_repeatable;
     let mut refusal = None;
+    context.retries().borrow_mut().first_try();
     for endpoint in &planned.candidates {
+        let is_retry = refusal.is_some();
+        if is_retry && !context.retries().borrow_mut().take() {
+            break;
+        }
         if context.clock().now() >= end {
             break;
         }
--- a/crates/dandeliondeal_limit/src/admission_queue.rs
+++ b/crates/dandeliondeal_limit/src/admission_queue.rs
@@ -17,6 +17,9 @@
 /// Weight of the newest request in the measured time of a request.
 const SERVICE_WEIGHT: f64 = 0.1;
 
+/// Mean deviations of the measured time that a request's deadline must leave room for.
+const DEVIATIONS: f64 = 3.0;
+
 /// Settings of an admission queue.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionSettings {
@@ -101,6 +104,7 @@
     waiting: usize,
     drain: DrainRate,
     service_seconds: f64,
+    service_deviation: f64,
 }
 
 impl AdmissionQueue {
@@ -114,6 +118,7 @@
             waiting: 0,
             drain: DrainRate::new(now),
             service_seconds: 0.0,
+            service_deviation: 0.0,
         }
     }
 
@@ -149,8 +154,7 @@
             return self.dispatch(now);
         }
         let wait = self.predicted_wait(&request);
-        let service = Duration::from_secs_f64(self.service_seconds);
-        if now + wait + service > request.deadline {
+        if now + wait + self.usual_service(DEVIATIONS) > request.deadline {
             return vec![refusal(ticket, RefusalReason::DeadlineMissed, wait)];
         }
         let own = self.queues.get(&request.organisation);
@@ -181,7 +185,9 @@
         let elapsed = now.saturating_duration_since(run.started).as_secs_f64();
         let is_first = self.service_seconds == 0.0;
         let weight = if is_first { 1.0 } else { SERVICE_WEIGHT };
-        self.service_seconds += (elapsed - self.service_seconds) * weight;
+        let error = elapsed - self.service_seconds;
+        self.service_seconds += error * weight;
+        self.service_deviation += (error.abs() - self.service_deviation) * SERVICE_WEIGHT;
         if let Some(queue) = self.queues.get_mut(&run.organisation) {
             queue.running -= 1;
             queue.start += (actual - run.cost) / f64::from(run.weight.max(1));
@@ -238,6 +244,11 @@
         Duration::from_secs_f64(fair.min(all + request.cost) / rate)
     }
 
+    /// Time of a request, that many mean deviations above its mean.
+    fn usual_service(&self, deviations: f64) -> Duration {
+        Duration::from_secs_f64(self.service_seconds + deviations * self.service_deviation)
+    }
+
     fn has_place(&self) -> bool {
         self.running.len() < self.settings.places as usize
     }
@@ -269,7 +280,13 @@
             let Some((ticket, request)) = self.pop_next() else {
                 break;
             };
-            if request.deadline <= now {
+            let has_waited = self.waiting > 0 || !actions.is_empty();
+            let service = if has_waited {
+                self.usual_service(1.0)
+            } else {
+                Duration::ZERO
+            };
+            if request.deadline <= now + service {
                 let wait = self.predicted_wait(&request);
                 actions.push(refusal(ticket, RefusalReason::DeadlineMissed, wait));
                 continue;
--- a/crates/dandeliondeal_limit/src/grant_holder.rs
+++ b/crates/dandeliondeal_limit/src/grant_holder.rs
@@ -7,6 +7,11 @@
 use crate::grant_message::{GrantAnswer, GrantRequest, HeldGrant, OwnerTerm};
 use crate::limit_amount::LimitAmount;
 
+/// Time between requests while the grant does not cover the demand.
+const SHORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between requests while it does; well within the life of a grant.
+const CALM_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Holds at most one grant of one organisation's limit.
 #[derive(Clone, Debug)]
 pub struct GrantHolder {
@@ -15,6 +20,7 @@
     held: Option<HeldGrant>,
     expires: Option<Instant>,
     seen_term: OwnerTerm,
+    asked: Option<Instant>,
 }
 
 impl GrantHolder {
@@ -26,6 +32,7 @@
             held: None,
             expires: None,
             seen_term: 0,
+            asked: None,
         }
     }
 
@@ -35,8 +42,21 @@
             .map_or_else(LimitAmount::default, |held| held.amount)
     }
 
+    /// Whether to ask now: often while the grant does not cover the demand, else now and then.
+    pub fn is_due(&self, demand: LimitAmount, now: Instant) -> bool {
+        let is_short = !demand.is_within(self.amount(now));
+        let interval = if is_short {
+            SHORT_INTERVAL
+        } else {
+            CALM_INTERVAL
+        };
+        self.asked
+            .is_none_or(|asked| now.saturating_duration_since(asked) >= interval)
+    }
+
     /// Makes the request to send now. The caller keeps `now` for [`GrantHolder::answered`].
-    pub fn request(&self, demand: LimitAmount, now: Instant) -> GrantRequest {
+    pub fn request(&mut self, demand: LimitAmount, now: Instant) -> GrantRequest {
+        self.asked = Some(now);
         GrantRequest {
             holder: self.holder.clone(),
             incarnation: self.incarnation,
--- a/crates/dandeliondeal_limit/src/local_limit.rs
+++ b/crates/dandeliondeal_limit/src/local_limit.rs
@@ -8,7 +8,7 @@
 /// Wait that is told where the time of the next free place is not known.
 const UNKNOWN_WAIT: Duration = Duration::from_secs(1);
 /// Time constant of the measured demand.
-const DEMAND_FADE: Duration = Duration::from_secs(2);
+const DEMAND_FADE: Duration = Duration::from_secs(1);
 /// Thousandths of a request in one request.
 const MILLI: f64 = 1000.0;
 
--- a/crates/dandeliondeal_measure/src/lib.rs
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -7,9 +7,12 @@
 pub mod choice_driver;
 pub mod choice_policy;
 pub mod choice_scenario;
+pub mod limits;
 pub mod measure_error;
 pub mod measure_settings;
 pub mod overhead;
+pub mod overload;
+pub mod overload_driver;
 pub mod site;
 
 #[doc(inline)]
