Entry: subsets, places and limit shares follow the number of live instances

A board that took itself for the only instance compared predicted completions also where others used the same endpoints.

--- a/crates/dandeliondeal_command/src/measure_command.rs
+++ b/crates/dandeliondeal_command/src/measure_command.rs
@@ -1,6 +1,8 @@
 //! `dandeliondeal measure`: measurements of the real code on loopback.
 
-use dandeliondeal_measure::{MeasureError, MeasureSettings, choice, limits, overhead, overload};
+use dandeliondeal_measure::{
+    MeasureError, MeasureSettings, choice, footprint, limits, overhead, overload,
+};
 use pico_args::Arguments;
 
 use crate::CommandError;
@@ -13,6 +15,7 @@
 usage: dandeliondeal measure NAME [--seed NUMBER] [--long]
 
   choice       ways to choose an endpoint, at several lags of load reports, in virtual time
+  footprint    memory and processor time of the control state as it grows
   limits       grants of an organisation's limit among instances, in virtual time
   overhead     time to the first token beside the engines' own, processor time a token
   overload     goodput above the capacity; a small organisation beside a burst; virtual time
@@ -39,6 +42,7 @@
     actix_rt::System::new().block_on(async {
         match &*name {
             "choice" => finish(choice::run(settings)),
+            "footprint" => finish(footprint::run(settings)),
             "limits" => finish(limits::run(settings)),
             "overhead" => finish(overhead::run(settings).await),
             "overload" => finish(overload::run(settings)),
--- a/crates/dandeliondeal_entry/src/endpoint_watch.rs
+++ b/crates/dandeliondeal_entry/src/endpoint_watch.rs
@@ -1,4 +1,5 @@
-//! Learns from the platform's instance list which engines are leaving.
+//! Learns from the platform's instance list which engines are leaving, and how many instances
+//! share them.
 
 use std::time::Duration;
 
@@ -29,6 +30,10 @@
 where
     ClockSource: Clock,
 {
+    let entries = records
+        .iter()
+        .filter(|record| record.role == InstanceRole::Entry && record.state == InstanceState::Live);
+    context.set_instances(u32::try_from(entries.count()).unwrap_or(u32::MAX));
     let endpoints = records
         .iter()
         .filter(|record| record.role == InstanceRole::Endpoint);
--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -69,6 +69,8 @@
     claims: EntryClaims<ClockSource>,
     drain: RefCell<DrainMachine>,
     readiness: RefCell<Option<ReadinessGate>>,
+    /// Entry instances that share endpoints and limits.
+    instances: Cell<u32>,
     next_request: Cell<u64>,
 }
 
@@ -115,6 +117,7 @@
             budget: LogBudget::new(settings.limits.recovery_bytes),
             drain: RefCell::new(DrainMachine::new()?),
             readiness: RefCell::new(None),
+            instances: Cell::new(1),
             next_request: Cell::new(0),
             clock,
             settings,
@@ -166,11 +169,23 @@
         let is_newer = self.inner.table.install(table);
         if is_newer {
             self.inner.board.install(&sheet);
-            self.inner.admission.install(&sheet, 1);
+            self.inner
+                .admission
+                .install(&sheet, self.inner.instances.get());
         }
         is_newer
     }
 
+    /// Notes how many entry instances share endpoints and limits.
+    pub fn set_instances(&self, instances: u32) {
+        let instances = instances.max(1);
+        if self.inner.instances.replace(instances) != instances {
+            let table = self.inner.table.current();
+            self.inner.board.set_instances(instances);
+            self.inner.admission.install(&table.sheet, instances);
+        }
+    }
+
     /// Health and load of the endpoints.
     pub fn board(&self) -> &SharedBoard<ClockSource> {
         &self.inner.board
--- a/crates/dandeliondeal_entry/src/shared_board.rs
+++ b/crates/dandeliondeal_entry/src/shared_board.rs
@@ -81,7 +81,8 @@
     }
 
     /// Notes how many entry instances share the endpoints.
-    pub fn set_instances(&self, instances: usize) {
+    pub fn set_instances(&self, instances: u32) {
+        let instances = usize::try_from(instances).unwrap_or(usize::MAX);
         self.board.borrow_mut().set_instances(instances);
     }
 
--- a/crates/dandeliondeal_measure/src/lib.rs
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod choice_driver;
 pub mod choice_policy;
 pub mod choice_scenario;
+pub mod footprint;
 pub mod limits;
 pub mod measure_error;
 pub mod measure_settings;
