--- a/crates/dandeliondeal_command/src/entry_command.rs
+++ b/crates/dandeliondeal_command/src/entry_command.rs
@@ -37,6 +37,8 @@
             .await
             .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
         entry.follow_platform();
+        println!("callers listening on {}", entry.caller_address());
+        println!("operators listening on {}", entry.operator_address());
         tracing::info!(
             callers = %entry.caller_address(),
             operators = %entry.operator_address(),
