Measurement of claims; replay follows the claim types

The claim budget of an instance is the fleet's share over the instances that write (the preferred ones, 16), since dividing by the whole fleet leaves most of it unused; 16 shards in place of 64 for the same reason. Replay passes candidates and origin.

--- a/crates/dandeliondeal_claim/src/claim_settings.rs
+++ b/crates/dandeliondeal_claim/src/claim_settings.rs
@@ -38,7 +38,7 @@
         Self {
             instance: "entry".into(),
             incarnation: 1,
-            shards: 64,
+            shards: 16,
             retention: Duration::from_hours(24),
             segment_bytes: 32 * 1024,
             batch_bytes: 256 * 1024,
--- a/crates/dandeliondeal_command/src/measure_command.rs
+++ b/crates/dandeliondeal_command/src/measure_command.rs
@@ -1,6 +1,6 @@
 //! `dandeliondeal measure`: measurements of the real code on loopback.
 
-use dandeliondeal_measure::{MeasureError, MeasureSettings, choice, overhead};
+use dandeliondeal_measure::{MeasureError, MeasureSettings, choice, claims, overhead};
 use pico_args::Arguments;
 
 use crate::CommandError;
@@ -13,6 +13,7 @@
 usage: dandeliondeal measure NAME [--seed NUMBER] [--long]
 
   choice       ways to choose an endpoint, at several lags of load reports, in virtual time
+  claims       claims a platform write, the delay of a claim, calls as the fleet grows
   overhead     time to the first token beside the engines' own, processor time a token
 
   --seed NUMBER   seed of everything random (default 1)
@@ -37,6 +38,7 @@
     actix_rt::System::new().block_on(async {
         match &*name {
             "choice" => finish(choice::run(settings)),
+            "claims" => finish(claims::run(settings).await),
             "overhead" => finish(overhead::run(settings).await),
             _ => Err(CommandError::usage(format!(
                 "there is no measurement {name}; see --help"
--- a/crates/dandeliondeal_config/src/entry_settings.rs
+++ b/crates/dandeliondeal_config/src/entry_settings.rs
@@ -192,7 +192,7 @@
         Self {
             retention: Duration::from_hours(24),
             answer_bytes: 16_384,
-            shards: 64,
+            shards: 16,
         }
     }
 }
--- /dev/null
+++ b/crates/dandeliondeal_measure/src/claim_site.rs
@@ -0,0 +1,226 @@
+//! A platform and some instances that claim keys.
+
+use std::cell::Cell;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use dandeliondeal_claim::{
+    ClaimAnswer, ClaimKey, ClaimRecord, ClaimSettings, OutcomeRecord, RequestFingerprint,
+    ShardReply,
+};
+use dandeliondeal_config::SecretText;
+use dandeliondeal_entry::claim_desk::ClaimDesk;
+use dandeliondeal_entry::claim_link::ClaimMember;
+use dandeliondeal_entry::claim_rpc::{PeerLink, claim_module};
+use dandeliondeal_platform::{BudgetSettings, CallClass, PlatformClient, PlatformSettings};
+use dandeliondeal_standin::PlatformStandin;
+use dandeliondeal_types::{ObjectStore, Outcome, PutCondition, SystemClock};
+use jsonrpsee::server::{Server, ServerHandle};
+use serde::Serialize;
+
+use crate::MeasureError;
+
+const NAME: &str = "claims";
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// Longest wait for a claim.
+const CLAIM_TIME: Duration = Duration::from_secs(2);
+const ANSWER: &str = "{\"confirmed\":true,\"deposit\":\"120.00\",\"lathe\":\"3\"}";
+
+/// How claims reach the platform.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ClaimMode {
+    /// Through the preferred instance of the shard.
+    Grouped,
+    /// Each instance appends to the log itself.
+    Direct,
+    /// One object and one write a claim, and one write more for its outcome: the baseline.
+    Single,
+}
+
+/// Instances with a platform of their own.
+#[derive(Debug)]
+pub struct ClaimSite {
+    mode: ClaimMode,
+    platform: PlatformStandin,
+    clients: Vec<PlatformClient<SystemClock>>,
+    desks: Vec<ClaimDesk<PlatformClient<SystemClock>, SystemClock, PeerLink>>,
+    peers: Vec<ServerHandle>,
+    next: Cell<u64>,
+}
+
+impl ClaimSite {
+    /// Starts `instances` instances.
+    ///
+    /// # Errors
+    ///
+    /// Says what could not be started.
+    pub async fn start(instances: usize, mode: ClaimMode) -> Result<Self, MeasureError> {
+        let unlimited = dandeliondeal_standin::PlatformSettings {
+            writes_per_second: 0,
+            reads_per_second: 0,
+            ..dandeliondeal_standin::PlatformSettings::default()
+        };
+        let platform = PlatformStandin::start(unlimited).map_err(|error| failed(&error))?;
+        let mut site = Self {
+            mode,
+            platform,
+            clients: Vec::new(),
+            desks: Vec::new(),
+            peers: Vec::new(),
+            next: Cell::new(0),
+        };
+        for index in 0..instances {
+            site.add_instance(index, instances);
+        }
+        if mode == ClaimMode::Grouped {
+            site.link().await?;
+        }
+        Ok(site)
+    }
+
+    fn add_instance(&mut self, index: usize, instances: usize) {
+        let settings = PlatformSettings {
+            address: self.platform.address(),
+            seed: index as u64,
+            budget: BudgetSettings::default(),
+            ..PlatformSettings::default()
+        };
+        let client = PlatformClient::new(settings, SystemClock).with_class(CallClass::Claims);
+        client.resize_fleet(instances);
+        let settings = ClaimSettings {
+            instance: format!("entry-{index}").into(),
+            ..ClaimSettings::default()
+        };
+        let link = PeerLink::new(SecretText::new("measure"), CONNECT_TIME);
+        let desk = ClaimDesk::new(client.clone(), link, SystemClock, settings);
+        self.clients.push(client);
+        self.desks.push(desk);
+    }
+
+    async fn link(&mut self) -> Result<(), MeasureError> {
+        let mut members = Vec::new();
+        for desk in &self.desks {
+            let module = claim_module(desk.clone(), SystemClock).map_err(|error| failed(&error))?;
+            let server = Server::builder().build("127.0.0.1:0").await;
+            let server = server.map_err(|error| failed(&error))?;
+            let address = server.local_addr().map_err(|error| failed(&error))?;
+            let instance = Arc::clone(&desk.settings().instance);
+            members.push(ClaimMember { instance, address });
+            self.peers.push(server.start(module));
+        }
+        for desk in &self.desks {
+            desk.route().set_members(members.clone());
+        }
+        Ok(())
+    }
+
+    /// Stops the peer servers and the platform.
+    pub fn stop(&self) {
+        for peer in &self.peers {
+            // A server that stopped already is just as good.
+            let _ = peer.stop();
+        }
+        self.platform.kill();
+    }
+
+    /// Calls that the platform got: writes, and all together.
+    pub fn calls(&self) -> (u64, u64) {
+        let counts = self.platform.counts();
+        let all = counts.writes + counts.reads + counts.lists + counts.watches;
+        (counts.writes, all)
+    }
+
+    /// Claims a new key at one of the instances and records its outcome; the time of the claim.
+    pub async fn claim(&self) -> Option<Duration> {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let index = usize::try_from(number).unwrap_or_default() % self.desks.len();
+        let start = Instant::now();
+        match self.mode {
+            ClaimMode::Single => self.claim_single(index, number, start).await,
+            ClaimMode::Grouped | ClaimMode::Direct => self.claim_log(index, number, start).await,
+        }
+    }
+
+    async fn claim_log(&self, index: usize, number: u64, start: Instant) -> Option<Duration> {
+        let desk = &self.desks[index];
+        let record = claim_record(number);
+        let request = Arc::clone(&record.request);
+        let shard = record.key.shard(desk.settings().shards);
+        let deadline = start + CLAIM_TIME;
+        if desk.claim(shard, record, deadline).await != ShardReply::Claimed {
+            return None;
+        }
+        let time = start.elapsed();
+        desk.record(
+            shard,
+            OutcomeRecord {
+                request,
+                outcome: Outcome::Answered,
+                answer: Some(answer()),
+            },
+        );
+        Some(time)
+    }
+
+    /// The baseline waits for its budget as the claim log does.
+    async fn claim_single(&self, index: usize, number: u64, start: Instant) -> Option<Duration> {
+        let client = &self.clients[index];
+        let name = format!("single/{number:012}");
+        let body = serde_json::to_string(&claim_record(number)).ok()?;
+        let version = put(client, &name, PutCondition::Absent, body.into(), start).await?;
+        let time = start.elapsed();
+        let outcome = serde_json::to_string(&answer()).ok()?;
+        let condition = PutCondition::Version(version);
+        put(client, &name, condition, outcome.into(), start).await?;
+        Some(time)
+    }
+}
+
+async fn put(
+    client: &PlatformClient<SystemClock>,
+    name: &str,
+    condition: PutCondition,
+    body: Arc<str>,
+    start: Instant,
+) -> Option<u64> {
+    while start.elapsed() < CLAIM_TIME {
+        match client.put(name, condition, Arc::clone(&body)).await {
+            Ok(version) => return Some(version),
+            Err(dandeliondeal_types::StoreError::OverBudget { wait }) => {
+                actix_rt::time::sleep(wait).await;
+            }
+            Err(_error) => return None,
+        }
+    }
+    None
+}
+
+fn claim_record(number: u64) -> ClaimRecord {
+    let request = format!("entry-18c0ffee-{number}");
+    ClaimRecord {
+        key: ClaimKey {
+            organisation: "org-a".into(),
+            key: format!("booking-{number}").into(),
+        },
+        fingerprint: RequestFingerprint::of([request.as_bytes()]),
+        request: request.into(),
+        candidates: vec!["order-desk-1".into(), "order-desk-2".into()],
+    }
+}
+
+fn answer() -> ClaimAnswer {
+    ClaimAnswer {
+        status: 200,
+        content_type: "application/json".into(),
+        body: Some(ANSWER.into()),
+    }
+}
+
+fn failed<Error>(error: &Error) -> MeasureError
+where
+    Error: std::fmt::Display,
+{
+    MeasureError::new(NAME, error.to_string())
+}
--- a/crates/dandeliondeal_platform/src/call_budget.rs
+++ b/crates/dandeliondeal_platform/src/call_budget.rs
@@ -42,6 +42,8 @@
     pub fleet_writes_per_second: f64,
     /// Share of each class, in the order of [`CallClass`]; the sum is at most 1.
     pub shares: [f64; CallClass::COUNT],
+    /// Instances that write claims when the fleet is larger: the preferred ones of the shards.
+    pub claim_writers: usize,
     /// Unused calls are kept for this long.
     pub burst: Duration,
     /// Calls that each class may always make at once.
@@ -54,6 +56,7 @@
             fleet_reads_per_second: 2_000.0,
             fleet_writes_per_second: 300.0,
             shares: [0.6, 0.1, 0.2, 0.1],
+            claim_writers: 16,
             burst: Duration::from_secs(2),
             least_burst: 8.0,
         }
@@ -76,7 +79,7 @@
 #[derive(Clone, Debug)]
 pub struct CallBudget {
     settings: BudgetSettings,
-    fleet: f64,
+    fleet: usize,
     buckets: [[TokenBucket; 2]; CallClass::COUNT],
 }
 
@@ -95,14 +98,14 @@
         };
         Self {
             settings,
-            fleet: 1.0,
+            fleet: 1,
             buckets: [[bucket; 2]; CallClass::COUNT],
         }
     }
 
     /// Sets the number of instances that share the platform.
     pub fn resize_fleet(&mut self, instances: usize) {
-        self.fleet = instances.max(1) as f64;
+        self.fleet = instances.max(1);
     }
 
     /// Calls a second that this instance may make.
@@ -111,7 +114,11 @@
             CallKind::Read => self.settings.fleet_reads_per_second,
             CallKind::Write => self.settings.fleet_writes_per_second,
         };
-        fleet_rate * self.settings.shares[class.index()] / self.fleet
+        let sharers = match class {
+            CallClass::Claims => self.fleet.min(self.settings.claim_writers.max(1)),
+            _ => self.fleet,
+        };
+        fleet_rate * self.settings.shares[class.index()] / sharers as f64
     }
 
     /// Takes one call.
--- a/crates/dandeliondeal_replay/src/replay_claims.rs
+++ b/crates/dandeliondeal_replay/src/replay_claims.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use dandeliondeal_claim::{
-    ClaimAnswer, ClaimKey, ClaimRecord, ClaimSettings, ClaimState, ClaimView, OutcomeRecord,
-    RequestFingerprint, ShardAction, ShardEvent, ShardReply, ShardTask, ShardWriter, TicketId,
+    ClaimAnswer, ClaimKey, ClaimOrigin, ClaimRecord, ClaimSettings, ClaimState, ClaimView,
+    OutcomeRecord, RequestFingerprint, ShardAction, ShardEvent, ShardReply, ShardTask, ShardWriter,
+    TicketId,
 };
 use dandeliondeal_types::{EndpointId, InstanceId, Outcome, RequestId};
 
@@ -103,10 +104,15 @@
             },
             fingerprint: RequestFingerprint::of([keyed.service.as_bytes()]),
             request: Arc::clone(request),
+            candidates: Vec::new(),
         };
         self.services.entry(Arc::clone(&keyed.service)).or_default();
         self.keyed.insert(Arc::clone(request), keyed);
-        self.submit(request, ShardTask::Claim(record), CLAIM_TIMEOUT);
+        self.submit(
+            request,
+            ShardTask::Claim(record, ClaimOrigin::Local),
+            CLAIM_TIMEOUT,
+        );
     }
 
     /// Hands an event to the claim log of an instance.
