--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -7,7 +7,7 @@
 
 use dandeliondeal_chart::ChartError;
 use dandeliondeal_claim::{ClaimKey, ClaimSettings, ShardIndex};
-use dandeliondeal_config::EntrySettings;
+use dandeliondeal_config::{EntrySettings, ReadinessGate};
 use dandeliondeal_platform::{CallClass, PlatformClient, PlatformSettings};
 use dandeliondeal_types::{Clock, Incarnation, OrganisationId, Outcome, RequestId};
 use derive_more::{Display, Error, From};
@@ -16,8 +16,10 @@
 use crate::claim_desk::ClaimDesk;
 use crate::claim_rpc::PeerLink;
 use crate::drain_state::DrainMachine;
+use crate::engine_use::EngineUse;
 use crate::entry_metrics::EntryMetrics;
 use crate::http_pool::HttpPool;
+use crate::log_budget::LogBudget;
 use crate::request_id::request_id;
 use crate::request_life::{RequestEvent, RequestRegistry, RequestState};
 use crate::table_cell::TableCell;
@@ -55,9 +57,12 @@
     metrics: EntryMetrics,
     admission: AdmissionGate,
     pool: HttpPool,
+    engines: EngineUse,
+    budget: LogBudget,
     platform: PlatformClient<ClockSource>,
     claims: EntryClaims<ClockSource>,
     drain: RefCell<DrainMachine>,
+    readiness: RefCell<Option<ReadinessGate>>,
     next_request: Cell<u64>,
 }
 
@@ -93,7 +98,10 @@
             metrics: EntryMetrics::new()?,
             admission: AdmissionGate::new(settings.limits.organisation_requests),
             pool: HttpPool::new(settings.requests.connect_time),
+            engines: EngineUse::default(),
+            budget: LogBudget::new(settings.limits.recovery_bytes),
             drain: RefCell::new(DrainMachine::new()?),
+            readiness: RefCell::new(None),
             next_request: Cell::new(0),
             clock,
             settings,
@@ -123,6 +131,11 @@
         &self.inner.table
     }
 
+    /// The gate of readiness; `None` while nobody follows the accepted revision.
+    pub fn readiness(&self) -> &RefCell<Option<ReadinessGate>> {
+        &self.inner.readiness
+    }
+
     /// The metrics.
     pub fn metrics(&self) -> &EntryMetrics {
         &self.inner.metrics
@@ -138,6 +151,16 @@
         &self.inner.pool
     }
 
+    /// Sessions of this instance at the engines.
+    pub fn engines(&self) -> &EngineUse {
+        &self.inner.engines
+    }
+
+    /// Memory for the inputs that sessions keep for recovery.
+    pub fn budget(&self) -> &LogBudget {
+        &self.inner.budget
+    }
+
     /// The platform.
     pub fn platform(&self) -> &PlatformClient<ClockSource> {
         &self.inner.platform
--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -5,11 +5,15 @@
 use std::time::Duration;
 
 use dandeliondeal_config::EntrySettings;
+use dandeliondeal_platform::CallClass;
 use dandeliondeal_types::{Clock, SheetModel};
+use tokio::task::JoinHandle;
 
 use crate::drain_state::{DrainEvent, DrainState};
+use crate::endpoint_watch::watch_endpoints;
 use crate::entry_context::{EntryContext, EntryError};
 use crate::http_listener::{HttpListener, ListenerSettings};
+use crate::rollout::{NoPeers, Rollout};
 use crate::route_table::RouteTable;
 use crate::{caller_api, operator_api};
 
@@ -24,6 +28,8 @@
     context: EntryContext<ClockSource>,
     callers: HttpListener,
     operators: HttpListener,
+    rollout: Option<Rollout<ClockSource, NoPeers>>,
+    endpoint_watch: Option<JoinHandle<()>>,
 }
 
 impl<ClockSource> EntryServer<ClockSource>
@@ -61,9 +67,18 @@
             context,
             callers,
             operators,
+            rollout: None,
+            endpoint_watch: None,
         })
     }
 
+    /// Starts to put in force what the platform has accepted, and to note which endpoints leave.
+    pub fn follow_platform(&mut self) {
+        let platform = self.context.platform().with_class(CallClass::Configuration);
+        self.rollout = Some(Rollout::start(self.context.clone(), platform, NoPeers));
+        self.endpoint_watch = Some(actix_rt::spawn(watch_endpoints(self.context.clone())));
+    }
+
     /// The address for callers.
     pub fn caller_address(&self) -> SocketAddr {
         self.callers.address()
@@ -97,6 +112,12 @@
             actix_rt::time::sleep(IDLE_INTERVAL).await;
         }
         self.drain(DrainEvent::Idle);
+        if let Some(rollout) = &self.rollout {
+            rollout.stop();
+        }
+        if let Some(watch) = &self.endpoint_watch {
+            watch.abort();
+        }
         self.operators.close();
     }
 
