Replay: sheets and leases; traces of racing operators, lapsed leases and outages

The cores of configuration and leases run in traces: accept_sheet, the rollout, the readiness gate, the lease.

--- a/crates/dandeliondeal_replay/src/lib.rs
+++ b/crates/dandeliondeal_replay/src/lib.rs
@@ -8,10 +8,14 @@
 mod event_queue;
 mod replay_claims;
 mod replay_engine;
+mod replay_instance;
 mod replay_invariants;
+mod replay_leases;
+mod replay_outcomes;
 pub mod replay_report;
 mod replay_run;
 mod replay_session;
+mod replay_sheets;
 mod replay_store;
 mod replay_world;
 pub mod trace_coverage;
@@ -28,6 +32,6 @@
 #[doc(inline)]
 pub use trace_error::TraceError;
 #[doc(inline)]
-pub use trace_event::{StatedOutcome, TraceEvent, TraceOutcome};
+pub use trace_event::{SheetVerdict, StatedOutcome, TraceEvent, TraceOutcome};
 #[doc(inline)]
 pub use trace_file::{EngineSpec, Trace, TraceHeader, TraceLine, TraceSettings, TraceStep};
--- a/crates/dandeliondeal_replay/src/replay_claims.rs
+++ b/crates/dandeliondeal_replay/src/replay_claims.rs
@@ -1,13 +1,12 @@
 //! Instances, services, and requests that may run at most once.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use dandeliondeal_claim::{
-    ClaimAnswer, ClaimKey, ClaimOrigin, ClaimRecord, ClaimSettings, ClaimState, ClaimView,
-    OutcomeRecord, RequestFingerprint, ShardAction, ShardEvent, ShardReply, ShardTask, ShardWriter,
-    TicketId,
+    ClaimAnswer, ClaimKey, ClaimOrigin, ClaimRecord, ClaimState, ClaimView, OutcomeRecord,
+    RequestFingerprint, ShardAction, ShardEvent, ShardReply, ShardTask, TicketId,
 };
 use dandeliondeal_types::{EndpointId, InstanceId, Outcome, RequestId};
 
@@ -23,47 +22,6 @@
 /// Longest wait for an outcome to be recorded.
 const RECORD_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// One instance of the system.
-#[derive(Debug)]
-pub(crate) struct ReplayInstance {
-    pub(crate) is_paused: bool,
-    pub(crate) is_gone: bool,
-    /// When a planned stop began.
-    pub(crate) stopping: Option<Duration>,
-    /// Whether the balancer sends no more callers.
-    pub(crate) is_unlisted: bool,
-    /// What came while the instance stood still.
-    pub(crate) held: Vec<WorldTask>,
-    writer: ShardWriter,
-    tickets: BTreeMap<TicketId, RequestId>,
-    process: u32,
-}
-
-impl ReplayInstance {
-    pub(crate) fn new(id: &InstanceId) -> Self {
-        let settings = ClaimSettings {
-            instance: Arc::clone(id),
-            shards: 1,
-            ..ClaimSettings::default()
-        };
-        Self {
-            is_paused: false,
-            is_gone: false,
-            stopping: None,
-            is_unlisted: false,
-            held: Vec::new(),
-            writer: ShardWriter::new(0, settings),
-            tickets: BTreeMap::new(),
-            process: 0,
-        }
-    }
-
-    /// Whether new requests reach the instance.
-    pub(crate) fn takes_requests(&self) -> bool {
-        !self.is_gone && !self.is_unlisted
-    }
-}
-
 /// A plain service.
 #[derive(Debug, Default)]
 pub(crate) struct ReplayService {
@@ -121,10 +79,10 @@
         let Some(instance) = self.instances.get_mut(id) else {
             return;
         };
-        if instance.is_gone || instance.process != process {
+        if instance.is_gone() || instance.process != process {
             return;
         }
-        if instance.is_paused {
+        if instance.is_paused() {
             let task = WorldTask::Shard(Arc::clone(id), process, event);
             instance.held.push(task);
             return;
@@ -192,10 +150,10 @@
         let Some(instance) = self.instances.get_mut(&keyed.instance) else {
             return;
         };
-        if instance.is_gone || keyed.end != StatedOutcome::Open {
+        if instance.is_gone() || keyed.end != StatedOutcome::Open {
             return;
         }
-        if instance.is_paused {
+        if instance.is_paused() {
             let task = WorldTask::ServiceAnswer(Arc::clone(request), answer);
             instance.held.push(task);
             return;
--- a/crates/dandeliondeal_replay/src/replay_invariants.rs
+++ b/crates/dandeliondeal_replay/src/replay_invariants.rs
@@ -25,6 +25,7 @@
         self.check_keys(&mut breaches);
         self.check_leaving(&mut breaches);
         self.check_stops(&mut breaches);
+        breaches.extend(self.reverts.iter().cloned());
         breaches
     }
 
@@ -160,7 +161,7 @@
     /// A planned stop cuts off no request.
     fn check_stops(&self, breaches: &mut Vec<ReplayMismatch>) {
         for (id, instance) in &self.instances {
-            if instance.stopping.is_none() || !instance.is_gone {
+            if instance.stopping.is_none() || !instance.is_gone() {
                 continue;
             }
             let sessions = self
--- a/crates/dandeliondeal_replay/src/replay_run.rs
+++ b/crates/dandeliondeal_replay/src/replay_run.rs
@@ -8,12 +8,11 @@
 
 use crate::replay_claims::KeyedRequest;
 use crate::replay_engine::{CallFaults, ReplayEngine};
+use crate::replay_instance::{InstanceRun, ReplayInstance};
 use crate::replay_session::ReplaySession;
+use crate::replay_sheets::SheetChange;
 use crate::replay_world::{ReplayWorld, WorldTask};
-use crate::{
-    EngineSpec, ReplayMismatch, ReplayReport, StatedOutcome, Trace, TraceError, TraceEvent,
-    TraceLine, TraceOutcome, TraceStep,
-};
+use crate::{EngineSpec, ReplayReport, StatedOutcome, Trace, TraceError, TraceEvent, TraceStep};
 
 /// Time that a trace runs on after its last line, so that everything late has come.
 const REST: Duration = Duration::from_mins(2);
@@ -40,7 +39,7 @@
 /// # Ok::<(), dandeliondeal_replay::TraceError>(())
 /// ```
 pub fn replay(trace: &Trace) -> Result<ReplayReport, TraceError> {
-    let mut world = ReplayWorld::new(trace);
+    let mut world = ReplayWorld::new(trace)?;
     let mut report = ReplayReport {
         trace: Arc::clone(&trace.header.trace),
         events: 0,
@@ -121,6 +120,24 @@
                 self.store.late_writes = *count;
                 self.store.late = Duration::from_millis(*milliseconds);
             }
+            TraceEvent::Start { instance } => self.start_instance(line, instance)?,
+            TraceEvent::Sheet {
+                change,
+                base,
+                capacity,
+            } => self.give_sheet(
+                line,
+                &SheetChange {
+                    change: Arc::clone(change),
+                    base: *base,
+                    capacity: Arc::clone(capacity),
+                },
+            )?,
+            TraceEvent::Contend { instance } => {
+                let process = self.instance(line, instance)?.process;
+                let task = WorldTask::LeaseTick(Arc::clone(instance), process);
+                self.after(Duration::ZERO, task);
+            }
             TraceEvent::Pause { instance }
             | TraceEvent::Resume { instance }
             | TraceEvent::Stop { instance }
@@ -137,14 +154,11 @@
         id: &InstanceId,
     ) -> Result<(), TraceError> {
         let now = self.elapsed();
-        let instance = self
-            .instances
-            .get_mut(id)
-            .ok_or_else(|| TraceError::new(line, format!("no instance {id}")))?;
+        let instance = self.instance(line, id)?;
         match event {
-            TraceEvent::Pause { .. } => instance.is_paused = true,
+            TraceEvent::Pause { .. } => instance.run = InstanceRun::Paused,
             TraceEvent::Resume { .. } => {
-                instance.is_paused = false;
+                instance.run = InstanceRun::Running;
                 for task in std::mem::take(&mut instance.held) {
                     self.after(Duration::ZERO, task);
                 }
@@ -155,7 +169,7 @@
                 self.after(lag, WorldTask::BalancerMoved(Arc::clone(id)));
             }
             _ => {
-                instance.is_gone = true;
+                instance.run = InstanceRun::Gone;
                 self.break_requests(id);
             }
         }
@@ -167,7 +181,9 @@
         let is_busy = self.open_requests(id) > 0;
         if let Some(instance) = self.instances.get_mut(id) {
             instance.is_unlisted = true;
-            instance.is_gone |= !is_busy;
+            if !is_busy {
+                instance.run = InstanceRun::Gone;
+            }
         }
         if is_busy {
             self.after(STOP_INTERVAL, WorldTask::BalancerMoved(Arc::clone(id)));
@@ -254,7 +270,21 @@
         Ok(())
     }
 
-    fn engine(&mut self, line: usize, id: &EndpointId) -> Result<&mut ReplayEngine, TraceError> {
+    pub(crate) fn instance(
+        &mut self,
+        line: usize,
+        id: &InstanceId,
+    ) -> Result<&mut ReplayInstance, TraceError> {
+        self.instances
+            .get_mut(id)
+            .ok_or_else(|| TraceError::new(line, format!("no instance {id}")))
+    }
+
+    pub(crate) fn engine(
+        &mut self,
+        line: usize,
+        id: &EndpointId,
+    ) -> Result<&mut ReplayEngine, TraceError> {
         self.engines
             .get_mut(id)
             .ok_or_else(|| TraceError::new(line, format!("no engine {id}")))
@@ -267,82 +297,4 @@
         }
         Ok(&mut self.services.entry(Arc::clone(id)).or_default().faults)
     }
-
-    fn compare(
-        &mut self,
-        line: &TraceLine,
-        outcome: &TraceOutcome,
-    ) -> Result<Option<ReplayMismatch>, TraceError> {
-        let number = line.number;
-        let (expected, found) = match outcome {
-            TraceOutcome::Outcome { request, outcome } => {
-                let session = self.sessions.get(request).map(|session| session.end);
-                let keyed = self.keyed.get(request).map(|keyed| keyed.end);
-                let end = session
-                    .or(keyed)
-                    .ok_or_else(|| TraceError::new(number, format!("no request {request}")))?;
-                (format!("{outcome:?}"), format!("{end:?}"))
-            }
-            TraceOutcome::Delivered { request, tokens } => {
-                let delivered = self.session(number, request)?.delivered.len();
-                (tokens.to_string(), delivered.to_string())
-            }
-            TraceOutcome::Runs { key, count } => {
-                let ledgers = self.services.values().flat_map(|service| &service.ledger);
-                let runs = ledgers.filter(|(ran, _)| ran == key).count();
-                (count.to_string(), runs.to_string())
-            }
-            TraceOutcome::Sessions { endpoint, count } => {
-                let now = self.now();
-                let sessions = self.engine(number, endpoint)?.session_count(now);
-                (count.to_string(), sessions.to_string())
-            }
-            TraceOutcome::Met {
-                request,
-                count,
-                least,
-            } => {
-                let met = self.met(number, request, count)?;
-                (least.to_string(), met.min(*least).to_string())
-            }
-            TraceOutcome::Ran { endpoint, least } => {
-                let ran = self.engine(number, endpoint)?.ledgers().flatten().count();
-                (least.to_string(), ran.min(*least).to_string())
-            }
-            TraceOutcome::Stopped { instance } => {
-                let is_gone = self
-                    .instances
-                    .get(instance)
-                    .is_some_and(|found| found.is_gone);
-                (true.to_string(), is_gone.to_string())
-            }
-        };
-        let is_same = expected == found;
-        Ok((!is_same).then(|| ReplayMismatch {
-            line: number,
-            expected: format!("{outcome:?}").into(),
-            found: found.into(),
-        }))
-    }
-
-    fn session(&self, line: usize, request: &str) -> Result<&ReplaySession, TraceError> {
-        self.sessions
-            .get(request)
-            .ok_or_else(|| TraceError::new(line, format!("no request {request}")))
-    }
-
-    fn met(&self, line: usize, request: &str, name: &str) -> Result<u64, TraceError> {
-        let count = self.session(line, request)?.count();
-        match name {
-            "resumed" => Ok(count.resumed),
-            "imported" => Ok(count.imported),
-            "fed" => Ok(count.fed),
-            "rerun" => Ok(count.rerun),
-            "restarted" => Ok(count.restarted),
-            "crossed" => Ok(count.crossed),
-            "stale" => Ok(count.stale),
-            "bad" => Ok(count.bad),
-            _ => Err(TraceError::new(line, format!("no count {name}"))),
-        }
-    }
 }
--- a/crates/dandeliondeal_replay/src/replay_store.rs
+++ b/crates/dandeliondeal_replay/src/replay_store.rs
@@ -33,9 +33,7 @@
     /// Carries out a call; `None` if the action is not one.
     pub(crate) fn call(&mut self, action: ShardAction) -> Option<StoreResult> {
         let is_write = matches!(action, ShardAction::Put(_) | ShardAction::Delete(..));
-        let fault = self.next_fault(is_write);
-        self.objects.clear_faults();
-        self.objects.add_faults([fault]);
+        let fault = self.prepare(is_write);
         let event = match action {
             ShardAction::List(prefix) => ShardEvent::Listed(self.objects.list_now(&prefix)),
             ShardAction::Get(name) => ShardEvent::Read(self.objects.get_now(&name)),
@@ -50,14 +48,29 @@
             }
             ShardAction::Reply(..) | ShardAction::Wake(_) => return None,
         };
-        let is_lost = matches!(fault, StoreFault::AnswerLost | StoreFault::Late);
         Some(StoreResult {
             event,
-            wait: if is_lost { ANSWER_TIMEOUT } else { self.slow },
+            wait: self.wait(fault),
             is_late: fault == StoreFault::Late,
         })
     }
 
+    /// Chooses the fault of the next call and hands it to the objects.
+    pub(crate) fn prepare(&mut self, is_write: bool) -> StoreFault {
+        let fault = self.next_fault(is_write);
+        self.objects.clear_faults();
+        self.objects.add_faults([fault]);
+        fault
+    }
+
+    /// Time until a caller has the result of a call, or gives it up.
+    pub(crate) fn wait(&self, fault: StoreFault) -> Duration {
+        match fault {
+            StoreFault::AnswerLost | StoreFault::Late => ANSWER_TIMEOUT,
+            _ => self.slow,
+        }
+    }
+
     fn next_fault(&mut self, is_write: bool) -> StoreFault {
         if self.is_out {
             return StoreFault::Refused;
--- a/crates/dandeliondeal_replay/src/replay_world.rs
+++ b/crates/dandeliondeal_replay/src/replay_world.rs
@@ -5,18 +5,23 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_claim::{ShardAction, ShardEvent};
+use dandeliondeal_config::RolloutEvent;
 use dandeliondeal_pipeline::{AttemptNumber, PlanIndex, PlanQuery, PlanSettings, SessionEvent};
+use dandeliondeal_platform::{LeaseAction, LeaseEvent};
 use dandeliondeal_types::sheet_model::{EndpointEntry, EndpointTarget};
 use dandeliondeal_types::{
-    Clock, EndpointId, EndpointView, ErrorKind, InstanceId, ManualClock, RequestId,
+    Clock, EndpointId, EndpointView, ErrorKind, FencingNumber, InstanceId, ManualClock, RequestId,
 };
 
 use crate::event_queue::EventQueue;
-use crate::replay_claims::{KeyedRequest, ReplayInstance, ReplayService, ServiceAnswer};
+use crate::replay_claims::{KeyedRequest, ReplayService, ServiceAnswer};
 use crate::replay_engine::{EngineCall, EngineResult, ReplayEngine};
+use crate::replay_instance::ReplayInstance;
 use crate::replay_session::{ReplaySession, SessionOrder};
 use crate::replay_store::ReplayStore;
-use crate::{EngineSpec, StatedOutcome, Trace, TraceError, TraceSettings};
+use crate::{
+    EngineSpec, ReplayMismatch, SheetVerdict, StatedOutcome, Trace, TraceError, TraceSettings,
+};
 
 /// Time between two ticks of a session.
 const TICK: Duration = Duration::from_secs(1);
@@ -37,6 +42,11 @@
     ServiceAnswer(RequestId, ServiceAnswer),
     SettlementCall(RequestId),
     BalancerMoved(InstanceId),
+    SheetTick(InstanceId, u32),
+    Sheet(InstanceId, u32, RolloutEvent),
+    LeaseTick(InstanceId, u32),
+    LeaseCall(InstanceId, u32, LeaseAction),
+    Lease(InstanceId, u32, LeaseEvent),
 }
 
 /// Everything that a trace takes place among.
@@ -52,6 +62,11 @@
     pub(crate) store: ReplayStore,
     /// When each session was started at an engine.
     pub(crate) started: Vec<(EndpointId, RequestId, Duration)>,
+    /// What operators were told.
+    pub(crate) changes: BTreeMap<Arc<str>, SheetVerdict>,
+    pub(crate) highest_fence: FencingNumber,
+    /// Revisions and fencing numbers that went back.
+    pub(crate) reverts: Vec<ReplayMismatch>,
     index: PlanIndex,
     seen_leaving: BTreeSet<EndpointId>,
     clock: ManualClock,
@@ -73,23 +88,21 @@
 }
 
 impl ReplayWorld {
-    pub(crate) fn new(trace: &Trace) -> Self {
+    pub(crate) fn new(trace: &Trace) -> Result<Self, TraceError> {
         let settings = trace.header.settings.clone();
         let clock = ManualClock::default();
-        let instances = settings
-            .instances
-            .iter()
-            .map(|id| (Arc::clone(id), ReplayInstance::new(id)))
-            .collect();
         let mut world = Self {
             queue: EventQueue::default(),
             engines: BTreeMap::new(),
             services: BTreeMap::new(),
-            instances,
+            instances: BTreeMap::new(),
             sessions: BTreeMap::new(),
             keyed: BTreeMap::new(),
             store: ReplayStore::default(),
             started: Vec::new(),
+            changes: BTreeMap::new(),
+            highest_fence: 0,
+            reverts: Vec::new(),
             index: PlanIndex::new(PlanSettings::default()),
             seen_leaving: BTreeSet::new(),
             clock,
@@ -99,7 +112,31 @@
         for spec in world.settings.engines.clone() {
             world.join(&spec);
         }
-        world
+        for id in world.settings.instances.clone() {
+            world.start_instance(1, &id)?;
+        }
+        Ok(world)
+    }
+
+    /// Starts an instance, in place of an earlier process of it.
+    pub(crate) fn start_instance(
+        &mut self,
+        line: usize,
+        id: &InstanceId,
+    ) -> Result<(), TraceError> {
+        let earlier = self.instances.get(id);
+        let process = earlier.map_or(0, |instance| instance.process + 1);
+        let is_rolling = self.instances.values().any(|instance| instance.is_rolling);
+        let instance = ReplayInstance::new(line, id, process)?;
+        self.instances.insert(Arc::clone(id), instance);
+        if is_rolling {
+            self.start_rollout();
+        }
+        Ok(())
+    }
+
+    pub(crate) fn clock(&self) -> &ManualClock {
+        &self.clock
     }
 
     pub(crate) fn now(&self) -> Instant {
@@ -118,7 +155,9 @@
     pub(crate) fn run_until(&mut self, limit: Duration) {
         while let Some((at, task)) = self.queue.pop_due(limit) {
             self.move_clock(at);
-            self.run(task);
+            if let Some(task) = self.hold(task) {
+                self.run(task);
+            }
         }
         self.move_clock(limit);
     }
@@ -177,10 +216,10 @@
         let Some(instance) = self.instances.get_mut(&session.instance) else {
             return;
         };
-        if instance.is_gone {
+        if instance.is_gone() {
             return;
         }
-        if instance.is_paused {
+        if instance.is_paused() {
             let task = WorldTask::Session(Arc::clone(request), event);
             instance.held.push(task);
             return;
@@ -251,7 +290,38 @@
             WorldTask::ServiceAnswer(request, answer) => self.service_answer(&request, answer),
             WorldTask::SettlementCall(request) => self.settlement_call(&request),
             WorldTask::BalancerMoved(instance) => self.balancer_moved(&instance),
+            WorldTask::SheetTick(instance, process) => self.sheet_tick(&instance, process),
+            WorldTask::Sheet(instance, process, event) => {
+                self.sheet_event(&instance, process, event);
+            }
+            WorldTask::LeaseTick(instance, process) => self.lease_tick(&instance, process),
+            WorldTask::LeaseCall(instance, process, action) => {
+                self.lease_call(&instance, process, action);
+            }
+            WorldTask::Lease(instance, process, event) => {
+                self.lease_event(&instance, process, event);
+            }
+        }
+    }
+
+    /// Keeps a task while its instance stands still, and drops it if its process is gone.
+    fn hold(&mut self, task: WorldTask) -> Option<WorldTask> {
+        let (WorldTask::SheetTick(id, process)
+        | WorldTask::Sheet(id, process, _)
+        | WorldTask::LeaseTick(id, process)
+        | WorldTask::Lease(id, process, _)) = &task
+        else {
+            return Some(task);
+        };
+        let instance = self.instances.get_mut(id)?;
+        if instance.is_gone() || instance.process != *process {
+            return None;
+        }
+        if instance.is_paused() {
+            instance.held.push(task);
+            return None;
         }
+        Some(task)
     }
 
     fn arrive(&mut self, endpoint: &EndpointId, call: EngineCall) {
--- a/crates/dandeliondeal_replay/src/trace_coverage.rs
+++ b/crates/dandeliondeal_replay/src/trace_coverage.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use dandeliondeal_types::Revision;
+
 use crate::{Trace, TraceEvent, TraceStep};
 
 /// What must always hold.
@@ -19,6 +21,8 @@
     NoNewWork,
     /// A planned stop cuts off no request.
     GracefulStop,
+    /// An accepted sheet is in force and never reverts.
+    SheetInForce,
 }
 
 /// What fails.
@@ -38,6 +42,10 @@
     PausedInstance,
     /// Open connections go silent.
     SilentConnection,
+    /// A holder of the lease stands still beyond its term.
+    LapsedLease,
+    /// Operators change the same revision.
+    RacingOperators,
     /// Several failures, or one several times.
     Together,
 }
@@ -53,7 +61,18 @@
     let guarantees: BTreeSet<Guarantee> = events().flat_map(guarantees_of).copied().collect();
     let failures: Vec<FailureKind> = events().filter_map(failure_of).collect();
     let together = (failures.len() > 1).then_some(FailureKind::Together);
-    let kinds: BTreeSet<FailureKind> = failures.into_iter().chain(together).collect();
+    let is_contended = events().any(|event| matches!(event, TraceEvent::Contend { .. }));
+    let is_paused = failures.contains(&FailureKind::PausedInstance);
+    let lapsed = (is_contended && is_paused).then_some(FailureKind::LapsedLease);
+    let bases: Vec<Revision> = events().filter_map(base_of).collect();
+    let distinct: BTreeSet<Revision> = bases.iter().copied().collect();
+    let racing = (distinct.len() < bases.len()).then_some(FailureKind::RacingOperators);
+    let kinds: BTreeSet<FailureKind> = failures
+        .into_iter()
+        .chain(together)
+        .chain(lapsed)
+        .chain(racing)
+        .collect();
     guarantees
         .iter()
         .flat_map(|guarantee| kinds.iter().map(|kind| (*guarantee, *kind)))
@@ -66,10 +85,18 @@
         TraceEvent::Keyed { .. } => &[Guarantee::AtMostOnce, Guarantee::NotRun],
         TraceEvent::Leave { .. } => &[Guarantee::NoNewWork],
         TraceEvent::Stop { .. } => &[Guarantee::GracefulStop],
+        TraceEvent::Sheet { .. } => &[Guarantee::SheetInForce],
         _ => &[],
     }
 }
 
+fn base_of(event: &TraceEvent) -> Option<Revision> {
+    match event {
+        TraceEvent::Sheet { base, .. } => *base,
+        _ => None,
+    }
+}
+
 fn failure_of(event: &TraceEvent) -> Option<FailureKind> {
     match event {
         TraceEvent::Kill { .. } | TraceEvent::Crash { .. } => Some(FailureKind::StageDeath),
--- a/crates/dandeliondeal_replay/src/trace_event.rs
+++ b/crates/dandeliondeal_replay/src/trace_event.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dandeliondeal_types::{EndpointId, InstanceId, Layer, RequestId};
+use dandeliondeal_types::{EndpointId, InstanceId, Layer, RequestId, Revision};
 use serde::{Deserialize, Serialize};
 
 /// Something that happens.
@@ -159,6 +159,25 @@
         /// The instance.
         instance: InstanceId,
     },
+    /// An instance starts, in place of an earlier one of that name if there was one.
+    Start {
+        /// The instance.
+        instance: InstanceId,
+    },
+    /// An operator gives in the example sheet with one value changed.
+    Sheet {
+        /// Name of the change.
+        change: Arc<str>,
+        /// The revision that the operator looked at.
+        base: Option<Revision>,
+        /// The value of `endpoint,engine-1,capacity`.
+        capacity: Arc<str>,
+    },
+    /// An instance contends for the lease from now on.
+    Contend {
+        /// The instance.
+        instance: InstanceId,
+    },
 }
 
 /// How a request ended, as its caller sees it.
@@ -177,6 +196,22 @@
     Open,
 }
 
+/// What an operator is told of a sheet.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum SheetVerdict {
+    /// It is accepted.
+    Accepted,
+    /// Another change was first.
+    Conflict,
+    /// The sheet is wrong.
+    Refused,
+    /// The platform did not take it; nothing was applied.
+    NotAccepted,
+    /// It is not known whether it was accepted.
+    Unknown,
+}
+
 /// What a trace states at some moment.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(tag = "expect", rename_all = "kebab-case", deny_unknown_fields)]
@@ -225,6 +260,27 @@
         /// The smallest number.
         least: usize,
     },
+    /// What the operator was told of a sheet.
+    Verdict {
+        /// Name of the change.
+        change: Arc<str>,
+        /// What was told.
+        verdict: SheetVerdict,
+    },
+    /// The revision in force at an instance, and whether the instance is ready with it.
+    InForce {
+        /// The instance.
+        instance: InstanceId,
+        /// The revision.
+        revision: Revision,
+        /// Whether the revision is confirmed.
+        ready: bool,
+    },
+    /// Who may act under the lease; nobody if absent.
+    Holder {
+        /// The instance.
+        instance: Option<InstanceId>,
+    },
     /// Whether a planned stop is over.
     Stopped {
         /// The instance.
--- a/crates/dandeliondeal_replay/tests/trace_files.rs
+++ b/crates/dandeliondeal_replay/tests/trace_files.rs
@@ -49,6 +49,6 @@
         .flat_map(|guarantee| failures.iter().map(|failure| (*guarantee, *failure)))
         .filter(|pair| !covered.contains(pair))
         .collect();
-    assert_eq!((guarantees.len(), failures.len()), (6, 8));
+    assert_eq!((guarantees.len(), failures.len()), (7, 10));
     assert!(missing.is_empty(), "{missing:?}");
 }
