--- /dev/null
+++ b/crates/dandeliondeal_entry/src/endpoint_watch.rs
@@ -0,0 +1,36 @@
+//! Learns from the platform's instance list which engines are leaving.
+
+use std::time::Duration;
+
+use dandeliondeal_types::{Clock, InstanceList, InstanceRecord, InstanceRole, InstanceState};
+
+use crate::engine_use::EngineUse;
+use crate::entry_context::EntryContext;
+
+/// Longest time between two reads, so that a leaving engine gets no session 3 s after the list
+/// shows it.
+const MOST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Reads the instance list again and again; while it cannot be read, what was known stays.
+pub async fn watch_endpoints<ClockSource>(context: EntryContext<ClockSource>)
+where
+    ClockSource: Clock,
+{
+    let interval = context.settings().membership.list_interval;
+    loop {
+        match context.platform().instances().await {
+            Ok(records) => note(context.engines(), &records),
+            Err(error) => tracing::debug!(%error, "instance list not read"),
+        }
+        actix_rt::time::sleep(interval.min(MOST_INTERVAL)).await;
+    }
+}
+
+fn note(engines: &EngineUse, records: &[InstanceRecord]) {
+    let endpoints = records
+        .iter()
+        .filter(|record| record.role == InstanceRole::Endpoint);
+    for record in endpoints {
+        engines.set_leaving(&record.id, record.state == InstanceState::Leaving);
+    }
+}
--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -16,8 +16,10 @@
 use crate::claim_desk::ClaimDesk;
 use crate::claim_rpc::PeerLink;
 use crate::drain_state::DrainMachine;
+use crate::engine_use::EngineUse;
 use crate::entry_metrics::EntryMetrics;
 use crate::http_pool::HttpPool;
+use crate::log_budget::LogBudget;
 use crate::request_id::request_id;
 use crate::request_life::{RequestEvent, RequestRegistry, RequestState};
 use crate::table_cell::TableCell;
@@ -55,6 +57,8 @@
     metrics: EntryMetrics,
     admission: AdmissionGate,
     pool: HttpPool,
+    engines: EngineUse,
+    budget: LogBudget,
     platform: PlatformClient<ClockSource>,
     claims: EntryClaims<ClockSource>,
     drain: RefCell<DrainMachine>,
@@ -94,6 +98,8 @@
             metrics: EntryMetrics::new()?,
             admission: AdmissionGate::new(settings.limits.organisation_requests),
             pool: HttpPool::new(settings.requests.connect_time),
+            engines: EngineUse::default(),
+            budget: LogBudget::new(settings.limits.recovery_bytes),
             drain: RefCell::new(DrainMachine::new()?),
             readiness: RefCell::new(None),
             next_request: Cell::new(0),
@@ -145,6 +151,16 @@
         &self.inner.pool
     }
 
+    /// Sessions of this instance at the engines.
+    pub fn engines(&self) -> &EngineUse {
+        &self.inner.engines
+    }
+
+    /// Memory for the inputs that sessions keep for recovery.
+    pub fn budget(&self) -> &LogBudget {
+        &self.inner.budget
+    }
+
     /// The platform.
     pub fn platform(&self) -> &PlatformClient<ClockSource> {
         &self.inner.platform
