--- a/crates/dandeliondeal_balance/src/board_settings.rs
+++ b/crates/dandeliondeal_balance/src/board_settings.rs
@@ -70,6 +70,8 @@
     pub retry_wait: Duration,
     /// Longest wait before a failed endpoint is tested.
     pub retry_wait_limit: Duration,
+    /// Longest lag of the instance list.
+    pub list_lag: Duration,
     /// Duration of the slow start; zero, the default, switches it off.
     pub ramp: Duration,
     /// Share of a group that may count as failed without proof that the endpoint is gone.
@@ -91,6 +93,7 @@
             overdue_calls: 3,
             retry_wait: Duration::from_secs(2),
             retry_wait_limit: Duration::from_secs(30),
+            list_lag: Duration::from_secs(30),
             ramp: Duration::ZERO,
             failed_share: 0.5,
         }
--- a/crates/dandeliondeal_balance/tests/endpoint_health.rs
+++ b/crates/dandeliondeal_balance/tests/endpoint_health.rs
@@ -125,6 +125,9 @@
     assert_eq!(test.state(0), HealthState::Leaving);
     assert!(!test.chosen(true).contains(&id(0)));
     test.board.listed(&id(0), false, test.now);
+    assert_eq!(test.state(0), HealthState::Leaving, "the list lags");
+    test.pass(Duration::from_secs(30));
+    test.board.listed(&id(0), false, test.now);
     assert_eq!(test.state(0), HealthState::SlowStart);
 }
 
--- a/crates/dandeliondeal_entry/src/endpoint_watch.rs
+++ b/crates/dandeliondeal_entry/src/endpoint_watch.rs
@@ -4,7 +4,6 @@
 
 use dandeliondeal_types::{Clock, InstanceList, InstanceRecord, InstanceRole, InstanceState};
 
-use crate::engine_use::EngineUse;
 use crate::entry_context::EntryContext;
 
 /// Longest time between two reads, so that a leaving engine gets no session 3 s after the list
@@ -19,18 +18,23 @@
     let interval = context.settings().membership.list_interval;
     loop {
         match context.platform().instances().await {
-            Ok(records) => note(context.engines(), &records),
+            Ok(records) => note(&context, &records),
             Err(error) => tracing::debug!(%error, "instance list not read"),
         }
         actix_rt::time::sleep(interval.min(MOST_INTERVAL)).await;
     }
 }
 
-fn note(engines: &EngineUse, records: &[InstanceRecord]) {
+fn note<ClockSource>(context: &EntryContext<ClockSource>, records: &[InstanceRecord])
+where
+    ClockSource: Clock,
+{
     let endpoints = records
         .iter()
         .filter(|record| record.role == InstanceRole::Endpoint);
     for record in endpoints {
-        engines.set_leaving(&record.id, record.state == InstanceState::Leaving);
+        let is_leaving = record.state == InstanceState::Leaving;
+        context.engines().set_leaving(&record.id, is_leaving);
+        context.board().listed(&record.id, is_leaving);
     }
 }
