--- a/crates/dandeliondeal_command/src/measure_command.rs
+++ b/crates/dandeliondeal_command/src/measure_command.rs
@@ -1,8 +1,6 @@
 //! `dandeliondeal measure`: measurements of the real code on loopback.
 
-use dandeliondeal_measure::{
-    MeasureError, MeasureSettings, choice, footprint, limits, overhead, overload,
-};
+use dandeliondeal_measure::{self as measure, MeasureError, MeasureSettings};
 use pico_args::Arguments;
 
 use crate::CommandError;
@@ -15,6 +13,7 @@
 usage: dandeliondeal measure NAME [--seed NUMBER] [--long]
 
   choice       ways to choose an endpoint, at several lags of load reports, in virtual time
+  claims       claims a platform write, the delay of a claim, calls as the fleet grows
   footprint    memory and processor time of the control state as it grows
   limits       grants of an organisation's limit among instances, in virtual time
   overhead     time to the first token beside the engines' own, processor time a token
@@ -41,11 +40,12 @@
     reject_rest(arguments)?;
     actix_rt::System::new().block_on(async {
         match &*name {
-            "choice" => finish(choice::run(settings)),
-            "footprint" => finish(footprint::run(settings)),
-            "limits" => finish(limits::run(settings)),
-            "overhead" => finish(overhead::run(settings).await),
-            "overload" => finish(overload::run(settings)),
+            "choice" => finish(measure::choice::run(settings)),
+            "claims" => finish(measure::claims::run(settings).await),
+            "footprint" => finish(measure::footprint::run(settings)),
+            "limits" => finish(measure::limits::run(settings)),
+            "overhead" => finish(measure::overhead::run(settings).await),
+            "overload" => finish(measure::overload::run(settings)),
             _ => Err(CommandError::usage(format!(
                 "there is no measurement {name}; see --help"
             ))),
