--- a/crates/dandeliondeal_entry/src/entry_metrics.rs
+++ b/crates/dandeliondeal_entry/src/entry_metrics.rs
@@ -4,8 +4,8 @@
 
 use dandeliondeal_types::{Outcome, RequestStep};
 use prometheus::{
-    Encoder, Error, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Error, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// Bounds of the time buckets, in seconds.
@@ -25,6 +25,9 @@
     pub open_requests: IntGauge,
     /// Revision of the sheet in force.
     pub revision: IntGauge,
+    /// Requests that wait for a place.
+    pub admission_waiting: IntGauge,
+    endpoints: IntGaugeVec,
     recoveries: IntCounterVec,
     dropped_answers: IntCounterVec,
 }
@@ -50,6 +53,14 @@
             tokens: IntCounter::new("dandeliondeal_tokens_total", "Tokens delivered")?,
             open_requests: IntGauge::new("dandeliondeal_open_requests", "Requests in flight")?,
             revision: IntGauge::new("dandeliondeal_sheet_revision", "Revision in force")?,
+            admission_waiting: IntGauge::new(
+                "dandeliondeal_admission_waiting",
+                "Requests that wait for a place",
+            )?,
+            endpoints: IntGaugeVec::new(
+                Opts::new("dandeliondeal_endpoints", "Endpoints by state of health"),
+                &["state"],
+            )?,
             recoveries: IntCounterVec::new(
                 Opts::new("dandeliondeal_recoveries_total", "Recoveries by way"),
                 &["way"],
@@ -73,6 +84,9 @@
         self.registry
             .register(Box::new(self.open_requests.clone()))?;
         self.registry.register(Box::new(self.revision.clone()))?;
+        self.registry
+            .register(Box::new(self.admission_waiting.clone()))?;
+        self.registry.register(Box::new(self.endpoints.clone()))?;
         self.registry.register(Box::new(self.recoveries.clone()))?;
         self.registry
             .register(Box::new(self.dropped_answers.clone()))
@@ -83,6 +97,12 @@
         &self.registry
     }
 
+    /// Shows how many endpoints are in a state of health.
+    pub fn endpoints(&self, state: &str, count: usize) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.endpoints.with_label_values(&[state]).set(count);
+    }
+
     /// Counts the end of a request.
     pub fn ended(&self, outcome: Outcome) {
         self.requests
--- a/crates/dandeliondeal_entry/src/operator_api.rs
+++ b/crates/dandeliondeal_entry/src/operator_api.rs
@@ -1,6 +1,7 @@
 //! The API for operators: health and metrics.
 
 use actix_http::{Method, Request, Response, StatusCode};
+use dandeliondeal_chart::ChartLabel;
 use dandeliondeal_types::Clock;
 
 use crate::entry_context::EntryContext;
@@ -54,6 +55,11 @@
 {
     let revision = i64::try_from(context.table().revision()).unwrap_or(i64::MAX);
     context.metrics().revision.set(revision);
+    let waiting = i64::try_from(context.admission().waiting()).unwrap_or(i64::MAX);
+    context.metrics().admission_waiting.set(waiting);
+    for (state, count) in context.board().counts() {
+        context.metrics().endpoints(state.label(), count);
+    }
     match context.metrics().render() {
         Ok(text) => reply::text(StatusCode::OK, String::from_utf8_lossy(&text)),
         Err(error) => reply::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
--- a/crates/dandeliondeal_entry/src/shared_board.rs
+++ b/crates/dandeliondeal_entry/src/shared_board.rs
@@ -9,7 +9,7 @@
     BoardSettings, BoardView, CallResult, EndpointBoard, EndpointProfile, FailureSignal,
     HealthState, LoadReport, WholeView,
 };
-use dandeliondeal_chart::ChartError;
+use dandeliondeal_chart::{ChartError, ChartLabel};
 use dandeliondeal_types::sheet_model::{EndpointEntry, EndpointTarget};
 use dandeliondeal_types::{
     Clock, EndpointId, ErrorKind, FailureDomain, InstanceId, RouteError, SheetModel,
@@ -137,6 +137,16 @@
         self.board.borrow().state(endpoint)
     }
 
+    /// Number of endpoints in each state of health.
+    pub fn counts(&self) -> Vec<(HealthState, usize)> {
+        let board = self.board.borrow();
+        let count = |state| board.states().filter(|known| known.1 == state).count();
+        HealthState::ALL
+            .iter()
+            .map(|&state| (state, count(state)))
+            .collect()
+    }
+
     /// A reference that does not keep the board.
     pub fn downgrade(&self) -> WeakBoard {
         WeakBoard(Rc::downgrade(&self.board))
