--- /dev/null
+++ b/crates/dandeliondeal_peer/tests/membership_machine.rs
@@ -0,0 +1,254 @@
+//! Membership decisions: joins, deaths, bad links, parted regions, restarts, leaving.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use dandeliondeal_config::RevisionStamp;
+use dandeliondeal_peer::{
+    MemberCard, MemberState, MembershipAction, MembershipEvent, MembershipMachine,
+    MembershipSettings,
+};
+use dandeliondeal_types::{InstanceRecord, InstanceRole, InstanceState};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const TICK: Duration = Duration::from_millis(250);
+const DOMAINS: [&str; 3] = ["didube", "saburtalo", "isani"];
+
+/// Machines that exchange messages at once, unless a link is cut or a message is lost.
+struct TestFleet {
+    now: Instant,
+    machines: Vec<Option<MembershipMachine>>,
+    parted_at: Option<usize>,
+    bad_link: Option<(usize, usize)>,
+    loss_percent: u32,
+    random: StdRng,
+}
+
+fn card_of(index: usize, incarnation: u64) -> MemberCard {
+    MemberCard {
+        id: format!("entry-{index}").into(),
+        incarnation,
+        address: SocketAddr::from(([127, 0, 0, 1], u16::try_from(index).unwrap() + 1)),
+        failure_domain: DOMAINS[index % DOMAINS.len()].into(),
+        region: "tbilisi".into(),
+    }
+}
+
+fn index_of(card: &MemberCard) -> usize {
+    usize::from(card.address.port()) - 1
+}
+
+fn record_of(card: &MemberCard) -> InstanceRecord {
+    InstanceRecord {
+        id: card.id.clone(),
+        role: InstanceRole::Entry,
+        state: InstanceState::Live,
+        address: card.address,
+        failure_domain: card.failure_domain.clone(),
+        region: card.region.clone(),
+        incarnation: card.incarnation,
+    }
+}
+
+impl TestFleet {
+    /// A fleet whose instances know only the first one at their start.
+    fn new(size: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            now: Instant::now(),
+            machines: Vec::new(),
+            parted_at: None,
+            bad_link: None,
+            loss_percent: 0,
+            random: StdRng::seed_from_u64(seed),
+        };
+        for index in 0..size {
+            fleet.machines.push(None);
+            fleet.start(index, 1);
+        }
+        fleet
+    }
+
+    fn start(&mut self, index: usize, incarnation: u64) {
+        let settings = MembershipSettings::default();
+        let own = card_of(index, incarnation);
+        let machine = MembershipMachine::new(settings, own, self.now).unwrap();
+        self.machines[index] = Some(machine);
+        let records = vec![record_of(&card_of(0, 1))];
+        self.apply(index, MembershipEvent::Listed { records });
+    }
+
+    fn apply(&mut self, index: usize, event: MembershipEvent) {
+        let now = self.now;
+        let Some(machine) = &mut self.machines[index] else {
+            return;
+        };
+        for action in machine.apply(event, now) {
+            self.run(index, &action);
+        }
+    }
+
+    fn run(&mut self, index: usize, action: &MembershipAction) {
+        match action {
+            MembershipAction::Send { to } => {
+                let other = index_of(to);
+                if !self.exchange(index, other) {
+                    let peer = to.id.clone();
+                    self.apply(index, MembershipEvent::Unanswered { peer });
+                }
+            }
+            MembershipAction::Observe { observer, subject } => {
+                let (by, other) = (index_of(observer), index_of(subject));
+                if self.reaches(index, by) {
+                    let reachable = self.reaches(by, other);
+                    let subject = subject.id.clone();
+                    self.apply(index, MembershipEvent::Observed { subject, reachable });
+                }
+            }
+            MembershipAction::Changed { .. } => {}
+        }
+    }
+
+    fn reaches(&mut self, from: usize, to: usize) -> bool {
+        let is_cut = self.parted_at.is_some_and(|at| (from < at) != (to < at));
+        let is_bad = self.bad_link == Some((from, to));
+        let is_lost = self.random.random_range(0..100) < self.loss_percent;
+        self.machines[to].is_some() && !is_cut && !is_bad && !is_lost
+    }
+
+    fn exchange(&mut self, from: usize, to: usize) -> bool {
+        if !self.reaches(from, to) {
+            return false;
+        }
+        let (sender, receiver) = (card_of(from, 1).id, card_of(to, 1).id);
+        let stamp = RevisionStamp::default();
+        let machine = self.machines[from].as_mut().unwrap();
+        let heartbeat = machine.heartbeat(&receiver, stamp.clone());
+        self.apply(to, MembershipEvent::Heard { heartbeat });
+        let heartbeat = self.machines[to]
+            .as_mut()
+            .unwrap()
+            .heartbeat(&sender, stamp);
+        self.apply(from, MembershipEvent::Heard { heartbeat });
+        true
+    }
+
+    fn run_for(&mut self, seconds: u64) {
+        let end = self.now + Duration::from_secs(seconds);
+        while self.now < end {
+            self.now += TICK;
+            for index in 0..self.machines.len() {
+                self.apply(index, MembershipEvent::Tick);
+            }
+        }
+    }
+
+    /// How many running instances hold `index` in each state, unknown ones left out.
+    fn count(&self, index: usize, state: MemberState) -> usize {
+        let id = card_of(index, 1).id;
+        let machines = self.machines.iter().flatten();
+        machines
+            .filter(|machine| {
+                machine
+                    .members()
+                    .any(|(card, held)| card.id == id && held == state)
+            })
+            .count()
+    }
+
+    fn all_alive(&self) -> bool {
+        let size = self.machines.len();
+        (0..size).all(|index| self.count(index, MemberState::Alive) == size - 1)
+    }
+}
+
+#[test]
+fn fleet_joins() {
+    let mut fleet = TestFleet::new(30, 1);
+    fleet.run_for(20);
+    assert!(fleet.all_alive());
+}
+
+#[test]
+fn death_noticed() {
+    let mut fleet = TestFleet::new(30, 2);
+    fleet.run_for(20);
+    fleet.machines[7] = None;
+    fleet.run_for(10);
+    assert_eq!(fleet.count(7, MemberState::Failed), 29);
+    let others = (0..30).filter(|index| *index != 7);
+    assert_eq!(
+        others
+            .map(|index| fleet.count(index, MemberState::Failed))
+            .sum::<usize>(),
+        0
+    );
+    // A new process of the same name takes its place.
+    fleet.start(7, 2);
+    fleet.run_for(20);
+    assert!(fleet.all_alive());
+}
+
+#[test]
+fn bad_link() {
+    let mut fleet = TestFleet::new(12, 3);
+    fleet.run_for(10);
+    for from in 0..12 {
+        for to in 0..12 {
+            fleet.bad_link = Some((from, to));
+            fleet.run_for(3);
+            assert_eq!(fleet.count(to, MemberState::Failed), 0, "{from} to {to}");
+        }
+    }
+}
+
+#[test]
+fn parted_regions() {
+    let mut fleet = TestFleet::new(20, 4);
+    fleet.run_for(20);
+    fleet.parted_at = Some(8);
+    fleet.run_for(60);
+    assert_eq!(fleet.count(0, MemberState::Alive), 7);
+    fleet.parted_at = None;
+    fleet.run_for(300);
+    assert!(fleet.all_alive());
+}
+
+#[test]
+fn leaving_spreads() {
+    let mut fleet = TestFleet::new(30, 5);
+    fleet.run_for(20);
+    fleet.apply(4, MembershipEvent::Leave);
+    fleet.run_for(6);
+    assert_eq!(fleet.count(4, MemberState::Leaving), 29);
+}
+
+#[test]
+fn lost_messages() {
+    for seed in 0..20 {
+        println!("seed {seed}");
+        let mut fleet = TestFleet::new(15, seed);
+        fleet.run_for(10);
+        fleet.loss_percent = 30;
+        fleet.run_for(60);
+        fleet.loss_percent = 0;
+        fleet.run_for(60);
+        assert!(fleet.all_alive(), "failed at seed {seed}");
+    }
+}
+
+#[test]
+fn constant_neighbours() {
+    for size in [1, 2, 3, 8, 32, 420] {
+        let mut machine =
+            MembershipMachine::new(MembershipSettings::default(), card_of(0, 1), Instant::now())
+                .unwrap();
+        let records = (0..size)
+            .map(|index| record_of(&card_of(index, 1)))
+            .collect();
+        machine.apply(MembershipEvent::Listed { records }, Instant::now());
+        assert_eq!(machine.members().count(), size - 1);
+        assert!(machine.neighbours().len() <= 4);
+        assert!(size == 1 || !machine.neighbours().is_empty());
+    }
+}
