--- a/crates/dandeliondeal_command/src/command_line.rs
+++ b/crates/dandeliondeal_command/src/command_line.rs
@@ -3,8 +3,8 @@
 use pico_args::Arguments;
 
 use crate::{
-    CommandError, audit_command, measure_command, set_command, settings_command, sheet_command,
-    standalone,
+    CommandError, audit_command, measure_command, replay_command, set_command, settings_command,
+    sheet_command, standalone,
 };
 
 const HELP: &str = "\
@@ -14,6 +14,7 @@
 
   standalone     run an entry instance with stand-ins for all that it needs
   measure        measure the real code on loopback
+  replay         replay traces against their stated outcomes
   sheet          print, check and accept sheets, show what is accepted
   set            change an attribute of the accepted sheet
   audit          read and verify the audit trail
@@ -36,6 +37,7 @@
         Some("measure") => {
             run_or_help(help, measure_command::HELP, arguments, measure_command::run)
         }
+        Some("replay") => run_or_help(help, replay_command::HELP, arguments, replay_command::run),
         Some("sheet") => run_or_help(help, sheet_command::HELP, arguments, sheet_command::run),
         Some("set") => run_or_help(help, set_command::HELP, arguments, set_command::run),
         Some("audit") => run_or_help(help, audit_command::HELP, arguments, audit_command::run),
--- a/crates/dandeliondeal_command/src/lib.rs
+++ b/crates/dandeliondeal_command/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod json_log;
 pub mod measure_command;
 pub mod platform_access;
+pub mod replay_command;
 pub mod set_command;
 pub mod settings_command;
 pub mod sheet_command;
