--- a/crates/dandeliondeal_command/src/entry_command.rs
+++ b/crates/dandeliondeal_command/src/entry_command.rs
@@ -36,7 +36,9 @@
         let mut entry = EntryServer::start(settings, SystemClock)
             .await
             .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
-        entry.follow_platform();
+        entry
+            .join_fleet()
+            .map_err(|error| CommandError::failed(format!("peers: {error}")))?;
         tracing::info!(
             callers = %entry.caller_address(),
             operators = %entry.operator_address(),
--- a/crates/dandeliondeal_config/src/entry_settings.rs
+++ b/crates/dandeliondeal_config/src/entry_settings.rs
@@ -206,6 +206,8 @@
     pub heartbeat_timeout: Duration,
     /// Time between two reads of the platform's instance list.
     pub list_interval: Duration,
+    /// Peer addresses to ask while the platform's list cannot be read.
+    pub seeds: Vec<SocketAddr>,
 }
 
 impl Default for MembershipSettings {
@@ -214,6 +216,7 @@
             heartbeat_interval: Duration::from_secs(1),
             heartbeat_timeout: Duration::from_secs(1),
             list_interval: Duration::from_secs(5),
+            seeds: Vec::new(),
         }
     }
 }
--- a/crates/dandeliondeal_config/src/setting_table.rs
+++ b/crates/dandeliondeal_config/src/setting_table.rs
@@ -248,6 +248,10 @@
         MINUTE * 10,
         "Time between two reads of the platform's instance list."
     ),
+    setting_field!(
+        membership.seeds,
+        "Peer addresses to ask while the platform's list cannot be read."
+    ),
     setting_field!(
         rollout.watchers_per_domain,
         1,
--- a/crates/dandeliondeal_config/src/setting_value.rs
+++ b/crates/dandeliondeal_config/src/setting_value.rs
@@ -72,6 +72,21 @@
     }
 }
 
+impl SettingValue for Vec<SocketAddr> {
+    const EXPECTED: &'static str = "IP addresses and ports separated by spaces, or nothing";
+
+    fn parse_setting(text: &str) -> Option<Self> {
+        text.split_whitespace()
+            .map(|address| address.parse().ok())
+            .collect()
+    }
+
+    fn print_setting(&self) -> String {
+        let addresses: Vec<String> = self.iter().map(ToString::to_string).collect();
+        addresses.join(" ")
+    }
+}
+
 /// Units of time, the longest first, in milliseconds.
 const TIME_UNITS: [(&str, u64); 4] = [("h", 3_600_000), ("min", 60_000), ("s", 1_000), ("ms", 1)];
 
--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -5,13 +5,12 @@
 use std::time::Duration;
 
 use dandeliondeal_config::EntrySettings;
-use dandeliondeal_platform::CallClass;
 use dandeliondeal_types::{Clock, SheetModel};
 
 use crate::drain_state::{DrainEvent, DrainState};
 use crate::entry_context::{EntryContext, EntryError};
 use crate::http_listener::{HttpListener, ListenerSettings};
-use crate::rollout::{NoPeers, Rollout};
+use crate::peer_link::PeerLink;
 use crate::route_table::RouteTable;
 use crate::{caller_api, operator_api};
 
@@ -26,7 +25,7 @@
     context: EntryContext<ClockSource>,
     callers: HttpListener,
     operators: HttpListener,
-    rollout: Option<Rollout<ClockSource, NoPeers>>,
+    link: Option<PeerLink<ClockSource>>,
 }
 
 impl<ClockSource> EntryServer<ClockSource>
@@ -64,14 +63,23 @@
             context,
             callers,
             operators,
-            rollout: None,
+            link: None,
         })
     }
 
-    /// Starts to put in force what the platform has accepted.
-    pub fn follow_platform(&mut self) {
-        let platform = self.context.platform().with_class(CallClass::Configuration);
-        self.rollout = Some(Rollout::start(self.context.clone(), platform, NoPeers));
+    /// Joins the other instances and puts in force what the platform has accepted.
+    ///
+    /// # Errors
+    ///
+    /// If the peers' address cannot be bound.
+    pub fn join_fleet(&mut self) -> Result<(), EntryError> {
+        self.link = Some(PeerLink::start(self.context.clone())?);
+        Ok(())
+    }
+
+    /// The links to the other instances, after [`EntryServer::join_fleet`].
+    pub fn link(&self) -> Option<&PeerLink<ClockSource>> {
+        self.link.as_ref()
     }
 
     /// The address for callers.
@@ -99,6 +107,9 @@
     pub async fn stop(self) {
         let settings = self.context.settings().stop.clone();
         self.drain(DrainEvent::Stop);
+        if let Some(link) = &self.link {
+            link.leave();
+        }
         actix_rt::time::sleep(settings.balancer_lag).await;
         self.callers.close();
         self.drain(DrainEvent::BalancerMoved);
@@ -107,8 +118,8 @@
             actix_rt::time::sleep(IDLE_INTERVAL).await;
         }
         self.drain(DrainEvent::Idle);
-        if let Some(rollout) = &self.rollout {
-            rollout.stop();
+        if let Some(link) = &self.link {
+            link.stop();
         }
         self.operators.close();
     }
--- /dev/null
+++ b/crates/dandeliondeal_entry/src/peer_link.rs
@@ -0,0 +1,260 @@
+//! Runs membership: heartbeats, observations and reads of the instance list.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use dandeliondeal_peer::{
+    Heartbeat, MemberCard, MembershipAction, MembershipEvent, MembershipMachine,
+    MembershipSettings, PeerClient, PeerServer, PeerSettings,
+};
+use dandeliondeal_platform::{CallClass, PlatformClient};
+use dandeliondeal_types::{Clock, InstanceList};
+
+use crate::entry_context::{EntryContext, EntryError};
+use crate::peer_book::PeerBook;
+use crate::peer_handler::{HEARTBEAT_METHOD, OBSERVE_METHOD};
+use crate::rollout::Rollout;
+
+/// Looks at the membership machine in one heartbeat interval.
+const TICKS_PER_INTERVAL: u32 = 4;
+/// Instances of a failure domain that read the instance list at its interval.
+const LIST_READERS: usize = 2;
+/// Intervals between two reads of the other instances.
+const SPARE_READ_FACTOR: u32 = 12;
+
+/// The links of one instance to the others; clones share them.
+#[derive(Clone, Debug)]
+pub struct PeerLink<ClockSource> {
+    inner: Rc<LinkInner<ClockSource>>,
+}
+
+#[derive(Debug)]
+struct LinkInner<ClockSource> {
+    context: EntryContext<ClockSource>,
+    platform: PlatformClient<ClockSource>,
+    book: PeerBook,
+    rollout: Rollout<ClockSource, PeerBook>,
+    server: RefCell<Option<PeerServer>>,
+    is_stopped: Cell<bool>,
+}
+
+impl<ClockSource> PeerLink<ClockSource>
+where
+    ClockSource: Clock,
+{
+    /// Serves peers, follows the accepted revision and joins the other instances.
+    ///
+    /// # Errors
+    ///
+    /// If the peers' address cannot be bound or the chart is wrong.
+    pub fn start(context: EntryContext<ClockSource>) -> Result<Self, EntryError> {
+        let settings = context.settings();
+        let peer_settings = PeerSettings {
+            secret: settings.secrets.peer.clone(),
+            timeout: settings.membership.heartbeat_timeout,
+            ..PeerSettings::default()
+        };
+        let listener = std::net::TcpListener::bind(settings.listen.peers)?;
+        let address = listener.local_addr()?;
+        let own = MemberCard {
+            id: settings.instance.id.clone(),
+            incarnation: context.incarnation(),
+            address,
+            failure_domain: settings.instance.failure_domain.clone(),
+            region: settings.instance.region.clone(),
+        };
+        let membership = MembershipSettings {
+            interval: settings.membership.heartbeat_interval,
+        };
+        let machine = MembershipMachine::new(membership, own, context.clock().now())?;
+        let book = PeerBook {
+            client: PeerClient::new(peer_settings.clone()),
+            machine: Rc::new(RefCell::new(machine)),
+        };
+        let platform = context.platform().with_class(CallClass::Configuration);
+        let link = Self {
+            inner: Rc::new(LinkInner {
+                platform: context.platform().with_class(CallClass::Status),
+                rollout: Rollout::start(context.clone(), platform, book.clone()),
+                context,
+                book,
+                server: RefCell::new(None),
+                is_stopped: Cell::new(false),
+            }),
+        };
+        let server = PeerServer::start(listener, &peer_settings, link.clone())?;
+        link.inner.server.replace(Some(server));
+        actix_rt::spawn(link.clone().read_lists());
+        actix_rt::spawn(link.clone().tick());
+        actix_rt::spawn(link.clone().announce_revisions());
+        Ok(link)
+    }
+
+    /// The address for peers.
+    pub fn address(&self) -> SocketAddr {
+        self.inner.book.machine.borrow().own().card.address
+    }
+
+    /// The members and the connections to them.
+    pub fn book(&self) -> &PeerBook {
+        &self.inner.book
+    }
+
+    /// The revisions of the sheet.
+    pub fn rollout(&self) -> &Rollout<ClockSource, PeerBook> {
+        &self.inner.rollout
+    }
+
+    /// The shared state of the instance.
+    pub fn context(&self) -> &EntryContext<ClockSource> {
+        &self.inner.context
+    }
+
+    /// Tells the others that this instance takes no new work.
+    pub fn leave(&self) {
+        self.apply(MembershipEvent::Leave);
+    }
+
+    /// Ends all loops and the server.
+    pub fn stop(&self) {
+        self.inner.is_stopped.set(true);
+        self.inner.rollout.stop();
+        if let Some(server) = self.inner.server.take() {
+            server.stop();
+        }
+    }
+
+    /// Whether a member answers over a new connection.
+    pub(crate) async fn reaches(&self, subject: &MemberCard) -> bool {
+        let client = &self.inner.book.client;
+        client.disconnect(subject.address);
+        let heartbeat = self.heartbeat_to(&subject.id);
+        let answer = client.call(subject.address, HEARTBEAT_METHOD, &heartbeat);
+        match answer.await {
+            Ok(heartbeat) => {
+                let heartbeat: Heartbeat = heartbeat;
+                let is_subject = heartbeat.from.card.id == subject.id;
+                self.heard(heartbeat);
+                is_subject
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// The heartbeat, or answer, to a member.
+    pub(crate) fn heartbeat_to(&self, peer: &str) -> Heartbeat {
+        let stamp = self.inner.rollout.in_force();
+        self.inner.book.machine.borrow_mut().heartbeat(peer, stamp)
+    }
+
+    /// Applies an event and starts what it asks for.
+    pub(crate) fn apply(&self, event: MembershipEvent) {
+        let now = self.inner.context.clock().now();
+        let actions = self.inner.book.machine.borrow_mut().apply(event, now);
+        for action in actions {
+            match action {
+                MembershipAction::Send { to } => {
+                    actix_rt::spawn(self.clone().send(to));
+                }
+                MembershipAction::Observe { observer, subject } => {
+                    actix_rt::spawn(self.clone().observe(observer, subject));
+                }
+                MembershipAction::Changed { id, state } => {
+                    tracing::info!(member = &*id, ?state, "member changed");
+                    self.fleet_changed();
+                }
+            }
+        }
+    }
+
+    fn fleet_changed(&self) {
+        let machine = self.inner.book.machine.borrow();
+        let watchers = self.inner.context.settings().rollout.watchers_per_domain;
+        let rank = machine.domain_rank() as u64;
+        self.inner.rollout.set_watcher(rank < watchers);
+        self.inner
+            .context
+            .platform()
+            .resize_fleet(machine.live().len().max(1));
+    }
+
+    async fn send(self, to: MemberCard) {
+        let heartbeat = self.heartbeat_to(&to.id);
+        let client = &self.inner.book.client;
+        match client
+            .call_again(to.address, HEARTBEAT_METHOD, &heartbeat)
+            .await
+        {
+            Ok(heartbeat) => self.heard(heartbeat),
+            Err(error) => {
+                tracing::info!(%error, "heartbeat unanswered");
+                self.apply(MembershipEvent::Unanswered { peer: to.id });
+            }
+        }
+    }
+
+    async fn observe(self, observer: MemberCard, subject: MemberCard) {
+        let client = &self.inner.book.client;
+        let answer = client.call(observer.address, OBSERVE_METHOD, &subject);
+        if let Ok(reachable) = answer.await {
+            let subject = subject.id;
+            self.apply(MembershipEvent::Observed { subject, reachable });
+        }
+    }
+
+    async fn tick(self) {
+        let pause =
+            self.inner.context.settings().membership.heartbeat_interval / TICKS_PER_INTERVAL;
+        while !self.inner.is_stopped.get() {
+            self.apply(MembershipEvent::Tick);
+            actix_rt::time::sleep(pause).await;
+        }
+    }
+
+    async fn announce_revisions(self) {
+        while !self.inner.is_stopped.get() {
+            self.inner.rollout.changed().await;
+            self.apply(MembershipEvent::RevisionChanged);
+        }
+    }
+
+    async fn read_lists(self) {
+        let interval = self.inner.context.settings().membership.list_interval;
+        while !self.inner.is_stopped.get() {
+            let mut factor = 1;
+            match self.inner.platform.instances().await {
+                Ok(records) => {
+                    self.apply(MembershipEvent::Listed { records });
+                    let rank = self.inner.book.machine.borrow().domain_rank();
+                    if rank >= LIST_READERS {
+                        factor = SPARE_READ_FACTOR;
+                    }
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "instance list not read");
+                    factor = 0;
+                    self.ask_seeds().await;
+                }
+            }
+            let pause = self.inner.context.settings().rollout.retry_interval;
+            actix_rt::time::sleep((interval * factor).max(pause)).await;
+        }
+    }
+
+    /// Without the list, the addresses in the settings lead to the other instances.
+    async fn ask_seeds(&self) {
+        if self.inner.book.live().len() > 1 {
+            return;
+        }
+        for address in &self.inner.context.settings().membership.seeds {
+            let heartbeat = self.heartbeat_to("");
+            let client = &self.inner.book.client;
+            let answer = client.call(*address, HEARTBEAT_METHOD, &heartbeat).await;
+            match answer {
+                Ok(heartbeat) => self.heard(heartbeat),
+                Err(error) => tracing::info!(%error, "seed unanswered"),
+            }
+        }
+    }
+}
--- a/crates/dandeliondeal_entry/src/rollout.rs
+++ b/crates/dandeliondeal_entry/src/rollout.rs
@@ -13,6 +13,8 @@
 use dandeliondeal_platform::PlatformClient;
 use dandeliondeal_types::{Clock, InstanceId, ObjectStore, ObjectValue, StoreError, Version};
 
+use tokio::sync::Notify;
+
 use crate::entry_context::EntryContext;
 use crate::route_table::RouteTable;
 
@@ -26,16 +28,6 @@
     ) -> impl Future<Output = Vec<Arc<str>>>;
 }
 
-/// Stands where there are no other instances.
-#[derive(Clone, Copy, Debug)]
-pub struct NoPeers;
-
-impl ContentFetch for NoPeers {
-    async fn fetch(&self, _peer: &InstanceId, _hashes: &[ContentHash]) -> Vec<Arc<str>> {
-        Vec::new()
-    }
-}
-
 /// Follows the accepted revision; clones share it.
 #[derive(Debug)]
 pub struct Rollout<ClockSource, Peers> {
@@ -58,6 +50,8 @@
     machine: RefCell<RolloutMachine>,
     is_watcher: Cell<bool>,
     is_stopped: Cell<bool>,
+    changed: Notify,
+    became_watcher: Notify,
 }
 
 impl<ClockSource, Peers> Rollout<ClockSource, Peers>
@@ -82,6 +76,8 @@
                 machine: RefCell::new(RolloutMachine::default()),
                 is_watcher: Cell::new(true),
                 is_stopped: Cell::new(false),
+                changed: Notify::new(),
+                became_watcher: Notify::new(),
             }),
         };
         actix_rt::spawn(rollout.clone().follow());
@@ -93,6 +89,11 @@
         self.inner.machine.borrow().in_force().clone()
     }
 
+    /// Waits until a revision came into force since the last wait.
+    pub async fn changed(&self) {
+        self.inner.changed.notified().await;
+    }
+
     /// A manifest or chunk, for a peer that asks.
     pub fn content(&self, hash: &str) -> Option<Arc<str>> {
         self.inner.machine.borrow().content(hash)
@@ -100,6 +101,9 @@
 
     /// Tells of the revision that a peer has in force.
     pub fn peer_has(&self, peer: &InstanceId, stamp: RevisionStamp) {
+        if stamp.revision == 0 {
+            return;
+        }
         self.note(ReadinessEvent::PeerRevision {
             peer: Arc::clone(peer),
             revision: stamp.revision,
@@ -110,6 +114,9 @@
 
     /// Says whether this instance waits on the platform or leaves that to others.
     pub fn set_watcher(&self, is_watcher: bool) {
+        if is_watcher && !self.inner.is_watcher.replace(is_watcher) {
+            self.inner.became_watcher.notify_one();
+        }
         self.inner.is_watcher.set(is_watcher);
     }
 
@@ -137,7 +144,10 @@
             self.apply(RolloutEvent::Retry);
             if is_idle {
                 let factor = if is_first { 1 } else { SPARE_READ_FACTOR };
-                actix_rt::time::sleep(settings.rollout.retry_interval * factor).await;
+                tokio::select! {
+                    () = actix_rt::time::sleep(settings.rollout.retry_interval * factor) => {}
+                    () = self.inner.became_watcher.notified() => {}
+                }
             }
         }
     }
@@ -177,6 +187,7 @@
                 self.inner.context.table().install(RouteTable::new(model));
                 self.note(ReadinessEvent::InForce { revision });
                 tracing::info!(revision, "sheet in force");
+                self.inner.changed.notify_one();
             }
             Some(RolloutAction::Fetch {
                 number,
--- a/crates/dandeliondeal_entry/tests/rollout.rs
+++ b/crates/dandeliondeal_entry/tests/rollout.rs
@@ -2,25 +2,18 @@
 
 #[path = "common/mod.rs"]
 mod common;
+#[path = "common/sheet_operator.rs"]
+mod sheet_operator;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use common::settings;
-use dandeliondeal_config::{
-    AcceptError, AcceptReport, ChangeRequest, EntrySettings, PlatformSettings, RolloutSettings,
-    StoreCall, example_sheet, read_sheet, verify_trail,
-};
+use dandeliondeal_config::{EntrySettings, PlatformSettings, RolloutSettings};
 use dandeliondeal_entry::EntryServer;
-use dandeliondeal_platform::PlatformClient;
 use dandeliondeal_standin::{FaultChange, PlatformStandin};
-use dandeliondeal_types::{Clock, SystemClock};
+use dandeliondeal_types::SystemClock;
 use futures_util::future::join;
-
-const PATIENCE: Duration = Duration::from_secs(10);
-
-fn platform() -> PlatformStandin {
-    PlatformStandin::start(dandeliondeal_standin::PlatformSettings::default()).unwrap()
-}
+use sheet_operator::{accept, is_ready, platform, wait_until};
 
 fn entry_settings(platform: &PlatformStandin) -> EntrySettings {
     EntrySettings {
@@ -42,62 +35,13 @@
     let mut entry = EntryServer::start(entry_settings(platform), SystemClock)
         .await
         .unwrap();
-    entry.follow_platform();
+    entry.join_fleet().unwrap();
     entry
 }
 
-async fn accept(
-    platform: &PlatformStandin,
-    author: &str,
-    capacity: u32,
-) -> Result<AcceptReport, AcceptError> {
-    let client = PlatformClient::new(
-        dandeliondeal_platform::PlatformSettings {
-            address: platform.address(),
-            call_timeout: Duration::from_millis(300),
-            ..dandeliondeal_platform::PlatformSettings::default()
-        },
-        SystemClock,
-    );
-    let call = StoreCall {
-        store: &client,
-        clock: &SystemClock,
-        deadline: SystemClock.now() + PATIENCE,
-    };
-    let text = example_sheet().replace(
-        "engine-1,capacity,16",
-        &format!("engine-1,capacity,{capacity}"),
-    );
-    let request = ChangeRequest {
-        change: format!("{author}-{capacity}").into(),
-        author: author.into(),
-        at_milliseconds: 0,
-        base: None,
-        allow_removals: false,
-    };
-    let report = call
-        .accept_sheet(&read_sheet(text.as_bytes()).unwrap(), &request)
-        .await;
-    verify_trail(&call.read_trail().await.unwrap()).unwrap();
-    report
-}
-
 async fn wait_for(entry: &EntryServer<SystemClock>, revision: u64) {
-    let limit = Instant::now() + PATIENCE;
-    while entry.context().table().revision() < revision {
-        assert!(
-            Instant::now() < limit,
-            "revision {revision} is not in force"
-        );
-        actix_rt::time::sleep(Duration::from_millis(5)).await;
-    }
-}
-
-fn is_ready(entry: &EntryServer<SystemClock>) -> bool {
-    let readiness = entry.context().readiness().borrow();
-    readiness
-        .as_ref()
-        .is_some_and(dandeliondeal_config::ReadinessGate::is_ready)
+    let in_force = || entry.context().table().revision() >= revision;
+    wait_until("the revision is in force", in_force).await;
 }
 
 #[actix_rt::test]
--- a/crates/dandeliondeal_peer/src/lib.rs
+++ b/crates/dandeliondeal_peer/src/lib.rs
@@ -6,6 +6,7 @@
 //! system add methods of their own.
 
 pub mod member_state;
+pub mod membership_event;
 pub mod membership_machine;
 pub mod neighbour_ring;
 pub mod peer_client;
@@ -16,9 +17,9 @@
 #[doc(inline)]
 pub use member_state::{MemberEvent, MemberState};
 #[doc(inline)]
-pub use membership_machine::{
-    MembershipAction, MembershipEvent, MembershipMachine, MembershipSettings,
-};
+pub use membership_event::{MembershipAction, MembershipEvent, MembershipSettings};
+#[doc(inline)]
+pub use membership_machine::MembershipMachine;
 #[doc(inline)]
 pub use peer_client::{PeerClient, PeerSettings};
 #[doc(inline)]
--- a/crates/dandeliondeal_peer/src/peer_server.rs
+++ b/crates/dandeliondeal_peer/src/peer_server.rs
@@ -3,7 +3,7 @@
 //! `jsonrpsee` runs its handlers on any thread, while the state of an instance stays on its
 //! arbiter. Calls are therefore handed to the arbiter through a channel.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
 use jsonrpsee::RpcModule;
@@ -59,13 +59,13 @@
 }
 
 impl PeerServer {
-    /// Binds an address and serves calls on the present arbiter.
+    /// Serves calls on the present arbiter.
     ///
     /// # Errors
     ///
-    /// If the address cannot be bound.
-    pub async fn start<Handler>(
-        address: SocketAddr,
+    /// If the listener cannot be used.
+    pub fn start<Handler>(
+        listener: TcpListener,
         settings: &PeerSettings,
         handler: Handler,
     ) -> std::io::Result<Self>
@@ -79,7 +79,10 @@
             .ws_only()
             .set_tcp_no_delay(true)
             .build();
-        let server = Server::builder().set_config(config).build(address).await?;
+        listener.set_nonblocking(true)?;
+        let server = Server::builder()
+            .set_config(config)
+            .build_from_tcp(listener)?;
         let address = server.local_addr()?;
         let (sender, receiver) = mpsc::channel(INBOX_LIMIT);
         let inbox = PeerInbox {
