--- a/crates/dandeliondeal_entry/tests/leaving_endpoints.rs
+++ b/crates/dandeliondeal_entry/tests/leaving_endpoints.rs
@@ -57,7 +57,7 @@
         };
         let whole = LayerRange::new(0, 8);
         let mut site = TestSite::start(settings, vec![engine(whole), engine(whole)]).await;
-        site.entry.follow_platform();
+        site.entry.join_fleet().unwrap();
         let endpoint = EndpointId::from("engine-1");
         platform.put_instance(record(&endpoint, InstanceState::Leaving, &site));
         let limit = BOUND + Duration::from_millis(lag);
