--- a/crates/dandeliondeal_command/src/replay_command.rs
+++ b/crates/dandeliondeal_command/src/replay_command.rs
@@ -12,7 +12,11 @@
 pub const HELP: &str = "\
 Replays traces and compares what comes with what they state.
 
-usage: dandeliondeal replay [--json] FILE...
+usage: dandeliondeal replay [--json] [--log] FILE...
+
+  --json   a JSON line for each trace
+  --log    the files are logs of dandeliondeal-entry, written with
+           DANDELIONDEAL_LOG=info,dandeliondeal_trace=trace; such a log holds prompts
 
 Prints a line for each trace and for each mismatch. docs/TRACES.md tells the format.
 Exit codes: 0 all as stated, 1 a mismatch, 2 a file cannot be read or makes no sense.
@@ -25,13 +29,14 @@
 /// Returns how many traces did not match, or which file is wrong.
 pub fn run(mut arguments: Arguments) -> Result<(), CommandError> {
     let is_json = arguments.contains("--json");
+    let is_log = arguments.contains("--log");
     let paths: Vec<PathBuf> = arguments.finish().into_iter().map(PathBuf::from).collect();
     if paths.is_empty() {
         return Err(CommandError::usage("a trace file is missing; see --help"));
     }
     let mut failed = 0;
     for path in &paths {
-        let report = replay_file(path)?;
+        let report = replay_file(path, is_log)?;
         print_report(path, &report, is_json);
         failed += usize::from(!report.is_match());
     }
@@ -42,10 +47,15 @@
     Ok(())
 }
 
-fn replay_file(path: &Path) -> Result<ReplayReport, CommandError> {
+fn replay_file(path: &Path, is_log: bool) -> Result<ReplayReport, CommandError> {
     let wrong = |reason: String| CommandError::usage(format!("{}: {reason}", path.display()));
     let text = std::fs::read_to_string(path).map_err(|error| wrong(error.to_string()))?;
-    let trace = Trace::parse(&text).map_err(|error| wrong(error.to_string()))?;
+    let trace = if is_log {
+        Trace::from_log(&path.to_string_lossy(), &text)
+    } else {
+        Trace::parse(&text)
+    };
+    let trace = trace.map_err(|error| wrong(error.to_string()))?;
     replay(&trace).map_err(|error| wrong(error.to_string()))
 }
 
--- a/crates/dandeliondeal_command/tests/replay_command.rs
+++ b/crates/dandeliondeal_command/tests/replay_command.rs
@@ -32,6 +32,12 @@
             .contains("MISMATCH")
     );
 
+    let log = Command::new(env!("CARGO_BIN_EXE_dandeliondeal"))
+        .args(["replay", "--log", env!("CARGO_MANIFEST_DIR")])
+        .output()
+        .unwrap();
+    assert_eq!(log.status.code(), Some(2));
+
     let missing = replay(&[traces().join("no-such-file")]);
     assert_eq!(missing.status.code(), Some(2));
     assert_eq!(replay(&[]).status.code(), Some(2));
--- a/crates/dandeliondeal_entry/src/generation.rs
+++ b/crates/dandeliondeal_entry/src/generation.rs
@@ -17,6 +17,7 @@
 use crate::log_budget::LogBudget;
 use crate::route_table::RouteTable;
 use crate::session_driver::{ChainSource, SessionDriver};
+use crate::session_recorder::SessionRecorder;
 
 /// What to generate.
 #[derive(Clone, Debug)]
@@ -108,15 +109,15 @@
     Engine: EngineClient,
     ClockSource: Clock,
 {
-    let machine = SessionMachine::new(session_spec(site, request), site.settings.clone()).map_err(
-        |error| {
-            RouteError::new(
-                ErrorKind::Overloaded,
-                RequestStep::Planning,
-                error.to_string(),
-            )
-        },
-    )?;
+    let spec = session_spec(site, request);
+    let recorder = SessionRecorder::start(&spec, &site.settings, site.clock.now());
+    let machine = SessionMachine::new(spec, site.settings.clone()).map_err(|error| {
+        RouteError::new(
+            ErrorKind::Overloaded,
+            RequestStep::Planning,
+            error.to_string(),
+        )
+    })?;
     let mut driver = SessionDriver {
         engine: site.engine.clone(),
         chains: RequestChains { site, request },
@@ -126,6 +127,7 @@
         deadline: request.deadline,
         hold: site.engines.hold(),
         share: site.budget.share(),
+        recorder,
     };
     let end = driver.run(tokens).await;
     record(&site.metrics, &driver.machine.count());
--- a/crates/dandeliondeal_entry/src/lib.rs
+++ b/crates/dandeliondeal_entry/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod service_call;
 pub mod service_dispatch;
 pub mod session_driver;
+pub mod session_recorder;
 pub mod settlement;
 pub mod table_cell;
 pub mod token_text;
--- a/crates/dandeliondeal_entry/src/session_driver.rs
+++ b/crates/dandeliondeal_entry/src/session_driver.rs
@@ -16,6 +16,7 @@
 
 use crate::engine_use::EngineHold;
 use crate::log_budget::LogShare;
+use crate::session_recorder::SessionRecorder;
 
 /// Time between two ticks of a session.
 const TICK_INTERVAL: Duration = Duration::from_secs(1);
@@ -50,6 +51,8 @@
     pub hold: EngineHold,
     /// The memory in use.
     pub share: LogShare,
+    /// Records the session, if the log takes it.
+    pub recorder: Option<SessionRecorder>,
 }
 
 /// Timers and calls of a session.
@@ -85,7 +88,7 @@
         };
         loop {
             while let Some(event) = state.events.pop_front() {
-                for action in self.machine.handle(event, self.clock.now()) {
+                for action in self.handle(event) {
                     if let Some(call) = self.act(action, &mut state, tokens) {
                         state
                             .calls
@@ -101,6 +104,17 @@
         }
     }
 
+    fn handle(&mut self, event: SessionEvent) -> Vec<SessionAction> {
+        let now = self.clock.now();
+        let Some(recorder) = &self.recorder else {
+            return self.machine.handle(event, now);
+        };
+        recorder.input(&event, now);
+        let actions = self.machine.handle(event, now);
+        recorder.actions(&actions, now);
+        actions
+    }
+
     /// Carries out an action, or returns it if it is a call to wait for.
     fn act<Calls>(
         &mut self,
@@ -201,7 +215,11 @@
         let logged = self.machine.logged();
         if self.share.set(logged as u64) {
             let stages = self.machine.stages().len().max(1);
-            self.machine.trim_logs(logged / stages / 2);
+            let limit = logged / stages / 2;
+            if let Some(recorder) = &self.recorder {
+                recorder.trim(limit, self.clock.now());
+            }
+            self.machine.trim_logs(limit);
             self.share.set(self.machine.logged() as u64);
         }
     }
--- a/crates/dandeliondeal_pipeline/src/lib.rs
+++ b/crates/dandeliondeal_pipeline/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod session_event;
 pub mod session_machine;
 mod session_move;
+pub mod session_record;
 mod session_recovery;
 pub mod session_settings;
 pub mod session_stage;
--- a/crates/dandeliondeal_pipeline/src/session_settings.rs
+++ b/crates/dandeliondeal_pipeline/src/session_settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dandeliondeal_types::{ModelId, RequestId, Token};
+use serde::{Deserialize, Serialize};
 
 /// One request to run.
 #[derive(Clone, Debug)]
@@ -27,7 +28,8 @@
 }
 
 /// Bounds of a session.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct SessionSettings {
     /// Time that an engine keeps a session without a call.
     pub life: Duration,
--- a/crates/dandeliondeal_replay/src/lib.rs
+++ b/crates/dandeliondeal_replay/src/lib.rs
@@ -6,6 +6,7 @@
 //! and every breach of what always holds.
 
 mod event_queue;
+mod recorded_sessions;
 mod replay_claims;
 mod replay_engine;
 mod replay_instance;
--- a/crates/dandeliondeal_replay/src/replay_run.rs
+++ b/crates/dandeliondeal_replay/src/replay_run.rs
@@ -6,6 +6,7 @@
 use dandeliondeal_pipeline::SessionEvent;
 use dandeliondeal_types::{EndpointId, InstanceId};
 
+use crate::recorded_sessions::RecordedSessions;
 use crate::replay_claims::KeyedRequest;
 use crate::replay_engine::{CallFaults, ReplayEngine};
 use crate::replay_instance::{InstanceRun, ReplayInstance};
@@ -40,6 +41,7 @@
 /// ```
 pub fn replay(trace: &Trace) -> Result<ReplayReport, TraceError> {
     let mut world = ReplayWorld::new(trace)?;
+    let mut recorded = RecordedSessions::new(world.now());
     let mut report = ReplayReport {
         trace: Arc::clone(&trace.header.trace),
         events: 0,
@@ -55,6 +57,16 @@
                 report.events += 1;
                 world.happen(line.number, event)?;
             }
+            TraceStep::Recorded(event) => {
+                report.events += 1;
+                recorded.happen(line.number, event)?;
+            }
+            TraceStep::RecordedActions(actions) => {
+                report.outcomes += 1;
+                report
+                    .mismatches
+                    .extend(recorded.compare(line.number, actions)?);
+            }
             TraceStep::Outcome(outcome) => {
                 report.outcomes += 1;
                 report.mismatches.extend(world.compare(line, outcome)?);
--- a/crates/dandeliondeal_replay/src/trace_coverage.rs
+++ b/crates/dandeliondeal_replay/src/trace_coverage.rs
@@ -55,7 +55,7 @@
     let events = || {
         trace.lines.iter().filter_map(|line| match &line.step {
             TraceStep::Event(event) => Some(event),
-            TraceStep::Outcome(_) => None,
+            _ => None,
         })
     };
     let guarantees: BTreeSet<Guarantee> = events().flat_map(guarantees_of).copied().collect();
--- a/crates/dandeliondeal_replay/src/trace_file.rs
+++ b/crates/dandeliondeal_replay/src/trace_file.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dandeliondeal_pipeline::session_record::{RecordedActions, RecordedEvent};
 use dandeliondeal_types::{EndpointId, InstanceId, Layer, ModelId};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -12,6 +13,10 @@
 
 /// Version of the format that this crate reads.
 pub const TRACE_VERSION: u32 = 1;
+/// Start of the names of recorded events and outcomes.
+const RECORDED_PREFIX: &str = "session-";
+/// Target of recorded lines in a daemon's log.
+const RECORDED_TARGET: &str = "dandeliondeal_trace";
 
 /// The first line of a trace.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -87,6 +92,10 @@
     Event(TraceEvent),
     /// It is stated.
     Outcome(TraceOutcome),
+    /// A recorded session was told something.
+    Recorded(RecordedEvent),
+    /// A recorded session asked for something.
+    RecordedActions(RecordedActions),
 }
 
 /// One line after the header.
@@ -139,6 +148,33 @@
         Ok(trace)
     }
 
+    /// Reads the sessions that a daemon recorded in its log.
+    ///
+    /// # Errors
+    ///
+    /// A recorded line makes no sense, or there is none.
+    pub fn from_log(name: &str, log: &str) -> Result<Self, TraceError> {
+        let mut lines: Vec<(u64, Arc<str>)> = log.lines().filter_map(recorded_line).collect();
+        if lines.is_empty() {
+            return Err(TraceError::new(1, "the log has no recorded session"));
+        }
+        // Each session counts from its own start; the order within one stays.
+        lines.sort_by_key(|(at, _)| *at);
+        let mut trace = Self {
+            header: TraceHeader {
+                trace: name.into(),
+                version: TRACE_VERSION,
+                seed: 0,
+                settings: TraceSettings::default(),
+            },
+            lines: Vec::new(),
+        };
+        for (index, (_, line)) in lines.iter().enumerate() {
+            trace.add(index + 1, line)?;
+        }
+        Ok(trace)
+    }
+
     fn add(&mut self, number: usize, line: &str) -> Result<(), TraceError> {
         let mut fields: Map<String, Value> = read(number, line)?;
         let at = fields
@@ -149,16 +185,32 @@
         if self.lines.last().is_some_and(|last| last.at > at) {
             return Err(TraceError::new(number, "`at` is before the line above"));
         }
-        let step = if fields.contains_key("event") {
-            TraceStep::Event(convert(number, fields)?)
-        } else {
-            TraceStep::Outcome(convert(number, fields)?)
+        let name = |key: &str| fields.get(key).and_then(Value::as_str);
+        let is_recorded = |name: &str| name.starts_with(RECORDED_PREFIX);
+        let step = match (name("event"), name("expect")) {
+            (Some(event), _) if is_recorded(event) => TraceStep::Recorded(convert(number, fields)?),
+            (Some(_), _) => TraceStep::Event(convert(number, fields)?),
+            (None, Some(expect)) if is_recorded(expect) => {
+                TraceStep::RecordedActions(convert(number, fields)?)
+            }
+            _ => TraceStep::Outcome(convert(number, fields)?),
         };
         self.lines.push(TraceLine { number, at, step });
         Ok(())
     }
 }
 
+/// The recorded line that a line of the log holds, with its time.
+fn recorded_line(line: &str) -> Option<(u64, Arc<str>)> {
+    let entry: Value = serde_json::from_str(line).ok()?;
+    if entry["target"] != RECORDED_TARGET {
+        return None;
+    }
+    let recorded = entry["fields"]["line"].as_str()?;
+    let fields: Value = serde_json::from_str(recorded).ok()?;
+    Some((fields["at"].as_u64()?, recorded.into()))
+}
+
 fn read<Value>(number: usize, line: &str) -> Result<Value, TraceError>
 where
     Value: DeserializeOwned,
