--- a/crates/dandeliondeal_measure/src/lib.rs
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claim_load;
 pub mod claim_site;
 pub mod claims;
+pub mod footprint;
 pub mod limits;
 pub mod measure_error;
 pub mod measure_settings;
