Orders wired into the daemon: lease, reconciliation, read-back

OrderRunner drives lease and order decisions; the lease is checked once more just before an order leaves. Three instances at most contend, so that the reads of the lease do not grow with the fleet. A planned stop gives the lease back.

--- a/crates/dandeliondeal_command/src/entry_command.rs
+++ b/crates/dandeliondeal_command/src/entry_command.rs
@@ -37,6 +37,9 @@
             .await
             .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
         entry.follow_platform();
+        entry
+            .give_orders()
+            .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
         tracing::info!(
             callers = %entry.caller_address(),
             operators = %entry.operator_address(),
--- a/crates/dandeliondeal_entry/src/claim_link.rs
+++ b/crates/dandeliondeal_entry/src/claim_link.rs
@@ -103,6 +103,23 @@
         (is_usable && member.instance != *own).then(|| member.clone())
     }
 
+    /// Whether this instance is one of the `count` preferred ones for `key`; so is every instance
+    /// while no members are known.
+    pub fn is_among(&self, key: &str, own: &InstanceId, count: usize) -> bool {
+        let mut members = self.members.borrow().clone();
+        if members.is_empty() {
+            return true;
+        }
+        for _rank in 0..count {
+            match preferred(key, &members, Xxh3::new) {
+                Some(index) if members[index].instance == *own => return true,
+                Some(index) => drop(members.swap_remove(index)),
+                None => return false,
+            }
+        }
+        false
+    }
+
     /// Passes an instance over for a while.
     pub fn pass_over(&self, instance: &InstanceId, now: Instant) {
         let mut passed_over = self.passed_over.borrow_mut();
--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use dandeliondeal_config::EntrySettings;
-use dandeliondeal_platform::CallClass;
+use dandeliondeal_order::OrderSettings;
+use dandeliondeal_platform::{CallClass, LeaseSettings};
 use dandeliondeal_types::{Clock, SheetModel};
 use tokio::task::JoinHandle;
 
@@ -13,6 +14,7 @@
 use crate::endpoint_watch::watch_endpoints;
 use crate::entry_context::{EntryContext, EntryError};
 use crate::http_listener::{HttpListener, ListenerSettings};
+use crate::order_runner::OrderRunner;
 use crate::rollout::{NoPeers, Rollout};
 use crate::route_table::RouteTable;
 use crate::{caller_api, operator_api};
@@ -30,6 +32,7 @@
     operators: HttpListener,
     rollout: Option<Rollout<ClockSource, NoPeers>>,
     endpoint_watch: Option<JoinHandle<()>>,
+    orders: Option<(OrderRunner<ClockSource>, JoinHandle<()>)>,
 }
 
 impl<ClockSource> EntryServer<ClockSource>
@@ -69,9 +72,23 @@
             operators,
             rollout: None,
             endpoint_watch: None,
+            orders: None,
         })
     }
 
+    /// Starts to contend for the lease of orders, and to give orders while it is held.
+    ///
+    /// # Errors
+    ///
+    /// A chart is wrong.
+    pub fn give_orders(&mut self) -> Result<(), EntryError> {
+        let context = self.context.clone();
+        let runner = OrderRunner::new(context, LeaseSettings::default(), OrderSettings::default())?;
+        let task = runner.start();
+        self.orders = Some((runner, task));
+        Ok(())
+    }
+
     /// Starts to put in force what the platform has accepted, and to note which endpoints leave.
     pub fn follow_platform(&mut self) {
         let platform = self.context.platform().with_class(CallClass::Configuration);
@@ -104,6 +121,10 @@
     pub async fn stop(self) {
         let settings = self.context.settings().stop.clone();
         self.drain(DrainEvent::Stop);
+        if let Some((runner, task)) = &self.orders {
+            task.abort();
+            runner.stop().await;
+        }
         actix_rt::time::sleep(settings.balancer_lag).await;
         self.callers.close();
         self.drain(DrainEvent::BalancerMoved);
--- a/crates/dandeliondeal_entry/src/lib.rs
+++ b/crates/dandeliondeal_entry/src/lib.rs
@@ -28,6 +28,8 @@
 pub mod http_pool;
 pub mod log_budget;
 pub mod operator_api;
+pub mod order_call;
+pub mod order_runner;
 pub mod reply;
 pub mod reply_body;
 pub mod request_id;
--- /dev/null
+++ b/crates/dandeliondeal_entry/src/order_call.rs
@@ -0,0 +1,48 @@
+//! Calls by which engines are read and ordered.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dandeliondeal_order::{EndpointOrder, EngineContent, OrderAnswer};
+use dandeliondeal_platform::SendFailure;
+
+use crate::http_pool::HttpPool;
+
+/// Wait for the state of an engine.
+const READ_TIME: Duration = Duration::from_secs(2);
+/// Longest answer in bytes.
+const ANSWER_BYTES: usize = 64 * 1024;
+
+/// Reads what an engine holds; `None` if it does not tell.
+pub async fn read_content(pool: &HttpPool, address: SocketAddr) -> Option<EngineContent> {
+    let call = async {
+        let sent = pool.client(true).get(format!("http://{address}/orders"));
+        let mut answer = sent.send().await.ok()?;
+        if !answer.status().is_success() {
+            return None;
+        }
+        let body = answer.body().limit(ANSWER_BYTES).await.ok()?;
+        serde_json::from_slice(&body).ok()
+    };
+    actix_rt::time::timeout(READ_TIME, call).await.ok()?
+}
+
+/// Sends an order once, over a new connection.
+pub async fn send_order(
+    pool: &HttpPool,
+    address: SocketAddr,
+    order: &EndpointOrder,
+) -> OrderAnswer {
+    let wait = Duration::from_millis(order.life_milliseconds);
+    let request = pool.client(true).post(format!("http://{address}/orders"));
+    match actix_rt::time::timeout(wait, request.send_json(order)).await {
+        Err(_elapsed) => OrderAnswer::Lost,
+        Ok(Err(error)) => match SendFailure::classify(&error) {
+            SendFailure::NotSent => OrderAnswer::Refused,
+            SendFailure::AnswerLost => OrderAnswer::Lost,
+        },
+        Ok(Ok(answer)) if answer.status().is_success() => OrderAnswer::Applied,
+        Ok(Ok(answer)) if answer.status().is_client_error() => OrderAnswer::Refused,
+        Ok(Ok(_answer)) => OrderAnswer::Lost,
+    }
+}
--- a/crates/dandeliondeal_platform/src/lease_machine.rs
+++ b/crates/dandeliondeal_platform/src/lease_machine.rs
@@ -134,6 +134,7 @@
     is_calling: bool,
     next_call: Option<Instant>,
     last: Option<LeaseTime>,
+    terms: u64,
 }
 
 impl LeaseMachine {
@@ -155,6 +156,7 @@
             is_calling: false,
             next_call: None,
             last: None,
+            terms: 0,
         })
     }
 
@@ -172,6 +174,11 @@
             .filter(|_version| self.state() == LeaseState::Held)
     }
 
+    /// Number of terms begun so far; one that was in doubt for a moment counts as a new one.
+    pub fn terms(&self) -> u64 {
+        self.terms
+    }
+
     /// End of this process's term on its own clock.
     pub fn term_end(&self) -> Option<Instant> {
         self.term_end
@@ -318,7 +325,9 @@
 
     fn apply(&mut self, sight: LeaseSight) {
         // The chart refuses no sight in any state.
-        let state = self.machine.apply(sight).unwrap_or_else(|_| self.state());
+        let before = self.state();
+        let state = self.machine.apply(sight).unwrap_or(before);
+        self.terms += u64::from(state == LeaseState::Held && before != LeaseState::Held);
         if state != LeaseState::Held {
             self.term_end = None;
         }
