--- a/crates/dandeliondeal_command/src/entry_command.rs
+++ b/crates/dandeliondeal_command/src/entry_command.rs
@@ -40,6 +40,8 @@
         entry
             .give_orders()
             .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
+        println!("callers listening on {}", entry.caller_address());
+        println!("operators listening on {}", entry.operator_address());
         tracing::info!(
             callers = %entry.caller_address(),
             operators = %entry.operator_address(),
--- a/crates/dandeliondeal_entry/src/generation.rs
+++ b/crates/dandeliondeal_entry/src/generation.rs
@@ -15,8 +15,10 @@
 use crate::engine_use::EngineUse;
 use crate::entry_metrics::EntryMetrics;
 use crate::log_budget::LogBudget;
+use crate::planning_view::PlanningView;
 use crate::route_table::RouteTable;
 use crate::session_driver::{ChainSource, SessionDriver};
+use crate::shared_board::SharedBoard;
 
 /// What to generate.
 #[derive(Clone, Debug)]
@@ -50,6 +52,8 @@
     pub table: Arc<RouteTable>,
     /// Sessions at the engines.
     pub engines: EngineUse,
+    /// Health and load of the engines.
+    pub board: SharedBoard<ClockSource>,
     /// Memory for logged inputs.
     pub budget: LogBudget,
     /// Bounds of a session.
@@ -83,7 +87,17 @@
             spread: spread(&self.request.id),
         };
         let start = site.clock.now();
-        let chain = site.table.plans.plan(&query, &site.engines);
+        let plans = &site.table.plans;
+        let chain = site.board.with_view(self.request.repeatable, |board| {
+            plans.plan(&query, &PlanningView::new(&site.engines, board))
+        });
+        // The few engines that were sampled may all be among those to avoid.
+        let chain = chain.or_else(|| {
+            site.board
+                .with_whole_view(self.request.repeatable, |board| {
+                    plans.plan(&query, &PlanningView::new(&site.engines, board))
+                })
+        });
         let time = site.clock.now().duration_since(start);
         site.metrics.part(RequestStep::Planning, time);
         chain
--- a/crates/dandeliondeal_entry/src/lib.rs
+++ b/crates/dandeliondeal_entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`EntryContext`]. Decisions live in the crates below; this crate holds sockets and timers.
 
 pub mod admission;
+pub mod admission_sites;
 pub mod body_reader;
 pub mod caller_api;
 pub mod caller_headers;
@@ -26,10 +27,13 @@
 pub mod head_timer;
 pub mod http_listener;
 pub mod http_pool;
+pub mod load_poll;
 pub mod log_budget;
 pub mod operator_api;
 pub mod order_call;
 pub mod order_runner;
+pub mod organisation_limits;
+pub mod planning_view;
 pub mod reply;
 pub mod reply_body;
 pub mod request_id;
@@ -41,8 +45,10 @@
 pub mod service_dispatch;
 pub mod session_driver;
 pub mod settlement;
+pub mod shared_board;
 pub mod table_cell;
 pub mod token_text;
+pub mod watched_engine;
 
 #[doc(inline)]
 pub use entry_context::{EntryContext, EntryError};
--- a/crates/dandeliondeal_measure/src/lib.rs
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -10,9 +10,12 @@
 pub mod claim_load;
 pub mod claim_site;
 pub mod claims;
+pub mod limits;
 pub mod measure_error;
 pub mod measure_settings;
 pub mod overhead;
+pub mod overload;
+pub mod overload_driver;
 pub mod site;
 
 #[doc(inline)]
