--- a/crates/dandeliondeal_entry/src/lib.rs
+++ b/crates/dandeliondeal_entry/src/lib.rs
@@ -30,6 +30,8 @@
 pub mod load_poll;
 pub mod log_budget;
 pub mod operator_api;
+pub mod order_call;
+pub mod order_runner;
 pub mod organisation_limits;
 pub mod peer_book;
 pub mod peer_handler;
