--- a/crates/dandeliondeal_command/src/lib.rs
+++ b/crates/dandeliondeal_command/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod sheet_command;
 pub mod standalone;
 pub mod standin_command;
+mod status_command;
 pub mod stop_signal;
 
 #[doc(inline)]
--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -6,8 +6,10 @@
 
 use dandeliondeal_config::EntrySettings;
 use dandeliondeal_types::{Clock, SheetModel};
+use tokio::task::JoinHandle;
 
 use crate::drain_state::{DrainEvent, DrainState};
+use crate::endpoint_watch::watch_endpoints;
 use crate::entry_context::{EntryContext, EntryError};
 use crate::http_listener::{HttpListener, ListenerSettings};
 use crate::peer_link::PeerLink;
@@ -26,6 +28,7 @@
     callers: HttpListener,
     operators: HttpListener,
     link: Option<PeerLink<ClockSource>>,
+    endpoint_watch: Option<JoinHandle<()>>,
 }
 
 impl<ClockSource> EntryServer<ClockSource>
@@ -64,16 +67,19 @@
             callers,
             operators,
             link: None,
+            endpoint_watch: None,
         })
     }
 
-    /// Joins the other instances and puts in force what the platform has accepted.
+    /// Joins the other instances, puts in force what the platform has accepted, and notes which
+    /// endpoints leave.
     ///
     /// # Errors
     ///
     /// If the peers' address cannot be bound.
     pub fn join_fleet(&mut self) -> Result<(), EntryError> {
         self.link = Some(PeerLink::start(self.context.clone())?);
+        self.endpoint_watch = Some(actix_rt::spawn(watch_endpoints(self.context.clone())));
         Ok(())
     }
 
@@ -121,6 +127,9 @@
         if let Some(link) = &self.link {
             link.stop();
         }
+        if let Some(watch) = &self.endpoint_watch {
+            watch.abort();
+        }
         self.operators.close();
     }
 
--- a/crates/dandeliondeal_entry/tests/peer_link.rs
+++ b/crates/dandeliondeal_entry/tests/peer_link.rs
@@ -15,7 +15,7 @@
 use dandeliondeal_entry::EntryServer;
 use dandeliondeal_peer::{MemberState, PeerClient, PeerError, PeerSettings};
 use dandeliondeal_standin::{FaultChange, PlatformStandin};
-use dandeliondeal_types::{InstanceRecord, InstanceRole, InstanceState, SystemClock};
+use dandeliondeal_types::SystemClock;
 use sheet_operator::{accept, is_ready, platform, wait_until};
 
 const SECRET: &str = "secret-of-all-instances";
@@ -51,16 +51,7 @@
 async fn join(platform: &PlatformStandin, settings: EntrySettings) -> EntryServer<SystemClock> {
     let mut entry = EntryServer::start(settings, SystemClock).await.unwrap();
     entry.join_fleet().unwrap();
-    let instance = entry.context().settings().instance.clone();
-    platform.put_instance(InstanceRecord {
-        id: instance.id,
-        role: InstanceRole::Entry,
-        state: InstanceState::Live,
-        address: entry.link().unwrap().address(),
-        failure_domain: instance.failure_domain,
-        region: instance.region,
-        incarnation: 0,
-    });
+    platform.put_instance(entry.link().unwrap().record());
     entry
 }
 
