--- a/crates/dandeliondeal_entry/src/peer_link.rs
+++ b/crates/dandeliondeal_entry/src/peer_link.rs
@@ -9,7 +9,7 @@
     MembershipSettings, PeerClient, PeerServer, PeerSettings,
 };
 use dandeliondeal_platform::{CallClass, PlatformClient};
-use dandeliondeal_types::{Clock, InstanceList};
+use dandeliondeal_types::{Clock, InstanceList, InstanceRecord, InstanceRole, InstanceState};
 
 use crate::entry_context::{EntryContext, EntryError};
 use crate::peer_book::PeerBook;
@@ -96,6 +96,21 @@
         self.inner.book.machine.borrow().own().card.address
     }
 
+    /// What the platform's list says of this instance.
+    pub fn record(&self) -> InstanceRecord {
+        let machine = self.inner.book.machine.borrow();
+        let card = &machine.own().card;
+        InstanceRecord {
+            id: card.id.clone(),
+            role: InstanceRole::Entry,
+            state: InstanceState::Live,
+            address: card.address,
+            failure_domain: card.failure_domain.clone(),
+            region: card.region.clone(),
+            incarnation: card.incarnation,
+        }
+    }
+
     /// The members and the connections to them.
     pub fn book(&self) -> &PeerBook {
         &self.inner.book
