--- a/crates/dandeliondeal_balance/src/endpoint_health.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_health.rs
@@ -132,16 +132,15 @@
         }
     }
 
-    /// Notes that the instance list, or the endpoint, says whether it is leaving.
-    pub fn listed(&mut self, is_leaving: bool, now: Instant) {
-        self.apply(
-            if is_leaving {
-                HealthEvent::Leave
-            } else {
-                HealthEvent::Return
-            },
-            now,
-        );
+    /// Notes whether the instance list shows the endpoint as leaving.
+    ///
+    /// The list lags: an endpoint that has just refused as leaving may still stand there as live.
+    pub fn listed(&mut self, is_leaving: bool, settings: &HealthSettings, now: Instant) {
+        if is_leaving {
+            self.apply(HealthEvent::Leave, now);
+        } else if now.saturating_duration_since(self.entered) >= settings.list_lag {
+            self.apply(HealthEvent::Return, now);
+        }
     }
 
     /// Moves on what only time moves.
--- a/crates/dandeliondeal_command/src/measure_command.rs
+++ b/crates/dandeliondeal_command/src/measure_command.rs
@@ -1,6 +1,6 @@
 //! `dandeliondeal measure`: measurements of the real code on loopback.
 
-use dandeliondeal_measure::{MeasureError, MeasureSettings, choice, overhead};
+use dandeliondeal_measure::{self as measure, MeasureError, MeasureSettings};
 use pico_args::Arguments;
 
 use crate::CommandError;
@@ -13,7 +13,10 @@
 usage: dandeliondeal measure NAME [--seed NUMBER] [--long]
 
   choice       ways to choose an endpoint, at several lags of load reports, in virtual time
+  claims       claims a platform write, the delay of a claim, calls as the fleet grows
+  limits       grants of an organisation's limit among instances, in virtual time
   overhead     time to the first token beside the engines' own, processor time a token
+  overload     goodput above the capacity; a small organisation beside a burst; virtual time
 
   --seed NUMBER   seed of everything random (default 1)
   --long          more samples; without it a measurement takes 40 s at most
@@ -36,8 +39,11 @@
     reject_rest(arguments)?;
     actix_rt::System::new().block_on(async {
         match &*name {
-            "choice" => finish(choice::run(settings)),
-            "overhead" => finish(overhead::run(settings).await),
+            "choice" => finish(measure::choice::run(settings)),
+            "claims" => finish(measure::claims::run(settings).await),
+            "limits" => finish(measure::limits::run(settings)),
+            "overhead" => finish(measure::overhead::run(settings).await),
+            "overload" => finish(measure::overload::run(settings)),
             _ => Err(CommandError::usage(format!(
                 "there is no measurement {name}; see --help"
             ))),
--- a/crates/dandeliondeal_entry/src/rollout.rs
+++ b/crates/dandeliondeal_entry/src/rollout.rs
@@ -14,7 +14,6 @@
 use dandeliondeal_types::{Clock, InstanceId, ObjectStore, ObjectValue, StoreError, Version};
 
 use crate::entry_context::EntryContext;
-use crate::route_table::RouteTable;
 
 /// Fetches manifests and chunks from another instance.
 pub trait ContentFetch: Clone + std::fmt::Debug + 'static {
@@ -174,7 +173,7 @@
             None => {}
             Some(RolloutAction::Apply { model }) => {
                 let revision = model.revision;
-                self.inner.context.table().install(RouteTable::new(model));
+                self.inner.context.install(model);
                 self.note(ReadinessEvent::InForce { revision });
                 tracing::info!(revision, "sheet in force");
             }
