--- a/crates/dandeliondeal_command/src/measure_command.rs
+++ b/crates/dandeliondeal_command/src/measure_command.rs
@@ -14,6 +14,7 @@
 
   choice       ways to choose an endpoint, at several lags of load reports, in virtual time
   claims       claims a platform write, the delay of a claim, calls as the fleet grows
+  footprint    memory and processor time of the control state as it grows
   limits       grants of an organisation's limit among instances, in virtual time
   overhead     time to the first token beside the engines' own, processor time a token
   overload     goodput above the capacity; a small organisation beside a burst; virtual time
@@ -41,6 +42,7 @@
         match &*name {
             "choice" => finish(measure::choice::run(settings)),
             "claims" => finish(measure::claims::run(settings).await),
+            "footprint" => finish(measure::footprint::run(settings)),
             "limits" => finish(measure::limits::run(settings)),
             "overhead" => finish(measure::overhead::run(settings).await),
             "overload" => finish(measure::overload::run(settings)),
