Replay: orders under the lease

OrderDesk runs in traces; the stand-in engine's core takes orders without sockets. orders-two-holders lets a paused holder's order arrive after another one took over, at an engine that checks fencing numbers and at one that does not.

--- a/crates/dandeliondeal_replay/src/lib.rs
+++ b/crates/dandeliondeal_replay/src/lib.rs
@@ -12,6 +12,7 @@
 mod replay_instance;
 mod replay_invariants;
 mod replay_leases;
+mod replay_orders;
 mod replay_outcomes;
 pub mod replay_report;
 mod replay_run;
--- a/crates/dandeliondeal_replay/src/replay_engine.rs
+++ b/crates/dandeliondeal_replay/src/replay_engine.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use dandeliondeal_order::{EndpointOrder, EngineContent};
 use dandeliondeal_pipeline::{AttemptNumber, SessionEvent};
 use dandeliondeal_standin::{EngineCore, EngineEntry, EngineRefusal, EngineSettings, StepDecision};
 use dandeliondeal_types::{
-    EndpointId, ErrorKind, LayerRange, Lineage, Outcome, RequestId, RequestStep, RouteError,
-    StepAnswer, StepCall,
+    EndpointId, ErrorKind, FencingNumber, LayerRange, Lineage, Outcome, RequestId, RequestStep,
+    RouteError, StepAnswer, StepCall,
 };
 
 use crate::{EngineSpec, TraceSettings};
@@ -67,6 +68,8 @@
     pub(crate) is_dead: bool,
     pub(crate) is_frozen: bool,
     pub(crate) leaving_since: Option<Duration>,
+    /// Highest fencing number of an order that took effect.
+    pub(crate) highest_order: FencingNumber,
     /// Ledgers of the processes before the present one.
     pub(crate) earlier: Vec<Vec<EngineEntry>>,
     settings: EngineSettings,
@@ -86,6 +89,7 @@
             layers: trace.layers,
             range,
             layer_microseconds: trace.layer_microseconds,
+            checks_fencing: !spec.ignores_fencing,
             ..EngineSettings::default()
         };
         Self {
@@ -95,6 +99,7 @@
             is_dead: false,
             is_frozen: false,
             leaving_since: None,
+            highest_order: 0,
             earlier: Vec::new(),
             core: EngineCore::new(settings.clone()),
             settings,
@@ -118,6 +123,21 @@
         self.core.session_count(now)
     }
 
+    pub(crate) fn checks_fencing(&self) -> bool {
+        self.settings.checks_fencing
+    }
+
+    /// What the engine says that it holds.
+    pub(crate) fn content(&self) -> Option<EngineContent> {
+        serde_json::from_value(self.core.order_report()).ok()
+    }
+
+    /// Takes an order that has just arrived; `false` if it is refused.
+    pub(crate) fn take_order(&mut self, order: &EndpointOrder) -> bool {
+        let text = serde_json::to_string(order).unwrap_or_default();
+        self.core.apply_order_text(&text, Duration::ZERO).is_ok()
+    }
+
     pub(crate) fn kill(&mut self) {
         self.is_dead = true;
         self.is_frozen = false;
--- a/crates/dandeliondeal_replay/src/replay_instance.rs
+++ b/crates/dandeliondeal_replay/src/replay_instance.rs
@@ -6,6 +6,7 @@
 
 use dandeliondeal_claim::{ClaimSettings, ShardWriter, TicketId};
 use dandeliondeal_config::{ReadinessGate, RolloutMachine};
+use dandeliondeal_order::{OrderDesk, OrderSettings};
 use dandeliondeal_platform::{LeaseMachine, LeaseSettings};
 use dandeliondeal_types::{Incarnation, InstanceId, RequestId};
 
@@ -40,6 +41,11 @@
     /// Whether the rollout runs.
     pub(crate) is_rolling: bool,
     pub(crate) lease: LeaseMachine,
+    pub(crate) desk: OrderDesk,
+    /// Whether the lease was held when it was last checked for an order.
+    pub(crate) is_holding: bool,
+    /// Terms of the lease so far.
+    pub(crate) terms: u64,
     pub(crate) writer: ShardWriter,
     pub(crate) tickets: BTreeMap<TicketId, RequestId>,
 }
@@ -70,6 +76,9 @@
             gate: ReadinessGate::new(CONFIRMING_PEERS),
             is_rolling: false,
             lease,
+            desk: OrderDesk::new(OrderSettings::default()),
+            is_holding: false,
+            terms: 0,
             writer: ShardWriter::new(0, settings),
             tickets: BTreeMap::new(),
         })
--- a/crates/dandeliondeal_replay/src/replay_leases.rs
+++ b/crates/dandeliondeal_replay/src/replay_leases.rs
@@ -19,6 +19,7 @@
         self.after(LEASE_INTERVAL, task);
         self.check_holders();
         self.lease_event(id, process, LeaseEvent::Tick);
+        self.order_tick(id, process);
     }
 
     /// Hands an event to a contender.
--- a/crates/dandeliondeal_replay/src/replay_outcomes.rs
+++ b/crates/dandeliondeal_replay/src/replay_outcomes.rs
@@ -68,6 +68,11 @@
                     format!("{in_force} {is_ready}"),
                 )
             }
+            TraceOutcome::Version { endpoint, version } => {
+                let content = self.engine(number, endpoint)?.content();
+                let held = content.map(|content| content.version);
+                (version.to_string(), held.unwrap_or_default().to_string())
+            }
             TraceOutcome::Holder { instance } => {
                 let holder = self.holder();
                 (format!("{instance:?}"), format!("{holder:?}"))
--- a/crates/dandeliondeal_replay/src/replay_run.rs
+++ b/crates/dandeliondeal_replay/src/replay_run.rs
@@ -118,6 +118,7 @@
                 id: Arc::clone(endpoint),
                 start: *start,
                 end: *end,
+                ignores_fencing: false,
             }),
             TraceEvent::Leave { endpoint } => self.leave(endpoint),
             TraceEvent::StoreOutage { on } => self.store.is_out = *on,
@@ -145,6 +146,7 @@
                     capacity: Arc::clone(capacity),
                 },
             )?,
+            TraceEvent::Desire { endpoint, version } => self.desire(line, endpoint, version)?,
             TraceEvent::Contend { instance } => {
                 let process = self.instance(line, instance)?.process;
                 let task = WorldTask::LeaseTick(Arc::clone(instance), process);
--- a/crates/dandeliondeal_replay/src/replay_world.rs
+++ b/crates/dandeliondeal_replay/src/replay_world.rs
@@ -6,6 +6,7 @@
 
 use dandeliondeal_claim::{ShardAction, ShardEvent};
 use dandeliondeal_config::RolloutEvent;
+use dandeliondeal_order::{DesiredState, OrderAction, OrderEvent};
 use dandeliondeal_pipeline::{AttemptNumber, PlanIndex, PlanQuery, PlanSettings, SessionEvent};
 use dandeliondeal_platform::{LeaseAction, LeaseEvent};
 use dandeliondeal_types::sheet_model::{EndpointEntry, EndpointTarget};
@@ -47,6 +48,8 @@
     LeaseTick(InstanceId, u32),
     LeaseCall(InstanceId, u32, LeaseAction),
     Lease(InstanceId, u32, LeaseEvent),
+    OrderCall(InstanceId, u32, OrderAction),
+    Order(InstanceId, u32, OrderEvent),
 }
 
 /// Everything that a trace takes place among.
@@ -65,6 +68,8 @@
     /// What operators were told.
     pub(crate) changes: BTreeMap<Arc<str>, SheetVerdict>,
     pub(crate) highest_fence: FencingNumber,
+    /// What engines are to hold.
+    pub(crate) desired: BTreeMap<EndpointId, DesiredState>,
     /// Revisions and fencing numbers that went back.
     pub(crate) reverts: Vec<ReplayMismatch>,
     index: PlanIndex,
@@ -102,6 +107,7 @@
             started: Vec::new(),
             changes: BTreeMap::new(),
             highest_fence: 0,
+            desired: BTreeMap::new(),
             reverts: Vec::new(),
             index: PlanIndex::new(PlanSettings::default()),
             seen_leaving: BTreeSet::new(),
@@ -301,6 +307,12 @@
             WorldTask::Lease(instance, process, event) => {
                 self.lease_event(&instance, process, event);
             }
+            WorldTask::OrderCall(instance, process, action) => {
+                self.order_call(&instance, process, action);
+            }
+            WorldTask::Order(instance, process, event) => {
+                self.order_event(&instance, process, event);
+            }
         }
     }
 
@@ -309,7 +321,8 @@
         let (WorldTask::SheetTick(id, process)
         | WorldTask::Sheet(id, process, _)
         | WorldTask::LeaseTick(id, process)
-        | WorldTask::Lease(id, process, _)) = &task
+        | WorldTask::Lease(id, process, _)
+        | WorldTask::Order(id, process, _)) = &task
         else {
             return Some(task);
         };
--- a/crates/dandeliondeal_replay/src/trace_event.rs
+++ b/crates/dandeliondeal_replay/src/trace_event.rs
@@ -173,6 +173,13 @@
         /// The value of `endpoint,engine-1,capacity`.
         capacity: Arc<str>,
     },
+    /// The holder of the lease is to bring this version of the weights to an engine.
+    Desire {
+        /// The engine.
+        endpoint: EndpointId,
+        /// The version.
+        version: Arc<str>,
+    },
     /// An instance contends for the lease from now on.
     Contend {
         /// The instance.
@@ -276,6 +283,13 @@
         /// Whether the revision is confirmed.
         ready: bool,
     },
+    /// The version of the weights that an engine holds.
+    Version {
+        /// The engine.
+        endpoint: EndpointId,
+        /// The version.
+        version: Arc<str>,
+    },
     /// Who may act under the lease; nobody if absent.
     Holder {
         /// The instance.
--- a/crates/dandeliondeal_replay/src/trace_file.rs
+++ b/crates/dandeliondeal_replay/src/trace_file.rs
@@ -83,6 +83,9 @@
     pub start: Layer,
     /// One past the last layer that it holds.
     pub end: Layer,
+    /// Whether it takes orders whatever their fencing number.
+    #[serde(default)]
+    pub ignores_fencing: bool,
 }
 
 /// An event or a stated outcome.
--- a/crates/dandeliondeal_standin/src/engine/engine_core.rs
+++ b/crates/dandeliondeal_standin/src/engine/engine_core.rs
@@ -5,9 +5,10 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_types::{
-    Layer, LayerRange, Lineage, Position, RequestId, SessionStatus, StepAnswer, StepCall,
+    Layer, LayerRange, Lineage, ModelId, Position, RequestId, SessionStatus, StepAnswer, StepCall,
 };
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use super::EngineSettings;
 use super::engine_order::{OrderFields, OrderState};
@@ -243,6 +244,42 @@
         Ok(())
     }
 
+    /// Applies an order that arrived some time ago.
+    pub(crate) fn apply_order(
+        &mut self,
+        order: OrderFields,
+        raw: Value,
+        age: Duration,
+    ) -> Result<(), EngineRefusal> {
+        self.check_fence(&order)?;
+        let life = order.life_milliseconds.map(Duration::from_millis);
+        if life.is_some_and(|life| age > life + self.settings.weight_load) {
+            return Err(refusal(409, "expired", "the order is older than its life"));
+        }
+        let is_other = |model: &ModelId| *model != self.orders.model;
+        let is_new_model = order.model.as_ref().is_some_and(is_other);
+        self.orders.apply(order, raw);
+        self.drop_unserved(is_new_model);
+        Ok(())
+    }
+
+    /// Applies an order given as JSON that arrived some time ago.
+    ///
+    /// # Errors
+    ///
+    /// The order is malformed, stale or expired.
+    pub fn apply_order_text(&mut self, text: &str, age: Duration) -> Result<(), EngineRefusal> {
+        let malformed = |error: serde_json::Error| refusal(400, "malformed", &error.to_string());
+        let raw: Value = serde_json::from_str(text).map_err(malformed)?;
+        let order = serde_json::from_value(raw.clone()).map_err(malformed)?;
+        self.apply_order(order, raw, age)
+    }
+
+    /// What `GET /orders` gives.
+    pub fn order_report(&self) -> Value {
+        self.orders.report()
+    }
+
     /// Drops the sessions that the present weights cannot serve any more.
     pub(crate) fn drop_unserved(&mut self, is_new_model: bool) {
         let range = self.orders.range;
--- a/crates/dandeliondeal_standin/src/engine/engine_handler.rs
+++ b/crates/dandeliondeal_standin/src/engine/engine_handler.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 
 use super::EngineSettings;
-use super::engine_core::{EngineCore, EngineRefusal, StepDecision, refusal};
+use super::engine_core::{EngineCore, EngineRefusal, StepDecision};
 use super::engine_order::OrderFields;
 use super::engine_session::ExportedCache;
 use crate::BadAnswer;
@@ -211,19 +211,7 @@
     ) -> Result<(), EngineRefusal> {
         let mut core = self.core.borrow_mut();
         // Another holder's order may have come while the weights were loading.
-        core.check_fence(&order)?;
-        let load = core.settings.weight_load;
-        let life = order.life_milliseconds.map(Duration::from_millis);
-        if life.is_some_and(|life| arrived.elapsed() > life + load) {
-            return Err(refusal(409, "expired", "the order is older than its life"));
-        }
-        let is_new_model = order
-            .model
-            .as_ref()
-            .is_some_and(|model| *model != core.orders.model);
-        core.orders.apply(order, raw);
-        core.drop_unserved(is_new_model);
-        Ok(())
+        core.apply_order(order, raw, arrived.elapsed())
     }
 }
 
