--- a/crates/dandeliondeal_command/src/standalone.rs
+++ b/crates/dandeliondeal_command/src/standalone.rs
@@ -114,6 +114,9 @@
     entry
         .join_fleet()
         .map_err(|error| CommandError::failed(format!("peers: {error}")))?;
+    if let Some(link) = entry.link() {
+        platform.put_instance(link.record());
+    }
     wait_in_force(&entry).await?;
     print_addresses(
         entry.caller_address(),
