--- a/crates/dandeliondeal_balance/src/board_view.rs
+++ b/crates/dandeliondeal_balance/src/board_view.rs
@@ -62,3 +62,31 @@
         self.board.expected_wait(endpoint, self.now)
     }
 }
+
+/// Every endpoint that one request may use.
+#[derive(Debug)]
+pub struct WholeView<'board> {
+    board: &'board EndpointBoard,
+    now: Instant,
+    is_repeatable: bool,
+}
+
+impl<'board> WholeView<'board> {
+    pub(crate) fn new(board: &'board EndpointBoard, is_repeatable: bool, now: Instant) -> Self {
+        Self {
+            board,
+            now,
+            is_repeatable,
+        }
+    }
+}
+
+impl EndpointView for WholeView<'_> {
+    fn is_usable(&self, endpoint: &EndpointId) -> bool {
+        self.board.is_usable(endpoint, self.is_repeatable)
+    }
+
+    fn expected_wait(&self, endpoint: &EndpointId) -> Duration {
+        self.board.expected_wait(endpoint, self.now)
+    }
+}
--- a/crates/dandeliondeal_balance/src/endpoint_board.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_board.rs
@@ -9,14 +9,14 @@
 use rand::Rng;
 
 use crate::board_settings::BoardSettings;
-use crate::board_view::BoardView;
+use crate::board_view::{BoardView, WholeView};
 use crate::endpoint_group::EndpointGroup;
 use crate::endpoint_load::OtherWork;
 use crate::endpoint_profile::{CallResult, EndpointProfile, FailureSignal};
 use crate::endpoint_slot::EndpointSlot;
 use crate::health_chart::{HealthState, HealthTable, health_table};
 use crate::load_report::LoadReport;
-use crate::sample_rank::{SampleScore, best_sample};
+use crate::sample_rank::{SampleScore, rank_samples};
 
 /// Random picks for each sample before the whole subset is searched.
 const PICKS_PER_SAMPLE: usize = 8;
@@ -138,7 +138,8 @@
     /// Notes what the instance list says of an endpoint.
     pub fn listed(&mut self, endpoint: &EndpointId, is_leaving: bool, now: Instant) {
         if let Some(&slot) = self.index.get(endpoint) {
-            self.slots[slot].health.listed(is_leaving, now);
+            let health = &mut self.slots[slot].health;
+            health.listed(is_leaving, &self.settings.health, now);
         }
     }
 
@@ -168,6 +169,21 @@
         random: &mut Source,
         now: Instant,
     ) -> Option<EndpointId>
+    where
+        Source: Rng,
+    {
+        let endpoints = self.ranked(group, is_repeatable, random, now);
+        endpoints.into_iter().next()
+    }
+
+    /// The sampled endpoints of a group for one call, the best first.
+    pub fn ranked<Source>(
+        &self,
+        group: &str,
+        is_repeatable: bool,
+        random: &mut Source,
+        now: Instant,
+    ) -> Vec<EndpointId>
     where
         Source: Rng,
     {
@@ -176,8 +192,10 @@
             .into_iter()
             .map(|slot| self.score(slot, now))
             .collect();
-        best_sample(&scores, self.instances == 1)
+        rank_samples(&scores, self.instances == 1)
+            .into_iter()
             .map(|slot| Arc::clone(&self.slots[slot].profile.id))
+            .collect()
     }
 
     /// The endpoints that one request may use, for the planner; `seed` differs for each request.
@@ -185,6 +203,11 @@
         BoardView::new(self, is_repeatable, seed, now)
     }
 
+    /// Every usable endpoint, for a planner that found no way through the sampled ones.
+    pub fn whole_view(&self, is_repeatable: bool, now: Instant) -> WholeView<'_> {
+        WholeView::new(self, is_repeatable, now)
+    }
+
     /// Health of an endpoint.
     pub fn state(&self, endpoint: &EndpointId) -> Option<HealthState> {
         self.slot_of(endpoint)
@@ -199,18 +222,19 @@
 
     /// The endpoints whose load is worth asking for, the one with the oldest report first.
     ///
-    /// Only endpoints of this instance's subsets are named, at most `count` of them.
-    pub fn report_targets(&self, count: usize, now: Instant) -> Vec<EndpointId> {
+    /// Only endpoints of this instance's subsets are named, at most `count` of them. An endpoint
+    /// that does not answer is asked again only after the others.
+    pub fn report_targets(&mut self, count: usize, now: Instant) -> Vec<EndpointId> {
         let mut targets: Vec<usize> = self
             .groups
             .values()
             .flat_map(|group| group.subset.iter().copied())
             .collect();
-        targets.sort_by_key(|&slot| {
-            let age = self.slots[slot].load.report_age(now);
-            std::cmp::Reverse(age.unwrap_or(Duration::MAX))
-        });
+        targets.sort_by_key(|&slot| self.slots[slot].asked);
         targets.truncate(count);
+        for &slot in &targets {
+            self.slots[slot].asked = Some(now);
+        }
         targets
             .into_iter()
             .map(|slot| Arc::clone(&self.slots[slot].profile.id))
@@ -233,6 +257,11 @@
         &self.slots[slot].profile.group
     }
 
+    pub(crate) fn is_usable(&self, endpoint: &EndpointId, is_repeatable: bool) -> bool {
+        self.slot_of(endpoint)
+            .is_some_and(|slot| self.slots[slot].health.is_usable(is_repeatable))
+    }
+
     pub(crate) fn expected_wait(&self, endpoint: &EndpointId, now: Instant) -> Duration {
         let Some(index) = self.slot_of(endpoint) else {
             return Duration::ZERO;
@@ -258,6 +287,9 @@
             return Vec::new();
         };
         let count = self.settings.choice.samples;
+        if group.subset.len() <= count {
+            return self.search(group, is_repeatable, random);
+        }
         let mut sampled = Vec::with_capacity(count);
         for _ in 0..count * PICKS_PER_SAMPLE {
             let slot = group.subset[random.random_range(0..group.subset.len())];
@@ -289,15 +321,19 @@
     where
         Source: Rng,
     {
-        let count = self.settings.choice.samples;
         for members in [&group.subset, &group.members] {
             let start = random.random_range(0..members.len());
-            let turned = members[start..].iter().chain(&members[..start]);
-            let found: Vec<usize> = turned
-                .copied()
-                .filter(|&slot| self.slots[slot].health.is_usable(is_repeatable))
-                .take(count)
-                .collect();
+            let usable = || {
+                let turned = members[start..].iter().chain(&members[..start]).copied();
+                turned.filter(|&slot| self.slots[slot].health.is_usable(is_repeatable))
+            };
+            let preferred =
+                usable().filter(|&slot| self.slots[slot].health.is_preferred(is_repeatable));
+            let count = self.settings.choice.samples;
+            let mut found: Vec<usize> = preferred.take(count).collect();
+            if found.is_empty() {
+                found = usable().take(count).collect();
+            }
             if !found.is_empty() {
                 return found;
             }
--- a/crates/dandeliondeal_command/src/entry_command.rs
+++ b/crates/dandeliondeal_command/src/entry_command.rs
@@ -39,6 +39,8 @@
         entry
             .join_fleet()
             .map_err(|error| CommandError::failed(format!("peers: {error}")))?;
+        println!("callers listening on {}", entry.caller_address());
+        println!("operators listening on {}", entry.operator_address());
         tracing::info!(
             callers = %entry.caller_address(),
             operators = %entry.operator_address(),
--- a/crates/dandeliondeal_entry/src/completion_handler.rs
+++ b/crates/dandeliondeal_entry/src/completion_handler.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::admission::AdmissionRequest;
+use crate::admission_sites::AdmissionTarget;
 use crate::caller_headers::CallerHeaders;
 use crate::completion_claim::{CompletionClaim, HeldClaim, claim_completion, repeat_completion};
 use crate::completion_reply::{CompletionReply, TokenUsage};
@@ -25,6 +26,7 @@
 use crate::request_life::RequestEvent;
 use crate::route_table::RouteTable;
 use crate::token_text::{prompt_tokens, token_text};
+use crate::watched_engine::WatchedEngine;
 
 /// Chunks that may wait for the caller's connection.
 ///
@@ -65,6 +67,7 @@
         .admission()
         .admit(AdmissionRequest {
             organisation: Arc::clone(organisation),
+            target: AdmissionTarget::Model(Arc::clone(&generation.model)),
             tokens: prompt_tokens + u64::from(generation.max_tokens),
             priority: generation.priority,
             deadline: generation.deadline,
@@ -197,6 +200,7 @@
 {
     let id = Arc::clone(&generation.id);
     let engine = EngineHttp::new(context.pool().clone(), Arc::clone(&table));
+    let engine = WatchedEngine::new(engine, context.board().clone());
     context.apply(&id, RequestEvent::Dispatch);
     let site = generation_site(&context, table, engine);
     let result = generate(&site, &generation, &tokens).await;
@@ -211,8 +215,8 @@
 fn generation_site<ClockSource>(
     context: &EntryContext<ClockSource>,
     table: Arc<RouteTable>,
-    engine: EngineHttp,
-) -> GenerationSite<EngineHttp, ClockSource>
+    engine: WatchedEngine<EngineHttp, ClockSource>,
+) -> GenerationSite<WatchedEngine<EngineHttp, ClockSource>, ClockSource>
 where
     ClockSource: Clock,
 {
@@ -222,6 +226,7 @@
         clock: context.clock().clone(),
         table,
         engines: context.engines().clone(),
+        board: context.board().clone(),
         budget: context.budget().clone(),
         settings: SessionSettings {
             life: settings.requests.session_life,
--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -5,14 +5,16 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use dandeliondeal_balance::{RetryBudget, RetrySettings};
 use dandeliondeal_chart::ChartError;
 use dandeliondeal_claim::{ClaimKey, ClaimSettings, ShardIndex};
 use dandeliondeal_config::{EntrySettings, ReadinessGate};
 use dandeliondeal_platform::{CallClass, PlatformClient, PlatformSettings};
-use dandeliondeal_types::{Clock, Incarnation, OrganisationId, Outcome, RequestId};
+use dandeliondeal_types::{Clock, Incarnation, OrganisationId, Outcome, RequestId, SheetModel};
 use derive_more::{Display, Error, From};
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::admission::AdmissionGate;
+use crate::admission::{AdmissionBounds, AdmissionGate};
 use crate::claim_desk::ClaimDesk;
 use crate::claim_rpc::PeerLink;
 use crate::drain_state::DrainMachine;
@@ -22,6 +24,8 @@
 use crate::log_budget::LogBudget;
 use crate::request_id::request_id;
 use crate::request_life::{RequestEvent, RequestRegistry, RequestState};
+use crate::route_table::RouteTable;
+use crate::shared_board::SharedBoard;
 use crate::table_cell::TableCell;
 
 /// Why an instance cannot start.
@@ -55,8 +59,10 @@
     table: TableCell,
     registry: RefCell<RequestRegistry>,
     metrics: EntryMetrics,
-    admission: AdmissionGate,
+    admission: AdmissionGate<ClockSource>,
     pool: HttpPool,
+    board: SharedBoard<ClockSource>,
+    retries: RefCell<RetryBudget>,
     engines: EngineUse,
     budget: LogBudget,
     platform: PlatformClient<ClockSource>,
@@ -96,8 +102,15 @@
             table: TableCell::default(),
             registry: RefCell::new(RequestRegistry::new()?),
             metrics: EntryMetrics::new()?,
-            admission: AdmissionGate::new(settings.limits.organisation_requests),
+            admission: AdmissionGate::new(admission_bounds(&settings), clock.clone()),
             pool: HttpPool::new(settings.requests.connect_time),
+            board: SharedBoard::new(
+                Arc::clone(&settings.instance.id),
+                Arc::clone(&settings.instance.failure_domain),
+                xxh3_64(settings.instance.id.as_bytes()),
+                clock.clone(),
+            )?,
+            retries: RefCell::new(RetryBudget::new(RetrySettings::default())),
             engines: EngineUse::default(),
             budget: LogBudget::new(settings.limits.recovery_bytes),
             drain: RefCell::new(DrainMachine::new()?),
@@ -142,10 +155,32 @@
     }
 
     /// The gate that every request passes before it is dispatched.
-    pub fn admission(&self) -> &AdmissionGate {
+    pub fn admission(&self) -> &AdmissionGate<ClockSource> {
         &self.inner.admission
     }
 
+    /// Puts a sheet in force if its revision is higher, and tells whether it did.
+    pub fn install(&self, sheet: Arc<SheetModel>) -> bool {
+        let table = RouteTable::new(sheet);
+        let sheet = Arc::clone(&table.sheet);
+        let is_newer = self.inner.table.install(table);
+        if is_newer {
+            self.inner.board.install(&sheet);
+            self.inner.admission.install(&sheet, 1);
+        }
+        is_newer
+    }
+
+    /// Health and load of the endpoints.
+    pub fn board(&self) -> &SharedBoard<ClockSource> {
+        &self.inner.board
+    }
+
+    /// Retries of calls of plain services that this instance may make.
+    pub fn retries(&self) -> &RefCell<RetryBudget> {
+        &self.inner.retries
+    }
+
     /// Connections to endpoints.
     pub fn pool(&self) -> &HttpPool {
         &self.inner.pool
@@ -249,6 +284,14 @@
     }
 }
 
+fn admission_bounds(settings: &EntrySettings) -> AdmissionBounds {
+    let queued = usize::try_from(settings.limits.queued_requests);
+    AdmissionBounds {
+        organisation_requests: settings.limits.organisation_requests,
+        queued_requests: queued.unwrap_or(usize::MAX),
+    }
+}
+
 fn unix_time(wall: SystemTime) -> Duration {
     wall.duration_since(SystemTime::UNIX_EPOCH)
         .unwrap_or_default()
