--- a/crates/dandeliondeal_command/src/entry_command.rs
+++ b/crates/dandeliondeal_command/src/entry_command.rs
@@ -36,7 +36,12 @@
         let mut entry = EntryServer::start(settings, SystemClock)
             .await
             .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
-        entry.follow_platform();
+        entry
+            .join_fleet()
+            .map_err(|error| CommandError::failed(format!("peers: {error}")))?;
+        entry
+            .give_orders()
+            .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
         println!("callers listening on {}", entry.caller_address());
         println!("operators listening on {}", entry.operator_address());
         tracing::info!(
--- a/crates/dandeliondeal_command/src/sheet_command.rs
+++ b/crates/dandeliondeal_command/src/sheet_command.rs
@@ -11,6 +11,7 @@
 use crate::CommandError;
 use crate::command_line::reject_rest;
 use crate::platform_access::{PlatformAccess, accept_failed, print_json, store_call, utc_text};
+use crate::status_command;
 
 /// What `dandeliondeal sheet --help` prints.
 pub const HELP: &str = "\
@@ -22,6 +23,7 @@
        dandeliondeal sheet show ACCESS
        dandeliondeal sheet diff FILE ACCESS
        dandeliondeal sheet history [--limit COUNT] ACCESS
+       dandeliondeal sheet status --settings FILE [--platform ADDRESS] [--json]
 
 ACCESS:
   --platform ADDRESS   address of the platform, or
@@ -52,8 +54,9 @@
         Some("show") => show(arguments),
         Some("diff") => diff(arguments),
         Some("history") => history(arguments),
+        Some("status") => status_command::run(arguments),
         _ => Err(CommandError::usage(
-            "expected `sheet example|check|accept|show|diff|history`",
+            "expected `sheet example|check|accept|show|diff|history|status`",
         )),
     }
 }
--- a/crates/dandeliondeal_command/src/standalone.rs
+++ b/crates/dandeliondeal_command/src/standalone.rs
@@ -111,7 +111,12 @@
     let mut entry = EntryServer::start(settings, SystemClock)
         .await
         .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
-    entry.follow_platform();
+    entry
+        .join_fleet()
+        .map_err(|error| CommandError::failed(format!("peers: {error}")))?;
+    if let Some(link) = entry.link() {
+        platform.put_instance(link.record());
+    }
     wait_in_force(&entry).await?;
     print_addresses(
         entry.caller_address(),
--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use dandeliondeal_config::EntrySettings;
-use dandeliondeal_platform::CallClass;
+use dandeliondeal_order::OrderSettings;
+use dandeliondeal_platform::LeaseSettings;
 use dandeliondeal_types::{Clock, SheetModel};
 use tokio::task::JoinHandle;
 
@@ -13,7 +14,8 @@
 use crate::endpoint_watch::watch_endpoints;
 use crate::entry_context::{EntryContext, EntryError};
 use crate::http_listener::{HttpListener, ListenerSettings};
-use crate::rollout::{NoPeers, Rollout};
+use crate::order_runner::OrderRunner;
+use crate::peer_link::PeerLink;
 use crate::{caller_api, load_poll, operator_api};
 
 /// Connections open at once on the operators' address.
@@ -27,8 +29,9 @@
     context: EntryContext<ClockSource>,
     callers: HttpListener,
     operators: HttpListener,
-    rollout: Option<Rollout<ClockSource, NoPeers>>,
+    link: Option<PeerLink<ClockSource>>,
     endpoint_watch: Option<JoinHandle<()>>,
+    orders: Option<(OrderRunner<ClockSource>, JoinHandle<()>)>,
 }
 
 impl<ClockSource> EntryServer<ClockSource>
@@ -72,16 +75,40 @@
             context,
             callers,
             operators,
-            rollout: None,
+            link: None,
             endpoint_watch: None,
+            orders: None,
         })
     }
 
-    /// Starts to put in force what the platform has accepted, and to note which endpoints leave.
-    pub fn follow_platform(&mut self) {
-        let platform = self.context.platform().with_class(CallClass::Configuration);
-        self.rollout = Some(Rollout::start(self.context.clone(), platform, NoPeers));
+    /// Starts to contend for the lease of orders, and to give orders while it is held.
+    ///
+    /// # Errors
+    ///
+    /// A chart is wrong.
+    pub fn give_orders(&mut self) -> Result<(), EntryError> {
+        let context = self.context.clone();
+        let runner = OrderRunner::new(context, LeaseSettings::default(), OrderSettings::default())?;
+        let task = runner.start();
+        self.orders = Some((runner, task));
+        Ok(())
+    }
+
+    /// Joins the other instances, puts in force what the platform has accepted, and notes which
+    /// endpoints leave.
+    ///
+    /// # Errors
+    ///
+    /// If the peers' address cannot be bound.
+    pub fn join_fleet(&mut self) -> Result<(), EntryError> {
+        self.link = Some(PeerLink::start(self.context.clone())?);
         self.endpoint_watch = Some(actix_rt::spawn(watch_endpoints(self.context.clone())));
+        Ok(())
+    }
+
+    /// The links to the other instances, after [`EntryServer::join_fleet`].
+    pub fn link(&self) -> Option<&PeerLink<ClockSource>> {
+        self.link.as_ref()
     }
 
     /// The address for callers.
@@ -109,6 +136,13 @@
     pub async fn stop(self) {
         let settings = self.context.settings().stop.clone();
         self.drain(DrainEvent::Stop);
+        if let Some(link) = &self.link {
+            link.leave();
+        }
+        if let Some((runner, task)) = &self.orders {
+            task.abort();
+            runner.stop().await;
+        }
         actix_rt::time::sleep(settings.balancer_lag).await;
         self.callers.close();
         self.drain(DrainEvent::BalancerMoved);
@@ -117,8 +151,8 @@
             actix_rt::time::sleep(IDLE_INTERVAL).await;
         }
         self.drain(DrainEvent::Idle);
-        if let Some(rollout) = &self.rollout {
-            rollout.stop();
+        if let Some(link) = &self.link {
+            link.stop();
         }
         if let Some(watch) = &self.endpoint_watch {
             watch.abort();
--- a/crates/dandeliondeal_replay/src/lib.rs
+++ b/crates/dandeliondeal_replay/src/lib.rs
@@ -6,11 +6,13 @@
 //! and every breach of what always holds.
 
 mod event_queue;
+mod recorded_sessions;
 mod replay_claims;
 mod replay_engine;
 mod replay_instance;
 mod replay_invariants;
 mod replay_leases;
+mod replay_orders;
 mod replay_outcomes;
 pub mod replay_report;
 mod replay_run;
