--- a/crates/dandeliondeal_command/src/measure_command.rs
+++ b/crates/dandeliondeal_command/src/measure_command.rs
@@ -15,8 +15,10 @@
   choice       ways to choose an endpoint, at several lags of load reports, in virtual time
   claims       claims a platform write, the delay of a claim, calls as the fleet grows
   limits       grants of an organisation's limit among instances, in virtual time
+  membership   cost of heartbeats and time to notice a death, by fleet size
   overhead     time to the first token beside the engines' own, processor time a token
   overload     goodput above the capacity; a small organisation beside a burst; virtual time
+  rollout      time from acceptance to in force everywhere, by fleet size
 
   --seed NUMBER   seed of everything random (default 1)
   --long          more samples; without it a measurement takes 40 s at most
@@ -42,8 +44,10 @@
             "choice" => finish(measure::choice::run(settings)),
             "claims" => finish(measure::claims::run(settings).await),
             "limits" => finish(measure::limits::run(settings)),
+            "membership" => finish(measure::membership::run(settings).await),
             "overhead" => finish(measure::overhead::run(settings).await),
             "overload" => finish(measure::overload::run(settings)),
+            "rollout" => finish(measure::rollout::run(settings).await),
             _ => Err(CommandError::usage(format!(
                 "there is no measurement {name}; see --help"
             ))),
--- a/crates/dandeliondeal_config/tests/sheet_compiler.rs
+++ b/crates/dandeliondeal_config/tests/sheet_compiler.rs
@@ -137,3 +137,14 @@
     let found = problems("key_sha256,", "key_sha256,0");
     assert!(found[0].contains("a key hash of 65 letters"));
 }
+
+#[test]
+fn documented_example() {
+    let page = include_str!("../../../docs/SHEET.md");
+    let example = page.split("```csv\n").nth(1).unwrap();
+    let example = example.split("```").next().unwrap();
+    let sheet = read_sheet(example.as_bytes()).unwrap();
+    let model = compile_sheet(1, &sheet).unwrap();
+    assert!(model.routes.contains_key("redacteur"));
+    assert!(!model.services["portail"].repeatable);
+}
--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dandeliondeal_config::EntrySettings;
+use dandeliondeal_peer::FanOut;
 use dandeliondeal_types::{Clock, SheetModel};
 use tokio::task::JoinHandle;
 
@@ -83,7 +84,16 @@
     ///
     /// If the peers' address cannot be bound.
     pub fn join_fleet(&mut self) -> Result<(), EntryError> {
-        self.link = Some(PeerLink::start(self.context.clone())?);
+        self.join_fleet_by(FanOut::Ring)
+    }
+
+    /// As [`EntryServer::join_fleet`], with a choice of whom heartbeats go to.
+    ///
+    /// # Errors
+    ///
+    /// If the peers' address cannot be bound.
+    pub fn join_fleet_by(&mut self, fan_out: FanOut) -> Result<(), EntryError> {
+        self.link = Some(PeerLink::start(self.context.clone(), fan_out)?);
         self.endpoint_watch = Some(actix_rt::spawn(watch_endpoints(self.context.clone())));
         Ok(())
     }
--- a/crates/dandeliondeal_entry/src/peer_link.rs
+++ b/crates/dandeliondeal_entry/src/peer_link.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use dandeliondeal_peer::{
-    Heartbeat, MemberCard, MembershipAction, MembershipEvent, MembershipMachine,
+    FanOut, Heartbeat, MemberCard, MembershipAction, MembershipEvent, MembershipMachine,
     MembershipSettings, PeerClient, PeerServer, PeerSettings,
 };
 use dandeliondeal_platform::{CallClass, PlatformClient};
@@ -48,7 +48,7 @@
     /// # Errors
     ///
     /// If the peers' address cannot be bound or the chart is wrong.
-    pub fn start(context: EntryContext<ClockSource>) -> Result<Self, EntryError> {
+    pub fn start(context: EntryContext<ClockSource>, fan_out: FanOut) -> Result<Self, EntryError> {
         let settings = context.settings();
         let peer_settings = PeerSettings {
             secret: settings.secrets.peer.clone(),
@@ -66,6 +66,7 @@
         };
         let membership = MembershipSettings {
             interval: settings.membership.heartbeat_interval,
+            fan_out,
         };
         let machine = MembershipMachine::new(membership, own, context.clock().now())?;
         let book = PeerBook {
--- a/crates/dandeliondeal_measure/src/lib.rs
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -10,13 +10,17 @@
 pub mod claim_load;
 pub mod claim_site;
 pub mod claims;
+pub mod fleet_site;
 pub mod limits;
 pub mod measure_error;
 pub mod measure_settings;
+pub mod membership;
 pub mod overhead;
 pub mod overload;
 pub mod overload_driver;
+pub mod rollout;
 pub mod site;
+pub mod target_sheet;
 
 #[doc(inline)]
 pub use measure_error::MeasureError;
--- a/crates/dandeliondeal_peer/src/lib.rs
+++ b/crates/dandeliondeal_peer/src/lib.rs
@@ -17,11 +17,11 @@
 #[doc(inline)]
 pub use member_state::{MemberEvent, MemberState};
 #[doc(inline)]
-pub use membership_event::{MembershipAction, MembershipEvent, MembershipSettings};
+pub use membership_event::{FanOut, MembershipAction, MembershipEvent, MembershipSettings};
 #[doc(inline)]
 pub use membership_machine::MembershipMachine;
 #[doc(inline)]
-pub use peer_client::{PeerClient, PeerSettings};
+pub use peer_client::{PeerClient, PeerSettings, PeerTraffic};
 #[doc(inline)]
 pub use peer_error::PeerError;
 #[doc(inline)]
--- a/crates/dandeliondeal_peer/src/membership_event.rs
+++ b/crates/dandeliondeal_peer/src/membership_event.rs
@@ -12,12 +12,25 @@
 pub struct MembershipSettings {
     /// Time between two heartbeats to one neighbour.
     pub interval: Duration,
+    /// To whom they go.
+    pub fan_out: FanOut,
+}
+
+/// To whom an instance sends heartbeats.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum FanOut {
+    /// To a constant number of neighbours.
+    #[default]
+    Ring,
+    /// To everyone: the baseline of measurements, whose cost grows with the fleet.
+    All,
 }
 
 impl Default for MembershipSettings {
     fn default() -> Self {
         Self {
             interval: Duration::from_secs(1),
+            fan_out: FanOut::Ring,
         }
     }
 }
--- a/crates/dandeliondeal_peer/src/membership_machine.rs
+++ b/crates/dandeliondeal_peer/src/membership_machine.rs
@@ -11,7 +11,7 @@
 use dandeliondeal_types::{Incarnation, InstanceId, InstanceRecord, InstanceRole, InstanceState};
 
 use crate::member_state::{MemberEvent, MemberState, MemberTable, member_table};
-use crate::membership_event::{MembershipAction, MembershipEvent, MembershipSettings};
+use crate::membership_event::{FanOut, MembershipAction, MembershipEvent, MembershipSettings};
 use crate::neighbour_ring::neighbours;
 use crate::peer_message::{Heartbeat, MemberCard, MemberNews, MemberStatus};
 
@@ -228,6 +228,9 @@
             .members()
             .filter(|(_, state)| *state != MemberState::Failed)
             .map(|(card, _)| card);
+        if self.settings.fan_out == FanOut::All {
+            return others.cloned().collect();
+        }
         let cards = std::iter::once(&self.own.card).chain(others);
         neighbours(&self.own.card, cards)
             .into_iter()
--- a/crates/dandeliondeal_peer/src/peer_client.rs
+++ b/crates/dandeliondeal_peer/src/peer_client.rs
@@ -1,6 +1,6 @@
 //! Calls other instances.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,6 +12,7 @@
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::{RawValue, to_raw_value};
 
 use dandeliondeal_config::SecretText;
 
@@ -54,6 +55,16 @@
 struct ClientInner {
     settings: PeerSettings,
     connections: RefCell<HashMap<SocketAddr, Rc<WsClient>>>,
+    traffic: Cell<PeerTraffic>,
+}
+
+/// What a client sent and received so far, bodies only.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PeerTraffic {
+    /// Calls sent.
+    pub calls: u64,
+    /// Bytes of the bodies sent and received.
+    pub body_bytes: u64,
 }
 
 impl PeerClient {
@@ -63,6 +74,7 @@
             inner: Rc::new(ClientInner {
                 settings,
                 connections: RefCell::default(),
+                traffic: Cell::default(),
             }),
         }
     }
@@ -84,12 +96,31 @@
     {
         let connection = self.connection(address, method).await?;
         let secret = self.inner.settings.secret.reveal();
-        let result = connection.request(method, rpc_params![secret, body]).await;
+        let refused = |error: serde_json::Error| PeerError::refused(method, error.to_string());
+        let body = to_raw_value(body).map_err(refused)?;
+        self.count(1, &body);
+        let params = rpc_params![secret, body];
+        let result: Result<Box<RawValue>, Error> = connection.request(method, params).await;
         if matches!(&result, Err(error) if !matches!(error, Error::Call(_))) {
             // The connection may have gone silent; the next call makes a new one.
             self.inner.connections.borrow_mut().remove(&address);
         }
-        result.map_err(|error| call_failed(address, method, &error))
+        let reply = result.map_err(|error| call_failed(address, method, &error))?;
+        self.count(0, &reply);
+        serde_json::from_str(reply.get()).map_err(refused)
+    }
+
+    /// What was sent and received so far.
+    pub fn traffic(&self) -> PeerTraffic {
+        self.inner.traffic.get()
+    }
+
+    fn count(&self, calls: u64, body: &RawValue) {
+        let traffic = self.inner.traffic.get();
+        self.inner.traffic.set(PeerTraffic {
+            calls: traffic.calls + calls,
+            body_bytes: traffic.body_bytes + body.get().len() as u64,
+        });
     }
 
     /// Calls a peer, and once more over a new connection if there was no answer.
