--- a/crates/dandeliondeal_entry/src/body_reader.rs
+++ b/crates/dandeliondeal_entry/src/body_reader.rs
@@ -5,7 +5,7 @@
 use actix_http::Payload;
 use actix_http::error::PayloadError;
 use bytes::{Bytes, BytesMut};
-use dandeliondeal_types::{ErrorKind, RequestStep, RouteError};
+use dandeliondeal_types::RouteError;
 use futures_util::StreamExt;
 
 /// Bounds of a body.
@@ -30,7 +30,7 @@
 ///
 /// # Errors
 ///
-/// [`ErrorKind::InvalidInput`] if the body is too large, too slow, or breaks off.
+/// An error naming `body` if it is too large, too slow, or breaks off.
 pub async fn read_body(payload: Payload, settings: BodySettings) -> Result<Bytes, RouteError> {
     match actix_rt::time::timeout(settings.time, collect(payload, settings.bytes)).await {
         Ok(body) => body,
@@ -54,7 +54,5 @@
 }
 
 fn invalid(message: String) -> RouteError {
-    RouteError::new(ErrorKind::InvalidInput, RequestStep::Input, message)
-        .at("caller")
-        .field("body")
+    RouteError::invalid_input("body", message)
 }
--- a/crates/dandeliondeal_entry/src/caller_api.rs
+++ b/crates/dandeliondeal_entry/src/caller_api.rs
@@ -5,9 +5,7 @@
 use actix_http::HttpMessage;
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Request, Response, StatusCode};
-use dandeliondeal_types::{
-    Clock, ErrorKind, OrganisationId, Outcome, RequestId, RequestStep, RouteError,
-};
+use dandeliondeal_types::{Clock, OrganisationId, Outcome, RequestId, RouteError};
 
 use crate::body_reader::{BodySettings, read_body};
 use crate::caller_headers::{CallerHeaders, bearer_key};
@@ -74,11 +72,17 @@
             request_status(context, organisation, &path[REQUEST_PREFIX.len()..]).await
         }
         ("/v1/completions" | "/v1/chat/completions" | "/v1/models", method) => {
-            let mut reply = reply::error(&invalid("method", format!("{method} is not allowed")));
+            let mut reply = reply::error(&RouteError::invalid_input(
+                "method",
+                format!("{method} is not allowed"),
+            ));
             reply.head_mut().status = StatusCode::METHOD_NOT_ALLOWED;
             reply
         }
-        (path, _) => reply::error(&not_found("path", format!("there is no {path}"))),
+        (path, _) => reply::error(&RouteError::not_found(
+            "path",
+            format!("there is no {path}"),
+        )),
     }
 }
 
@@ -158,7 +162,7 @@
     let rest = &request.path()[SERVICE_PREFIX.len()..];
     let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
     if service.is_empty() {
-        return Err(not_found("service", "the service is not named"));
+        return Err(RouteError::not_found("service", "the service is not named"));
     }
     let query = request
         .uri()
@@ -212,22 +216,9 @@
             }
             reply
         }
-        None => reply::error(&not_found("id", format!("request {id} is not known here"))),
+        None => reply::error(&RouteError::not_found(
+            "id",
+            format!("request {id} is not known here"),
+        )),
     }
 }
-
-fn not_found<Text>(field: &'static str, message: Text) -> RouteError
-where
-    Text: Into<Arc<str>>,
-{
-    RouteError::new(ErrorKind::NotFound, RequestStep::Input, message).field(field)
-}
-
-fn invalid<Text>(field: &'static str, message: Text) -> RouteError
-where
-    Text: Into<Arc<str>>,
-{
-    RouteError::new(ErrorKind::InvalidInput, RequestStep::Input, message)
-        .at("caller")
-        .field(field)
-}
--- a/crates/dandeliondeal_entry/src/completion_handler.rs
+++ b/crates/dandeliondeal_entry/src/completion_handler.rs
@@ -158,7 +158,7 @@
     let sheet = &table.sheet;
     let unknown = || {
         let message = format!("there is no model {}", request.route);
-        RouteError::new(ErrorKind::NotFound, RequestStep::Input, message).field("model")
+        RouteError::not_found("model", message)
     };
     let route = sheet.routes.get(&request.route).ok_or_else(unknown)?;
     let pipeline = sheet.pipelines.get(&route.pipeline).ok_or_else(unknown)?;
@@ -170,11 +170,7 @@
             "prompt and answer have {total} tokens; the model takes {}",
             model.context_tokens
         );
-        return Err(
-            RouteError::new(ErrorKind::InvalidInput, RequestStep::Input, message)
-                .at("caller")
-                .field("max_tokens"),
-        );
+        return Err(RouteError::invalid_input("max_tokens", message));
     }
     Ok(GenerationRequest {
         id: Arc::clone(id),
--- a/crates/dandeliondeal_entry/src/completion_request.rs
+++ b/crates/dandeliondeal_entry/src/completion_request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dandeliondeal_types::{ErrorKind, RequestStep, RouteError, RouteId};
+use dandeliondeal_types::{RouteError, RouteId};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use serde_json::{Map, Value, json};
@@ -105,20 +105,21 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::InvalidInput`] naming the field that is wrong.
+    /// An error that names the field that is wrong.
     pub fn parse(body: &[u8], chat: bool) -> Result<Self, RouteError> {
-        let text = std::str::from_utf8(body)
-            .map_err(|error| invalid("body", format!("body is not UTF-8: {error}")))?;
+        let text = std::str::from_utf8(body).map_err(|error| {
+            RouteError::invalid_input("body", format!("body is not UTF-8: {error}"))
+        })?;
         let body: CompletionBody = serde_json::from_str(text).map_err(|error| {
             let message = format!("body is not the expected JSON: {error}");
-            invalid(wrong_field(text), message)
+            RouteError::invalid_input(wrong_field(text), message)
         })?;
         reject_unsupported(&body)?;
         let max_tokens = token_count(&body)?;
         let route = body
             .model
             .filter(|route| !route.is_empty())
-            .ok_or_else(|| invalid("model", "`model` is missing"))?;
+            .ok_or_else(|| RouteError::invalid_input("model", "`model` is missing"))?;
         let prompt = if chat {
             chat_prompt(body.messages)?
         } else {
@@ -169,7 +170,10 @@
     ];
     match fields.iter().find(|(_, present)| *present) {
         None => Ok(()),
-        Some((field, _)) => Err(invalid(field, format!("`{field}` is not supported"))),
+        Some((field, _)) => Err(RouteError::invalid_input(
+            field,
+            format!("`{field}` is not supported"),
+        )),
     }
 }
 
@@ -182,7 +186,9 @@
     u32::try_from(count)
         .ok()
         .filter(|count| *count > 0)
-        .ok_or_else(|| invalid(field, format!("`{field}` is {count}; expected 1 or more")))
+        .ok_or_else(|| {
+            RouteError::invalid_input(field, format!("`{field}` is {count}; expected 1 or more"))
+        })
 }
 
 fn completion_prompt(prompt: Option<PromptBody>) -> Result<Arc<str>, RouteError> {
@@ -190,12 +196,15 @@
         Some(PromptBody::Text(text)) => text,
         Some(PromptBody::Texts(texts)) if texts.len() == 1 => Arc::clone(&texts[0]),
         Some(PromptBody::Texts(_)) => {
-            return Err(invalid("prompt", "`prompt` must hold one text"));
+            return Err(RouteError::invalid_input(
+                "prompt",
+                "`prompt` must hold one text",
+            ));
         }
-        None => return Err(invalid("prompt", "`prompt` is missing")),
+        None => return Err(RouteError::invalid_input("prompt", "`prompt` is missing")),
     };
     if text.is_empty() {
-        return Err(invalid("prompt", "`prompt` is empty"));
+        return Err(RouteError::invalid_input("prompt", "`prompt` is empty"));
     }
     Ok(text)
 }
@@ -203,7 +212,7 @@
 fn chat_prompt(messages: Option<Vec<ChatMessage>>) -> Result<Arc<str>, RouteError> {
     let messages = messages
         .filter(|messages| !messages.is_empty())
-        .ok_or_else(|| invalid("messages", "`messages` is missing or empty"))?;
+        .ok_or_else(|| RouteError::invalid_input("messages", "`messages` is missing or empty"))?;
     let mut prompt = String::new();
     for message in &messages {
         prompt.push_str(&message.role);
@@ -213,7 +222,10 @@
             ChatContent::Parts(parts) => {
                 for part in parts {
                     let text = part.text.as_ref().ok_or_else(|| {
-                        invalid("messages", "`messages` may hold parts of text only")
+                        RouteError::invalid_input(
+                            "messages",
+                            "`messages` may hold parts of text only",
+                        )
                     })?;
                     prompt.push_str(text);
                 }
@@ -223,12 +235,3 @@
     }
     Ok(prompt.into())
 }
-
-fn invalid<Text>(field: &'static str, message: Text) -> RouteError
-where
-    Text: Into<Arc<str>>,
-{
-    RouteError::new(ErrorKind::InvalidInput, RequestStep::Input, message)
-        .at("caller")
-        .field(field)
-}
--- a/crates/dandeliondeal_entry/src/service_call.rs
+++ b/crates/dandeliondeal_entry/src/service_call.rs
@@ -132,13 +132,11 @@
     let table = context.table().current();
     let service = table.sheet.services.get(&call.service).ok_or_else(|| {
         let message = format!("there is no service {}", call.service);
-        RouteError::new(ErrorKind::NotFound, RequestStep::Input, message).field("service")
+        RouteError::not_found("service", message)
     })?;
     if service.settles && is_settlement_path(&call.path) {
         let message = "this path is not open to callers";
-        return Err(
-            RouteError::new(ErrorKind::NotFound, RequestStep::Input, message).field("path"),
-        );
+        return Err(RouteError::not_found("path", message));
     }
     let is_repeatable = service.repeatable && call.caller.repeatable.unwrap_or(true);
     let group = service_group(&call.service);
--- a/crates/dandeliondeal_types/src/route_error.rs
+++ b/crates/dandeliondeal_types/src/route_error.rs
@@ -146,6 +146,24 @@
         }
     }
 
+    /// The caller's input is wrong in `field`.
+    pub fn invalid_input<Text>(field: &'static str, message: Text) -> Self
+    where
+        Text: Into<Arc<str>>,
+    {
+        Self::new(ErrorKind::InvalidInput, RequestStep::Input, message)
+            .at("caller")
+            .field(field)
+    }
+
+    /// What the caller names in `field` does not exist.
+    pub fn not_found<Text>(field: &'static str, message: Text) -> Self
+    where
+        Text: Into<Arc<str>>,
+    {
+        Self::new(ErrorKind::NotFound, RequestStep::Input, message).field(field)
+    }
+
     /// Names the peer at which the error arose.
     #[must_use]
     pub fn at<Text>(mut self, peer: Text) -> Self
