--- a/crates/dandeliondeal_entry/src/claim_rpc.rs
+++ b/crates/dandeliondeal_entry/src/claim_rpc.rs
@@ -1,72 +1,114 @@
-//! Forwarded claims over JSON-RPC between instances.
+//! Forwarded claims between instances.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use dandeliondeal_claim::{ClaimOrigin, ShardReply, ShardTask};
-use dandeliondeal_config::SecretText;
+use dandeliondeal_peer::{PeerClient, PeerError, PeerHandler, PeerSettings};
 use dandeliondeal_types::{Clock, ObjectStore};
-use jsonrpsee::RpcModule;
-use jsonrpsee::core::client::ClientT;
-use jsonrpsee::core::params::ArrayParams;
-use jsonrpsee::types::ErrorObjectOwned;
-use jsonrpsee::types::error::ErrorCode;
-use jsonrpsee::ws_client::{HeaderMap, HeaderValue, WsClient, WsClientBuilder};
-use tokio::sync::{mpsc, oneshot};
 
 use crate::claim_desk::ClaimDesk;
 use crate::claim_link::{ClaimLink, ForwardCall, ForwardRecord, ForwardReply};
 
-/// Name of the method.
-const METHOD: &str = "claims_forward";
-/// Calls of peers that may wait for this instance's arbiter.
-const QUEUE_LIMIT: usize = 4_096;
+/// Method that takes a forwarded record.
+pub const CLAIM_METHOD: &str = "claim";
 
-type QueuedCall = (ForwardCall, oneshot::Sender<ForwardReply>);
+/// Sends records to the other instances, over connections of their own.
+#[derive(Clone, Debug)]
+pub struct ClaimPeers {
+    client: PeerClient,
+}
+
+impl ClaimPeers {
+    /// Makes the link; nothing is sent yet.
+    pub fn new(settings: PeerSettings) -> Self {
+        Self {
+            client: PeerClient::new(settings),
+        }
+    }
+}
+
+impl ClaimLink for ClaimPeers {
+    async fn forward(
+        &self,
+        address: SocketAddr,
+        call: ForwardCall,
+        wait: Duration,
+    ) -> Option<ForwardReply> {
+        let sent = self.client.call(address, CLAIM_METHOD, &call);
+        match actix_rt::time::timeout(wait, sent).await {
+            Ok(result) => result.ok(),
+            Err(_elapsed) => {
+                // The connection may have gone silent; the next call makes a new one.
+                self.client.disconnect(address);
+                None
+            }
+        }
+    }
+}
+
+/// Answers forwarded records, for an instance that serves nothing else to its peers.
+#[derive(Debug)]
+pub struct ClaimHandler<Store, ClockSource, Link> {
+    desk: ClaimDesk<Store, ClockSource, Link>,
+    clock: ClockSource,
+}
+
+impl<Store, ClockSource, Link> ClaimHandler<Store, ClockSource, Link> {
+    /// A handler for one desk.
+    pub fn new(desk: ClaimDesk<Store, ClockSource, Link>, clock: ClockSource) -> Self {
+        Self { desk, clock }
+    }
+}
+
+impl<Store, ClockSource, Link> Clone for ClaimHandler<Store, ClockSource, Link>
+where
+    ClockSource: Clock,
+{
+    fn clone(&self) -> Self {
+        Self {
+            desk: self.desk.clone(),
+            clock: self.clock.clone(),
+        }
+    }
+}
+
+impl<Store, ClockSource, Link> PeerHandler for ClaimHandler<Store, ClockSource, Link>
+where
+    Store: ObjectStore,
+    ClockSource: Clock,
+    Link: ClaimLink,
+{
+    const METHODS: &'static [&'static str] = &[CLAIM_METHOD];
 
-/// The methods that peers call, to be merged into the peer server.
+    async fn handle(&self, method: &'static str, body: Box<str>) -> Result<String, PeerError> {
+        answer_forward(&self.desk, &self.clock, method, &body).await
+    }
+}
+
+/// Writes a forwarded record and tells whether it is in the log.
 ///
 /// # Errors
 ///
-/// The method's name is taken.
-pub fn claim_module<Store, ClockSource, Link>(
-    desk: ClaimDesk<Store, ClockSource, Link>,
-    clock: ClockSource,
-) -> Result<RpcModule<()>, jsonrpsee::core::RegisterMethodError>
+/// The body is not a forwarded record.
+pub async fn answer_forward<Store, ClockSource, Link>(
+    desk: &ClaimDesk<Store, ClockSource, Link>,
+    clock: &ClockSource,
+    method: &'static str,
+    body: &str,
+) -> Result<String, PeerError>
 where
     Store: ObjectStore,
     ClockSource: Clock,
     Link: ClaimLink,
 {
-    // Handlers of the server may move between threads, the desk may not.
-    let (sender, mut queue) = mpsc::channel::<QueuedCall>(QUEUE_LIMIT);
-    actix_rt::spawn(async move {
-        while let Some((call, reply)) = queue.recv().await {
-            let (desk, clock) = (desk.clone(), clock.clone());
-            actix_rt::spawn(async move {
-                // The receiver is gone if the peer hung up.
-                let _ = reply.send(answer(&desk, &clock, call).await);
-            });
-        }
-    });
-    let mut module = RpcModule::new(());
-    module.register_async_method(METHOD, move |parameters, _context, _extensions| {
-        let sender = sender.clone();
-        async move {
-            let call: ForwardCall = parameters.one()?;
-            let (reply, receiver) = oneshot::channel();
-            sender.try_send((call, reply)).map_err(|_full| busy())?;
-            receiver.await.map_err(|_gone| busy())
-        }
-    })?;
-    Ok(module)
+    let refused = |error: serde_json::Error| PeerError::refused(method, error.to_string());
+    let call: ForwardCall = serde_json::from_str(body).map_err(refused)?;
+    let reply = write_record(desk, clock, call).await;
+    serde_json::to_string(&reply).map_err(refused)
 }
 
-async fn answer<Store, ClockSource, Link>(
+async fn write_record<Store, ClockSource, Link>(
     desk: &ClaimDesk<Store, ClockSource, Link>,
     clock: &ClockSource,
     call: ForwardCall,
@@ -89,70 +131,3 @@
         _ => ForwardReply::Declined,
     }
 }
-
-fn busy() -> ErrorObjectOwned {
-    ErrorObjectOwned::from(ErrorCode::ServerIsBusy)
-}
-
-/// Connections to the other instances, made when they are first needed.
-#[derive(Clone, Debug)]
-pub struct PeerLink {
-    secret: SecretText,
-    connect_time: Duration,
-    clients: Rc<RefCell<HashMap<SocketAddr, Arc<WsClient>>>>,
-}
-
-impl PeerLink {
-    /// A link that shows `secret` to its peers.
-    pub fn new(secret: SecretText, connect_time: Duration) -> Self {
-        Self {
-            secret,
-            connect_time,
-            clients: Rc::default(),
-        }
-    }
-
-    async fn client(&self, address: SocketAddr) -> Option<Arc<WsClient>> {
-        if let Some(client) = self.clients.borrow().get(&address)
-            && client.is_connected()
-        {
-            return Some(Arc::clone(client));
-        }
-        let mut headers = HeaderMap::new();
-        let bearer = format!("Bearer {}", self.secret.reveal());
-        headers.insert("authorization", HeaderValue::from_str(&bearer).ok()?);
-        let client = WsClientBuilder::default()
-            .connection_timeout(self.connect_time)
-            .set_headers(headers)
-            .build(format!("ws://{address}"))
-            .await
-            .ok()?;
-        let client = Arc::new(client);
-        self.clients
-            .borrow_mut()
-            .insert(address, Arc::clone(&client));
-        Some(client)
-    }
-}
-
-impl ClaimLink for PeerLink {
-    async fn forward(
-        &self,
-        address: SocketAddr,
-        call: ForwardCall,
-        wait: Duration,
-    ) -> Option<ForwardReply> {
-        let call = async {
-            let client = self.client(address).await?;
-            let mut parameters = ArrayParams::new();
-            parameters.insert(call).ok()?;
-            client.request(METHOD, parameters).await.ok()
-        };
-        let reply = actix_rt::time::timeout(wait, call).await.ok().flatten();
-        if reply.is_none() {
-            // The connection may have gone silent; the next call makes a new one.
-            self.clients.borrow_mut().remove(&address);
-        }
-        reply
-    }
-}
--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -9,6 +9,7 @@
 use dandeliondeal_chart::ChartError;
 use dandeliondeal_claim::{ClaimKey, ClaimSettings, ShardIndex};
 use dandeliondeal_config::{EntrySettings, ReadinessGate};
+use dandeliondeal_peer::PeerSettings;
 use dandeliondeal_platform::{CallClass, PlatformClient, PlatformSettings};
 use dandeliondeal_types::{Clock, Incarnation, OrganisationId, Outcome, RequestId, SheetModel};
 use derive_more::{Display, Error, From};
@@ -16,7 +17,7 @@
 
 use crate::admission::{AdmissionBounds, AdmissionGate};
 use crate::claim_desk::ClaimDesk;
-use crate::claim_rpc::PeerLink;
+use crate::claim_rpc::ClaimPeers;
 use crate::drain_state::DrainMachine;
 use crate::engine_use::EngineUse;
 use crate::entry_metrics::EntryMetrics;
@@ -43,7 +44,7 @@
 }
 
 /// The claims of an entry instance.
-pub type EntryClaims<ClockSource> = ClaimDesk<PlatformClient<ClockSource>, ClockSource, PeerLink>;
+pub type EntryClaims<ClockSource> = ClaimDesk<PlatformClient<ClockSource>, ClockSource, ClaimPeers>;
 
 /// The shared state of an entry instance; clones share it.
 #[derive(Clone, Debug)]
@@ -90,10 +91,11 @@
             PlatformClient::new(platform_settings(&settings, incarnation), clock.clone());
         let claims = ClaimDesk::new(
             platform.with_class(CallClass::Claims),
-            PeerLink::new(
-                settings.secrets.peer.clone(),
-                settings.requests.connect_time,
-            ),
+            ClaimPeers::new(PeerSettings {
+                secret: settings.secrets.peer.clone(),
+                timeout: settings.membership.heartbeat_timeout,
+                ..PeerSettings::default()
+            }),
             clock.clone(),
             claim_settings(&settings, incarnation),
         );
--- a/crates/dandeliondeal_entry/src/peer_handler.rs
+++ b/crates/dandeliondeal_entry/src/peer_handler.rs
@@ -12,6 +12,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::claim_rpc::{CLAIM_METHOD, answer_forward};
 use crate::peer_book::CONTENT_METHOD;
 use crate::peer_link::PeerLink;
 
@@ -48,6 +49,7 @@
         OBSERVE_METHOD,
         CONTENT_METHOD,
         STATUS_METHOD,
+        CLAIM_METHOD,
     ];
 
     async fn handle(&self, method: &'static str, body: Box<str>) -> Result<String, PeerError> {
@@ -70,6 +72,10 @@
                 print(method, &bodies.collect::<Vec<Arc<str>>>())
             }
             STATUS_METHOD => print(method, &self.status()),
+            CLAIM_METHOD => {
+                let context = self.context();
+                answer_forward(context.claims(), context.clock(), method, &body).await
+            }
             _ => Err(PeerError::refused(method, "there is no such method")),
         }
     }
--- a/crates/dandeliondeal_entry/src/peer_link.rs
+++ b/crates/dandeliondeal_entry/src/peer_link.rs
@@ -11,6 +11,7 @@
 use dandeliondeal_platform::{CallClass, PlatformClient};
 use dandeliondeal_types::{Clock, InstanceList, InstanceRecord, InstanceRole, InstanceState};
 
+use crate::claim_link::ClaimMember;
 use crate::entry_context::{EntryContext, EntryError};
 use crate::peer_book::PeerBook;
 use crate::peer_handler::{HEARTBEAT_METHOD, OBSERVE_METHOD};
@@ -192,6 +193,12 @@
             .context
             .platform()
             .resize_fleet(machine.live().len().max(1));
+        let members = machine.live().into_iter().map(|card| ClaimMember {
+            instance: card.id.clone(),
+            address: card.address,
+        });
+        let route = self.inner.context.claims().route();
+        route.set_members(members.collect());
     }
 
     async fn send(self, to: MemberCard) {
--- a/crates/dandeliondeal_entry/tests/claim_fleet/mod.rs
+++ b/crates/dandeliondeal_entry/tests/claim_fleet/mod.rs
@@ -11,8 +11,6 @@
     EntrySettings, InstanceSettings, ListenSettings, PlatformSettings, RequestSettings,
 };
 use dandeliondeal_entry::EntryServer;
-use dandeliondeal_entry::claim_link::ClaimMember;
-use dandeliondeal_entry::claim_rpc::claim_module;
 use dandeliondeal_entry::route_table::key_hash;
 use dandeliondeal_standin::{
     EngineSettings, EngineStandin, PlatformStandin, ServiceEntry, ServiceSettings, ServiceStandin,
@@ -22,7 +20,6 @@
     ServiceEntry as SheetService,
 };
 use dandeliondeal_types::{EndpointId, LayerRange, SheetModel, SystemClock};
-use jsonrpsee::server::{Server, ServerHandle};
 
 const KEY: &str = "test-key";
 const INSTANCES: usize = 3;
@@ -53,7 +50,6 @@
     pub services: Vec<ServiceStandin>,
     pub engine: EngineStandin,
     pub entries: Vec<EntryServer<SystemClock>>,
-    pub peers: Vec<ServerHandle>,
 }
 
 #[derive(Debug)]
@@ -95,17 +91,14 @@
             entry.install(Arc::clone(&sheet));
             entries.push(entry);
         }
-        let peers = if settings.is_grouped {
-            link_claims(&entries).await
-        } else {
-            Vec::new()
-        };
+        if settings.is_grouped {
+            join(&platform, &mut entries).await;
+        }
         Self {
             platform,
             services,
             engine,
             entries,
-            peers,
         }
     }
 
@@ -280,27 +273,20 @@
     }
 }
 
-/// Starts a peer server at each instance and tells all of all.
-async fn link_claims(entries: &[EntryServer<SystemClock>]) -> Vec<ServerHandle> {
-    let (mut handles, mut members) = (Vec::new(), Vec::new());
-    for entry in entries {
-        let desk = entry.context().claims().clone();
-        let instance = Arc::clone(&desk.settings().instance);
-        let module = claim_module(desk, SystemClock).expect("module");
-        let server = Server::builder()
-            .build("127.0.0.1:0")
-            .await
-            .expect("server");
-        let address = server.local_addr().expect("address");
-        members.push(ClaimMember { instance, address });
-        handles.push(server.start(module));
+/// Lets the instances join each other, and waits until each knows all.
+async fn join(platform: &PlatformStandin, entries: &mut [EntryServer<SystemClock>]) {
+    for entry in &mut *entries {
+        entry.join_fleet().expect("peers' address");
+        platform.put_instance(entry.link().expect("link").record());
     }
-    for entry in entries {
-        entry
-            .context()
-            .claims()
-            .route()
-            .set_members(members.clone());
+    let knows_all = |entry: &EntryServer<SystemClock>| {
+        entry.link().expect("link").book().live().len() == INSTANCES
+    };
+    for _attempt in 0..200 {
+        if entries.iter().all(knows_all) {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
     }
-    handles
+    panic!("the instances did not find each other");
 }
--- a/crates/dandeliondeal_entry/tests/claimed_calls.rs
+++ b/crates/dandeliondeal_entry/tests/claimed_calls.rs
@@ -98,7 +98,7 @@
     let calls = race(&fleet, 40);
     let stop = async {
         actix_rt::time::sleep(Duration::from_millis(20)).await;
-        fleet.peers[0].stop().expect("first stop");
+        fleet.entries[0].link().expect("link").stop();
     };
     let (replies, ()) = futures_util::future::join(calls, stop).await;
     check(&fleet, &replies);
--- a/crates/dandeliondeal_measure/src/claim_load.rs
+++ b/crates/dandeliondeal_measure/src/claim_load.rs
@@ -63,7 +63,7 @@
     load: ClaimLoad,
     time: Duration,
 ) -> Result<ClaimFigures, MeasureError> {
-    let site = Rc::new(ClaimSite::start(instances, mode).await?);
+    let site = Rc::new(ClaimSite::start(instances, mode)?);
     run_load(&site, load, WARM_UP).await?;
     let (writes_before, calls_before) = site.calls();
     let start = Instant::now();
--- a/crates/dandeliondeal_measure/src/claim_site.rs
+++ b/crates/dandeliondeal_measure/src/claim_site.rs
@@ -1,6 +1,7 @@
 //! A platform and some instances that claim keys.
 
 use std::cell::Cell;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,20 +9,18 @@
     ClaimAnswer, ClaimKey, ClaimRecord, ClaimSettings, OutcomeRecord, RequestFingerprint,
     ShardReply,
 };
-use dandeliondeal_config::SecretText;
 use dandeliondeal_entry::claim_desk::ClaimDesk;
 use dandeliondeal_entry::claim_link::ClaimMember;
-use dandeliondeal_entry::claim_rpc::{PeerLink, claim_module};
+use dandeliondeal_entry::claim_rpc::{ClaimHandler, ClaimPeers};
+use dandeliondeal_peer::{PeerServer, PeerSettings};
 use dandeliondeal_platform::{BudgetSettings, CallClass, PlatformClient, PlatformSettings};
 use dandeliondeal_standin::PlatformStandin;
 use dandeliondeal_types::{ObjectStore, Outcome, PutCondition, SystemClock};
-use jsonrpsee::server::{Server, ServerHandle};
 use serde::Serialize;
 
 use crate::MeasureError;
 
 const NAME: &str = "claims";
-const CONNECT_TIME: Duration = Duration::from_millis(500);
 /// Longest wait for a claim.
 const CLAIM_TIME: Duration = Duration::from_secs(1);
 const ANSWER: &str = "{\"confirmed\":true,\"deposit\":\"120.00\",\"lathe\":\"3\"}";
@@ -44,8 +43,8 @@
     mode: ClaimMode,
     platform: PlatformStandin,
     clients: Vec<PlatformClient<SystemClock>>,
-    desks: Vec<ClaimDesk<PlatformClient<SystemClock>, SystemClock, PeerLink>>,
-    peers: Vec<ServerHandle>,
+    desks: Vec<ClaimDesk<PlatformClient<SystemClock>, SystemClock, ClaimPeers>>,
+    peers: Vec<PeerServer>,
     next: Cell<u64>,
 }
 
@@ -55,7 +54,7 @@
     /// # Errors
     ///
     /// Says what could not be started.
-    pub async fn start(instances: usize, mode: ClaimMode) -> Result<Self, MeasureError> {
+    pub fn start(instances: usize, mode: ClaimMode) -> Result<Self, MeasureError> {
         let unlimited = dandeliondeal_standin::PlatformSettings {
             writes_per_second: 0,
             reads_per_second: 0,
@@ -74,7 +73,7 @@
             site.add_instance(index, instances);
         }
         if mode == ClaimMode::Grouped {
-            site.link().await?;
+            site.link()?;
         }
         Ok(site)
     }
@@ -92,22 +91,23 @@
             instance: format!("entry-{index}").into(),
             ..ClaimSettings::default()
         };
-        let link = PeerLink::new(SecretText::new("measure"), CONNECT_TIME);
+        let link = ClaimPeers::new(PeerSettings::default());
         let desk = ClaimDesk::new(client.clone(), link, SystemClock, settings);
         self.clients.push(client);
         self.desks.push(desk);
     }
 
-    async fn link(&mut self) -> Result<(), MeasureError> {
+    fn link(&mut self) -> Result<(), MeasureError> {
         let mut members = Vec::new();
         for desk in &self.desks {
-            let module = claim_module(desk.clone(), SystemClock).map_err(|error| failed(&error))?;
-            let server = Server::builder().build("127.0.0.1:0").await;
+            let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| failed(&error))?;
+            let handler = ClaimHandler::new(desk.clone(), SystemClock);
+            let server = PeerServer::start(listener, &PeerSettings::default(), handler);
             let server = server.map_err(|error| failed(&error))?;
-            let address = server.local_addr().map_err(|error| failed(&error))?;
+            let address = server.address();
             let instance = Arc::clone(&desk.settings().instance);
             members.push(ClaimMember { instance, address });
-            self.peers.push(server.start(module));
+            self.peers.push(server);
         }
         for desk in &self.desks {
             desk.route().set_members(members.clone());
@@ -118,8 +118,7 @@
     /// Stops the peer servers and the platform.
     pub fn stop(&self) {
         for peer in &self.peers {
-            // A server that stopped already is just as good.
-            let _ = peer.stop();
+            peer.stop();
         }
         self.platform.kill();
     }
