--- a/crates/dandeliondeal_claim/src/lib.rs
+++ b/crates/dandeliondeal_claim/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claim_state;
 pub mod claim_table;
 pub mod shard_log;
+pub mod shard_task;
 pub mod shard_writer;
 
 #[doc(inline)]
@@ -28,7 +29,8 @@
 #[doc(inline)]
 pub use shard_log::{SegmentIndex, SegmentWrite, ShardLog};
 #[doc(inline)]
-pub use shard_writer::{
-    ClaimOrigin, ShardAction, ShardEvent, ShardReply, ShardTask, ShardWriter, TicketId,
-    UnconfirmedCause,
+pub use shard_task::{
+    ClaimOrigin, ShardAction, ShardEvent, ShardReply, ShardTask, TicketId, UnconfirmedCause,
 };
+#[doc(inline)]
+pub use shard_writer::ShardWriter;
--- a/crates/dandeliondeal_measure/src/claim_site.rs
+++ b/crates/dandeliondeal_measure/src/claim_site.rs
@@ -196,7 +196,8 @@
     None
 }
 
-fn claim_record(number: u64) -> ClaimRecord {
+/// The claim with this number.
+pub(crate) fn claim_record(number: u64) -> ClaimRecord {
     let request = format!("entry-18c0ffee-{number}");
     ClaimRecord {
         key: ClaimKey {
@@ -209,7 +210,8 @@
     }
 }
 
-fn answer() -> ClaimAnswer {
+/// The answer that is recorded.
+pub(crate) fn answer() -> ClaimAnswer {
     ClaimAnswer {
         status: 200,
         content_type: "application/json".into(),
--- a/crates/dandeliondeal_measure/src/claims.rs
+++ b/crates/dandeliondeal_measure/src/claims.rs
@@ -3,8 +3,12 @@
 
 use std::time::Duration;
 
+use dandeliondeal_claim::{ClaimTable, LogLine, OutcomeRecord};
+use dandeliondeal_types::Outcome;
+
 use crate::claim_load::{ClaimFigures, ClaimLoad, load_site};
-use crate::claim_site::ClaimMode;
+use crate::claim_site::{ClaimMode, answer, claim_record};
+use crate::overhead::resident_kilobytes;
 use crate::{MeasureError, MeasureSettings};
 
 const SIZES: [usize; 3] = [1, 3, 9];
@@ -15,6 +19,8 @@
     ClaimLoad::Full(256),
 ];
 const TIME: Duration = Duration::from_millis(500);
+/// Claims that a table is filled with.
+const KEPT_CLAIMS: u64 = 100_000;
 const LONG_TIME: Duration = Duration::from_secs(10);
 
 /// Runs the measurement and prints its figures.
@@ -51,9 +57,33 @@
             );
         }
     }
+    let bytes = bytes_per_claim()?;
+    println!("memory: {bytes:.0} bytes for each claim with its outcome, while it is kept");
+    println!("{{\"bytes_per_claim\":{bytes:.0}}}");
     Ok(())
 }
 
+/// Growth of the process for each claim that a table holds.
+fn bytes_per_claim() -> Result<f64, MeasureError> {
+    let before = resident_kilobytes();
+    let mut table = ClaimTable::new(Duration::from_hours(24));
+    for number in 0..KEPT_CLAIMS {
+        let claim = claim_record(number);
+        let outcome = OutcomeRecord {
+            request: claim.request.clone(),
+            outcome: Outcome::Answered,
+            answer: Some(answer()),
+        };
+        for line in [LogLine::Claim(claim), LogLine::Outcome(outcome)] {
+            table
+                .apply(line)
+                .map_err(|error| MeasureError::new("claims", error.to_string()))?;
+        }
+    }
+    let growth = resident_kilobytes().saturating_sub(before) as f64 * 1024.0;
+    Ok(growth / table.len() as f64)
+}
+
 fn print_line(figure: &ClaimFigures) {
     println!(
         "{:<14} {:<8} {:>9} {:>9.1} {:>9.1} {:>8.2} {:>9.1} {:>9.1} {:>9.1} {:>7}",
