--- a/crates/dandeliondeal_replay/src/lib.rs
+++ b/crates/dandeliondeal_replay/src/lib.rs
@@ -14,6 +14,7 @@
 mod replay_leases;
 mod replay_orders;
 mod replay_outcomes;
+mod replay_pipeline;
 pub mod replay_report;
 mod replay_run;
 mod replay_session;
