--- a/crates/dandeliondeal_command/src/entry_command.rs
+++ b/crates/dandeliondeal_command/src/entry_command.rs
@@ -39,6 +39,9 @@
         entry
             .join_fleet()
             .map_err(|error| CommandError::failed(format!("peers: {error}")))?;
+        entry
+            .give_orders()
+            .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
         println!("callers listening on {}", entry.caller_address());
         println!("operators listening on {}", entry.operator_address());
         tracing::info!(
--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use dandeliondeal_config::EntrySettings;
+use dandeliondeal_order::OrderSettings;
 use dandeliondeal_peer::FanOut;
+use dandeliondeal_platform::LeaseSettings;
 use dandeliondeal_types::{Clock, SheetModel};
 use tokio::task::JoinHandle;
 
@@ -13,6 +15,7 @@
 use crate::endpoint_watch::watch_endpoints;
 use crate::entry_context::{EntryContext, EntryError};
 use crate::http_listener::{HttpListener, ListenerSettings};
+use crate::order_runner::OrderRunner;
 use crate::peer_link::PeerLink;
 use crate::{caller_api, load_poll, operator_api};
 
@@ -29,6 +32,7 @@
     operators: HttpListener,
     link: Option<PeerLink<ClockSource>>,
     endpoint_watch: Option<JoinHandle<()>>,
+    orders: Option<(OrderRunner<ClockSource>, JoinHandle<()>)>,
 }
 
 impl<ClockSource> EntryServer<ClockSource>
@@ -74,9 +78,23 @@
             operators,
             link: None,
             endpoint_watch: None,
+            orders: None,
         })
     }
 
+    /// Starts to contend for the lease of orders, and to give orders while it is held.
+    ///
+    /// # Errors
+    ///
+    /// A chart is wrong.
+    pub fn give_orders(&mut self) -> Result<(), EntryError> {
+        let context = self.context.clone();
+        let runner = OrderRunner::new(context, LeaseSettings::default(), OrderSettings::default())?;
+        let task = runner.start();
+        self.orders = Some((runner, task));
+        Ok(())
+    }
+
     /// Joins the other instances, puts in force what the platform has accepted, and notes which
     /// endpoints leave.
     ///
@@ -131,6 +149,10 @@
         if let Some(link) = &self.link {
             link.leave();
         }
+        if let Some((runner, task)) = &self.orders {
+            task.abort();
+            runner.stop().await;
+        }
         actix_rt::time::sleep(settings.balancer_lag).await;
         self.callers.close();
         self.drain(DrainEvent::BalancerMoved);
--- a/crates/dandeliondeal_entry/src/generation.rs
+++ b/crates/dandeliondeal_entry/src/generation.rs
@@ -18,6 +18,7 @@
 use crate::planning_view::PlanningView;
 use crate::route_table::RouteTable;
 use crate::session_driver::{ChainSource, SessionDriver};
+use crate::session_recorder::SessionRecorder;
 use crate::shared_board::SharedBoard;
 
 /// What to generate.
@@ -122,15 +123,15 @@
     Engine: EngineClient,
     ClockSource: Clock,
 {
-    let machine = SessionMachine::new(session_spec(site, request), site.settings.clone()).map_err(
-        |error| {
-            RouteError::new(
-                ErrorKind::Overloaded,
-                RequestStep::Planning,
-                error.to_string(),
-            )
-        },
-    )?;
+    let spec = session_spec(site, request);
+    let recorder = SessionRecorder::start(&spec, &site.settings, site.clock.now());
+    let machine = SessionMachine::new(spec, site.settings.clone()).map_err(|error| {
+        RouteError::new(
+            ErrorKind::Overloaded,
+            RequestStep::Planning,
+            error.to_string(),
+        )
+    })?;
     let mut driver = SessionDriver {
         engine: site.engine.clone(),
         chains: RequestChains { site, request },
@@ -140,6 +141,7 @@
         deadline: request.deadline,
         hold: site.engines.hold(),
         share: site.budget.share(),
+        recorder,
     };
     let end = driver.run(tokens).await;
     record(&site.metrics, &driver.machine.count());
--- a/crates/dandeliondeal_entry/src/shared_board.rs
+++ b/crates/dandeliondeal_entry/src/shared_board.rs
@@ -9,7 +9,7 @@
     BoardSettings, BoardView, CallResult, EndpointBoard, EndpointProfile, FailureSignal,
     HealthState, LoadReport, WholeView,
 };
-use dandeliondeal_chart::ChartError;
+use dandeliondeal_chart::{ChartError, ChartLabel};
 use dandeliondeal_types::sheet_model::{EndpointEntry, EndpointTarget};
 use dandeliondeal_types::{
     Clock, EndpointId, ErrorKind, FailureDomain, InstanceId, RouteError, SheetModel,
@@ -81,7 +81,8 @@
     }
 
     /// Notes how many entry instances share the endpoints.
-    pub fn set_instances(&self, instances: usize) {
+    pub fn set_instances(&self, instances: u32) {
+        let instances = usize::try_from(instances).unwrap_or(usize::MAX);
         self.board.borrow_mut().set_instances(instances);
     }
 
@@ -136,6 +137,16 @@
         self.board.borrow().state(endpoint)
     }
 
+    /// Number of endpoints in each state of health.
+    pub fn counts(&self) -> Vec<(HealthState, usize)> {
+        let board = self.board.borrow();
+        let count = |state| board.states().filter(|known| known.1 == state).count();
+        HealthState::ALL
+            .iter()
+            .map(|&state| (state, count(state)))
+            .collect()
+    }
+
     /// A reference that does not keep the board.
     pub fn downgrade(&self) -> WeakBoard {
         WeakBoard(Rc::downgrade(&self.board))
--- a/crates/dandeliondeal_measure/src/lib.rs
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claim_site;
 pub mod claims;
 pub mod fleet_site;
+pub mod footprint;
 pub mod limits;
 pub mod measure_error;
 pub mod measure_settings;
