--- a/crates/dandeliondeal_command/src/measure_command.rs
+++ b/crates/dandeliondeal_command/src/measure_command.rs
@@ -10,7 +10,7 @@
 pub const HELP: &str = "\
 Measures the real code with stand-ins on loopback; prints a table and JSON lines.
 
-usage: dandeliondeal measure NAME [--seed NUMBER] [--long]
+usage: dandeliondeal measure NAME [--seed NUMBER] [--long] [--plots]
 
   choice       ways to choose an endpoint, at several lags of load reports, in virtual time
   claims       claims a platform write, the delay of a claim, calls as the fleet grows
@@ -21,6 +21,7 @@
 
   --seed NUMBER   seed of everything random (default 1)
   --long          more samples; without it a measurement takes 40 s at most
+  --plots         write SVG plots of choice and overload to the working directory
 ";
 
 /// Runs one measurement.
@@ -35,6 +36,7 @@
             .opt_value_from_str("--seed")?
             .unwrap_or(defaults.seed),
         long: arguments.contains("--long"),
+        plots: arguments.contains("--plots"),
     };
     let name: String = arguments.free_from_str()?;
     reject_rest(arguments)?;
--- a/crates/dandeliondeal_measure/src/choice.rs
+++ b/crates/dandeliondeal_measure/src/choice.rs
@@ -3,6 +3,7 @@
 //! Time is virtual: the board and the simpler policies run as they are, only the endpoints are
 //! queues in memory. The same seed gives the same figures.
 
+use std::path::Path;
 use std::time::Duration;
 
 use dandeliondeal_balance::{BoardSettings, ChoiceSettings, HealthSettings};
@@ -13,9 +14,11 @@
 use crate::choice_driver::{ChoiceDriver, DriverResult};
 use crate::choice_policy::{BoardPolicy, ChoicePolicy, SimplePolicy, SimpleRule};
 use crate::choice_scenario::{ChoiceScenario, EndpointFault, EndpointMix};
+use crate::plot::{PlotAxes, PlotSeries, write_plot};
 use crate::{MeasureError, MeasureSettings};
 
 const NAME: &str = "choice";
+const PLOTTED_SCENARIO: &str = "unequal";
 const BOARD_NAME: &str = "predicted completion";
 /// Entry instances of the long form.
 const LONG_ENTRIES: usize = 60;
@@ -95,7 +98,7 @@
 ///
 /// # Errors
 ///
-/// Says why the health chart is unsound.
+/// Says why the health chart is unsound or a plot cannot be written.
 pub fn run(settings: MeasureSettings) -> Result<(), MeasureError> {
     let mut run = ChoiceRun {
         seed: settings.seed,
@@ -117,9 +120,31 @@
     for row in &rows {
         println!("{}", serde_json::to_string(row).unwrap_or_default());
     }
+    if settings.plots {
+        plot(&rows)?;
+    }
     Ok(())
 }
 
+fn plot(rows: &[ChoiceRow]) -> Result<(), MeasureError> {
+    let axes = PlotAxes {
+        title: "Endpoints of seven speeds",
+        x: "lag of load reports (s)",
+        y: "95th of 100 of the time to the answer (ms)",
+    };
+    let line = |policy: &str| PlotSeries {
+        name: policy.to_owned(),
+        points: rows
+            .iter()
+            .filter(|row| row.scenario == PLOTTED_SCENARIO && row.policy == policy)
+            .map(|row| (row.lag_milliseconds as f64 / 1000.0, row.result.p95))
+            .collect(),
+    };
+    let rules = SimpleRule::ALL.map(SimpleRule::name);
+    let lines: Vec<PlotSeries> = rules.into_iter().chain([BOARD_NAME]).map(line).collect();
+    write_plot(Path::new("choice.svg"), axes, &lines)
+}
+
 /// Runs every policy in every scenario.
 ///
 /// # Errors
@@ -214,7 +239,7 @@
 fn scenarios() -> [(&'static str, EndpointMix, EndpointFault); 7] {
     [
         ("equal", EndpointMix::Equal, EndpointFault::None),
-        ("unequal", EndpointMix::Unequal, EndpointFault::None),
+        (PLOTTED_SCENARIO, EndpointMix::Unequal, EndpointFault::None),
         ("one slow", EndpointMix::Equal, EndpointFault::Slow),
         ("one silent", EndpointMix::Equal, EndpointFault::Silent),
         (
--- a/crates/dandeliondeal_measure/src/lib.rs
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod overhead;
 pub mod overload;
 pub mod overload_driver;
+pub mod plot;
 pub mod site;
 
 #[doc(inline)]
--- a/crates/dandeliondeal_measure/src/measure_settings.rs
+++ b/crates/dandeliondeal_measure/src/measure_settings.rs
@@ -9,6 +9,8 @@
     pub seed: u64,
     /// Whether the long form runs, without the bound of 40 s.
     pub long: bool,
+    /// Whether SVG plots are written to the working directory.
+    pub plots: bool,
 }
 
 /// Time within which the short form of a measurement is done.
@@ -19,6 +21,7 @@
         Self {
             seed: 1,
             long: false,
+            plots: false,
         }
     }
 }
--- a/crates/dandeliondeal_measure/src/overload.rs
+++ b/crates/dandeliondeal_measure/src/overload.rs
@@ -3,16 +3,19 @@
 //! The admission queue runs as it is, in virtual time, before places in memory. The baseline serves
 //! the same arrivals in order of arrival, without bounds.
 
+use std::path::Path;
 use std::time::Duration;
 
 use derive_more::Display;
 use serde::Serialize;
 
 use crate::overload_driver::{OverloadDriver, QueueOrder};
+use crate::plot::{PlotAxes, PlotSeries, write_plot};
 use crate::{MeasureError, MeasureSettings};
 
 /// Offered loads as multiples of the capacity.
 const LOADS: [f64; 6] = [0.5, 0.8, 1.0, 1.5, 2.0, 4.0];
+const EVEN_CASE: &str = "ten equal organisations";
 const SHORT_LENGTH: Duration = Duration::from_secs(30);
 const LONG_LENGTH: Duration = Duration::from_mins(5);
 /// Load of the small organisation.
@@ -47,7 +50,7 @@
 ///
 /// # Errors
 ///
-/// None at present; the frame of measurements gives the signature.
+/// Says why a plot cannot be written.
 pub fn run(settings: MeasureSettings) -> Result<(), MeasureError> {
     let rows = measure(settings);
     println!(
@@ -60,16 +63,37 @@
     for row in &rows {
         println!("{}", serde_json::to_string(row).unwrap_or_default());
     }
+    if settings.plots {
+        plot(&rows)?;
+    }
     Ok(())
 }
 
+fn plot(rows: &[OverloadRow]) -> Result<(), MeasureError> {
+    let axes = PlotAxes {
+        title: "Goodput of ten equal organisations",
+        x: "offered load / capacity",
+        y: "answers in time / capacity",
+    };
+    let line = |order: QueueOrder| PlotSeries {
+        name: order.name().to_owned(),
+        points: rows
+            .iter()
+            .filter(|row| row.case == EVEN_CASE && row.order == order.name())
+            .map(|row| (row.load, row.goodput))
+            .collect(),
+    };
+    let lines = [line(QueueOrder::Fair), line(QueueOrder::Arrival)];
+    write_plot(Path::new("overload.svg"), axes, &lines)
+}
+
 /// Runs every case with the admission queue and with the baseline.
 pub fn measure(settings: MeasureSettings) -> Vec<OverloadRow> {
     let mut rows = Vec::new();
     for order in [QueueOrder::Fair, QueueOrder::Arrival] {
         for load in LOADS {
             let even = load / 10.0;
-            rows.push(row("ten equal organisations", order, &[even; 10], settings));
+            rows.push(row(EVEN_CASE, order, &[even; 10], settings));
         }
         rows.push(row("small alone", order, &[SMALL_LOAD], settings));
         let usual = [SMALL_LOAD, LARGE_LOAD];
