--- a/crates/dandeliondeal_measure/src/lib.rs
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod overhead;
 pub mod overload;
 pub mod overload_driver;
+pub mod plot;
 pub mod rollout;
 pub mod site;
 pub mod target_sheet;
