Fix: a revision that nobody has held up every real one below it

Cause: an instance pursued the highest revision it was offered and dropped the others; a peer that offered revision 9, whose content nobody had, stopped revision 2 for good. Found by wrong_peer, a new test on real sockets with an older and a forged peer: revision 2 was not in force after 15 s. never_back had only forged revisions whose manifest existed. Ruled out: list lag and heartbeats (the platform's head was read all along). Change: the best other offer is kept and taken once every source of the target failed; one that the platform offers goes first.

--- a/crates/dandeliondeal_config/src/rollout_machine.rs
+++ b/crates/dandeliondeal_config/src/rollout_machine.rs
@@ -71,12 +71,35 @@
     failures: usize,
 }
 
+impl RolloutTarget {
+    fn new(stamp: RevisionStamp, source: RevisionSource) -> Self {
+        Self {
+            stamp,
+            sources: VecDeque::from([source]),
+            failures: 0,
+        }
+    }
+
+    /// What the platform offers goes before what only peers offer.
+    fn rank(&self) -> (bool, Revision) {
+        let is_confirmed = self.sources.contains(&RevisionSource::Platform);
+        (is_confirmed, self.stamp.revision)
+    }
+
+    fn add_source(&mut self, source: RevisionSource) {
+        if !self.sources.contains(&source) {
+            self.sources.push_back(source);
+        }
+    }
+}
+
 /// The revision in force at one instance and the one on its way.
 #[derive(Debug, Default)]
 pub struct RolloutMachine {
     in_force: RevisionStamp,
     bodies: HashMap<ContentHash, Arc<str>>,
     target: Option<RolloutTarget>,
+    spare: Option<RolloutTarget>,
     unusable: Option<RevisionStamp>,
     open_fetch: Option<FetchNumber>,
     next_fetch: FetchNumber,
@@ -113,21 +136,52 @@
             return None;
         }
         if self.supersedes(&stamp, &source) {
-            self.target = Some(RolloutTarget {
-                stamp,
-                sources: VecDeque::from([source]),
-                failures: 0,
-            });
+            let older = self.target.replace(RolloutTarget::new(stamp, source));
+            self.keep_spare(older);
             self.open_fetch = None;
             return self.proceed();
         }
         let target = self.target.as_mut()?;
-        if target.stamp == stamp && !target.sources.contains(&source) {
-            target.sources.push_back(source);
+        if target.stamp == stamp {
+            target.add_source(source);
+        } else {
+            self.keep_spare(Some(RolloutTarget::new(stamp, source)));
+        }
+        if self.open_fetch.is_some() {
+            return None;
+        }
+        self.proceed_or_switch()
+    }
+
+    /// Keeps the best revision beside the target, should the target turn out not to be had.
+    fn keep_spare(&mut self, offered: Option<RolloutTarget>) {
+        let target = self
+            .target
+            .as_ref()
+            .map_or(0, |target| target.stamp.revision);
+        let Some(offered) = offered.filter(|offered| offered.stamp.revision < target) else {
+            return;
+        };
+        match &mut self.spare {
+            Some(spare) if spare.stamp == offered.stamp => {
+                offered
+                    .sources
+                    .into_iter()
+                    .for_each(|source| spare.add_source(source));
+            }
+            Some(spare) if spare.rank() > offered.rank() => {}
+            spare => *spare = Some(offered),
         }
-        (self.open_fetch.is_none())
-            .then(|| self.proceed())
-            .flatten()
+    }
+
+    /// Fetches on, or turns to the spare revision once every source of the target failed.
+    fn proceed_or_switch(&mut self) -> Option<RolloutAction> {
+        let target = self.target.as_ref()?;
+        if target.failures < target.sources.len() {
+            return self.proceed();
+        }
+        self.target = Some(self.spare.take()?);
+        self.proceed()
     }
 
     fn supersedes(&self, stamp: &RevisionStamp, source: &RevisionSource) -> bool {
@@ -172,10 +226,8 @@
             target.failures += 1;
             target.sources.rotate_left(1);
         }
-        // Once every source failed, the next try waits for `Retry`.
-        (target.failures < target.sources.len())
-            .then(|| self.proceed())
-            .flatten()
+        // Once every source failed and there is no spare, the next try waits for `Retry`.
+        self.proceed_or_switch()
     }
 
     fn proceed(&mut self) -> Option<RolloutAction> {
@@ -212,12 +264,14 @@
         let built = self.build(&target.stamp);
         let Some((model, manifest)) = built else {
             self.unusable = Some(target.stamp);
-            return None;
+            self.target = self.spare.take();
+            return self.target.is_some().then(|| self.proceed()).flatten();
         };
         self.bodies
             .retain(|hash, _| *hash == target.stamp.manifest || manifest.chunks.contains(hash));
         self.in_force = target.stamp;
         self.unusable = None;
+        self.spare = None;
         Some(RolloutAction::Apply {
             model: Arc::new(model),
         })
--- a/crates/dandeliondeal_config/tests/rollout_machine.rs
+++ b/crates/dandeliondeal_config/tests/rollout_machine.rs
@@ -174,7 +174,12 @@
             FleetStep::Forge { instance, revision } => {
                 let stamp = RevisionStamp {
                     revision: u64::from(*revision),
-                    manifest: Arc::clone(&accepted.stamps[0].manifest),
+                    // Half of them can be fetched, and turn out to be of another revision.
+                    manifest: if revision % 2 == 0 {
+                        "missing".into()
+                    } else {
+                        Arc::clone(&accepted.stamps[0].manifest)
+                    },
                 };
                 self.offer(at(instance), stamp, RevisionSource::Peer("entry-9".into()));
             }
--- a/crates/dandeliondeal_entry/src/rollout.rs
+++ b/crates/dandeliondeal_entry/src/rollout.rs
@@ -88,6 +88,11 @@
         self.inner.machine.borrow().in_force().clone()
     }
 
+    /// Bodies that came and whose hash nobody asked for.
+    pub fn rejected_bodies(&self) -> u64 {
+        self.inner.machine.borrow().rejected_bodies()
+    }
+
     /// Waits until a revision came into force since the last wait.
     pub async fn changed(&self) {
         self.inner.changed.notified().await;
--- a/crates/dandeliondeal_entry/tests/peer_link.rs
+++ b/crates/dandeliondeal_entry/tests/peer_link.rs
@@ -5,15 +5,19 @@
 #[path = "common/sheet_operator.rs"]
 mod sheet_operator;
 
+use std::net::TcpListener;
 use std::time::Duration;
 
 use common::settings;
 use dandeliondeal_config::{
-    EntrySettings, InstanceSettings, MembershipSettings, PlatformSettings, RolloutSettings,
-    SecretSettings, SecretText,
+    EntrySettings, InstanceSettings, MembershipSettings, PlatformSettings, RevisionStamp,
+    RolloutSettings, SecretSettings, SecretText,
 };
 use dandeliondeal_entry::EntryServer;
-use dandeliondeal_peer::{MemberState, PeerClient, PeerError, PeerSettings};
+use dandeliondeal_peer::{
+    Heartbeat, MemberCard, MemberNews, MemberState, MemberStatus, PeerClient, PeerError,
+    PeerHandler, PeerServer, PeerSettings,
+};
 use dandeliondeal_standin::{FaultChange, PlatformStandin};
 use dandeliondeal_types::SystemClock;
 use sheet_operator::{accept, is_ready, platform, wait_until};
@@ -177,3 +181,86 @@
         assert_eq!(result.is_ok(), is_right, "{result:?}");
     }
 }
+
+/// A peer that says it has `stamp` in force, and serves other content than was asked for.
+#[derive(Clone, Debug)]
+struct WrongPeer {
+    card: MemberCard,
+    stamp: RevisionStamp,
+}
+
+impl WrongPeer {
+    fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            from: MemberNews {
+                card: self.card.clone(),
+                status: MemberStatus::Alive,
+                version: 0,
+            },
+            stamp: self.stamp.clone(),
+            digest: 0,
+            news: Vec::new(),
+        }
+    }
+}
+
+impl PeerHandler for WrongPeer {
+    const METHODS: &'static [&'static str] = &["heartbeat", "content"];
+
+    async fn handle(&self, method: &'static str, _body: Box<str>) -> Result<String, PeerError> {
+        if method == "content" {
+            return Ok("[\"{\\\"revision\\\":9}\"]".to_owned());
+        }
+        Ok(serde_json::to_string(&self.heartbeat()).unwrap())
+    }
+}
+
+#[actix_rt::test]
+async fn wrong_peer() {
+    let platform = platform();
+    accept(&platform, "nino", 16).await.unwrap();
+    let mut settings = fleet_settings(&platform, "entry-1");
+    settings.rollout.retry_interval = Duration::from_millis(100);
+    let entry = join(&platform, settings).await;
+    wait_until("in force", || revision(&entry) == 1).await;
+    let known = entry.link().unwrap().rollout().in_force();
+    let secret = PeerSettings {
+        secret: SecretText::new(SECRET),
+        ..PeerSettings::default()
+    };
+    // One peer is behind, the other has a revision that does not exist.
+    for (name, number) in [("older", 0), ("forged", 9)] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut record = entry.link().unwrap().record();
+        record.id = name.into();
+        record.address = listener.local_addr().unwrap();
+        let card = MemberCard {
+            id: record.id.clone(),
+            incarnation: record.incarnation,
+            address: record.address,
+            failure_domain: record.failure_domain.clone(),
+            region: record.region.clone(),
+        };
+        let stamp = RevisionStamp {
+            revision: number,
+            manifest: format!("{number}-{}", known.manifest).into(),
+        };
+        let wrong = WrongPeer { card, stamp };
+        let peer = PeerServer::start(listener, &secret, wrong.clone()).unwrap();
+        platform.put_instance(record);
+        let address = entry.link().unwrap().address();
+        let client = PeerClient::new(secret.clone());
+        let answer = client.call(address, "heartbeat", &wrong.heartbeat()).await;
+        let answer: Heartbeat = answer.unwrap();
+        assert_eq!(answer.stamp, known);
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(entry.link().unwrap().rollout().in_force(), known);
+        peer.stop();
+    }
+    assert!(entry.link().unwrap().rollout().rejected_bodies() > 0);
+    accept(&platform, "nino", 17).await.unwrap();
+    wait_until("the next revision is in force all the same", || {
+        revision(&entry) == 2
+    })
+    .await;
+}
