Fix: a silent member was not given up, since nobody waited for its observer

Cause: whoever asked an observer waited as long for it as the observer itself waited for the silent member, so the answer came too late. Change: the wait for an observer is three times that for a heartbeat; with it cut back in a scratch run silent_peer fails after 15 s. Found beside it: list reads were held to the retry interval, which is meant for failures only.

--- a/crates/dandeliondeal_entry/src/peer_link.rs
+++ b/crates/dandeliondeal_entry/src/peer_link.rs
@@ -17,6 +17,8 @@
 use crate::peer_handler::{HEARTBEAT_METHOD, OBSERVE_METHOD};
 use crate::rollout::Rollout;
 
+/// Wait for an observer, as a multiple of the wait for a heartbeat.
+const OBSERVE_FACTOR: u32 = 3;
 /// Looks at the membership machine in one heartbeat interval.
 const TICKS_PER_INTERVAL: u32 = 4;
 /// Instances of a failure domain that read the instance list at its interval.
@@ -219,7 +221,9 @@
 
     async fn observe(self, observer: MemberCard, subject: MemberCard) {
         let client = &self.inner.book.client;
-        let answer = client.call(observer.address, OBSERVE_METHOD, &subject);
+        // The observer itself waits for a connection and for an answer.
+        let wait = self.inner.context.settings().membership.heartbeat_timeout * OBSERVE_FACTOR;
+        let answer = client.call_within(observer.address, OBSERVE_METHOD, &subject, wait);
         if let Ok(reachable) = answer.await {
             let subject = subject.id;
             self.apply(MembershipEvent::Observed { subject, reachable });
@@ -243,25 +247,26 @@
     }
 
     async fn read_lists(self) {
-        let interval = self.inner.context.settings().membership.list_interval;
+        let settings = self.inner.context.settings();
         while !self.inner.is_stopped.get() {
-            let mut factor = 1;
-            match self.inner.platform.instances().await {
+            let pause = match self.inner.platform.instances().await {
                 Ok(records) => {
                     self.apply(MembershipEvent::Listed { records });
                     let rank = self.inner.book.machine.borrow().domain_rank();
-                    if rank >= LIST_READERS {
-                        factor = SPARE_READ_FACTOR;
-                    }
+                    let factor = if rank < LIST_READERS {
+                        1
+                    } else {
+                        SPARE_READ_FACTOR
+                    };
+                    settings.membership.list_interval * factor
                 }
                 Err(error) => {
                     tracing::warn!(%error, "instance list not read");
-                    factor = 0;
                     self.ask_seeds().await;
+                    settings.rollout.retry_interval
                 }
-            }
-            let pause = self.inner.context.settings().rollout.retry_interval;
-            actix_rt::time::sleep((interval * factor).max(pause)).await;
+            };
+            actix_rt::time::sleep(pause).await;
         }
     }
 
--- a/crates/dandeliondeal_entry/tests/peer_link.rs
+++ b/crates/dandeliondeal_entry/tests/peer_link.rs
@@ -264,3 +264,32 @@
     })
     .await;
 }
+
+#[actix_rt::test]
+async fn silent_peer() {
+    let platform = platform();
+    let fleet = fleet(&platform, 3).await;
+    // Connections are made by the operating system, and nobody ever answers on them.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut record = fleet[0].link().unwrap().record();
+    record.id = "silent".into();
+    record.address = listener.local_addr().unwrap();
+    platform.put_instance(record);
+    wait_until("the silent one is known", || {
+        fleet.iter().all(|entry| live(entry) == 4)
+    })
+    .await;
+    wait_until("the silent one counts as failed", || {
+        fleet.iter().all(|entry| live(entry) == 3)
+    })
+    .await;
+    let machines = fleet
+        .iter()
+        .map(|entry| entry.link().unwrap().book().machine.borrow());
+    assert!(
+        machines
+            .into_iter()
+            .all(|machine| machine.own().version == 0),
+        "a false alarm"
+    );
+}
--- a/crates/dandeliondeal_peer/src/peer_client.rs
+++ b/crates/dandeliondeal_peer/src/peer_client.rs
@@ -20,6 +20,8 @@
 
 /// Connections that are kept; one more gives up an arbitrary other.
 const CONNECTION_LIMIT: usize = 32;
+/// Longest wait for an answer, as a multiple of the timeout in the settings.
+pub const WAIT_FACTOR: u32 = 4;
 
 /// How peers are reached, and what is accepted from them.
 #[derive(Clone, Debug)]
@@ -90,6 +92,27 @@
         method: &'static str,
         body: &Body,
     ) -> Result<Reply, PeerError>
+    where
+        Body: Serialize,
+        Reply: DeserializeOwned,
+    {
+        let wait = self.inner.settings.timeout;
+        self.call_within(address, method, body, wait).await
+    }
+
+    /// As [`PeerClient::call`], with a wait for the answer of its own, at most
+    /// [`WAIT_FACTOR`] times that of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no answer.
+    pub async fn call_within<Body, Reply>(
+        &self,
+        address: SocketAddr,
+        method: &'static str,
+        body: &Body,
+        wait: Duration,
+    ) -> Result<Reply, PeerError>
     where
         Body: Serialize,
         Reply: DeserializeOwned,
@@ -100,7 +123,10 @@
         let body = to_raw_value(body).map_err(refused)?;
         self.count(1, &body);
         let params = rpc_params![secret, body];
-        let result: Result<Box<RawValue>, Error> = connection.request(method, params).await;
+        let request = connection.request(method, params);
+        let result: Result<Box<RawValue>, Error> = actix_rt::time::timeout(wait, request)
+            .await
+            .unwrap_or(Err(Error::RequestTimeout));
         if matches!(&result, Err(error) if !matches!(error, Error::Call(_))) {
             // The connection may have gone silent; the next call makes a new one.
             self.inner.connections.borrow_mut().remove(&address);
@@ -163,7 +189,7 @@
         let settings = &self.inner.settings;
         let client = WsClientBuilder::default()
             .connection_timeout(settings.timeout)
-            .request_timeout(settings.timeout)
+            .request_timeout(settings.timeout * WAIT_FACTOR)
             .max_request_size(settings.message_bytes)
             .max_response_size(settings.message_bytes)
             .build(format!("ws://{address}"))
