A key whose log cannot be read is in doubt; a dead owner's claim is settled at once

Cause: with the platform down, a repeat of a key was told not-run, although the first request of that key may have run at an instance that died before it answered. not-run is then a lie about what the key names. Ruled out: asking the other instances, which know no more once the owner is dead. Change: such a request is told in-doubt, with when to come back. The chart of a request's life refused to lose a request before its dispatch; such a one would have stayed open and held up a planned stop. Cause: a repeat waited for the service's timeout before it settled a dead instance's claim, since only time told that it was dead. Change: membership tells.

--- a/crates/dandeliondeal_command/src/entry_command.rs
+++ b/crates/dandeliondeal_command/src/entry_command.rs
@@ -44,6 +44,9 @@
             .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
         println!("callers listening on {}", entry.caller_address());
         println!("operators listening on {}", entry.operator_address());
+        if let Some(link) = entry.link() {
+            println!("peers listening on {}", link.address());
+        }
         tracing::info!(
             callers = %entry.caller_address(),
             operators = %entry.operator_address(),
--- a/crates/dandeliondeal_entry/src/claim_flow.rs
+++ b/crates/dandeliondeal_entry/src/claim_flow.rs
@@ -20,6 +20,8 @@
 
 /// Longest wait for the platform to confirm a claim.
 const CONFIRM_TIME: Duration = Duration::from_secs(3);
+/// Time between two looks at whether the instance that runs the first request is still there.
+const OWNER_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which a caller may try again while the platform is away.
 const PLATFORM_WAIT: Duration = Duration::from_secs(2);
 
@@ -57,7 +59,8 @@
 ///
 /// # Errors
 ///
-/// The key stands for other content, or the claim is not confirmed: the request does not run.
+/// The key stands for other content, or the claim is not confirmed. The request does not run, but
+/// whether an earlier one with its key ran is then not known.
 pub async fn claim<ClockSource>(
     context: &EntryContext<ClockSource>,
     call: &ClaimCall,
@@ -106,11 +109,7 @@
     let age = context.claims().shard_age(shard);
     let left = (first.claimed_at + call.abandoned_after).saturating_sub(age);
     let until = call.deadline.min(now + left);
-    let task = ShardTask::Await(Arc::clone(&first.request));
-    let view = match context.claims().submit(shard, task, until).await {
-        ShardReply::Found(Some(view)) => view,
-        _ => first,
-    };
+    let view = await_outcome(context, shard, first, until).await;
     let is_open = matches!(view.state, ClaimState::Running | ClaimState::InDoubt);
     if !is_open || context.clock().now() >= call.deadline || !call.settles {
         return view;
@@ -132,6 +131,34 @@
     }
 }
 
+/// Waits until a request has an outcome, its process is gone, or the time is over.
+async fn await_outcome<ClockSource>(
+    context: &EntryContext<ClockSource>,
+    shard: ShardIndex,
+    first: ClaimView,
+    until: Instant,
+) -> ClaimView
+where
+    ClockSource: Clock,
+{
+    let mut view = first;
+    loop {
+        let now = context.clock().now();
+        let is_gone = context.claims().route().is_owner_gone(&view.request);
+        if now >= until || is_gone {
+            return view;
+        }
+        let task = ShardTask::Await(Arc::clone(&view.request));
+        let slice = until.min(now + OWNER_INTERVAL);
+        if let ShardReply::Found(Some(found)) = context.claims().submit(shard, task, slice).await {
+            view = found;
+        }
+        if view.state != ClaimState::Running {
+            return view;
+        }
+    }
+}
+
 /// The answer to a repeat.
 ///
 /// # Errors
@@ -196,11 +223,11 @@
     .field("Idempotency-Key")
 }
 
+/// The request itself did not run, but an earlier one with its key may have: the log that tells
+/// could not be read.
 fn unconfirmed(reply: &ShardReply) -> RouteError {
-    RouteError::new(
-        ErrorKind::PlatformUnavailable,
-        RequestStep::Claim,
-        format!("the claim was not confirmed by the platform: {reply:?}"),
-    )
-    .retry_after(PLATFORM_WAIT)
+    let message = format!("the claim was not confirmed, repeat with the same key: {reply:?}");
+    RouteError::new(ErrorKind::PlatformUnavailable, RequestStep::Claim, message)
+        .with_outcome(Outcome::InDoubt)
+        .retry_after(PLATFORM_WAIT)
 }
--- a/crates/dandeliondeal_entry/src/claim_link.rs
+++ b/crates/dandeliondeal_entry/src/claim_link.rs
@@ -7,11 +7,13 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_claim::{ClaimRecord, OutcomeRecord, ShardIndex};
-use dandeliondeal_types::InstanceId;
 use dandeliondeal_types::rendezvous::preferred;
+use dandeliondeal_types::{Incarnation, InstanceId};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::request_id::owner_of;
+
 /// Time for which a peer that did not answer is passed over.
 const PASSED_OVER_TIME: Duration = Duration::from_secs(2);
 
@@ -72,6 +74,17 @@
     }
 }
 
+/// The latest process of an instance that this instance has heard of.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OwnerProcess {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its process start.
+    pub incarnation: Incarnation,
+    /// Whether the other instances take it for failed.
+    pub has_failed: bool,
+}
+
 /// Which instance is preferred for a shard, as this instance sees the fleet.
 ///
 /// Instances may differ in this without harm: the log itself decides who holds a key.
@@ -79,6 +92,7 @@
 pub struct ClaimRoute {
     members: RefCell<Vec<ClaimMember>>,
     passed_over: RefCell<HashMap<InstanceId, Instant>>,
+    processes: RefCell<Vec<OwnerProcess>>,
 }
 
 impl ClaimRoute {
@@ -120,6 +134,29 @@
         false
     }
 
+    /// Replaces the processes that this instance has heard of.
+    pub fn set_processes(&self, processes: Vec<OwnerProcess>) {
+        self.processes.replace(processes);
+    }
+
+    /// Whether the process that received a request is known to be gone.
+    ///
+    /// A wrong answer does no harm: it only leads to an early settlement, after which the request
+    /// either has run or never will.
+    pub fn is_owner_gone(&self, request: &str) -> bool {
+        let Some((instance, incarnation)) = owner_of(request) else {
+            return false;
+        };
+        let processes = self.processes.borrow();
+        let process = processes
+            .iter()
+            .find(|process| *process.instance == *instance);
+        process.is_some_and(|process| {
+            incarnation < process.incarnation
+                || (incarnation == process.incarnation && process.has_failed)
+        })
+    }
+
     /// Passes an instance over for a while.
     pub fn pass_over(&self, instance: &InstanceId, now: Instant) {
         let mut passed_over = self.passed_over.borrow_mut();
--- a/crates/dandeliondeal_entry/src/peer_link.rs
+++ b/crates/dandeliondeal_entry/src/peer_link.rs
@@ -5,13 +5,13 @@
 use std::rc::Rc;
 
 use dandeliondeal_peer::{
-    FanOut, Heartbeat, MemberCard, MembershipAction, MembershipEvent, MembershipMachine,
-    MembershipSettings, PeerClient, PeerServer, PeerSettings,
+    FanOut, Heartbeat, MemberCard, MemberState, MembershipAction, MembershipEvent,
+    MembershipMachine, MembershipSettings, PeerClient, PeerServer, PeerSettings,
 };
 use dandeliondeal_platform::{CallClass, PlatformClient};
 use dandeliondeal_types::{Clock, InstanceList, InstanceRecord, InstanceRole, InstanceState};
 
-use crate::claim_link::ClaimMember;
+use crate::claim_link::{ClaimMember, OwnerProcess};
 use crate::entry_context::{EntryContext, EntryError};
 use crate::peer_book::PeerBook;
 use crate::peer_handler::{HEARTBEAT_METHOD, OBSERVE_METHOD};
@@ -200,6 +200,15 @@
         });
         let route = self.inner.context.claims().route();
         route.set_members(members.collect());
+        let process = |card: &MemberCard, has_failed| OwnerProcess {
+            instance: card.id.clone(),
+            incarnation: card.incarnation,
+            has_failed,
+        };
+        let others = machine.members();
+        let others = others.map(|(card, state)| process(card, state == MemberState::Failed));
+        let own = std::iter::once(process(&machine.own().card, false));
+        route.set_processes(own.chain(others).collect());
     }
 
     async fn send(self, to: MemberCard) {
--- a/crates/dandeliondeal_entry/src/request_id.rs
+++ b/crates/dandeliondeal_entry/src/request_id.rs
@@ -17,6 +17,15 @@
     format!("{instance}-{incarnation:x}-{number}{mark}").into()
 }
 
+/// The instance and process start that an id names.
+pub fn owner_of(id: &str) -> Option<(&str, Incarnation)> {
+    let id = id.rsplit_once(SHARD_MARK).map_or(id, |(rest, _shard)| rest);
+    let (process, _number) = id.rsplit_once('-')?;
+    let (instance, incarnation) = process.rsplit_once('-')?;
+    let incarnation = Incarnation::from_str_radix(incarnation, 16).ok()?;
+    Some((instance, incarnation))
+}
+
 /// The shard that an id names.
 pub fn shard_of(id: &str) -> Option<ShardIndex> {
     let (_rest, shard) = id.rsplit_once(SHARD_MARK)?;
--- a/crates/dandeliondeal_replay/src/replay_claims.rs
+++ b/crates/dandeliondeal_replay/src/replay_claims.rs
@@ -48,8 +48,6 @@
     pub(crate) key: Arc<str>,
     pub(crate) service: EndpointId,
     pub(crate) end: StatedOutcome,
-    /// Whether it waits for the first request with its key.
-    pub(crate) is_repeat: bool,
 }
 
 impl ReplayWorld {
@@ -221,14 +219,11 @@
             ShardReply::Claimed => self.dispatch(request),
             ShardReply::Repeat(view) => self.repeat(request, &view),
             ShardReply::Found(Some(view)) => self.tell(request, view.state),
-            ShardReply::KeyReused | ShardReply::Withdrawn => {
-                self.set_end(request, StatedOutcome::NotRun);
-            }
-            ShardReply::Unconfirmed(_) if self.is_repeat(request) => {
+            ShardReply::KeyReused => self.set_end(request, StatedOutcome::NotRun),
+            // The request is withdrawn, but an earlier one with its key may have run.
+            ShardReply::Unconfirmed(_) | ShardReply::Withdrawn => {
                 self.set_end(request, StatedOutcome::InDoubt);
             }
-            // A claim that was not confirmed is withdrawn.
-            ShardReply::Unconfirmed(_) => self.set_end(request, StatedOutcome::NotRun),
             ShardReply::Found(None) => self.set_end(request, StatedOutcome::InDoubt),
             ShardReply::Recorded => {}
         }
@@ -246,9 +241,6 @@
 
     fn repeat(&mut self, request: &RequestId, view: &ClaimView) {
         if view.state == ClaimState::Running {
-            if let Some(keyed) = self.keyed.get_mut(request) {
-                keyed.is_repeat = true;
-            }
             let task = ShardTask::Await(Arc::clone(&view.request));
             return self.submit(request, task, REPEAT_TIMEOUT);
         }
@@ -276,10 +268,6 @@
         self.submit(request, ShardTask::Record(record), RECORD_TIMEOUT);
     }
 
-    fn is_repeat(&self, request: &RequestId) -> bool {
-        self.keyed.get(request).is_some_and(|keyed| keyed.is_repeat)
-    }
-
     fn set_end(&mut self, request: &RequestId, end: StatedOutcome) {
         if let Some(keyed) = self.keyed.get_mut(request)
             && keyed.end == StatedOutcome::Open
--- a/crates/dandeliondeal_replay/src/replay_run.rs
+++ b/crates/dandeliondeal_replay/src/replay_run.rs
@@ -104,7 +104,6 @@
                     key: Arc::clone(key),
                     service: Arc::clone(service),
                     end: StatedOutcome::Open,
-                    is_repeat: false,
                 };
                 self.start_keyed(request, keyed);
             }
