--- a/crates/dandeliondeal_command/src/measure_command.rs
+++ b/crates/dandeliondeal_command/src/measure_command.rs
@@ -18,6 +18,8 @@
   limits       grants of an organisation's limit among instances, in virtual time
   overhead     time to the first token beside the engines' own, processor time a token
   overload     goodput above the capacity; a small organisation beside a burst; virtual time
+  recovery     time from a failure to the next token, beside detection and a restart
+  throughput   tokens a second over the bound of the slowest stage, planners compared
 
   --seed NUMBER   seed of everything random (default 1)
   --long          more samples; without it a measurement takes 40 s at most
@@ -46,6 +48,8 @@
             "limits" => finish(measure::limits::run(settings)),
             "overhead" => finish(measure::overhead::run(settings).await),
             "overload" => finish(measure::overload::run(settings)),
+            "recovery" => finish(measure::recovery::run(settings).await),
+            "throughput" => finish(measure::throughput::run(settings).await),
             _ => Err(CommandError::usage(format!(
                 "there is no measurement {name}; see --help"
             ))),
--- a/crates/dandeliondeal_config/src/entry_settings.rs
+++ b/crates/dandeliondeal_config/src/entry_settings.rs
@@ -168,7 +168,7 @@
             deadline: Duration::from_mins(1),
             deadline_limit: Duration::from_mins(10),
             connect_time: Duration::from_millis(500),
-            step_floor: Duration::from_millis(100),
+            step_floor: Duration::from_millis(50),
             step_limit: Duration::from_secs(5),
             session_life: Duration::from_secs(10),
             state_retention: Duration::from_mins(10),
--- a/crates/dandeliondeal_measure/src/lib.rs
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -11,13 +11,16 @@
 pub mod claim_site;
 pub mod claims;
 pub mod footprint;
+pub mod generation_rig;
 pub mod limits;
 pub mod measure_error;
 pub mod measure_settings;
 pub mod overhead;
 pub mod overload;
 pub mod overload_driver;
+pub mod recovery;
 pub mod site;
+pub mod throughput;
 
 #[doc(inline)]
 pub use measure_error::MeasureError;
--- a/crates/dandeliondeal_standin/src/engine/engine_handler.rs
+++ b/crates/dandeliondeal_standin/src/engine/engine_handler.rs
@@ -8,7 +8,7 @@
 use dandeliondeal_types::{RequestId, StepAnswer, StepCall};
 use serde::Deserialize;
 use serde_json::{Value, json};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use super::EngineSettings;
 use super::engine_core::{EngineCore, EngineRefusal, StepDecision, refusal};
@@ -25,6 +25,7 @@
 pub(crate) struct EngineHandler {
     pub(crate) core: RefCell<EngineCore>,
     step_ended: Notify,
+    step_slots: Semaphore,
     load_report: RefCell<Option<(Instant, Value)>>,
 }
 
@@ -35,7 +36,12 @@
 
 impl EngineHandler {
     pub(crate) fn new(settings: EngineSettings) -> Self {
+        let slots = match settings.step_slots {
+            0 => Semaphore::MAX_PERMITS,
+            slots => slots,
+        };
         Self {
+            step_slots: Semaphore::new(slots),
             core: RefCell::new(EngineCore::new(settings)),
             step_ended: Notify::new(),
             load_report: RefCell::new(None),
@@ -89,7 +95,9 @@
                 StepDecision::Run { duration, serial } => break (duration, serial),
             }
         };
+        let slot = self.step_slots.acquire().await;
         let overslept = compute(duration).await;
+        drop(slot);
         shell.wait_thaw().await;
         let now = Instant::now();
         let answer = self
--- a/crates/dandeliondeal_standin/src/engine/engine_settings.rs
+++ b/crates/dandeliondeal_standin/src/engine/engine_settings.rs
@@ -37,6 +37,8 @@
     pub link_microseconds: u64,
     /// Positions that run through a layer at once.
     pub batch_positions: usize,
+    /// Steps that run at once; 0 for any number.
+    pub step_slots: usize,
     /// Sessions at once.
     pub capacity: usize,
     /// Life of a session whose call names none.
@@ -61,6 +63,7 @@
             layer_microseconds: 0,
             link_microseconds: 0,
             batch_positions: 32,
+            step_slots: 0,
             capacity: 64,
             session_life: Duration::from_secs(30),
             load_lag: Duration::ZERO,
