--- a/crates/dandeliondeal_entry/src/peer_link.rs
+++ b/crates/dandeliondeal_entry/src/peer_link.rs
@@ -5,12 +5,13 @@
 use std::rc::Rc;
 
 use dandeliondeal_peer::{
-    Heartbeat, MemberCard, MembershipAction, MembershipEvent, MembershipMachine,
+    FanOut, Heartbeat, MemberCard, MembershipAction, MembershipEvent, MembershipMachine,
     MembershipSettings, PeerClient, PeerServer, PeerSettings,
 };
 use dandeliondeal_platform::{CallClass, PlatformClient};
 use dandeliondeal_types::{Clock, InstanceList, InstanceRecord, InstanceRole, InstanceState};
 
+use crate::claim_link::ClaimMember;
 use crate::entry_context::{EntryContext, EntryError};
 use crate::peer_book::PeerBook;
 use crate::peer_handler::{HEARTBEAT_METHOD, OBSERVE_METHOD};
@@ -48,7 +49,7 @@
     /// # Errors
     ///
     /// If the peers' address cannot be bound or the chart is wrong.
-    pub fn start(context: EntryContext<ClockSource>) -> Result<Self, EntryError> {
+    pub fn start(context: EntryContext<ClockSource>, fan_out: FanOut) -> Result<Self, EntryError> {
         let settings = context.settings();
         let peer_settings = PeerSettings {
             secret: settings.secrets.peer.clone(),
@@ -66,6 +67,7 @@
         };
         let membership = MembershipSettings {
             interval: settings.membership.heartbeat_interval,
+            fan_out,
         };
         let machine = MembershipMachine::new(membership, own, context.clock().now())?;
         let book = PeerBook {
@@ -192,6 +194,12 @@
             .context
             .platform()
             .resize_fleet(machine.live().len().max(1));
+        let members = machine.live().into_iter().map(|card| ClaimMember {
+            instance: card.id.clone(),
+            address: card.address,
+        });
+        let route = self.inner.context.claims().route();
+        route.set_members(members.collect());
     }
 
     async fn send(self, to: MemberCard) {
--- a/crates/dandeliondeal_measure/src/generation_rig.rs
+++ b/crates/dandeliondeal_measure/src/generation_rig.rs
@@ -7,9 +7,14 @@
 use dandeliondeal_entry::engine_http::EngineHttp;
 use dandeliondeal_entry::engine_use::EngineUse;
 use dandeliondeal_entry::http_pool::HttpPool;
+use dandeliondeal_entry::load_poll;
 use dandeliondeal_entry::log_budget::LogBudget;
+use dandeliondeal_entry::planning_view::PlanningView;
 use dandeliondeal_entry::route_table::RouteTable;
 use dandeliondeal_entry::session_driver::{ChainSource, SessionDriver};
+use dandeliondeal_entry::shared_board::SharedBoard;
+use dandeliondeal_entry::table_cell::TableCell;
+use dandeliondeal_entry::watched_engine::WatchedEngine;
 use dandeliondeal_pipeline::{
     PlanChain, PlanQuery, PlanStage, SessionMachine, SessionSettings, SessionSpec,
 };
@@ -32,6 +37,9 @@
 /// Deadline of each generation.
 const DEADLINE: Duration = Duration::from_secs(30);
 
+/// Seed of the board's samples.
+const BOARD_SEED: u64 = 1;
+
 /// How chains are chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PlanPolicy {
@@ -62,7 +70,8 @@
     /// Bounds of sessions.
     pub settings: SessionSettings,
     table: Arc<RouteTable>,
-    engine: EngineHttp,
+    engine: WatchedEngine<EngineHttp, SystemClock>,
+    board: SharedBoard<SystemClock>,
     usage: EngineUse,
     budget: LogBudget,
     number: Cell<u64>,
@@ -82,6 +91,7 @@
 #[derive(Debug)]
 struct RigChains {
     table: Arc<RouteTable>,
+    board: SharedBoard<SystemClock>,
     usage: EngineUse,
     policy: PlanPolicy,
     spread: u64,
@@ -118,12 +128,25 @@
                 .accelerators
                 .insert(Arc::clone(&entry.accelerator), accelerator);
         }
-        let table = Arc::new(RouteTable::new(Arc::new(sheet)));
+        let cell = TableCell::default();
+        cell.install(RouteTable::new(Arc::new(sheet)));
+        let table = cell.current();
+        let board = SharedBoard::new("rig".into(), "domain-a".into(), BOARD_SEED, SystemClock)
+            .map_err(|error| MeasureError::new(measurement, error.to_string()))?;
+        board.install(&table.sheet);
         let pool = HttpPool::new(Duration::from_millis(500));
+        actix_rt::spawn(load_poll::run(
+            board.downgrade(),
+            pool.clone(),
+            cell,
+            SystemClock,
+        ));
+        let engine = EngineHttp::new(pool, Arc::clone(&table));
         Ok(Self {
             engines: running,
             settings,
-            engine: EngineHttp::new(pool, Arc::clone(&table)),
+            engine: WatchedEngine::new(engine, board.clone()),
+            board,
             table,
             usage: EngineUse::default(),
             budget: LogBudget::new(LOG_BYTES),
@@ -162,6 +185,7 @@
             engine: self.engine.clone(),
             chains: RigChains {
                 table: Arc::clone(&self.table),
+                board: self.board.clone(),
                 usage: self.usage.clone(),
                 policy,
                 spread: number,
@@ -228,7 +252,15 @@
             avoid,
             spread: self.spread,
         };
-        self.table.plans.plan(&query, &self.usage)
+        let plans = &self.table.plans;
+        let sampled = self.board.with_view(true, |board| {
+            plans.plan(&query, &PlanningView::new(&self.usage, board))
+        });
+        sampled.or_else(|| {
+            self.board.with_whole_view(true, |board| {
+                plans.plan(&query, &PlanningView::new(&self.usage, board))
+            })
+        })
     }
 
     /// Goes from layer to layer with the first or a random engine that holds the next one.
--- a/crates/dandeliondeal_measure/src/lib.rs
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -10,16 +10,21 @@
 pub mod claim_load;
 pub mod claim_site;
 pub mod claims;
+pub mod fleet_site;
 pub mod footprint;
 pub mod generation_rig;
 pub mod limits;
 pub mod measure_error;
 pub mod measure_settings;
+pub mod membership;
 pub mod overhead;
 pub mod overload;
 pub mod overload_driver;
+pub mod plot;
 pub mod recovery;
+pub mod rollout;
 pub mod site;
+pub mod target_sheet;
 pub mod throughput;
 
 #[doc(inline)]
