--- a/crates/dandeliondeal_command/src/measure_command.rs
+++ b/crates/dandeliondeal_command/src/measure_command.rs
@@ -19,7 +19,9 @@
   membership   cost of heartbeats and time to notice a death, by fleet size
   overhead     time to the first token beside the engines' own, processor time a token
   overload     goodput above the capacity; a small organisation beside a burst; virtual time
+  recovery     time from a failure to the next token, beside detection and a restart
   rollout      time from acceptance to in force everywhere, by fleet size
+  throughput   tokens a second over the bound of the slowest stage, planners compared
 
   --seed NUMBER   seed of everything random (default 1)
   --long          more samples; without it a measurement takes 40 s at most
@@ -51,7 +53,9 @@
             "membership" => finish(measure::membership::run(settings).await),
             "overhead" => finish(measure::overhead::run(settings).await),
             "overload" => finish(measure::overload::run(settings)),
+            "recovery" => finish(measure::recovery::run(settings).await),
             "rollout" => finish(measure::rollout::run(settings).await),
+            "throughput" => finish(measure::throughput::run(settings).await),
             _ => Err(CommandError::usage(format!(
                 "there is no measurement {name}; see --help"
             ))),
--- a/crates/dandeliondeal_measure/src/lib.rs
+++ b/crates/dandeliondeal_measure/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod claims;
 pub mod fleet_site;
 pub mod footprint;
+pub mod generation_rig;
 pub mod limits;
 pub mod measure_error;
 pub mod measure_settings;
@@ -20,9 +21,11 @@
 pub mod overload;
 pub mod overload_driver;
 pub mod plot;
+pub mod recovery;
 pub mod rollout;
 pub mod site;
 pub mod target_sheet;
+pub mod throughput;
 
 #[doc(inline)]
 pub use measure_error::MeasureError;
