--- a/crates/dandeliondeal_balance/src/endpoint_group.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_group.rs
@@ -5,8 +5,8 @@
 
 use dandeliondeal_types::EndpointId;
 
-use crate::board_settings::ChoiceSettings;
 use crate::endpoint_slot::EndpointSlot;
+use crate::monitor_settings::ChoiceSettings;
 use crate::stable_subset::{stable_subset, subset_size};
 
 /// One group: its members, the subset that this instance uses, and the mean of their reports.
--- a/crates/dandeliondeal_balance/src/endpoint_health.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_health.rs
@@ -5,9 +5,9 @@
 
 use dandeliondeal_chart::ChartMachine;
 
-use crate::board_settings::HealthSettings;
 use crate::endpoint_profile::FailureSignal;
 use crate::health_chart::{HealthEvent, HealthState, HealthTable};
+use crate::monitor_settings::HealthSettings;
 use crate::signal_window::SignalWindow;
 
 /// Smallest share of the work in slow start, so that it ends also under light load.
--- a/crates/dandeliondeal_balance/src/endpoint_load.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_load.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use crate::board_settings::ChoiceSettings;
 use crate::endpoint_profile::EndpointProfile;
 use crate::load_report::LoadReport;
+use crate::monitor_settings::ChoiceSettings;
 
 /// Share by which a full batch slows each call; it ranks endpoints that have no queue.
 const BATCH_SLOWDOWN: f64 = 0.25;
--- a/crates/dandeliondeal_balance/src/endpoint_board.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_monitor.rs
@@ -8,14 +8,14 @@
 use dandeliondeal_types::{EndpointId, InstanceId};
 use rand::Rng;
 
-use crate::board_settings::BoardSettings;
-use crate::board_view::{BoardView, WholeView};
 use crate::endpoint_group::EndpointGroup;
 use crate::endpoint_load::OtherWork;
 use crate::endpoint_profile::{CallResult, EndpointProfile, FailureSignal};
 use crate::endpoint_slot::EndpointSlot;
 use crate::health_chart::{HealthState, HealthTable, health_table};
 use crate::load_report::LoadReport;
+use crate::monitor_settings::MonitorSettings;
+use crate::monitor_view::{MonitorView, WholeView};
 use crate::sample_rank::{SampleScore, rank_samples};
 
 /// Random picks for each sample before the whole subset is searched.
@@ -23,27 +23,27 @@
 
 /// Health and load of all endpoints, as one instance knows them.
 ///
-/// It is told what happens ([`EndpointBoard::started`], [`EndpointBoard::finished`],
-/// [`EndpointBoard::reported`], [`EndpointBoard::listed`], [`EndpointBoard::tick`]) and asked with
-/// [`EndpointBoard::choose`] for plain services or [`EndpointBoard::view`] for planning.
+/// It is told what happens ([`EndpointMonitor::started`], [`EndpointMonitor::finished`],
+/// [`EndpointMonitor::reported`], [`EndpointMonitor::listed`], [`EndpointMonitor::tick`]) and asked with
+/// [`EndpointMonitor::choose`] for plain services or [`EndpointMonitor::view`] for planning.
 #[derive(Clone, Debug)]
-pub struct EndpointBoard {
+pub struct EndpointMonitor {
     instance: InstanceId,
     instances: usize,
-    settings: BoardSettings,
+    settings: MonitorSettings,
     table: Arc<HealthTable>,
     slots: Vec<EndpointSlot>,
     index: HashMap<EndpointId, usize>,
     groups: HashMap<Arc<str>, EndpointGroup>,
 }
 
-impl EndpointBoard {
-    /// Makes an empty board for `instance`.
+impl EndpointMonitor {
+    /// Makes an empty monitor for `instance`.
     ///
     /// # Errors
     ///
     /// [`ChartError`] if the health chart is unsound.
-    pub fn new(instance: InstanceId, settings: BoardSettings) -> Result<Self, ChartError> {
+    pub fn new(instance: InstanceId, settings: MonitorSettings) -> Result<Self, ChartError> {
         Ok(Self {
             instance,
             instances: 1,
@@ -199,8 +199,8 @@
     }
 
     /// The endpoints that one request may use, for the planner; `seed` differs for each request.
-    pub fn view(&self, is_repeatable: bool, seed: u64, now: Instant) -> BoardView<'_> {
-        BoardView::new(self, is_repeatable, seed, now)
+    pub fn view(&self, is_repeatable: bool, seed: u64, now: Instant) -> MonitorView<'_> {
+        MonitorView::new(self, is_repeatable, seed, now)
     }
 
     /// Every usable endpoint, for a planner that found no way through the sampled ones.
--- a/crates/dandeliondeal_balance/src/endpoint_slot.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_slot.rs
@@ -1,13 +1,13 @@
-//! One endpoint on the board: profile, health, load and open calls.
+//! One endpoint on the monitor: profile, health, load and open calls.
 
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::board_settings::{BoardSettings, HealthSettings};
 use crate::endpoint_health::EndpointHealth;
 use crate::endpoint_load::{EndpointLoad, OtherWork};
 use crate::endpoint_profile::{CallResult, EndpointProfile, FailureSignal};
 use crate::health_chart::HealthTable;
+use crate::monitor_settings::{HealthSettings, MonitorSettings};
 
 /// A call that is open.
 #[derive(Clone, Copy, Debug)]
@@ -17,7 +17,7 @@
     stretch: f64,
 }
 
-/// One endpoint on the board.
+/// One endpoint on the monitor.
 #[derive(Clone, Debug)]
 pub(crate) struct EndpointSlot {
     pub(crate) profile: EndpointProfile,
@@ -71,7 +71,7 @@
         started: Instant,
         result: CallResult,
         allows_failure: bool,
-        settings: &BoardSettings,
+        settings: &MonitorSettings,
         now: Instant,
     ) {
         let place = self.open.iter().position(|call| call.started == started);
--- a/crates/dandeliondeal_balance/src/lib.rs
+++ b/crates/dandeliondeal_balance/src/lib.rs
@@ -1,39 +1,39 @@
 //! Endpoint health, choice, slow start and the retry budget.
 //!
-//! Everything here is a decision without input or output. [`EndpointBoard`] is told what happens
+//! Everything here is a decision without input or output. [`EndpointMonitor`] is told what happens
 //! at the endpoints and answers which of them to use; [`RetryBudget`] says whether a failed try may
 //! be repeated.
 
-pub mod board_settings;
-pub mod board_view;
-pub mod endpoint_board;
 mod endpoint_group;
 pub mod endpoint_health;
 pub mod endpoint_load;
+pub mod endpoint_monitor;
 pub mod endpoint_profile;
 mod endpoint_slot;
 pub mod health_chart;
 pub mod load_report;
+pub mod monitor_settings;
+pub mod monitor_view;
 pub mod retry_budget;
 mod sample_rank;
 pub mod signal_window;
 pub mod stable_subset;
 
-#[doc(inline)]
-pub use board_settings::{BoardSettings, ChoiceSettings, HealthSettings};
-#[doc(inline)]
-pub use board_view::{BoardView, WholeView};
-#[doc(inline)]
-pub use endpoint_board::EndpointBoard;
 #[doc(inline)]
 pub use endpoint_health::EndpointHealth;
 #[doc(inline)]
 pub use endpoint_load::EndpointLoad;
 #[doc(inline)]
+pub use endpoint_monitor::EndpointMonitor;
+#[doc(inline)]
 pub use endpoint_profile::{CallResult, EndpointProfile, FailureSignal};
 #[doc(inline)]
 pub use health_chart::{HealthEvent, HealthState};
 #[doc(inline)]
 pub use load_report::LoadReport;
 #[doc(inline)]
+pub use monitor_settings::{ChoiceSettings, HealthSettings, MonitorSettings};
+#[doc(inline)]
+pub use monitor_view::{MonitorView, WholeView};
+#[doc(inline)]
 pub use retry_budget::{RetryBudget, RetrySettings};
--- a/crates/dandeliondeal_balance/src/board_settings.rs
+++ b/crates/dandeliondeal_balance/src/monitor_settings.rs
@@ -1,10 +1,10 @@
-//! Settings of the endpoint board.
+//! Settings of the endpoint monitor.
 
 use std::time::Duration;
 
 /// Settings of choice and health.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct BoardSettings {
+pub struct MonitorSettings {
     /// How endpoints are chosen.
     pub choice: ChoiceSettings,
     /// How health is judged.
--- a/crates/dandeliondeal_balance/src/stable_subset.rs
+++ b/crates/dandeliondeal_balance/src/stable_subset.rs
@@ -4,7 +4,7 @@
 
 use dandeliondeal_types::EndpointId;
 
-use crate::board_settings::ChoiceSettings;
+use crate::monitor_settings::ChoiceSettings;
 
 /// Size of the subset of a group of `replicas` endpoints before `instances` entry instances.
 pub fn subset_size(replicas: usize, instances: usize, settings: &ChoiceSettings) -> usize {
--- a/crates/dandeliondeal_balance/tests/endpoint_choice.rs
+++ b/crates/dandeliondeal_balance/tests/endpoint_choice.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_balance::stable_subset::stable_subset;
-use dandeliondeal_balance::{BoardSettings, EndpointBoard, EndpointProfile, LoadReport};
+use dandeliondeal_balance::{EndpointMonitor, EndpointProfile, LoadReport, MonitorSettings};
 use dandeliondeal_types::{EndpointId, EndpointView};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -16,10 +16,10 @@
     format!("endpoint-{number}").into()
 }
 
-/// A board with all endpoints past their slow start, and the time then.
-fn board(endpoints: usize) -> (EndpointBoard, Instant) {
+/// A monitor with all endpoints past their slow start, and the time then.
+fn monitor(endpoints: usize) -> (EndpointMonitor, Instant) {
     let now = Instant::now();
-    let mut board = EndpointBoard::new("entry-1".into(), BoardSettings::default()).unwrap();
+    let mut monitor = EndpointMonitor::new("entry-1".into(), MonitorSettings::default()).unwrap();
     let profiles = (0..endpoints).map(|number| EndpointProfile {
         id: id(number),
         group: Arc::from("draft"),
@@ -28,17 +28,17 @@
         link_delay: Duration::ZERO,
         service_time: Duration::from_millis(100),
     });
-    board.replace(profiles, now);
+    monitor.replace(profiles, now);
     let later = now + Duration::from_secs(10);
-    board.tick(later);
-    (board, later)
+    monitor.tick(later);
+    (monitor, later)
 }
 
-fn choices(board: &EndpointBoard, now: Instant) -> HashMap<EndpointId, usize> {
+fn choices(monitor: &EndpointMonitor, now: Instant) -> HashMap<EndpointId, usize> {
     let mut random = StdRng::seed_from_u64(SEED);
     let mut counts = HashMap::new();
     for _ in 0..1000 {
-        let endpoint = board.choose("draft", true, &mut random, now).unwrap();
+        let endpoint = monitor.choose("draft", true, &mut random, now).unwrap();
         *counts.entry(endpoint).or_default() += 1;
     }
     counts
@@ -54,22 +54,22 @@
 
 #[test]
 fn loaded_avoided() {
-    let (mut board, now) = board(4);
+    let (mut monitor, now) = monitor(4);
     for _ in 0..6 {
-        board.started(&id(0), now);
+        monitor.started(&id(0), now);
     }
-    assert_eq!(choices(&board, now).get(&id(0)), None);
+    assert_eq!(choices(&monitor, now).get(&id(0)), None);
 }
 
 #[test]
 fn stale_herd() {
-    let (mut board, now) = board(10);
+    let (mut monitor, now) = monitor(10);
     for number in 1..10 {
-        board.reported(&id(number), report(6, now));
+        monitor.reported(&id(number), report(6, now));
     }
-    board.reported(&id(0), report(0, now));
-    let fresh = choices(&board, now)[&id(0)];
-    let stale = choices(&board, now + Duration::from_mins(1))
+    monitor.reported(&id(0), report(0, now));
+    let fresh = choices(&monitor, now)[&id(0)];
+    let stale = choices(&monitor, now + Duration::from_mins(1))
         .get(&id(0))
         .copied()
         .unwrap_or_default();
@@ -80,12 +80,12 @@
 
 #[test]
 fn older_report() {
-    let (mut board, now) = board(2);
+    let (mut monitor, now) = monitor(2);
     let later = now + Duration::from_secs(1);
-    board.reported(&id(1), report(0, later));
-    board.reported(&id(0), report(9, later));
-    board.reported(&id(0), report(0, now));
-    assert_eq!(choices(&board, later).get(&id(0)), None);
+    monitor.reported(&id(1), report(0, later));
+    monitor.reported(&id(0), report(9, later));
+    monitor.reported(&id(0), report(0, now));
+    assert_eq!(choices(&monitor, later).get(&id(0)), None);
 }
 
 #[test]
@@ -99,8 +99,8 @@
 
 #[test]
 fn view_samples() {
-    let (board, now) = board(40);
-    let view = board.view(true, SEED, now);
+    let (monitor, now) = monitor(40);
+    let view = monitor.view(true, SEED, now);
     let usable = |view: &dyn EndpointView| -> Vec<usize> {
         (0..40)
             .filter(|&number| view.is_usable(&id(number)))
@@ -108,5 +108,5 @@
     };
     assert_eq!(usable(&view).len(), 3);
     assert_eq!(usable(&view), usable(&view));
-    assert_ne!(usable(&view), usable(&board.view(true, SEED + 1, now)));
+    assert_ne!(usable(&view), usable(&monitor.view(true, SEED + 1, now)));
 }
--- a/crates/dandeliondeal_balance/tests/endpoint_health.rs
+++ b/crates/dandeliondeal_balance/tests/endpoint_health.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_balance::{
-    BoardSettings, CallResult, EndpointBoard, EndpointProfile, FailureSignal, HealthState,
+    CallResult, EndpointMonitor, EndpointProfile, FailureSignal, HealthState, MonitorSettings,
 };
 use dandeliondeal_types::EndpointId;
 use rand::SeedableRng;
@@ -13,30 +13,32 @@
 const STEP: Duration = Duration::from_millis(100);
 
 struct BoardTest {
-    board: EndpointBoard,
+    monitor: EndpointMonitor,
     now: Instant,
 }
 
 impl BoardTest {
     fn new(endpoints: usize) -> Self {
         let now = Instant::now();
-        let mut board = EndpointBoard::new("entry-1".into(), BoardSettings::default()).unwrap();
-        board.replace((0..endpoints).map(profile), now);
-        let mut test = Self { board, now };
+        let mut monitor =
+            EndpointMonitor::new("entry-1".into(), MonitorSettings::default()).unwrap();
+        monitor.replace((0..endpoints).map(profile), now);
+        let mut test = Self { monitor, now };
         test.pass(Duration::from_secs(6));
         test
     }
 
     fn pass(&mut self, time: Duration) {
         self.now += time;
-        self.board.tick(self.now);
+        self.monitor.tick(self.now);
     }
 
     fn call(&mut self, number: usize, result: CallResult) {
         let started = self.now;
-        self.board.started(&id(number), started);
+        self.monitor.started(&id(number), started);
         self.pass(STEP);
-        self.board.finished(&id(number), started, result, self.now);
+        self.monitor
+            .finished(&id(number), started, result, self.now);
     }
 
     fn fail(&mut self, number: usize, signal: FailureSignal) {
@@ -44,14 +46,14 @@
     }
 
     fn state(&self, number: usize) -> HealthState {
-        self.board.state(&id(number)).unwrap()
+        self.monitor.state(&id(number)).unwrap()
     }
 
     fn chosen(&self, is_repeatable: bool) -> Vec<EndpointId> {
         let mut random = StdRng::seed_from_u64(7);
-        let board = &self.board;
+        let monitor = &self.monitor;
         (0..200)
-            .filter_map(|_| board.choose("draft", is_repeatable, &mut random, self.now))
+            .filter_map(|_| monitor.choose("draft", is_repeatable, &mut random, self.now))
             .collect()
     }
 }
@@ -102,7 +104,7 @@
 fn silent_endpoint() {
     let mut test = BoardTest::new(8);
     for _ in 0..3 {
-        test.board.started(&id(0), test.now);
+        test.monitor.started(&id(0), test.now);
         test.now += Duration::from_millis(1);
     }
     test.pass(Duration::from_secs(2));
@@ -124,10 +126,10 @@
     test.fail(0, FailureSignal::Leaving);
     assert_eq!(test.state(0), HealthState::Leaving);
     assert!(!test.chosen(true).contains(&id(0)));
-    test.board.listed(&id(0), false, test.now);
+    test.monitor.listed(&id(0), false, test.now);
     assert_eq!(test.state(0), HealthState::Leaving, "the list lags");
     test.pass(Duration::from_secs(30));
-    test.board.listed(&id(0), false, test.now);
+    test.monitor.listed(&id(0), false, test.now);
     assert_eq!(test.state(0), HealthState::SlowStart);
 }
 
@@ -140,7 +142,7 @@
     test.pass(Duration::from_secs(2));
     assert_eq!(test.state(0), HealthState::Testing);
     assert!(!test.chosen(false).contains(&id(0)));
-    test.board.started(&id(0), test.now);
+    test.monitor.started(&id(0), test.now);
     let second = test.chosen(true);
     assert!(!second.contains(&id(0)), "one test at a time");
 }
@@ -165,12 +167,12 @@
 fn late_answer() {
     let mut test = BoardTest::new(4);
     let early = test.now;
-    test.board.started(&id(0), early);
+    test.monitor.started(&id(0), early);
     for _ in 0..3 {
         test.fail(0, FailureSignal::NoAnswer);
     }
     assert_eq!(test.state(0), HealthState::Failed);
-    test.board
+    test.monitor
         .finished(&id(0), early, CallResult::Answered, test.now);
     assert_eq!(test.state(0), HealthState::Testing);
     assert!(!test.chosen(false).contains(&id(0)));
--- a/crates/dandeliondeal_entry/src/claim_desk.rs
+++ b/crates/dandeliondeal_entry/src/claim_coordinator.rs
@@ -25,7 +25,7 @@
 
 /// The claims of one instance; clones share them.
 #[derive(Debug)]
-pub struct ClaimDesk<Store, ClockSource, Link> {
+pub struct ClaimCoordinator<Store, ClockSource, Link> {
     inner: Rc<DeskInner<Store, ClockSource, Link>>,
 }
 
@@ -78,7 +78,7 @@
     }
 }
 
-impl<Store, ClockSource, Link> Clone for ClaimDesk<Store, ClockSource, Link> {
+impl<Store, ClockSource, Link> Clone for ClaimCoordinator<Store, ClockSource, Link> {
     fn clone(&self) -> Self {
         Self {
             inner: Rc::clone(&self.inner),
@@ -86,13 +86,13 @@
     }
 }
 
-impl<Store, ClockSource, Link> ClaimDesk<Store, ClockSource, Link>
+impl<Store, ClockSource, Link> ClaimCoordinator<Store, ClockSource, Link>
 where
     Store: ObjectStore,
     ClockSource: Clock,
     Link: ClaimLink,
 {
-    /// Makes a desk; the platform is called once the first task arrives.
+    /// Makes a coordinator; the platform is called once the first task arrives.
     pub fn new(store: Store, link: Link, clock: ClockSource, settings: ClaimSettings) -> Self {
         let inner = DeskInner {
             store,
@@ -190,18 +190,18 @@
 
     /// Records an outcome in the background, for as long as the claim is kept.
     pub fn record(&self, shard: ShardIndex, record: OutcomeRecord) {
-        let desk = self.clone();
+        let coordinator = self.clone();
         let open = OpenCount::new(&self.inner.recording);
         let deadline = self.inner.clock.now() + self.inner.settings.retention;
         actix_rt::spawn(async move {
             let _open = open;
             let request = Arc::clone(&record.request);
             let call = ForwardRecord::Outcome(record.clone());
-            if desk.forward(shard, call, deadline).await == ForwardResult::Written {
+            if coordinator.forward(shard, call, deadline).await == ForwardResult::Written {
                 return;
             }
             let task = ShardTask::Record(record);
-            if desk.submit(shard, task, deadline).await != ShardReply::Recorded {
+            if coordinator.submit(shard, task, deadline).await != ShardReply::Recorded {
                 tracing::error!(request = &*request, "outcome not recorded");
             }
         });
@@ -304,10 +304,10 @@
             ShardAction::Reply(ticket, reply) => self.reply(ticket, reply),
             ShardAction::Wake(time) => self.wake_at(shard, time),
             call => {
-                let desk = self.clone();
+                let coordinator = self.clone();
                 actix_rt::spawn(async move {
-                    if let Some(event) = desk.call(call).await {
-                        desk.handle(shard, event);
+                    if let Some(event) = coordinator.call(call).await {
+                        coordinator.handle(shard, event);
                     }
                 });
             }
@@ -347,12 +347,12 @@
             return;
         }
         cell.wake = Some(time);
-        let desk = self.clone();
+        let coordinator = self.clone();
         let wait = time.saturating_duration_since(self.inner.clock.now());
         actix_rt::spawn(async move {
             actix_rt::time::sleep(wait).await;
-            if desk.disarm(shard, time) {
-                desk.handle(shard, ShardEvent::Tick);
+            if coordinator.disarm(shard, time) {
+                coordinator.handle(shard, ShardEvent::Tick);
             }
         });
     }
--- a/crates/dandeliondeal_entry/src/claim_rpc.rs
+++ b/crates/dandeliondeal_entry/src/claim_rpc.rs
@@ -7,7 +7,7 @@
 use dandeliondeal_peer::{PeerClient, PeerError, PeerHandler, PeerSettings};
 use dandeliondeal_types::{Clock, ObjectStore};
 
-use crate::claim_desk::ClaimDesk;
+use crate::claim_coordinator::ClaimCoordinator;
 use crate::claim_link::{ClaimLink, ForwardCall, ForwardRecord, ForwardReply};
 
 /// Method that takes a forwarded record.
@@ -50,14 +50,17 @@
 /// Answers forwarded records, for an instance that serves nothing else to its peers.
 #[derive(Debug)]
 pub struct ClaimHandler<Store, ClockSource, Link> {
-    desk: ClaimDesk<Store, ClockSource, Link>,
+    coordinator: ClaimCoordinator<Store, ClockSource, Link>,
     clock: ClockSource,
 }
 
 impl<Store, ClockSource, Link> ClaimHandler<Store, ClockSource, Link> {
-    /// A handler for one desk.
-    pub fn new(desk: ClaimDesk<Store, ClockSource, Link>, clock: ClockSource) -> Self {
-        Self { desk, clock }
+    /// A handler for one coordinator.
+    pub fn new(
+        coordinator: ClaimCoordinator<Store, ClockSource, Link>,
+        clock: ClockSource,
+    ) -> Self {
+        Self { coordinator, clock }
     }
 }
 
@@ -67,7 +70,7 @@
 {
     fn clone(&self) -> Self {
         Self {
-            desk: self.desk.clone(),
+            coordinator: self.coordinator.clone(),
             clock: self.clock.clone(),
         }
     }
@@ -82,7 +85,7 @@
     const METHODS: &'static [&'static str] = &[CLAIM_METHOD];
 
     async fn handle(&self, method: &'static str, body: Box<str>) -> Result<String, PeerError> {
-        answer_forward(&self.desk, &self.clock, method, &body).await
+        answer_forward(&self.coordinator, &self.clock, method, &body).await
     }
 }
 
@@ -92,7 +95,7 @@
 ///
 /// The body is not a forwarded record.
 pub async fn answer_forward<Store, ClockSource, Link>(
-    desk: &ClaimDesk<Store, ClockSource, Link>,
+    coordinator: &ClaimCoordinator<Store, ClockSource, Link>,
     clock: &ClockSource,
     method: &'static str,
     body: &str,
@@ -104,12 +107,12 @@
 {
     let refused = |error: serde_json::Error| PeerError::refused(method, error.to_string());
     let call: ForwardCall = serde_json::from_str(body).map_err(refused)?;
-    let reply = write_record(desk, clock, call).await;
+    let reply = write_record(coordinator, clock, call).await;
     serde_json::to_string(&reply).map_err(refused)
 }
 
 async fn write_record<Store, ClockSource, Link>(
-    desk: &ClaimDesk<Store, ClockSource, Link>,
+    coordinator: &ClaimCoordinator<Store, ClockSource, Link>,
     clock: &ClockSource,
     call: ForwardCall,
 ) -> ForwardReply
@@ -118,7 +121,7 @@
     ClockSource: Clock,
     Link: ClaimLink,
 {
-    if call.shard >= desk.settings().shards {
+    if call.shard >= coordinator.settings().shards {
         return ForwardReply::Declined;
     }
     let deadline = clock.now() + Duration::from_millis(call.wait_milliseconds);
@@ -126,7 +129,7 @@
         ForwardRecord::Claim(record) => ShardTask::Claim(record, ClaimOrigin::Peer),
         ForwardRecord::Outcome(record) => ShardTask::Record(record),
     };
-    match desk.submit(call.shard, task, deadline).await {
+    match coordinator.submit(call.shard, task, deadline).await {
         ShardReply::Claimed | ShardReply::Recorded => ForwardReply::Written,
         _ => ForwardReply::Declined,
     }
--- a/crates/dandeliondeal_entry/src/completion_handler.rs
+++ b/crates/dandeliondeal_entry/src/completion_handler.rs
@@ -196,7 +196,7 @@
 {
     let id = Arc::clone(&generation.id);
     let engine = EngineHttp::new(context.pool().clone(), Arc::clone(&table));
-    let engine = WatchedEngine::new(engine, context.board().clone());
+    let engine = WatchedEngine::new(engine, context.monitor().clone());
     context.apply(&id, RequestEvent::Dispatch);
     let site = generation_site(&context, table, engine);
     let result = generate(&site, &generation, &tokens).await;
@@ -222,7 +222,7 @@
         clock: context.clock().clone(),
         table,
         engines: context.engines().clone(),
-        board: context.board().clone(),
+        monitor: context.monitor().clone(),
         budget: context.budget().clone(),
         settings: SessionSettings {
             life: settings.requests.session_life,
--- a/crates/dandeliondeal_entry/src/endpoint_watch.rs
+++ b/crates/dandeliondeal_entry/src/endpoint_watch.rs
@@ -40,6 +40,6 @@
     for record in endpoints {
         let is_leaving = record.state == InstanceState::Leaving;
         context.engines().set_leaving(&record.id, is_leaving);
-        context.board().listed(&record.id, is_leaving);
+        context.monitor().listed(&record.id, is_leaving);
     }
 }
--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admission::{AdmissionBounds, AdmissionGate};
-use crate::claim_desk::ClaimDesk;
+use crate::claim_coordinator::ClaimCoordinator;
 use crate::claim_rpc::ClaimPeers;
 use crate::drain_state::DrainMachine;
 use crate::engine_use::EngineUse;
@@ -26,7 +26,7 @@
 use crate::request_id::request_id;
 use crate::request_life::{RequestEvent, RequestRegistry, RequestState};
 use crate::route_table::RouteTable;
-use crate::shared_board::SharedBoard;
+use crate::shared_monitor::SharedMonitor;
 use crate::table_cell::TableCell;
 
 /// Why an instance cannot start.
@@ -44,7 +44,8 @@
 }
 
 /// The claims of an entry instance.
-pub type EntryClaims<ClockSource> = ClaimDesk<PlatformClient<ClockSource>, ClockSource, ClaimPeers>;
+pub type EntryClaims<ClockSource> =
+    ClaimCoordinator<PlatformClient<ClockSource>, ClockSource, ClaimPeers>;
 
 /// The shared state of an entry instance; clones share it.
 #[derive(Clone, Debug)]
@@ -62,7 +63,7 @@
     metrics: EntryMetrics,
     admission: AdmissionGate<ClockSource>,
     pool: HttpPool,
-    board: SharedBoard<ClockSource>,
+    monitor: SharedMonitor<ClockSource>,
     retries: RefCell<RetryBudget>,
     engines: EngineUse,
     budget: LogBudget,
@@ -89,7 +90,7 @@
         let incarnation = u64::try_from(incarnation).unwrap_or(u64::MAX);
         let platform =
             PlatformClient::new(platform_settings(&settings, incarnation), clock.clone());
-        let claims = ClaimDesk::new(
+        let claims = ClaimCoordinator::new(
             platform.with_class(CallClass::Claims),
             ClaimPeers::new(PeerSettings {
                 secret: settings.secrets.peer.clone(),
@@ -108,7 +109,7 @@
             metrics: EntryMetrics::new()?,
             admission: AdmissionGate::new(admission_bounds(&settings), clock.clone()),
             pool: HttpPool::new(settings.requests.connect_time),
-            board: SharedBoard::new(
+            monitor: SharedMonitor::new(
                 Arc::clone(&settings.instance.id),
                 Arc::clone(&settings.instance.failure_domain),
                 xxh3_64(settings.instance.id.as_bytes()),
@@ -170,7 +171,7 @@
         let sheet = Arc::clone(&table.sheet);
         let is_newer = self.inner.table.install(table);
         if is_newer {
-            self.inner.board.install(&sheet);
+            self.inner.monitor.install(&sheet);
             self.inner
                 .admission
                 .install(&sheet, self.inner.instances.get());
@@ -183,14 +184,14 @@
         let instances = instances.max(1);
         if self.inner.instances.replace(instances) != instances {
             let table = self.inner.table.current();
-            self.inner.board.set_instances(instances);
+            self.inner.monitor.set_instances(instances);
             self.inner.admission.install(&table.sheet, instances);
         }
     }
 
     /// Health and load of the endpoints.
-    pub fn board(&self) -> &SharedBoard<ClockSource> {
-        &self.inner.board
+    pub fn monitor(&self) -> &SharedMonitor<ClockSource> {
+        &self.inner.monitor
     }
 
     /// Retries of calls of plain services that this instance may make.
--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -67,7 +67,7 @@
         })
         .await?;
         actix_rt::spawn(load_poll::run(
-            context.board().downgrade(),
+            context.monitor().downgrade(),
             context.pool().clone(),
             context.table().clone(),
             context.clock().clone(),
--- a/crates/dandeliondeal_entry/src/generation.rs
+++ b/crates/dandeliondeal_entry/src/generation.rs
@@ -19,7 +19,7 @@
 use crate::route_table::RouteTable;
 use crate::session_driver::{ChainSource, SessionDriver};
 use crate::session_recorder::SessionRecorder;
-use crate::shared_board::SharedBoard;
+use crate::shared_monitor::SharedMonitor;
 
 /// What to generate.
 #[derive(Clone, Debug)]
@@ -54,7 +54,7 @@
     /// Sessions at the engines.
     pub engines: EngineUse,
     /// Health and load of the engines.
-    pub board: SharedBoard<ClockSource>,
+    pub monitor: SharedMonitor<ClockSource>,
     /// Memory for logged inputs.
     pub budget: LogBudget,
     /// Bounds of a session.
@@ -89,14 +89,14 @@
         };
         let start = site.clock.now();
         let plans = &site.table.plans;
-        let chain = site.board.with_view(self.request.repeatable, |board| {
-            plans.plan(&query, &PlanningView::new(&site.engines, board))
+        let chain = site.monitor.with_view(self.request.repeatable, |monitor| {
+            plans.plan(&query, &PlanningView::new(&site.engines, monitor))
         });
         // The few engines that were sampled may all be among those to avoid.
         let chain = chain.or_else(|| {
-            site.board
-                .with_whole_view(self.request.repeatable, |board| {
-                    plans.plan(&query, &PlanningView::new(&site.engines, board))
+            site.monitor
+                .with_whole_view(self.request.repeatable, |monitor| {
+                    plans.plan(&query, &PlanningView::new(&site.engines, monitor))
                 })
         });
         let time = site.clock.now().duration_since(start);
--- a/crates/dandeliondeal_entry/src/load_poll.rs
+++ b/crates/dandeliondeal_entry/src/load_poll.rs
@@ -1,4 +1,4 @@
-//! Asks engines for their load, a few at a time, and moves the board's time on.
+//! Asks engines for their load, a few at a time, and moves the monitor's time on.
 
 use std::time::Duration;
 
@@ -9,10 +9,10 @@
 use serde::Deserialize;
 
 use crate::http_pool::HttpPool;
-use crate::shared_board::WeakBoard;
+use crate::shared_monitor::WeakBoard;
 use crate::table_cell::TableCell;
 
-/// Time between ticks of the board.
+/// Time between ticks of the monitor.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 /// Engines asked at each tick, whatever the size of the fleet.
 const ENGINES_PER_TICK: usize = 2;
@@ -28,18 +28,18 @@
     step_microseconds: u64,
 }
 
-/// Runs until the board is gone.
+/// Runs until the monitor is gone.
 pub async fn run<ClockSource>(
-    board: WeakBoard,
+    monitor: WeakBoard,
     pool: HttpPool,
     table: TableCell,
     clock: ClockSource,
 ) where
     ClockSource: Clock,
 {
-    while board.tick(clock.now()).is_some() {
-        for endpoint in board.report_targets(ENGINES_PER_TICK, clock.now()) {
-            let (board, client) = (board.clone(), pool.client(false));
+    while monitor.tick(clock.now()).is_some() {
+        for endpoint in monitor.report_targets(ENGINES_PER_TICK, clock.now()) {
+            let (monitor, client) = (monitor.clone(), pool.client(false));
             let (table, clock) = (table.clone(), clock.clone());
             actix_rt::spawn(async move {
                 // Asked for before the answer: the report may be older, but not newer.
@@ -51,7 +51,7 @@
                         service_time: (!time.is_zero()).then_some(time),
                         measured,
                     };
-                    board.reported(&endpoint, report);
+                    monitor.reported(&endpoint, report);
                 }
             });
         }
--- a/crates/dandeliondeal_entry/src/operator_api.rs
+++ b/crates/dandeliondeal_entry/src/operator_api.rs
@@ -57,7 +57,7 @@
     context.metrics().revision.set(revision);
     let waiting = i64::try_from(context.admission().waiting()).unwrap_or(i64::MAX);
     context.metrics().admission_waiting.set(waiting);
-    for (state, count) in context.board().counts() {
+    for (state, count) in context.monitor().counts() {
         context.metrics().endpoints(state.label(), count);
     }
     match context.metrics().render() {
--- a/crates/dandeliondeal_entry/src/order_runner.rs
+++ b/crates/dandeliondeal_entry/src/order_runner.rs
@@ -7,7 +7,7 @@
 
 use dandeliondeal_chart::ChartError;
 use dandeliondeal_order::{
-    OrderAction, OrderAnswer, OrderDesk, OrderEvent, OrderSettings, OrderTerm, desired_states,
+    OrderAction, OrderAnswer, OrderEvent, OrderReconciler, OrderSettings, OrderTerm, desired_states,
 };
 use dandeliondeal_platform::{
     CallClass, LeaseAction, LeaseEvent, LeaseMachine, LeaseSettings, LeaseTime, PlatformClient,
@@ -38,7 +38,7 @@
 #[derive(Debug)]
 struct RunnerState {
     lease: LeaseMachine,
-    desk: OrderDesk,
+    reconciler: OrderReconciler,
     revision: Option<Revision>,
 }
 
@@ -76,7 +76,7 @@
         };
         let state = RunnerState {
             lease: LeaseMachine::new(lease)?,
-            desk: OrderDesk::new(orders),
+            reconciler: OrderReconciler::new(orders),
             revision: None,
         };
         Ok(Self {
@@ -113,7 +113,7 @@
 
     /// Number of engines that are not known to be as desired.
     pub fn unsettled(&self) -> usize {
-        self.state.borrow().desk.unsettled()
+        self.state.borrow().reconciler.unsettled()
     }
 
     /// Gives the lease back.
@@ -169,7 +169,7 @@
         });
     }
 
-    /// Tells the desk of a new sheet.
+    /// Tells the reconciler of a new sheet.
     fn take_sheet(&self) {
         let table = self.context.table().current();
         let revision = Some(table.sheet.revision);
@@ -183,7 +183,7 @@
     fn order_event(&self, event: OrderEvent) {
         let term = self.term();
         let now = self.context.clock().now();
-        let result = self.state.borrow_mut().desk.handle(event, term, now);
+        let result = self.state.borrow_mut().reconciler.handle(event, term, now);
         match result {
             Ok(actions) => {
                 for action in actions {
--- a/crates/dandeliondeal_entry/src/peer_book.rs
+++ b/crates/dandeliondeal_entry/src/peer_directory.rs
@@ -17,14 +17,14 @@
 
 /// Members and connections; clones share them.
 #[derive(Clone, Debug)]
-pub struct PeerBook {
+pub struct PeerDirectory {
     /// Calls to peers.
     pub client: PeerClient,
     /// The members.
     pub machine: Rc<RefCell<MembershipMachine>>,
 }
 
-impl PeerBook {
+impl PeerDirectory {
     /// Live members, this instance included, in order of id.
     pub fn live(&self) -> Vec<MemberCard> {
         let machine = self.machine.borrow();
@@ -55,7 +55,7 @@
     }
 }
 
-impl ContentFetch for PeerBook {
+impl ContentFetch for PeerDirectory {
     async fn fetch(&self, peer: &InstanceId, hashes: &[ContentHash]) -> Vec<Arc<str>> {
         match self.call(peer, CONTENT_METHOD, &hashes).await {
             Ok(bodies) => bodies,
--- a/crates/dandeliondeal_entry/src/peer_handler.rs
+++ b/crates/dandeliondeal_entry/src/peer_handler.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::claim_rpc::{CLAIM_METHOD, answer_forward};
-use crate::peer_book::CONTENT_METHOD;
+use crate::peer_directory::CONTENT_METHOD;
 use crate::peer_link::PeerLink;
 
 /// Method that exchanges heartbeats.
@@ -87,7 +87,7 @@
 {
     /// What this instance says of itself.
     pub fn status(&self) -> InstanceStatus {
-        let machine = self.book().machine.borrow();
+        let machine = self.directory().machine.borrow();
         let card = &machine.own().card;
         let readiness = self.context().readiness().borrow();
         let is_confirmed = readiness.as_ref().is_some_and(ReadinessGate::is_ready);
--- a/crates/dandeliondeal_entry/src/peer_link.rs
+++ b/crates/dandeliondeal_entry/src/peer_link.rs
@@ -13,7 +13,7 @@
 
 use crate::claim_link::{ClaimMember, OwnerProcess};
 use crate::entry_context::{EntryContext, EntryError};
-use crate::peer_book::PeerBook;
+use crate::peer_directory::PeerDirectory;
 use crate::peer_handler::{HEARTBEAT_METHOD, OBSERVE_METHOD};
 use crate::rollout::Rollout;
 
@@ -36,8 +36,8 @@
 struct LinkInner<ClockSource> {
     context: EntryContext<ClockSource>,
     platform: PlatformClient<ClockSource>,
-    book: PeerBook,
-    rollout: Rollout<ClockSource, PeerBook>,
+    directory: PeerDirectory,
+    rollout: Rollout<ClockSource, PeerDirectory>,
     server: RefCell<Option<PeerServer>>,
     is_stopped: Cell<bool>,
 }
@@ -72,7 +72,7 @@
             fan_out,
         };
         let machine = MembershipMachine::new(membership, own, context.clock().now())?;
-        let book = PeerBook {
+        let directory = PeerDirectory {
             client: PeerClient::new(peer_settings.clone()),
             machine: Rc::new(RefCell::new(machine)),
         };
@@ -80,9 +80,9 @@
         let link = Self {
             inner: Rc::new(LinkInner {
                 platform: context.platform().with_class(CallClass::Status),
-                rollout: Rollout::start(context.clone(), platform, book.clone()),
+                rollout: Rollout::start(context.clone(), platform, directory.clone()),
                 context,
-                book,
+                directory,
                 server: RefCell::new(None),
                 is_stopped: Cell::new(false),
             }),
@@ -97,12 +97,12 @@
 
     /// The address for peers.
     pub fn address(&self) -> SocketAddr {
-        self.inner.book.machine.borrow().own().card.address
+        self.inner.directory.machine.borrow().own().card.address
     }
 
     /// What the platform's list says of this instance.
     pub fn record(&self) -> InstanceRecord {
-        let machine = self.inner.book.machine.borrow();
+        let machine = self.inner.directory.machine.borrow();
         let card = &machine.own().card;
         InstanceRecord {
             id: card.id.clone(),
@@ -116,12 +116,12 @@
     }
 
     /// The members and the connections to them.
-    pub fn book(&self) -> &PeerBook {
-        &self.inner.book
+    pub fn directory(&self) -> &PeerDirectory {
+        &self.inner.directory
     }
 
     /// The revisions of the sheet.
-    pub fn rollout(&self) -> &Rollout<ClockSource, PeerBook> {
+    pub fn rollout(&self) -> &Rollout<ClockSource, PeerDirectory> {
         &self.inner.rollout
     }
 
@@ -146,7 +146,7 @@
 
     /// Whether a member answers over a new connection.
     pub(crate) async fn reaches(&self, subject: &MemberCard) -> bool {
-        let client = &self.inner.book.client;
+        let client = &self.inner.directory.client;
         client.disconnect(subject.address);
         let heartbeat = self.heartbeat_to(&subject.id);
         let answer = client.call(subject.address, HEARTBEAT_METHOD, &heartbeat);
@@ -164,13 +164,17 @@
     /// The heartbeat, or answer, to a member.
     pub(crate) fn heartbeat_to(&self, peer: &str) -> Heartbeat {
         let stamp = self.inner.rollout.in_force();
-        self.inner.book.machine.borrow_mut().heartbeat(peer, stamp)
+        self.inner
+            .directory
+            .machine
+            .borrow_mut()
+            .heartbeat(peer, stamp)
     }
 
     /// Applies an event and starts what it asks for.
     pub(crate) fn apply(&self, event: MembershipEvent) {
         let now = self.inner.context.clock().now();
-        let actions = self.inner.book.machine.borrow_mut().apply(event, now);
+        let actions = self.inner.directory.machine.borrow_mut().apply(event, now);
         for action in actions {
             match action {
                 MembershipAction::Send { to } => {
@@ -188,7 +192,7 @@
     }
 
     fn fleet_changed(&self) {
-        let machine = self.inner.book.machine.borrow();
+        let machine = self.inner.directory.machine.borrow();
         let watchers = self.inner.context.settings().rollout.watchers_per_domain;
         let rank = machine.domain_rank() as u64;
         self.inner.rollout.set_watcher(rank < watchers);
@@ -215,7 +219,7 @@
 
     async fn send(self, to: MemberCard) {
         let heartbeat = self.heartbeat_to(&to.id);
-        let client = &self.inner.book.client;
+        let client = &self.inner.directory.client;
         match client
             .call_again(to.address, HEARTBEAT_METHOD, &heartbeat)
             .await
@@ -229,7 +233,7 @@
     }
 
     async fn observe(self, observer: MemberCard, subject: MemberCard) {
-        let client = &self.inner.book.client;
+        let client = &self.inner.directory.client;
         // The observer itself waits for a connection and for an answer.
         let wait = self.inner.context.settings().membership.heartbeat_timeout * OBSERVE_FACTOR;
         let answer = client.call_within(observer.address, OBSERVE_METHOD, &subject, wait);
@@ -261,7 +265,7 @@
             let pause = match self.inner.platform.instances().await {
                 Ok(records) => {
                     self.apply(MembershipEvent::Listed { records });
-                    let rank = self.inner.book.machine.borrow().domain_rank();
+                    let rank = self.inner.directory.machine.borrow().domain_rank();
                     let factor = if rank < LIST_READERS {
                         1
                     } else {
@@ -281,12 +285,12 @@
 
     /// Without the list, the addresses in the settings lead to the other instances.
     async fn ask_seeds(&self) {
-        if self.inner.book.live().len() > 1 {
+        if self.inner.directory.live().len() > 1 {
             return;
         }
         for address in &self.inner.context.settings().membership.seeds {
             let heartbeat = self.heartbeat_to("");
-            let client = &self.inner.book.client;
+            let client = &self.inner.directory.client;
             let answer = client.call(*address, HEARTBEAT_METHOD, &heartbeat).await;
             match answer {
                 Ok(heartbeat) => self.heard(heartbeat),
--- a/crates/dandeliondeal_entry/src/planning_view.rs
+++ b/crates/dandeliondeal_entry/src/planning_view.rs
@@ -6,29 +6,29 @@
 
 use crate::engine_use::EngineUse;
 
-/// Joins the sessions of this instance with what `Board` knows of health and load.
+/// Joins the sessions of this instance with what `Monitor` knows of health and load.
 #[derive(Debug)]
-pub struct PlanningView<'view, Board> {
+pub struct PlanningView<'view, Monitor> {
     engines: &'view EngineUse,
-    board: &'view Board,
+    monitor: &'view Monitor,
 }
 
-impl<'view, Board> PlanningView<'view, Board> {
+impl<'view, Monitor> PlanningView<'view, Monitor> {
     /// Joins both.
-    pub fn new(engines: &'view EngineUse, board: &'view Board) -> Self {
-        Self { engines, board }
+    pub fn new(engines: &'view EngineUse, monitor: &'view Monitor) -> Self {
+        Self { engines, monitor }
     }
 }
 
-impl<Board> EndpointView for PlanningView<'_, Board>
+impl<Monitor> EndpointView for PlanningView<'_, Monitor>
 where
-    Board: EndpointView,
+    Monitor: EndpointView,
 {
     fn is_usable(&self, endpoint: &EndpointId) -> bool {
-        self.engines.is_usable(endpoint) && self.board.is_usable(endpoint)
+        self.engines.is_usable(endpoint) && self.monitor.is_usable(endpoint)
     }
 
     fn expected_wait(&self, endpoint: &EndpointId) -> Duration {
-        self.engines.expected_wait(endpoint) + self.board.expected_wait(endpoint)
+        self.engines.expected_wait(endpoint) + self.monitor.expected_wait(endpoint)
     }
 }
--- a/crates/dandeliondeal_entry/src/service_call.rs
+++ b/crates/dandeliondeal_entry/src/service_call.rs
@@ -25,7 +25,7 @@
 use crate::request_life::RequestEvent;
 use crate::service_dispatch::{ServiceAnswer, send};
 use crate::settlement::{Settlement, SettlementTarget, settle};
-use crate::shared_board::service_group;
+use crate::shared_monitor::service_group;
 
 /// Endpoints that one call may be tried at.
 const CANDIDATES: usize = 3;
@@ -141,7 +141,7 @@
     let is_repeatable = service.repeatable && call.caller.repeatable.unwrap_or(true);
     let group = service_group(&call.service);
     let candidates = context
-        .board()
+        .monitor()
         .candidates(&group, is_repeatable, CANDIDATES);
     if candidates.is_empty() {
         let message = "no replica is usable now";
--- a/crates/dandeliondeal_entry/src/service_dispatch.rs
+++ b/crates/dandeliondeal_entry/src/service_dispatch.rs
@@ -72,7 +72,7 @@
     }
 }
 
-/// Sends a call once, reads the whole answer and tells the board how it went.
+/// Sends a call once, reads the whole answer and tells the monitor how it went.
 ///
 /// # Errors
 ///
@@ -89,7 +89,7 @@
 where
     ClockSource: Clock,
 {
-    let open = context.board().start(endpoint);
+    let open = context.monitor().start(endpoint);
     let result = exchange(context, id, endpoint, call, end, is_fresh).await;
     match &result {
         Ok(answer) if is_busy(answer.status) => open.end_busy(),
--- a/crates/dandeliondeal_entry/src/shared_board.rs
+++ b/crates/dandeliondeal_entry/src/shared_monitor.rs
@@ -1,4 +1,4 @@
-//! The endpoint board of one instance, shared by its requests.
+//! The endpoint monitor of one instance, shared by its requests.
 
 use std::cell::RefCell;
 use std::rc::{Rc, Weak};
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_balance::{
-    BoardSettings, BoardView, CallResult, EndpointBoard, EndpointProfile, FailureSignal,
-    HealthState, LoadReport, WholeView,
+    CallResult, EndpointMonitor, EndpointProfile, FailureSignal, HealthState, LoadReport,
+    MonitorSettings, MonitorView, WholeView,
 };
 use dandeliondeal_chart::{ChartError, ChartLabel};
 use dandeliondeal_types::sheet_model::{EndpointEntry, EndpointTarget};
@@ -22,18 +22,18 @@
 /// Time of a call of a plain service until it is measured.
 const SERVICE_TIME: Duration = Duration::from_millis(100);
 
-/// An [`EndpointBoard`] with its clock and source of chance; clones share it.
+/// An [`EndpointMonitor`] with its clock and source of chance; clones share it.
 #[derive(Clone, Debug)]
-pub struct SharedBoard<ClockSource> {
-    board: Rc<RefCell<EndpointBoard>>,
+pub struct SharedMonitor<ClockSource> {
+    monitor: Rc<RefCell<EndpointMonitor>>,
     random: Rc<RefCell<SmallRng>>,
     clock: ClockSource,
     home: FailureDomain,
 }
 
-/// Reaches the board as long as it exists.
+/// Reaches the monitor as long as it exists.
 #[derive(Clone, Debug)]
-pub struct WeakBoard(Weak<RefCell<EndpointBoard>>);
+pub struct WeakBoard(Weak<RefCell<EndpointMonitor>>);
 
 /// An open call; dropped without an end it counts as cancelled.
 #[derive(Debug)]
@@ -41,17 +41,17 @@
 where
     ClockSource: Clock,
 {
-    board: SharedBoard<ClockSource>,
+    monitor: SharedMonitor<ClockSource>,
     endpoint: EndpointId,
     started: Instant,
     is_open: bool,
 }
 
-impl<ClockSource> SharedBoard<ClockSource>
+impl<ClockSource> SharedMonitor<ClockSource>
 where
     ClockSource: Clock,
 {
-    /// Makes an empty board for an instance in failure domain `home`.
+    /// Makes an empty monitor for an instance in failure domain `home`.
     ///
     /// # Errors
     ///
@@ -62,9 +62,9 @@
         seed: u64,
         clock: ClockSource,
     ) -> Result<Self, ChartError> {
-        let board = EndpointBoard::new(instance, BoardSettings::default())?;
+        let monitor = EndpointMonitor::new(instance, MonitorSettings::default())?;
         Ok(Self {
-            board: Rc::new(RefCell::new(board)),
+            monitor: Rc::new(RefCell::new(monitor)),
             random: Rc::new(RefCell::new(SmallRng::seed_from_u64(seed))),
             clock,
             home,
@@ -77,49 +77,51 @@
             .endpoints
             .iter()
             .map(|(id, entry)| profile(sheet, &self.home, id, entry));
-        self.board.borrow_mut().replace(profiles, self.clock.now());
+        self.monitor
+            .borrow_mut()
+            .replace(profiles, self.clock.now());
     }
 
     /// Notes how many entry instances share the endpoints.
     pub fn set_instances(&self, instances: u32) {
         let instances = usize::try_from(instances).unwrap_or(usize::MAX);
-        self.board.borrow_mut().set_instances(instances);
+        self.monitor.borrow_mut().set_instances(instances);
     }
 
     /// Endpoints of a group to try in this order, at most `count`.
     pub fn candidates(&self, group: &str, is_repeatable: bool, count: usize) -> Vec<EndpointId> {
         let mut random = self.random.borrow_mut();
-        let board = self.board.borrow();
-        let mut candidates = board.ranked(group, is_repeatable, &mut *random, self.clock.now());
+        let monitor = self.monitor.borrow();
+        let mut candidates = monitor.ranked(group, is_repeatable, &mut *random, self.clock.now());
         candidates.truncate(count);
         candidates
     }
 
-    /// Asks the board as one request's planner sees it.
+    /// Asks the monitor as one request's planner sees it.
     pub fn with_view<Ask, Answer>(&self, is_repeatable: bool, ask: Ask) -> Answer
     where
-        Ask: FnOnce(&BoardView<'_>) -> Answer,
+        Ask: FnOnce(&MonitorView<'_>) -> Answer,
     {
         let seed = self.random.borrow_mut().random();
-        let board = self.board.borrow();
-        ask(&board.view(is_repeatable, seed, self.clock.now()))
+        let monitor = self.monitor.borrow();
+        ask(&monitor.view(is_repeatable, seed, self.clock.now()))
     }
 
-    /// Asks the board about every usable endpoint, not only about sampled ones.
+    /// Asks the monitor about every usable endpoint, not only about sampled ones.
     pub fn with_whole_view<Ask, Answer>(&self, is_repeatable: bool, ask: Ask) -> Answer
     where
         Ask: FnOnce(&WholeView<'_>) -> Answer,
     {
-        let board = self.board.borrow();
-        ask(&board.whole_view(is_repeatable, self.clock.now()))
+        let monitor = self.monitor.borrow();
+        ask(&monitor.whole_view(is_repeatable, self.clock.now()))
     }
 
     /// Notes the start of a call.
     pub fn start(&self, endpoint: &EndpointId) -> BoardCall<ClockSource> {
         let started = self.clock.now();
-        self.board.borrow_mut().started(endpoint, started);
+        self.monitor.borrow_mut().started(endpoint, started);
         BoardCall {
-            board: self.clone(),
+            monitor: self.clone(),
             endpoint: Arc::clone(endpoint),
             started,
             is_open: true,
@@ -129,38 +131,38 @@
     /// Notes what the instance list says of an endpoint.
     pub fn listed(&self, endpoint: &EndpointId, is_leaving: bool) {
         let now = self.clock.now();
-        self.board.borrow_mut().listed(endpoint, is_leaving, now);
+        self.monitor.borrow_mut().listed(endpoint, is_leaving, now);
     }
 
     /// Health of an endpoint.
     pub fn state(&self, endpoint: &EndpointId) -> Option<HealthState> {
-        self.board.borrow().state(endpoint)
+        self.monitor.borrow().state(endpoint)
     }
 
     /// Number of endpoints in each state of health.
     pub fn counts(&self) -> Vec<(HealthState, usize)> {
-        let board = self.board.borrow();
-        let count = |state| board.states().filter(|known| known.1 == state).count();
+        let monitor = self.monitor.borrow();
+        let count = |state| monitor.states().filter(|known| known.1 == state).count();
         HealthState::ALL
             .iter()
             .map(|&state| (state, count(state)))
             .collect()
     }
 
-    /// A reference that does not keep the board.
+    /// A reference that does not keep the monitor.
     pub fn downgrade(&self) -> WeakBoard {
-        WeakBoard(Rc::downgrade(&self.board))
+        WeakBoard(Rc::downgrade(&self.monitor))
     }
 
     fn finish(&self, endpoint: &EndpointId, started: Instant, result: CallResult) {
         let now = self.clock.now();
-        let mut board = self.board.borrow_mut();
-        board.finished(endpoint, started, result, now);
+        let mut monitor = self.monitor.borrow_mut();
+        monitor.finished(endpoint, started, result, now);
     }
 }
 
 impl WeakBoard {
-    /// Moves on what only time moves; `None` once the board is gone.
+    /// Moves on what only time moves; `None` once the monitor is gone.
     pub fn tick(&self, now: Instant) -> Option<()> {
         self.0.upgrade()?.borrow_mut().tick(now);
         Some(())
@@ -168,15 +170,15 @@
 
     /// The endpoints whose load to ask for next.
     pub fn report_targets(&self, count: usize, now: Instant) -> Vec<EndpointId> {
-        self.0.upgrade().map_or_else(Vec::new, |board| {
-            board.borrow_mut().report_targets(count, now)
+        self.0.upgrade().map_or_else(Vec::new, |monitor| {
+            monitor.borrow_mut().report_targets(count, now)
         })
     }
 
     /// Takes in a report.
     pub fn reported(&self, endpoint: &EndpointId, report: LoadReport) {
-        if let Some(board) = self.0.upgrade() {
-            board.borrow_mut().reported(endpoint, report);
+        if let Some(monitor) = self.0.upgrade() {
+            monitor.borrow_mut().reported(endpoint, report);
         }
     }
 }
@@ -201,7 +203,7 @@
 
     fn close(&mut self, result: CallResult) {
         if std::mem::replace(&mut self.is_open, false) {
-            self.board.finish(&self.endpoint, self.started, result);
+            self.monitor.finish(&self.endpoint, self.started, result);
         }
     }
 }
--- a/crates/dandeliondeal_entry/src/watched_engine.rs
+++ b/crates/dandeliondeal_entry/src/watched_engine.rs
@@ -1,4 +1,4 @@
-//! An engine client that tells the endpoint board how its calls go.
+//! An engine client that tells the endpoint monitor how its calls go.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,19 +8,19 @@
     StepCall,
 };
 
-use crate::shared_board::SharedBoard;
+use crate::shared_monitor::SharedMonitor;
 
-/// Passes calls on to `Engine` and their ends to the board.
+/// Passes calls on to `Engine` and their ends to the monitor.
 #[derive(Clone, Debug)]
 pub struct WatchedEngine<Engine, ClockSource> {
     engine: Engine,
-    board: SharedBoard<ClockSource>,
+    monitor: SharedMonitor<ClockSource>,
 }
 
 impl<Engine, ClockSource> WatchedEngine<Engine, ClockSource> {
     /// Watches the calls of `engine`.
-    pub fn new(engine: Engine, board: SharedBoard<ClockSource>) -> Self {
-        Self { engine, board }
+    pub fn new(engine: Engine, monitor: SharedMonitor<ClockSource>) -> Self {
+        Self { engine, monitor }
     }
 }
 
@@ -36,7 +36,7 @@
         timeout: Duration,
         fresh: bool,
     ) -> Result<StepAnswer, RouteError> {
-        let open = self.board.start(endpoint);
+        let open = self.monitor.start(endpoint);
         let result = self.engine.step(endpoint, call, timeout, fresh).await;
         open.end(&result);
         result
--- a/crates/dandeliondeal_entry/tests/claim_fleet/mod.rs
+++ b/crates/dandeliondeal_entry/tests/claim_fleet/mod.rs
@@ -280,7 +280,7 @@
         platform.put_instance(entry.link().expect("link").record());
     }
     let knows_all = |entry: &EntryServer<SystemClock>| {
-        entry.link().expect("link").book().live().len() == INSTANCES
+        entry.link().expect("link").directory().live().len() == INSTANCES
     };
     for _attempt in 0..200 {
         if entries.iter().all(knows_all) {
--- a/crates/dandeliondeal_entry/tests/claimed_calls.rs
+++ b/crates/dandeliondeal_entry/tests/claimed_calls.rs
@@ -190,8 +190,8 @@
         organisation: "guild".into(),
         key: "k".into(),
     };
-    let desk = fleet.entries[0].context().claims();
-    let shard = key.shard(desk.settings().shards);
+    let coordinator = fleet.entries[0].context().claims();
+    let shard = key.shard(coordinator.settings().shards);
     let parts: [&[u8]; 4] = [b"order-desk", b"POST", b"/book", b"body"];
     let record = ClaimRecord {
         key,
@@ -200,7 +200,7 @@
         candidates: vec!["order-desk-0".into()],
     };
     let deadline = SystemClock.now() + Duration::from_secs(2);
-    let reply = desk
+    let reply = coordinator
         .submit(
             shard,
             ShardTask::Claim(record, ClaimOrigin::Local),
--- a/crates/dandeliondeal_entry/tests/endpoint_health.rs
+++ b/crates/dandeliondeal_entry/tests/endpoint_health.rs
@@ -64,10 +64,10 @@
 #[actix_rt::test]
 async fn leaving_listed() {
     let fleet = fleet().await;
-    let board = fleet.entries[0].context().board();
+    let monitor = fleet.entries[0].context().monitor();
     let leaving = "order-desk-0".into();
-    board.listed(&leaving, true);
-    assert_eq!(board.state(&leaving), Some(HealthState::Leaving));
+    monitor.listed(&leaving, true);
+    assert_eq!(monitor.state(&leaving), Some(HealthState::Leaving));
     assert_eq!(answered(&fleet, CALLS).await, CALLS);
     assert!(fleet.services[0].ledger().is_empty());
 }
--- a/crates/dandeliondeal_entry/tests/peer_link.rs
+++ b/crates/dandeliondeal_entry/tests/peer_link.rs
@@ -71,7 +71,7 @@
 }
 
 fn live(entry: &EntryServer<SystemClock>) -> usize {
-    entry.link().unwrap().book().live().len()
+    entry.link().unwrap().directory().live().len()
 }
 
 fn revision(entry: &EntryServer<SystemClock>) -> u64 {
@@ -79,7 +79,13 @@
 }
 
 fn rank(entry: &EntryServer<SystemClock>) -> usize {
-    entry.link().unwrap().book().machine.borrow().domain_rank()
+    entry
+        .link()
+        .unwrap()
+        .directory()
+        .machine
+        .borrow()
+        .domain_rank()
 }
 
 #[actix_rt::test]
@@ -152,8 +158,8 @@
     leaving.link().unwrap().leave();
     let told = || {
         fleet.iter().all(|entry| {
-            let book = entry.link().unwrap().book();
-            let machine = book.machine.borrow();
+            let directory = entry.link().unwrap().directory();
+            let machine = directory.machine.borrow();
             machine
                 .members()
                 .any(|(card, state)| card.id == id && state == MemberState::Leaving)
@@ -285,7 +291,7 @@
     .await;
     let machines = fleet
         .iter()
-        .map(|entry| entry.link().unwrap().book().machine.borrow());
+        .map(|entry| entry.link().unwrap().directory().machine.borrow());
     assert!(
         machines
             .into_iter()
--- a/crates/dandeliondeal_entry/tests/pipeline_site/mod.rs
+++ b/crates/dandeliondeal_entry/tests/pipeline_site/mod.rs
@@ -11,7 +11,7 @@
 use dandeliondeal_entry::http_pool::HttpPool;
 use dandeliondeal_entry::log_budget::LogBudget;
 use dandeliondeal_entry::route_table::RouteTable;
-use dandeliondeal_entry::shared_board::SharedBoard;
+use dandeliondeal_entry::shared_monitor::SharedMonitor;
 use dandeliondeal_pipeline::SessionSettings;
 use dandeliondeal_standin::{EngineSettings, EngineStandin, FaultChange, reference_answer};
 use dandeliondeal_types::sheet_model::{
@@ -196,15 +196,15 @@
 fn generation_site(sheet: SheetModel) -> GenerationSite<EngineHttp, SystemClock> {
     let table = Arc::new(RouteTable::new(Arc::new(sheet)));
     let pool = HttpPool::new(Duration::from_millis(500));
-    let board =
-        SharedBoard::new("entry-1".into(), "didube".into(), 1, SystemClock).expect("a sound chart");
-    board.install(&table.sheet);
+    let monitor = SharedMonitor::new("entry-1".into(), "didube".into(), 1, SystemClock)
+        .expect("a sound chart");
+    monitor.install(&table.sheet);
     GenerationSite {
         engine: EngineHttp::new(pool, Arc::clone(&table)),
         clock: SystemClock,
         table,
         engines: EngineUse::default(),
-        board,
+        monitor,
         budget: LogBudget::new(1_000_000),
         settings: SessionSettings {
             leave_grace: Duration::ZERO,
--- a/crates/dandeliondeal_measure/src/choice.rs
+++ b/crates/dandeliondeal_measure/src/choice.rs
@@ -1,12 +1,12 @@
 //! Compares ways to choose an endpoint on the same recorded arrivals and service times.
 //!
-//! Time is virtual: the board and the simpler policies run as they are, only the endpoints are
+//! Time is virtual: the monitor and the simpler policies run as they are, only the endpoints are
 //! queues in memory. The same seed gives the same figures.
 
 use std::path::Path;
 use std::time::Duration;
 
-use dandeliondeal_balance::{BoardSettings, ChoiceSettings, HealthSettings};
+use dandeliondeal_balance::{ChoiceSettings, HealthSettings, MonitorSettings};
 use dandeliondeal_chart::ChartError;
 use derive_more::Display;
 use serde::Serialize;
@@ -160,7 +160,7 @@
                 let result = drive(run, &scenario, policy);
                 rows.push(ChoiceRow::new(name, lag, rule.name(), result));
             }
-            let policy = BoardPolicy::new(run.entries, &scenario, &BoardSettings::default())?;
+            let policy = BoardPolicy::new(run.entries, &scenario, &MonitorSettings::default())?;
             let result = drive(run, &scenario, policy);
             rows.push(ChoiceRow::new(name, lag, BOARD_NAME, result));
         }
@@ -168,7 +168,7 @@
     Ok(rows)
 }
 
-/// Runs the board with single features switched off.
+/// Runs the monitor with single features switched off.
 ///
 /// # Errors
 ///
@@ -196,9 +196,9 @@
     Ok(rows)
 }
 
-fn features() -> [(&'static str, BoardSettings); 5] {
-    let with = BoardSettings::default;
-    let health = |health| BoardSettings { health, ..with() };
+fn features() -> [(&'static str, MonitorSettings); 5] {
+    let with = MonitorSettings::default;
+    let health = |health| MonitorSettings { health, ..with() };
     let usual = || with().health;
     [
         ("all features", with()),
@@ -225,7 +225,7 @@
         ),
         (
             "no suspicion",
-            BoardSettings {
+            MonitorSettings {
                 choice: ChoiceSettings {
                     suspicion_penalty: 1.0,
                     ..with().choice
--- a/crates/dandeliondeal_measure/src/choice_driver.rs
+++ b/crates/dandeliondeal_measure/src/choice_driver.rs
@@ -93,7 +93,7 @@
             scenario,
             policy,
             random: StdRng::seed_from_u64(seed.wrapping_add(1)),
-            // The boards start at the present; the run starts after their first slow start.
+            // The monitors start at the present; the run starts after their first slow start.
             base: Instant::now() + Duration::from_mins(1),
             now: Duration::ZERO,
             events: BinaryHeap::new(),
--- a/crates/dandeliondeal_measure/src/choice_policy.rs
+++ b/crates/dandeliondeal_measure/src/choice_policy.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_balance::{
-    BoardSettings, CallResult, EndpointBoard, EndpointProfile, LoadReport,
+    CallResult, EndpointMonitor, EndpointProfile, LoadReport, MonitorSettings,
 };
 use dandeliondeal_chart::ChartError;
 use dandeliondeal_types::EndpointId;
@@ -156,15 +156,15 @@
     fn tick(&mut self, _now: Instant) {}
 }
 
-/// An [`EndpointBoard`] at every entry instance.
+/// An [`EndpointMonitor`] at every entry instance.
 #[derive(Clone, Debug)]
 pub struct BoardPolicy {
-    boards: Vec<EndpointBoard>,
+    monitors: Vec<EndpointMonitor>,
     ids: Vec<EndpointId>,
 }
 
 impl BoardPolicy {
-    /// Makes the boards.
+    /// Makes the monitors.
     ///
     /// # Errors
     ///
@@ -172,24 +172,24 @@
     pub fn new(
         entries: usize,
         scenario: &ChoiceScenario,
-        settings: &BoardSettings,
+        settings: &MonitorSettings,
     ) -> Result<Self, ChartError> {
         let ids: Vec<EndpointId> = (0..scenario.speeds.len())
             .map(|endpoint| format!("endpoint-{endpoint}").into())
             .collect();
-        let mut boards = Vec::with_capacity(entries);
+        let mut monitors = Vec::with_capacity(entries);
         for entry in 0..entries {
             let name = format!("entry-{entry}");
-            boards.push(EndpointBoard::new(name.into(), settings.clone())?);
+            monitors.push(EndpointMonitor::new(name.into(), settings.clone())?);
         }
-        let mut policy = Self { boards, ids };
+        let mut policy = Self { monitors, ids };
         policy.fill(&scenario.speeds);
         Ok(policy)
     }
 
     fn fill(&mut self, speeds: &[f64]) {
         let now = Instant::now();
-        let entries = self.boards.len();
+        let entries = self.monitors.len();
         let profiles: Vec<EndpointProfile> = self
             .ids
             .iter()
@@ -203,21 +203,21 @@
                 service_time: MEAN_SERVICE.div_f64(*speed),
             })
             .collect();
-        for board in &mut self.boards {
-            board.replace(profiles.clone(), now);
-            board.set_instances(entries);
+        for monitor in &mut self.monitors {
+            monitor.replace(profiles.clone(), now);
+            monitor.set_instances(entries);
         }
     }
 }
 
 impl ChoicePolicy for BoardPolicy {
     fn choose(&mut self, entry: usize, now: Instant, random: &mut StdRng) -> Option<usize> {
-        let chosen = self.boards[entry].choose(GROUP, true, random, now)?;
+        let chosen = self.monitors[entry].choose(GROUP, true, random, now)?;
         self.ids.iter().position(|id| *id == chosen)
     }
 
     fn started(&mut self, entry: usize, endpoint: usize, now: Instant) {
-        self.boards[entry].started(&self.ids[endpoint], now);
+        self.monitors[entry].started(&self.ids[endpoint], now);
     }
 
     fn finished(
@@ -228,7 +228,7 @@
         result: CallResult,
         now: Instant,
     ) {
-        self.boards[entry].finished(&self.ids[endpoint], started, result, now);
+        self.monitors[entry].finished(&self.ids[endpoint], started, result, now);
     }
 
     fn reported(&mut self, endpoint: usize, sessions: u32, measured: Instant) {
@@ -237,14 +237,14 @@
             service_time: None,
             measured,
         };
-        for board in &mut self.boards {
-            board.reported(&self.ids[endpoint], report);
+        for monitor in &mut self.monitors {
+            monitor.reported(&self.ids[endpoint], report);
         }
     }
 
     fn tick(&mut self, now: Instant) {
-        for board in &mut self.boards {
-            board.tick(now);
+        for monitor in &mut self.monitors {
+            monitor.tick(now);
         }
     }
 }
--- a/crates/dandeliondeal_measure/src/claim_site.rs
+++ b/crates/dandeliondeal_measure/src/claim_site.rs
@@ -9,7 +9,7 @@
     ClaimAnswer, ClaimKey, ClaimRecord, ClaimSettings, OutcomeRecord, RequestFingerprint,
     ShardReply,
 };
-use dandeliondeal_entry::claim_desk::ClaimDesk;
+use dandeliondeal_entry::claim_coordinator::ClaimCoordinator;
 use dandeliondeal_entry::claim_link::ClaimMember;
 use dandeliondeal_entry::claim_rpc::{ClaimHandler, ClaimPeers};
 use dandeliondeal_peer::{PeerServer, PeerSettings};
@@ -43,7 +43,7 @@
     mode: ClaimMode,
     platform: PlatformStandin,
     clients: Vec<PlatformClient<SystemClock>>,
-    desks: Vec<ClaimDesk<PlatformClient<SystemClock>, SystemClock, ClaimPeers>>,
+    coordinators: Vec<ClaimCoordinator<PlatformClient<SystemClock>, SystemClock, ClaimPeers>>,
     peers: Vec<PeerServer>,
     next: Cell<u64>,
 }
@@ -65,7 +65,7 @@
             mode,
             platform,
             clients: Vec::new(),
-            desks: Vec::new(),
+            coordinators: Vec::new(),
             peers: Vec::new(),
             next: Cell::new(0),
         };
@@ -92,25 +92,25 @@
             ..ClaimSettings::default()
         };
         let link = ClaimPeers::new(PeerSettings::default());
-        let desk = ClaimDesk::new(client.clone(), link, SystemClock, settings);
+        let coordinator = ClaimCoordinator::new(client.clone(), link, SystemClock, settings);
         self.clients.push(client);
-        self.desks.push(desk);
+        self.coordinators.push(coordinator);
     }
 
     fn link(&mut self) -> Result<(), MeasureError> {
         let mut members = Vec::new();
-        for desk in &self.desks {
+        for coordinator in &self.coordinators {
             let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| failed(&error))?;
-            let handler = ClaimHandler::new(desk.clone(), SystemClock);
+            let handler = ClaimHandler::new(coordinator.clone(), SystemClock);
             let server = PeerServer::start(listener, &PeerSettings::default(), handler);
             let server = server.map_err(|error| failed(&error))?;
             let address = server.address();
-            let instance = Arc::clone(&desk.settings().instance);
+            let instance = Arc::clone(&coordinator.settings().instance);
             members.push(ClaimMember { instance, address });
             self.peers.push(server);
         }
-        for desk in &self.desks {
-            desk.route().set_members(members.clone());
+        for coordinator in &self.coordinators {
+            coordinator.route().set_members(members.clone());
         }
         Ok(())
     }
@@ -134,7 +134,7 @@
     pub async fn claim(&self) -> Option<Duration> {
         let number = self.next.get();
         self.next.set(number + 1);
-        let index = usize::try_from(number).unwrap_or_default() % self.desks.len();
+        let index = usize::try_from(number).unwrap_or_default() % self.coordinators.len();
         let start = Instant::now();
         match self.mode {
             ClaimMode::Single => self.claim_single(index, number, start).await,
@@ -143,16 +143,16 @@
     }
 
     async fn claim_log(&self, index: usize, number: u64, start: Instant) -> Option<Duration> {
-        let desk = &self.desks[index];
+        let coordinator = &self.coordinators[index];
         let record = claim_record(number);
         let request = Arc::clone(&record.request);
-        let shard = record.key.shard(desk.settings().shards);
+        let shard = record.key.shard(coordinator.settings().shards);
         let deadline = start + CLAIM_TIME;
-        if desk.claim(shard, record, deadline).await != ShardReply::Claimed {
+        if coordinator.claim(shard, record, deadline).await != ShardReply::Claimed {
             return None;
         }
         let time = start.elapsed();
-        desk.record(
+        coordinator.record(
             shard,
             OutcomeRecord {
                 request,
@@ -206,7 +206,7 @@
         },
         fingerprint: RequestFingerprint::of([request.as_bytes()]),
         request: request.into(),
-        candidates: vec!["order-desk-1".into(), "order-desk-2".into()],
+        candidates: vec!["order-coordinator-1".into(), "order-coordinator-2".into()],
     }
 }
 
--- a/crates/dandeliondeal_measure/src/fleet_site.rs
+++ b/crates/dandeliondeal_measure/src/fleet_site.rs
@@ -204,7 +204,7 @@
     pub fn traffic(&self) -> (u64, u64) {
         let links = self.entries.iter().filter_map(EntryServer::link);
         links
-            .map(|link| link.book().client.traffic())
+            .map(|link| link.directory().client.traffic())
             .fold((0, 0), |(calls, bytes), traffic| {
                 (calls + traffic.calls, bytes + traffic.body_bytes)
             })
@@ -214,20 +214,20 @@
     pub fn false_alarms(&self) -> u64 {
         let links = self.entries.iter().filter_map(EntryServer::link);
         links
-            .map(|link| link.book().machine.borrow().own().version)
+            .map(|link| link.directory().machine.borrow().own().version)
             .sum()
     }
 }
 
 /// Live members that an instance knows, itself included.
 pub fn live_members(entry: &EntryServer<SystemClock>) -> usize {
-    entry.link().map_or(0, |link| link.book().live().len())
+    entry.link().map_or(0, |link| link.directory().live().len())
 }
 
 /// Whether an instance holds a member to have failed.
 pub fn holds_failed(entry: &EntryServer<SystemClock>, id: &str) -> bool {
     entry.link().is_some_and(|link| {
-        let machine = link.book().machine.borrow();
+        let machine = link.directory().machine.borrow();
         machine
             .members()
             .any(|(card, state)| *card.id == *id && state == MemberState::Failed)
--- a/crates/dandeliondeal_measure/src/footprint.rs
+++ b/crates/dandeliondeal_measure/src/footprint.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use dandeliondeal_balance::{BoardSettings, EndpointBoard, EndpointProfile};
+use dandeliondeal_balance::{EndpointMonitor, EndpointProfile, MonitorSettings};
 use dandeliondeal_entry::route_table::RouteTable;
 use dandeliondeal_limit::{GrantHolder, GrantOwner, GrantSettings, LimitAmount, LocalLimit};
 use dandeliondeal_types::sheet_model::{
@@ -46,7 +46,7 @@
 pub fn run(_settings: MeasureSettings) -> Result<(), MeasureError> {
     let mut rows = Vec::new();
     for size in [100, 420, 1_700] {
-        rows.push(footprint("board", size, || board(size))?);
+        rows.push(footprint("monitor", size, || monitor(size))?);
         rows.push(footprint("route table", size, || {
             Ok(RouteTable::new(Arc::new(sheet(size))))
         })?);
@@ -93,12 +93,12 @@
     })
 }
 
-fn board(size: usize) -> Result<EndpointBoard, MeasureError> {
+fn monitor(size: usize) -> Result<EndpointMonitor, MeasureError> {
     let unsound =
         |error: dandeliondeal_chart::ChartError| MeasureError::new(NAME, error.to_string());
     let now = Instant::now();
-    let mut board =
-        EndpointBoard::new("entry-1".into(), BoardSettings::default()).map_err(unsound)?;
+    let mut monitor =
+        EndpointMonitor::new("entry-1".into(), MonitorSettings::default()).map_err(unsound)?;
     let profiles = (0..size).map(|number| EndpointProfile {
         id: format!("engine-{number}").into(),
         group: format!("layers model-{}", number % MODELS).into(),
@@ -107,8 +107,8 @@
         link_delay: Duration::from_millis(1),
         service_time: Duration::from_millis(30),
     });
-    board.replace(profiles, now);
-    Ok(board)
+    monitor.replace(profiles, now);
+    Ok(monitor)
 }
 
 fn sheet(size: usize) -> SheetModel {
--- a/crates/dandeliondeal_measure/src/generation_rig.rs
+++ b/crates/dandeliondeal_measure/src/generation_rig.rs
@@ -12,7 +12,7 @@
 use dandeliondeal_entry::planning_view::PlanningView;
 use dandeliondeal_entry::route_table::RouteTable;
 use dandeliondeal_entry::session_driver::{ChainSource, SessionDriver};
-use dandeliondeal_entry::shared_board::SharedBoard;
+use dandeliondeal_entry::shared_monitor::SharedMonitor;
 use dandeliondeal_entry::table_cell::TableCell;
 use dandeliondeal_entry::watched_engine::WatchedEngine;
 use dandeliondeal_pipeline::{
@@ -37,7 +37,7 @@
 /// Deadline of each generation.
 const DEADLINE: Duration = Duration::from_secs(30);
 
-/// Seed of the board's samples.
+/// Seed of the monitor's samples.
 const BOARD_SEED: u64 = 1;
 
 /// How chains are chosen.
@@ -71,7 +71,7 @@
     pub settings: SessionSettings,
     table: Arc<RouteTable>,
     engine: WatchedEngine<EngineHttp, SystemClock>,
-    board: SharedBoard<SystemClock>,
+    monitor: SharedMonitor<SystemClock>,
     usage: EngineUse,
     budget: LogBudget,
     number: Cell<u64>,
@@ -91,7 +91,7 @@
 #[derive(Debug)]
 struct RigChains {
     table: Arc<RouteTable>,
-    board: SharedBoard<SystemClock>,
+    monitor: SharedMonitor<SystemClock>,
     usage: EngineUse,
     policy: PlanPolicy,
     spread: u64,
@@ -131,12 +131,12 @@
         let cell = TableCell::default();
         cell.install(RouteTable::new(Arc::new(sheet)));
         let table = cell.current();
-        let board = SharedBoard::new("rig".into(), "domain-a".into(), BOARD_SEED, SystemClock)
+        let monitor = SharedMonitor::new("rig".into(), "domain-a".into(), BOARD_SEED, SystemClock)
             .map_err(|error| MeasureError::new(measurement, error.to_string()))?;
-        board.install(&table.sheet);
+        monitor.install(&table.sheet);
         let pool = HttpPool::new(Duration::from_millis(500));
         actix_rt::spawn(load_poll::run(
-            board.downgrade(),
+            monitor.downgrade(),
             pool.clone(),
             cell,
             SystemClock,
@@ -145,8 +145,8 @@
         Ok(Self {
             engines: running,
             settings,
-            engine: WatchedEngine::new(engine, board.clone()),
-            board,
+            engine: WatchedEngine::new(engine, monitor.clone()),
+            monitor,
             table,
             usage: EngineUse::default(),
             budget: LogBudget::new(LOG_BYTES),
@@ -185,7 +185,7 @@
             engine: self.engine.clone(),
             chains: RigChains {
                 table: Arc::clone(&self.table),
-                board: self.board.clone(),
+                monitor: self.monitor.clone(),
                 usage: self.usage.clone(),
                 policy,
                 spread: number,
@@ -253,12 +253,12 @@
             spread: self.spread,
         };
         let plans = &self.table.plans;
-        let sampled = self.board.with_view(true, |board| {
-            plans.plan(&query, &PlanningView::new(&self.usage, board))
+        let sampled = self.monitor.with_view(true, |monitor| {
+            plans.plan(&query, &PlanningView::new(&self.usage, monitor))
         });
         sampled.or_else(|| {
-            self.board.with_whole_view(true, |board| {
-                plans.plan(&query, &PlanningView::new(&self.usage, board))
+            self.monitor.with_whole_view(true, |monitor| {
+                plans.plan(&query, &PlanningView::new(&self.usage, monitor))
             })
         })
     }
--- a/crates/dandeliondeal_measure/tests/load_policy.rs
+++ b/crates/dandeliondeal_measure/tests/load_policy.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dandeliondeal_balance::BoardSettings;
+use dandeliondeal_balance::MonitorSettings;
 use dandeliondeal_measure::choice::{ChoiceRun, drive};
 use dandeliondeal_measure::choice_driver::DriverResult;
 use dandeliondeal_measure::choice_policy::{BoardPolicy, SimplePolicy, SimpleRule};
@@ -26,18 +26,21 @@
         ..ChoiceRun::default()
     };
     let scenario = ChoiceScenario::new(&run, mix, fault, lag);
-    let board = BoardPolicy::new(run.entries, &scenario, &BoardSettings::default()).unwrap();
+    let monitor = BoardPolicy::new(run.entries, &scenario, &MonitorSettings::default()).unwrap();
     let two = SimplePolicy::new(SimpleRule::PowerOfTwo, run.entries, run.endpoints);
-    (drive(&run, &scenario, board), drive(&run, &scenario, two))
+    (drive(&run, &scenario, monitor), drive(&run, &scenario, two))
 }
 
 #[test]
 fn no_herd() {
     for seed in SEEDS {
         let lag = Duration::from_secs(5);
-        let (board, two) = choice(seed, 60, EndpointMix::Unequal, EndpointFault::None, lag);
-        assert!(board.p95 < two.p95 * 0.7, "seed {seed}: {board:?} {two:?}");
-        assert!(board.failed < 0.001, "seed {seed}: {board:?}");
+        let (monitor, two) = choice(seed, 60, EndpointMix::Unequal, EndpointFault::None, lag);
+        assert!(
+            monitor.p95 < two.p95 * 0.7,
+            "seed {seed}: {monitor:?} {two:?}"
+        );
+        assert!(monitor.failed < 0.001, "seed {seed}: {monitor:?}");
     }
 }
 
@@ -45,8 +48,8 @@
 fn half_gone() {
     for seed in SEEDS {
         let lag = Duration::from_secs(1);
-        let (board, _) = choice(seed, 8, EndpointMix::Equal, EndpointFault::HalfGone, lag);
-        assert!(board.failed < 0.01, "seed {seed}: {board:?}");
+        let (monitor, _) = choice(seed, 8, EndpointMix::Equal, EndpointFault::HalfGone, lag);
+        assert!(monitor.failed < 0.01, "seed {seed}: {monitor:?}");
     }
 }
 
--- a/crates/dandeliondeal_order/src/order_desk.rs
+++ b/crates/dandeliondeal_order/src/order_reconciler.rs
@@ -75,7 +75,7 @@
 
 /// The orders of one process.
 #[derive(Debug)]
-pub struct OrderDesk {
+pub struct OrderReconciler {
     settings: OrderSettings,
     lines: BTreeMap<EndpointId, EndpointLine>,
     term: Option<OrderTerm>,
@@ -83,8 +83,8 @@
     last_load: Option<Instant>,
 }
 
-impl OrderDesk {
-    /// A desk without endpoints.
+impl OrderReconciler {
+    /// A reconciler without endpoints.
     pub fn new(settings: OrderSettings) -> Self {
         Self {
             settings,
--- a/crates/dandeliondeal_order/tests/random_orders.rs
+++ b/crates/dandeliondeal_order/tests/random_orders.rs
@@ -6,8 +6,8 @@
 use bolero_generator::driver::{Options, Rng};
 use bolero_generator::{ValueGenerator as _, produce};
 use dandeliondeal_order::{
-    DesiredState, EndpointOrder, EngineContent, OrderAction, OrderAnswer, OrderDesk, OrderEvent,
-    OrderSettings, OrderTerm,
+    DesiredState, EndpointOrder, EngineContent, OrderAction, OrderAnswer, OrderEvent,
+    OrderReconciler, OrderSettings, OrderTerm,
 };
 use dandeliondeal_types::{EndpointId, FencingNumber};
 use rand::SeedableRng as _;
@@ -31,7 +31,7 @@
 }
 
 struct SentOrder {
-    desk: usize,
+    reconciler: usize,
     endpoint: usize,
     order: EndpointOrder,
     sent: Duration,
@@ -41,7 +41,7 @@
 struct Fleet {
     start: Instant,
     elapsed: Duration,
-    desks: Vec<OrderDesk>,
+    desks: Vec<OrderReconciler>,
     holder: Option<usize>,
     fence: FencingNumber,
     term: u64,
@@ -91,7 +91,7 @@
         Self {
             start: Instant::now(),
             elapsed: Duration::ZERO,
-            desks: (0..2).map(|_| OrderDesk::new(settings())).collect(),
+            desks: (0..2).map(|_| OrderReconciler::new(settings())).collect(),
             holder: None,
             fence: 0,
             term: 0,
@@ -102,27 +102,27 @@
     }
 
     fn act(&mut self, (kind, first, second): Choice) -> Result<(), String> {
-        let desk = usize::from(first) % 2;
+        let reconciler = usize::from(first) % 2;
         match kind % 16 {
             0..=1 => self.elapsed += Duration::from_millis(u64::from(second) * 20),
             2 => self.elapsed += Duration::from_secs(u64::from(second) / 4),
-            3 if second < 40 => self.change_holder(desk),
+            3 if second < 40 => self.change_holder(reconciler),
             4 if second < 60 => return self.desire(second),
             5..=7 => self.deliver(usize::from(second), first),
             8..=9 => return self.answer_read(usize::from(second), first < 200),
-            _ => return self.handle(desk, OrderEvent::Tick),
+            _ => return self.handle(reconciler, OrderEvent::Tick),
         }
         Ok(())
     }
 
-    fn change_holder(&mut self, desk: usize) {
-        self.holder = Some(desk);
+    fn change_holder(&mut self, reconciler: usize) {
+        self.holder = Some(reconciler);
         self.fence += 1;
         self.term += 1;
     }
 
     fn desire(&mut self, version: u8) -> Result<(), String> {
-        for desk in 0..self.desks.len() {
+        for reconciler in 0..self.desks.len() {
             let states: BTreeMap<EndpointId, DesiredState> = (0..ENDPOINTS)
                 .map(|index| {
                     let state = DesiredState {
@@ -133,34 +133,43 @@
                     (name(index), state)
                 })
                 .collect();
-            self.handle(desk, OrderEvent::Desired(states))?;
+            self.handle(reconciler, OrderEvent::Desired(states))?;
         }
         Ok(())
     }
 
-    fn handle(&mut self, desk: usize, event: OrderEvent) -> Result<(), String> {
-        let term = (self.holder == Some(desk)).then_some(OrderTerm {
+    fn handle(&mut self, reconciler: usize, event: OrderEvent) -> Result<(), String> {
+        let term = (self.holder == Some(reconciler)).then_some(OrderTerm {
             fence: self.fence,
             number: self.term,
         });
         let now = self.start + self.elapsed;
-        let actions = self.desks[desk]
+        let actions = self.desks[reconciler]
             .handle(event, term, now)
             .map_err(|error| error.to_string())?;
         for action in actions {
             match action {
-                OrderAction::Read(endpoint) => self.reads.push((desk, index(&endpoint))),
-                OrderAction::Send(endpoint, order) => self.send(desk, index(&endpoint), order)?,
+                OrderAction::Read(endpoint) => self.reads.push((reconciler, index(&endpoint))),
+                OrderAction::Send(endpoint, order) => {
+                    self.send(reconciler, index(&endpoint), order)?;
+                }
             }
         }
         Ok(())
     }
 
-    fn send(&mut self, desk: usize, endpoint: usize, order: EndpointOrder) -> Result<(), String> {
-        if self.holder != Some(desk) {
-            return Err(format!("desk {desk} sent an order without the lease"));
+    fn send(
+        &mut self,
+        reconciler: usize,
+        endpoint: usize,
+        order: EndpointOrder,
+    ) -> Result<(), String> {
+        if self.holder != Some(reconciler) {
+            return Err(format!(
+                "reconciler {reconciler} sent an order without the lease"
+            ));
         }
-        let open = |sent: &&SentOrder| sent.desk == desk && sent.is_open(self.elapsed);
+        let open = |sent: &&SentOrder| sent.reconciler == reconciler && sent.is_open(self.elapsed);
         let mut open_orders = self.orders.iter().filter(open);
         if open_orders.any(|sent| sent.endpoint == endpoint) {
             return Err(format!("endpoint {endpoint} has an order out already"));
@@ -169,7 +178,7 @@
             return Err(format!("more than {LOADS} orders are out"));
         }
         self.orders.push(SentOrder {
-            desk,
+            reconciler,
             endpoint,
             order,
             sent: self.elapsed,
@@ -211,17 +220,17 @@
         };
         let event = OrderEvent::Answered(name(sent.endpoint), told);
         // The chart refuses nothing here; `check` sees what matters.
-        let _ = self.handle(sent.desk, event);
+        let _ = self.handle(sent.reconciler, event);
     }
 
     fn answer_read(&mut self, choice: usize, is_answered: bool) -> Result<(), String> {
         if self.reads.is_empty() {
             return Ok(());
         }
-        let (desk, endpoint) = self.reads.remove(choice % self.reads.len());
+        let (reconciler, endpoint) = self.reads.remove(choice % self.reads.len());
         let found = self.engines[endpoint].content.clone();
         let event = OrderEvent::Read(name(endpoint), is_answered.then_some(found));
-        self.handle(desk, event)
+        self.handle(reconciler, event)
     }
 
     /// No endpoint obeyed an earlier holder after a later one.
--- a/crates/dandeliondeal_replay/src/replay_instance.rs
+++ b/crates/dandeliondeal_replay/src/replay_instance.rs
@@ -6,7 +6,7 @@
 
 use dandeliondeal_claim::{ClaimSettings, ShardWriter, TicketId};
 use dandeliondeal_config::{ReadinessGate, RolloutMachine};
-use dandeliondeal_order::{OrderDesk, OrderSettings};
+use dandeliondeal_order::{OrderReconciler, OrderSettings};
 use dandeliondeal_platform::{LeaseMachine, LeaseSettings};
 use dandeliondeal_types::{Incarnation, InstanceId, RequestId};
 
@@ -41,7 +41,7 @@
     /// Whether the rollout runs.
     pub(crate) is_rolling: bool,
     pub(crate) lease: LeaseMachine,
-    pub(crate) desk: OrderDesk,
+    pub(crate) reconciler: OrderReconciler,
     /// Whether the lease was held when it was last checked for an order.
     pub(crate) is_holding: bool,
     /// Terms of the lease so far.
@@ -76,7 +76,7 @@
             gate: ReadinessGate::new(CONFIRMING_PEERS),
             is_rolling: false,
             lease,
-            desk: OrderDesk::new(OrderSettings::default()),
+            reconciler: OrderReconciler::new(OrderSettings::default()),
             is_holding: false,
             terms: 0,
             writer: ShardWriter::new(0, settings),
--- a/crates/dandeliondeal_replay/src/replay_orders.rs
+++ b/crates/dandeliondeal_replay/src/replay_orders.rs
@@ -54,7 +54,7 @@
             return;
         };
         let term = instance.order_term(time);
-        let Ok(actions) = instance.desk.handle(event, term, now) else {
+        let Ok(actions) = instance.reconciler.handle(event, term, now) else {
             self.reverts.push(ReplayMismatch {
                 line: 0,
                 expected: "only events that the order chart allows".into(),
--- a/examples/choose_endpoint.rs
+++ b/examples/choose_endpoint.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal::balance::{
-    BoardSettings, CallResult, EndpointBoard, EndpointProfile, FailureSignal,
+    CallResult, EndpointMonitor, EndpointProfile, FailureSignal, MonitorSettings,
 };
 use dandeliondeal::types::EndpointId;
 use rand::SeedableRng;
@@ -22,12 +22,12 @@
     }
 }
 
-fn show(what: &str, board: &EndpointBoard, now: Instant) {
+fn show(what: &str, monitor: &EndpointMonitor, now: Instant) {
     // The seed is passed in, so that every run chooses alike.
     let mut random = StdRng::seed_from_u64(1);
     let mut counts: BTreeMap<EndpointId, u32> = BTreeMap::new();
     for _ in 0..300 {
-        if let Some(endpoint) = board.choose("draft", true, &mut random, now) {
+        if let Some(endpoint) = monitor.choose("draft", true, &mut random, now) {
             *counts.entry(endpoint).or_default() += 1;
         }
     }
@@ -36,27 +36,27 @@
 
 fn main() -> Result<(), Box<dyn Error>> {
     let start = Instant::now();
-    let mut board = EndpointBoard::new("entry-1".into(), BoardSettings::default())?;
-    board.replace(["left", "middle", "right"].map(profile), start);
+    let mut monitor = EndpointMonitor::new("entry-1".into(), MonitorSettings::default())?;
+    monitor.replace(["left", "middle", "right"].map(profile), start);
     // A new endpoint gets little work at first; time is passed in, so nobody waits here.
     let now = start + Duration::from_secs(10);
-    board.tick(now);
-    show("idle", &board, now);
+    monitor.tick(now);
+    show("idle", &monitor, now);
 
     let left: EndpointId = "left".into();
     for _ in 0..4 {
-        board.started(&left, now);
+        monitor.started(&left, now);
     }
-    show("`left` has four calls", &board, now);
+    show("`left` has four calls", &monitor, now);
 
     // One refused connection may be chance; a few in a row take the endpoint out of service.
     let right: EndpointId = "right".into();
     for _ in 0..3 {
-        board.started(&right, now);
+        monitor.started(&right, now);
         let result = CallResult::Failed(FailureSignal::Refused);
-        board.finished(&right, now, result, now);
-        println!("`right` refused a call: {:?}", board.state(&right));
+        monitor.finished(&right, now, result, now);
+        println!("`right` refused a call: {:?}", monitor.state(&right));
     }
-    show("without `right`", &board, now);
+    show("without `right`", &monitor, now);
     Ok(())
 }
--- a/examples/lease_order.rs
+++ b/examples/lease_order.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use dandeliondeal::order::{
-    DesiredState, EngineContent, OrderAction, OrderAnswer, OrderDesk, OrderEvent, OrderSettings,
-    OrderTerm,
+    DesiredState, EngineContent, OrderAction, OrderAnswer, OrderEvent, OrderReconciler,
+    OrderSettings, OrderTerm,
 };
 use dandeliondeal::platform::{
     LeaseAction, LeaseEvent, LeaseMachine, LeaseSettings, LeaseTime, MemoryStore,
@@ -49,7 +49,7 @@
     // The desk reads before it orders, and reads again after an order took effect.
     let number = lease.terms();
     let term = Some(OrderTerm { fence, number });
-    let mut desk = OrderDesk::new(OrderSettings::default());
+    let mut desk = OrderReconciler::new(OrderSettings::default());
     let mut event = OrderEvent::Desired([("engine-1".into(), desired)].into());
     while let Some(action) = desk.handle(event, term, clock.now())?.pop() {
         println!("{action:?}");
