--- a/crates/dandeliondeal_command/src/platform_access.rs
+++ b/crates/dandeliondeal_command/src/platform_access.rs
@@ -128,41 +128,8 @@
     println!("{}", serde_json::to_string(line).unwrap_or_default());
 }
 
-/// A time of day in UTC, as `2026-01-31 12:30:59`.
+/// A time of day in UTC, as `2026-01-31T12:30:59Z`.
 pub fn utc_text(milliseconds: u64) -> Arc<str> {
-    const DAY_SECONDS: u64 = 86_400;
-    let seconds = milliseconds / 1_000;
-    let (mut day, rest) = (seconds / DAY_SECONDS, seconds % DAY_SECONDS);
-    let mut year = 1970;
-    while day >= days_of_year(year) {
-        day -= days_of_year(year);
-        year += 1;
-    }
-    let mut month = 1;
-    while day >= days_of_month(year, month) {
-        day -= days_of_month(year, month);
-        month += 1;
-    }
-    let (hour, minute, second) = (rest / 3_600, rest / 60 % 60, rest % 60);
-    format!(
-        "{year}-{month:02}-{:02} {hour:02}:{minute:02}:{second:02}",
-        day + 1
-    )
-    .into()
-}
-
-fn is_leap(year: u64) -> bool {
-    year.is_multiple_of(4) && (!year.is_multiple_of(100) || year.is_multiple_of(400))
-}
-
-fn days_of_year(year: u64) -> u64 {
-    365 + u64::from(is_leap(year))
-}
-
-fn days_of_month(year: u64, month: u64) -> u64 {
-    match month {
-        2 => 28 + u64::from(is_leap(year)),
-        4 | 6 | 9 | 11 => 30,
-        _ => 31,
-    }
+    let time = SystemTime::UNIX_EPOCH + Duration::from_millis(milliseconds);
+    humantime::format_rfc3339_seconds(time).to_string().into()
 }
--- a/crates/dandeliondeal_entry/src/service_call.rs
+++ b/crates/dandeliondeal_entry/src/service_call.rs
@@ -23,7 +23,7 @@
 use crate::entry_context::EntryContext;
 use crate::reply_body::ReplyBody;
 use crate::request_life::RequestEvent;
-use crate::service_dispatch::{ServiceAnswer, send};
+use crate::service_dispatch::{ServiceAnswer, ServiceAttempt, send};
 use crate::settlement::{Settlement, SettlementTarget, settle};
 use crate::shared_monitor::service_group;
 
@@ -240,7 +240,6 @@
         .call
         .deadline
         .min(context.clock().now() + planned.timeout);
-    let is_fresh = !planned.is_repeatable;
     let mut refusal = None;
     context.retries().borrow_mut().first_try();
     for endpoint in &planned.candidates {
@@ -251,7 +250,14 @@
         if context.clock().now() >= end {
             break;
         }
-        match send(context, &planned.id, endpoint, &planned.call, end, is_fresh).await {
+        let attempt = ServiceAttempt {
+            id: &planned.id,
+            endpoint,
+            call: &planned.call,
+            end,
+            is_fresh: !planned.is_repeatable,
+        };
+        match send(context, &attempt).await {
             Err(error) if error.is_not_run() => refusal = Some(error),
             result => return result,
         }
--- a/crates/dandeliondeal_entry/src/service_dispatch.rs
+++ b/crates/dandeliondeal_entry/src/service_dispatch.rs
@@ -72,6 +72,21 @@
     }
 }
 
+/// One try of a call at one endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceAttempt<'call> {
+    /// The request.
+    pub id: &'call RequestId,
+    /// Where to send it.
+    pub endpoint: &'call EndpointId,
+    /// The call.
+    pub call: &'call ServiceCall,
+    /// When the wait is over.
+    pub end: Instant,
+    /// Whether a new connection is made.
+    pub is_fresh: bool,
+}
+
 /// Sends a call once, reads the whole answer and tells the monitor how it went.
 ///
 /// # Errors
@@ -80,17 +95,13 @@
 /// [`ErrorKind::NoAnswer`] if the call may have run.
 pub async fn send<ClockSource>(
     context: &EntryContext<ClockSource>,
-    id: &RequestId,
-    endpoint: &EndpointId,
-    call: &ServiceCall,
-    end: Instant,
-    is_fresh: bool,
+    attempt: &ServiceAttempt<'_>,
 ) -> Result<ServiceAnswer, RouteError>
 where
     ClockSource: Clock,
 {
-    let open = context.monitor().start(endpoint);
-    let result = exchange(context, id, endpoint, call, end, is_fresh).await;
+    let open = context.monitor().start(attempt.endpoint);
+    let result = exchange(context, attempt).await;
     match &result {
         Ok(answer) if is_busy(answer.status) => open.end_busy(),
         result => open.end(result),
@@ -110,15 +121,14 @@
 
 async fn exchange<ClockSource>(
     context: &EntryContext<ClockSource>,
-    id: &RequestId,
-    endpoint: &EndpointId,
-    call: &ServiceCall,
-    end: Instant,
-    is_fresh: bool,
+    attempt: &ServiceAttempt<'_>,
 ) -> Result<ServiceAnswer, RouteError>
 where
     ClockSource: Clock,
 {
+    let ServiceAttempt {
+        id, endpoint, call, ..
+    } = *attempt;
     let failed = |kind: ErrorKind, message: String| {
         RouteError::new(kind, RequestStep::Dispatch, message).at(Arc::clone(endpoint))
     };
@@ -129,7 +139,7 @@
         .get(endpoint)
         .ok_or_else(|| failed(ErrorKind::Refused, "endpoint left the sheet".to_owned()))?;
     let url = format!("http://{}{}", entry.address, call.path);
-    let client = context.pool().client(is_fresh);
+    let client = context.pool().client(attempt.is_fresh);
     let mut request = client
         .request(call.method.clone(), url)
         .insert_header((REQUEST_ID_HEADER, &**id));
@@ -139,7 +149,7 @@
     if let Some(key) = &call.caller.idempotency_key {
         request = request.insert_header((IDEMPOTENCY_HEADER, &**key));
     }
-    let left = end.saturating_duration_since(context.clock().now());
+    let left = attempt.end.saturating_duration_since(context.clock().now());
     let late = || {
         failed(
             ErrorKind::NoAnswer,
@@ -150,7 +160,7 @@
     let mut answer = sent
         .map_err(|_elapsed| late())?
         .map_err(|error| call_failure(&error, RequestStep::Dispatch, endpoint))?;
-    let left = end.saturating_duration_since(context.clock().now());
+    let left = attempt.end.saturating_duration_since(context.clock().now());
     let body = actix_rt::time::timeout(left, answer.body().limit(ANSWER_BYTES))
         .await
         .map_err(|_elapsed| late())?
--- a/crates/dandeliondeal_entry/tests/bad_input.rs
+++ b/crates/dandeliondeal_entry/tests/bad_input.rs
@@ -1,6 +1,7 @@
 //! Bad input over real sockets: refused with the field named, nothing dispatched, others untouched.
 
 mod common;
+mod raw_connection;
 
 use std::time::Duration;
 
@@ -10,13 +11,10 @@
 use dandeliondeal_config::{EntrySettings, LimitSettings};
 use dandeliondeal_standin::{EngineSettings, reference_answer};
 use dandeliondeal_types::LayerRange;
+use raw_connection::{COMPLETIONS, PATIENCE, RawConnection};
 use serde_json::Value;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 
-const COMPLETIONS: &str = "/v1/completions";
 const CHAT: &str = "/v1/chat/completions";
-const PATIENCE: Duration = Duration::from_secs(10);
 const BODY_BYTES: u64 = 4_096;
 const SHORT: Duration = Duration::from_millis(200);
 
@@ -59,55 +57,6 @@
         .to_owned()
 }
 
-/// A connection of which the test writes every byte.
-struct RawConnection(TcpStream);
-
-impl RawConnection {
-    async fn open(site: &TestSite) -> Self {
-        Self(
-            TcpStream::connect(site.entry.caller_address())
-                .await
-                .unwrap(),
-        )
-    }
-
-    async fn send(&mut self, bytes: &[u8]) -> bool {
-        self.0.write_all(bytes).await.is_ok()
-    }
-
-    async fn send_completion(&mut self, headers: &str, body: &[u8]) {
-        let length = body.len();
-        let head = format!(
-            "POST {COMPLETIONS} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n{headers}content-length: {length}\r\n\r\n"
-        );
-        self.send(head.as_bytes()).await;
-        self.send(body).await;
-    }
-
-    /// Status and body of the next answer; `None` if the connection ends first.
-    async fn receive(&mut self) -> Option<(u16, String)> {
-        timeout(PATIENCE, self.read_answer())
-            .await
-            .expect("an answer or an end")
-    }
-
-    async fn read_answer(&mut self) -> Option<(u16, String)> {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            head.push(self.0.read_u8().await.ok()?);
-        }
-        let head = String::from_utf8(head).unwrap().to_lowercase();
-        let status = head.split(' ').nth(1)?.parse().ok()?;
-        let length = head
-            .lines()
-            .find_map(|line| line.strip_prefix("content-length: "))
-            .map_or(0, |length| length.parse().unwrap());
-        let mut body = vec![0; length];
-        self.0.read_exact(&mut body).await.ok()?;
-        Some((status, String::from_utf8(body).unwrap()))
-    }
-}
-
 #[actix_rt::test]
 async fn wrong_fields() {
     let site = site().await;
@@ -281,7 +230,7 @@
 #[actix_rt::test]
 async fn bad_encoding() {
     let site = site().await;
-    let mut connection = RawConnection::open(&site).await;
+    let mut connection = RawConnection::open(site.entry.caller_address()).await;
     connection
         .send_completion("", b"{\"model\":\"desk\",\"prompt\":\"\xff\xfe\"}")
         .await;
@@ -309,7 +258,7 @@
         b"POST /v1/completions HTTP/1.1\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n",
         b"POST /v1/completions HTTP/1.1\r\ncontent-length: -5\r\n\r\n",
     ] {
-        let mut connection = RawConnection::open(&site).await;
+        let mut connection = RawConnection::open(site.entry.caller_address()).await;
         connection.send(bytes).await;
         let answer = connection.receive().await;
         assert_eq!(answer.map(|(status, _)| status), Some(400));
@@ -323,7 +272,7 @@
     let long = completion(&"x".repeat(5_000), 2, false);
     let answer = site.call(Method::POST, COMPLETIONS, &long).await;
     assert_eq!((answer.status, &*param(&answer.body)), (400, "body"));
-    let mut endless = RawConnection::open(&site).await;
+    let mut endless = RawConnection::open(site.entry.caller_address()).await;
     let head = format!(
         "POST {COMPLETIONS} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\ntransfer-encoding: chunked\r\n\r\n"
     );
@@ -340,7 +289,7 @@
 #[actix_rt::test]
 async fn long_head() {
     let site = site().await;
-    let mut endless = RawConnection::open(&site).await;
+    let mut endless = RawConnection::open(site.entry.caller_address()).await;
     endless
         .send(b"GET /v1/models HTTP/1.1\r\nhost: x\r\n")
         .await;
@@ -359,7 +308,7 @@
 #[actix_rt::test]
 async fn slow_head() {
     let site = site().await;
-    let mut slow = RawConnection::open(&site).await;
+    let mut slow = RawConnection::open(site.entry.caller_address()).await;
     slow.send(b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n")
         .await;
     let answer = slow.receive().await;
@@ -370,7 +319,7 @@
 #[actix_rt::test]
 async fn slow_second_head() {
     let site = site().await;
-    let mut slow = RawConnection::open(&site).await;
+    let mut slow = RawConnection::open(site.entry.caller_address()).await;
     slow.send_completion("", completion("a", 2, false).as_bytes())
         .await;
     assert_eq!(slow.receive().await.unwrap().0, 200);
@@ -383,7 +332,7 @@
 #[actix_rt::test]
 async fn idle_connection() {
     let site = site().await;
-    let mut kept = RawConnection::open(&site).await;
+    let mut kept = RawConnection::open(site.entry.caller_address()).await;
     for _ in 0..2 {
         kept.send_completion("", completion("a", 2, false).as_bytes())
             .await;
@@ -400,7 +349,7 @@
 #[actix_rt::test]
 async fn slow_body() {
     let site = site().await;
-    let mut slow = RawConnection::open(&site).await;
+    let mut slow = RawConnection::open(site.entry.caller_address()).await;
     let head = format!(
         "POST {COMPLETIONS} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\ncontent-length: 50\r\n\r\n{{"
     );
@@ -413,7 +362,7 @@
 #[actix_rt::test]
 async fn broken_body() {
     let site = site().await;
-    let mut broken = RawConnection::open(&site).await;
+    let mut broken = RawConnection::open(site.entry.caller_address()).await;
     let head = format!(
         "POST {COMPLETIONS} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\ncontent-length: 500\r\n\r\n{{"
     );
@@ -432,7 +381,7 @@
     let site = site_with(tight(), 5_000).await;
     let mut open = Vec::new();
     for _ in 0..2 {
-        let mut connection = RawConnection::open(&site).await;
+        let mut connection = RawConnection::open(site.entry.caller_address()).await;
         connection
             .send_completion("", completion("a", 8, false).as_bytes())
             .await;
@@ -473,15 +422,15 @@
     settings.limits.connections = 3;
     settings.limits.header_time = PATIENCE;
     let site = site_with(settings, 0).await;
-    let mut kept = RawConnection::open(&site).await;
+    let mut kept = RawConnection::open(site.entry.caller_address()).await;
     kept.send_completion("", completion("a", 2, false).as_bytes())
         .await;
     assert_eq!(kept.receive().await.unwrap().0, 200);
     let _idle = (
-        RawConnection::open(&site).await,
-        RawConnection::open(&site).await,
+        RawConnection::open(site.entry.caller_address()).await,
+        RawConnection::open(site.entry.caller_address()).await,
     );
-    let mut refused = RawConnection::open(&site).await;
+    let mut refused = RawConnection::open(site.entry.caller_address()).await;
     refused
         .send_completion("", completion("a", 2, false).as_bytes())
         .await;
@@ -494,14 +443,14 @@
 #[actix_rt::test]
 async fn others_untouched() {
     let site = site_with(tight(), 1_000).await;
-    let mut good = RawConnection::open(&site).await;
+    let mut good = RawConnection::open(site.entry.caller_address()).await;
     good.send_completion("", completion("quote", 20, false).as_bytes())
         .await;
     for _ in 0..10 {
-        let mut bad = RawConnection::open(&site).await;
+        let mut bad = RawConnection::open(site.entry.caller_address()).await;
         bad.send_completion("", b"{\"model\":").await;
         assert_eq!(bad.receive().await.unwrap().0, 400);
-        let mut garbage = RawConnection::open(&site).await;
+        let mut garbage = RawConnection::open(site.entry.caller_address()).await;
         garbage.send(b"\x00\x01\x02\r\n\r\n").await;
         garbage.receive().await;
     }
