--- a/crates/dandeliondeal_entry/tests/common/mod.rs
+++ b/crates/dandeliondeal_entry/tests/common/mod.rs
@@ -12,11 +12,9 @@
 use dandeliondeal_entry::EntryServer;
 use dandeliondeal_entry::route_table::key_hash;
 use dandeliondeal_entry::token_text::token_text;
+use dandeliondeal_standin::site_sheet::{SiteSettings, site_endpoint, site_sheet};
 use dandeliondeal_standin::{EngineSettings, EngineStandin, ServiceSettings, ServiceStandin};
-use dandeliondeal_types::sheet_model::{
-    AcceleratorEntry, EndpointEntry, EndpointTarget, ModelEntry, OrganisationEntry, PipelineEntry,
-    RouteEntry, ServiceEntry,
-};
+use dandeliondeal_types::sheet_model::{EndpointTarget, ServiceEntry};
 use dandeliondeal_types::{LayerRange, SheetModel, SystemClock};
 
 /// Key of the organisation `org-a`.
@@ -155,74 +153,28 @@
 
 /// The sheet of the site: route `desk`, service `orders`, two organisations.
 pub fn sheet(engines: &[EngineStandin], ranges: &[LayerRange], service: SocketAddr) -> SheetModel {
-    let mut sheet = SheetModel {
-        revision: 1,
-        ..SheetModel::default()
-    };
-    let model = ModelEntry {
+    let organisations = [("org-a", KEY), ("org-b", OTHER_KEY)];
+    let settings = SiteSettings {
         layers: LAYERS,
         context_tokens: 4_096,
-        version: "1".into(),
-    };
-    sheet.models.insert("model-a".into(), model);
-    let pipeline = PipelineEntry {
-        model: "model-a".into(),
-        failure_domains: Vec::new(),
-    };
-    sheet.pipelines.insert("pipeline-a".into(), pipeline);
-    let route = RouteEntry {
-        pipeline: "pipeline-a".into(),
-        repeatable: true,
-        priority: 5,
+        capacity: 64,
+        organisations: organisations
+            .map(|(name, key)| (name.into(), key_hash(key)))
+            .to_vec(),
     };
-    sheet.routes.insert("desk".into(), route);
-    sheet.accelerators.insert(
-        "a10".into(),
-        AcceleratorEntry {
-            layer_nanoseconds: 50_000,
-        },
-    );
-    for (name, key) in [("org-a", KEY), ("org-b", OTHER_KEY)] {
-        let entry = OrganisationEntry {
-            key_hashes: vec![key_hash(key)],
-            weight: 1,
-        };
-        sheet.organisations.insert(name.into(), entry);
-    }
+    let addresses = engines.iter().map(EngineStandin::address);
+    let engines: Vec<(SocketAddr, LayerRange)> = addresses.zip(ranges.iter().copied()).collect();
+    let mut sheet = site_sheet(&settings, &engines);
     let orders = ServiceEntry {
         repeatable: false,
         settles: true,
         timeout: Duration::from_secs(5),
     };
     sheet.services.insert("orders".into(), orders);
-    for (index, (engine, range)) in engines.iter().zip(ranges).enumerate() {
-        let range = *range;
-        let target = EndpointTarget::Layers {
-            model: "model-a".into(),
-            range,
-        };
-        let entry = endpoint(engine.address(), target);
-        sheet
-            .endpoints
-            .insert(format!("engine-{}", index + 1).into(), entry);
-    }
     let target = EndpointTarget::Service {
         service: "orders".into(),
     };
+    let replica = site_endpoint(&settings, service, target);
+    sheet.endpoints.insert("orders-1".into(), replica);
     sheet
-        .endpoints
-        .insert("orders-1".into(), endpoint(service, target));
-    sheet
-}
-
-fn endpoint(address: SocketAddr, target: EndpointTarget) -> EndpointEntry {
-    EndpointEntry {
-        address,
-        target,
-        accelerator: "a10".into(),
-        failure_domain: "domain-a".into(),
-        region: "region-a".into(),
-        checks_fencing: true,
-        capacity: 64,
-    }
 }
--- a/crates/dandeliondeal_measure/src/site.rs
+++ b/crates/dandeliondeal_measure/src/site.rs
@@ -1,11 +1,10 @@
 //! The site that measurements run: a route over stand-in engines.
 
+use std::net::SocketAddr;
+
 use dandeliondeal_entry::route_table::key_hash;
+use dandeliondeal_standin::site_sheet::{self, SiteSettings};
 use dandeliondeal_standin::{EngineSettings, EngineStandin};
-use dandeliondeal_types::sheet_model::{
-    AcceleratorEntry, EndpointEntry, EndpointTarget, ModelEntry, OrganisationEntry, PipelineEntry,
-    RouteEntry,
-};
 use dandeliondeal_types::{LayerRange, SheetModel};
 
 /// Key of the only organisation.
@@ -30,54 +29,15 @@
 
 /// The sheet of the site: route `desk` over `engines`, named `engine-1` and so on.
 pub fn site_sheet(engines: &[(EngineStandin, LayerRange)]) -> SheetModel {
-    let mut sheet = SheetModel {
-        revision: 1,
-        ..SheetModel::default()
-    };
-    let model = ModelEntry {
+    let settings = SiteSettings {
         layers: SITE_LAYERS,
         context_tokens: 8_192,
-        version: "1".into(),
-    };
-    sheet.models.insert("model-a".into(), model);
-    let pipeline = PipelineEntry {
-        model: "model-a".into(),
-        failure_domains: Vec::new(),
+        capacity: ENGINE_CAPACITY,
+        organisations: vec![("org-a".into(), key_hash(SITE_KEY))],
     };
-    sheet.pipelines.insert("pipeline-a".into(), pipeline);
-    let route = RouteEntry {
-        pipeline: "pipeline-a".into(),
-        repeatable: true,
-        priority: 5,
-    };
-    sheet.routes.insert("desk".into(), route);
-    sheet.accelerators.insert(
-        "a10".into(),
-        AcceleratorEntry {
-            layer_nanoseconds: 50_000,
-        },
-    );
-    let organisation = OrganisationEntry {
-        key_hashes: vec![key_hash(SITE_KEY)],
-        weight: 1,
-    };
-    sheet.organisations.insert("org-a".into(), organisation);
-    for (index, (engine, range)) in engines.iter().enumerate() {
-        let entry = EndpointEntry {
-            address: engine.address(),
-            target: EndpointTarget::Layers {
-                model: "model-a".into(),
-                range: *range,
-            },
-            accelerator: "a10".into(),
-            failure_domain: "domain-a".into(),
-            region: "region-a".into(),
-            checks_fencing: true,
-            capacity: ENGINE_CAPACITY,
-        };
-        sheet
-            .endpoints
-            .insert(format!("engine-{}", index + 1).into(), entry);
-    }
-    sheet
+    let engines: Vec<(SocketAddr, LayerRange)> = engines
+        .iter()
+        .map(|(engine, range)| (engine.address(), *range))
+        .collect();
+    site_sheet::site_sheet(&settings, &engines)
 }
--- a/crates/dandeliondeal_standin/src/lib.rs
+++ b/crates/dandeliondeal_standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod service;
 mod shell;
+pub mod site_sheet;
 pub mod standin_error;
 pub mod token_model;
 
