Every answer of the callers' API names a request and an outcome

Cause: answers before a request is entered (a wrong key, a path that does not exist) and the list of models had no request id, so that a caller could not name them. Change: such an answer gets an id of its own, of which no state is kept. named_answers failed before (no request id for /v1/models). The daemon and standalone mode start an entry instance in one place now.

--- a/crates/dandeliondeal_command/src/entry_command.rs
+++ b/crates/dandeliondeal_command/src/entry_command.rs
@@ -1,5 +1,6 @@
 //! `dandeliondeal-entry`: the daemon of an entry instance.
 
+use dandeliondeal_config::EntrySettings;
 use dandeliondeal_entry::EntryServer;
 use dandeliondeal_types::SystemClock;
 use pico_args::Arguments;
@@ -33,12 +34,7 @@
     let settings = read_settings(&file)?;
     start_log("info");
     actix_rt::System::new().block_on(async {
-        let mut entry = EntryServer::start(settings, SystemClock)
-            .await
-            .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
-        entry
-            .join_fleet()
-            .map_err(|error| CommandError::failed(format!("peers: {error}")))?;
+        let mut entry = start_entry(settings).await?;
         entry
             .give_orders()
             .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
@@ -57,3 +53,20 @@
         Ok(())
     })
 }
+
+/// Starts an entry instance and joins it to the others.
+///
+/// # Errors
+///
+/// Says which address or chart is wrong.
+pub async fn start_entry(
+    settings: EntrySettings,
+) -> Result<EntryServer<SystemClock>, CommandError> {
+    let mut entry = EntryServer::start(settings, SystemClock)
+        .await
+        .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
+    entry
+        .join_fleet()
+        .map_err(|error| CommandError::failed(format!("peers: {error}")))?;
+    Ok(entry)
+}
--- a/crates/dandeliondeal_command/src/standalone.rs
+++ b/crates/dandeliondeal_command/src/standalone.rs
@@ -21,6 +21,7 @@
 use pico_args::Arguments;
 
 use crate::CommandError;
+use crate::entry_command::start_entry;
 use crate::json_log::start_log;
 use crate::platform_access::{PlatformAccess, accept_failed, store_call};
 use crate::stop_signal::wait_for_stop;
@@ -108,12 +109,7 @@
     };
     let standins = StandaloneStandins::start()?;
     accept_sheet(platform.address(), &standins.rows).await?;
-    let mut entry = EntryServer::start(settings, SystemClock)
-        .await
-        .map_err(|error| CommandError::failed(format!("entry instance: {error}")))?;
-    entry
-        .join_fleet()
-        .map_err(|error| CommandError::failed(format!("peers: {error}")))?;
+    let entry = start_entry(settings).await?;
     if let Some(link) = entry.link() {
         platform.put_instance(link.record());
     }
--- a/crates/dandeliondeal_entry/src/caller_api.rs
+++ b/crates/dandeliondeal_entry/src/caller_api.rs
@@ -30,10 +30,14 @@
 where
     ClockSource: Clock,
 {
-    match authorise(&context, request.headers()) {
+    let mut reply = match authorise(&context, request.headers()) {
         Ok(organisation) => route(&context, &organisation, request).await,
         Err(error) => reply::error(&error),
+    };
+    if !reply.headers().contains_key(REQUEST_ID_HEADER) {
+        reply::set_request_id(&mut reply, &context.passing_id());
     }
+    reply
 }
 
 fn authorise<ClockSource>(
--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -236,9 +236,6 @@
 
     /// Enters a new request and returns its id; a keyed one's id names the shard of its claim.
     pub fn receive(&self, organisation: &OrganisationId, key: Option<&str>) -> RequestId {
-        let number = self.inner.next_request.get() + 1;
-        self.inner.next_request.set(number);
-        let instance = &self.inner.settings.instance.id;
         let shard = key.map(|key| {
             let claim_key = ClaimKey {
                 organisation: Arc::clone(organisation),
@@ -246,12 +243,24 @@
             };
             claim_key.shard(self.inner.claims.settings().shards)
         });
-        let id = request_id(instance, self.inner.incarnation, number, shard);
+        let id = self.next_id(shard);
         self.inner.registry.borrow_mut().receive(&id, organisation);
         self.inner.metrics.open_requests.inc();
         id
     }
 
+    /// A new id for a request of which no state is kept, since nothing of it can run.
+    pub fn passing_id(&self) -> RequestId {
+        self.next_id(None)
+    }
+
+    fn next_id(&self, shard: Option<ShardIndex>) -> RequestId {
+        let number = self.inner.next_request.get() + 1;
+        self.inner.next_request.set(number);
+        let instance = &self.inner.settings.instance.id;
+        request_id(instance, self.inner.incarnation, number, shard)
+    }
+
     /// Applies an event to a request and counts its outcome once it has one.
     pub fn apply(&self, id: &RequestId, event: RequestEvent) {
         let applied = self.inner.registry.borrow_mut().apply(id, event);
--- a/crates/dandeliondeal_entry/tests/whole_path.rs
+++ b/crates/dandeliondeal_entry/tests/whole_path.rs
@@ -106,3 +106,19 @@
     let state = site.call_with(Method::GET, &path, "", &headers).await;
     assert_eq!(state.status, 404);
 }
+
+#[actix_rt::test]
+async fn named_answers() {
+    let site = site().await;
+    for (path, key) in [
+        ("/v1/models", "key-a"),
+        ("/v1/models", "wrong"),
+        ("/v2", "key-a"),
+    ] {
+        let bearer = format!("Bearer {key}");
+        let headers = [("authorization", &*bearer)];
+        let answer = site.call_with(Method::GET, path, "", &headers).await;
+        assert!(!answer.request.is_empty(), "{path} {key}: no request id");
+        assert!(!answer.outcome.is_empty(), "{path} {key}: no outcome");
+    }
+}
