--- a/crates/dandeliondeal_entry/src/operator_api.rs
+++ b/crates/dandeliondeal_entry/src/operator_api.rs
@@ -1,9 +1,11 @@
 //! The API for operators: health and metrics.
 
-use actix_http::{Method, Request, Response, StatusCode};
+use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
 use dandeliondeal_chart::ChartLabel;
 use dandeliondeal_types::Clock;
+use subtle::ConstantTimeEq;
 
+use crate::caller_headers::bearer_key;
 use crate::entry_context::EntryContext;
 use crate::reply;
 use crate::reply_body::ReplyBody;
@@ -19,11 +21,25 @@
     match (request.path(), request.method()) {
         ("/health/live", &Method::GET) => reply::text(StatusCode::OK, "live\n"),
         ("/health/ready", &Method::GET) => ready(context),
-        ("/metrics", &Method::GET) => metrics(context),
+        ("/metrics", &Method::GET) if is_operator(context, request) => metrics(context),
+        ("/metrics", &Method::GET) => reply::text(
+            StatusCode::UNAUTHORIZED,
+            "`Authorization: Bearer SECRET` of the operators is missing or wrong\n",
+        ),
         (path, _) => reply::text(StatusCode::NOT_FOUND, format!("there is no {path}\n")),
     }
 }
 
+/// Whether the request shows the operators' secret; without one in the settings anybody may.
+fn is_operator<ClockSource>(context: &EntryContext<ClockSource>, request: &Request) -> bool
+where
+    ClockSource: Clock,
+{
+    let secret = &context.settings().secrets.operator;
+    let shown = bearer_key(request.headers()).unwrap_or_default();
+    secret.is_empty() || bool::from(shown.as_bytes().ct_eq(secret.reveal().as_bytes()))
+}
+
 /// Ready means: a confirmed revision of the sheet is in force, and no stop is planned.
 fn ready<ClockSource>(context: &EntryContext<ClockSource>) -> Response<ReplyBody>
 where
