--- a/crates/dandeliondeal/src/lib.rs
+++ b/crates/dandeliondeal/src/lib.rs
@@ -48,10 +48,10 @@
 #[doc(inline)]
 pub use dandeliondeal_pipeline as pipeline;
 #[doc(inline)]
-pub use dandeliondeal_platform as platform;
-#[doc(inline)]
 pub use dandeliondeal_replay as replay;
 #[doc(inline)]
+pub use dandeliondeal_store as platform;
+#[doc(inline)]
 pub use dandeliondeal_types as types;
 
 pub mod prelude;
--- a/crates/dandeliondeal_claim/tests/random_claims.rs
+++ b/crates/dandeliondeal_claim/tests/random_claims.rs
@@ -9,7 +9,7 @@
     ClaimAnswer, ClaimKey, ClaimOrigin, ClaimRecord, ClaimSettings, ClaimState, OutcomeRecord,
     RequestFingerprint, ShardAction, ShardEvent, ShardReply, ShardTask, ShardWriter, TicketId,
 };
-use dandeliondeal_platform::{MemoryStore, StoreFault};
+use dandeliondeal_store::{MemoryStore, StoreFault};
 use dandeliondeal_types::{Clock as _, ManualClock, Outcome};
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
--- a/crates/dandeliondeal_config/src/accept_sheet.rs
+++ b/crates/dandeliondeal_config/src/accept_sheet.rs
@@ -1,6 +1,6 @@
 //! Carries an operator's change through: contents, then the head, then the audit trail.
 
-use dandeliondeal_platform::WriteVerdict;
+use dandeliondeal_store::WriteVerdict;
 use dandeliondeal_types::{Clock, ObjectStore, Revision, StoreError};
 
 use crate::SheetRows;
--- a/crates/dandeliondeal_config/src/audit_trail.rs
+++ b/crates/dandeliondeal_config/src/audit_trail.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dandeliondeal_platform::WriteVerdict;
+use dandeliondeal_store::WriteVerdict;
 use dandeliondeal_types::{Clock, ObjectStore};
 
 use crate::accept_error::AcceptError;
--- a/crates/dandeliondeal_config/src/lib.rs
+++ b/crates/dandeliondeal_config/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod readiness_gate;
 pub mod revision_stamp;
 pub mod rollout_machine;
+pub mod router_settings;
 pub mod secret_text;
 pub mod setting_error;
 mod setting_table;
@@ -59,6 +60,10 @@
 #[doc(inline)]
 pub use rollout_machine::{RevisionSource, RolloutAction, RolloutEvent, RolloutMachine};
 #[doc(inline)]
+pub use router_settings::{
+    AllowanceSettings, MachineSettings, RouterListen, RouterSettings, StoreSettings,
+};
+#[doc(inline)]
 pub use secret_text::SecretText;
 #[doc(inline)]
 pub use setting_error::SettingError;
--- a/crates/dandeliondeal_config/src/setting_value.rs
+++ b/crates/dandeliondeal_config/src/setting_value.rs
@@ -31,6 +31,30 @@
     }
 }
 
+impl SettingValue for f64 {
+    const EXPECTED: &'static str = "a number such as 0.2";
+
+    fn parse_setting(text: &str) -> Option<Self> {
+        text.parse().ok().filter(|number: &Self| number.is_finite())
+    }
+
+    fn print_setting(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl SettingValue for bool {
+    const EXPECTED: &'static str = "true or false";
+
+    fn parse_setting(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+
+    fn print_setting(&self) -> String {
+        self.to_string()
+    }
+}
+
 impl SettingValue for Arc<str> {
     const EXPECTED: &'static str = "a name of letters, digits, `-`, `_` and `.`";
 
@@ -94,10 +118,14 @@
     const EXPECTED: &'static str = "a time with a unit (ms, s, min or h) such as `250 ms`";
 
     fn parse_setting(text: &str) -> Option<Self> {
-        let split = text.find(|letter: char| !letter.is_ascii_digit())?;
+        let split = text.find(|letter: char| !letter.is_ascii_digit() && letter != '.')?;
         let (amount, unit) = text.split_at(split);
-        let amount = u64::parse_setting(amount)?;
         let (_, size) = TIME_UNITS.iter().find(|(name, _)| *name == unit.trim())?;
+        if amount.contains('.') {
+            let seconds = f64::parse_setting(amount)? * (*size as f64) / 1e3;
+            return Self::try_from_secs_f64(seconds).ok();
+        }
+        let amount = u64::parse_setting(amount)?;
         amount.checked_mul(*size).map(Self::from_millis)
     }
 
--- a/crates/dandeliondeal_config/src/settings_file.rs
+++ b/crates/dandeliondeal_config/src/settings_file.rs
@@ -7,8 +7,8 @@
 use ini::{Ini, ParseOption};
 
 use crate::nearest_name::suggestion;
-use crate::setting_table::{SETTING_FIELDS, SettingField};
-use crate::{EntrySettings, SettingError};
+use crate::setting_table::{SettingField, SettingsTable};
+use crate::{EntrySettings, RouterSettings, SettingError};
 
 impl EntrySettings {
     /// Reads the settings of a daemon; `file` is the name that errors give.
@@ -17,8 +17,7 @@
     ///
     /// Every error of the file: syntax, unknown or doubled keys, bad values, missing required keys.
     pub fn parse(file: &str, text: &str) -> Result<Self, Vec<SettingError>> {
-        let reader = SettingsReader::read(file, text);
-        reader.finish(true)
+        SettingsReader::read(file, text).finish(true)
     }
 
     /// As [`EntrySettings::parse`], but no key is required.
@@ -27,43 +26,68 @@
     ///
     /// Every error of the file.
     pub fn parse_partial(file: &str, text: &str) -> Result<Self, Vec<SettingError>> {
-        let reader = SettingsReader::read(file, text);
-        reader.finish(false)
+        SettingsReader::read(file, text).finish(false)
     }
 
     /// Prints every setting with its meaning; the defaults stand as comments.
     pub fn default_text() -> String {
-        let settings = Self::default();
-        let mut output = String::new();
-        let mut section = "";
-        for field in SETTING_FIELDS {
-            if field.section != section {
-                section = field.section;
-                let _ = writeln!(output, "\n[{section}]");
-            }
-            let value = (field.print)(&settings);
-            let required = if field.required { " Required." } else { "" };
-            let _ = writeln!(output, "; {}{required}", field.help);
-            let _ = writeln!(output, "; {} = {value}", field.key);
+        default_text::<Self>()
+    }
+}
+
+impl RouterSettings {
+    /// Reads the settings of a router; `file` is the name that errors give.
+    ///
+    /// # Errors
+    ///
+    /// Every error of the file: syntax, unknown or doubled keys, bad values, missing required keys.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<SettingError>> {
+        SettingsReader::read(file, text).finish(true)
+    }
+
+    /// Prints every setting with its meaning; the defaults stand as comments.
+    pub fn default_text() -> String {
+        default_text::<Self>()
+    }
+}
+
+fn default_text<Settings>() -> String
+where
+    Settings: SettingsTable,
+{
+    let settings = Settings::default();
+    let mut output = String::new();
+    let mut section = "";
+    for field in Settings::FIELDS {
+        if field.section != section {
+            section = field.section;
+            let _ = writeln!(output, "\n[{section}]");
         }
-        output.trim_start().to_owned()
+        let value = (field.print)(&settings);
+        let required = if field.required { " Required." } else { "" };
+        let _ = writeln!(output, "; {}{required}", field.help);
+        let _ = writeln!(output, "; {} = {value}", field.key);
     }
+    output.trim_start().to_owned()
 }
 
-struct SettingsReader<'file> {
+struct SettingsReader<'file, Settings> {
     file: Arc<str>,
     text: &'file str,
-    settings: EntrySettings,
+    settings: Settings,
     seen: BTreeSet<(String, String)>,
     errors: Vec<SettingError>,
 }
 
-impl<'file> SettingsReader<'file> {
+impl<'file, Settings> SettingsReader<'file, Settings>
+where
+    Settings: SettingsTable,
+{
     fn read(file: &str, text: &'file str) -> Self {
         let mut reader = Self {
             file: file.into(),
             text: text.trim_start_matches('\u{feff}'),
-            settings: EntrySettings::default(),
+            settings: Settings::default(),
             seen: BTreeSet::new(),
             errors: Vec::new(),
         };
@@ -94,9 +118,11 @@
     }
 
     fn check_section(&mut self, section: &str) {
-        let is_known = SETTING_FIELDS.iter().any(|field| field.section == section);
+        let is_known = Settings::FIELDS
+            .iter()
+            .any(|field| field.section == section);
         if !is_known && !section.is_empty() && self.seen.iter().all(|(seen, _)| seen != section) {
-            let known = suggestion(section, SETTING_FIELDS.iter().map(|field| field.section));
+            let known = suggestion(section, Settings::FIELDS.iter().map(|field| field.section));
             let line = self.line_of(section, None, 0);
             self.report(line, &format!("[{section}]"), "unknown section", &known);
         }
@@ -106,8 +132,8 @@
         let place = format!("[{section}] {key}");
         let is_first = self.seen.insert((section.to_owned(), key.to_owned()));
         let line = self.line_of(section, Some(key), usize::from(!is_first));
-        let Some(field) = field_named(section, key) else {
-            let known = suggestion(key, keys_of(section));
+        let Some(field) = field_named::<Settings>(section, key) else {
+            let known = suggestion(key, keys_of::<Settings>(section));
             return self.report(line, &place, "unknown key", &known);
         };
         if !is_first {
@@ -123,20 +149,15 @@
         }
     }
 
-    fn finish(mut self, complete: bool) -> Result<EntrySettings, Vec<SettingError>> {
+    fn finish(mut self, complete: bool) -> Result<Settings, Vec<SettingError>> {
         if complete && self.errors.is_empty() {
             self.check_required();
         }
         if self.errors.is_empty()
-            && self.settings.requests.deadline > self.settings.requests.deadline_limit
+            && let Err([section, key, problem, expected]) = self.settings.check()
         {
-            let line = self.line_of("requests", Some("deadline"), 0);
-            self.report(
-                line,
-                "[requests] deadline",
-                "longer than deadline_limit",
-                "at most deadline_limit",
-            );
+            let line = self.line_of(section, Some(key), 0);
+            self.report(line, &format!("[{section}] {key}"), problem, expected);
         }
         if self.errors.is_empty() {
             Ok(self.settings)
@@ -147,7 +168,7 @@
 
     fn check_required(&mut self) {
         let last = self.text.lines().count().max(1);
-        for field in SETTING_FIELDS.iter().filter(|field| field.required) {
+        for field in Settings::FIELDS.iter().filter(|field| field.required) {
             let is_set = self
                 .seen
                 .contains(&(field.section.to_owned(), field.key.to_owned()));
@@ -192,14 +213,20 @@
     }
 }
 
-fn field_named(section: &str, key: &str) -> Option<&'static SettingField> {
-    SETTING_FIELDS
+fn field_named<Settings>(section: &str, key: &str) -> Option<&'static SettingField<Settings>>
+where
+    Settings: SettingsTable,
+{
+    Settings::FIELDS
         .iter()
         .find(|field| field.section == section && field.key == key)
 }
 
-fn keys_of(section: &str) -> impl Iterator<Item = &'static str> {
-    SETTING_FIELDS
+fn keys_of<Settings>(section: &str) -> impl Iterator<Item = &'static str>
+where
+    Settings: SettingsTable,
+{
+    Settings::FIELDS
         .iter()
         .filter(move |field| field.section == section)
         .map(|field| field.key)
--- a/crates/dandeliondeal_config/src/store_call.rs
+++ b/crates/dandeliondeal_config/src/store_call.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use dandeliondeal_platform::{ResolvedWrite, WriteVerdict, put_resolved};
+use dandeliondeal_store::{ResolvedWrite, WriteVerdict, put_resolved};
 use dandeliondeal_types::{Clock, ObjectStore, ObjectValue, PutCondition, Version};
 
 use crate::accept_error::AcceptError;
--- a/crates/dandeliondeal_config/tests/accept_sheet.rs
+++ b/crates/dandeliondeal_config/tests/accept_sheet.rs
@@ -4,7 +4,7 @@
 
 use common::{SeededStore, request_of, run_paused, sheet_with};
 use dandeliondeal_config::{AcceptError, AcceptReport, ChangeVerdict, SheetRows, verify_trail};
-use dandeliondeal_platform::StoreFault;
+use dandeliondeal_store::StoreFault;
 use futures_util::future::join_all;
 
 /// Head, history and trail agree with what the operators were told.
--- a/crates/dandeliondeal_config/tests/common/mod.rs
+++ b/crates/dandeliondeal_config/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use dandeliondeal_config::{ChangeRequest, SheetRows, StoreCall, example_sheet, read_sheet};
-use dandeliondeal_platform::{MemoryStore, StoreFault};
+use dandeliondeal_store::{MemoryStore, StoreFault};
 use dandeliondeal_types::{Clock, ObjectStore, ObjectValue, PutCondition, StoreError, Version};
 
 /// Longest time that a change may take, by the paused clock.
--- a/crates/dandeliondeal_entry/src/caller_api.rs
+++ b/crates/dandeliondeal_entry/src/caller_api.rs
@@ -14,10 +14,10 @@
 use crate::completion_request::CompletionRequest;
 use crate::entry_context::EntryContext;
 use crate::reply::{self, IDEMPOTENCY_HEADER, REQUEST_ID_HEADER};
-use crate::reply_body::ReplyBody;
 use crate::request_life::RequestEvent;
 use crate::request_lookup::known_status;
 use crate::service_call::{ServiceCall, call_service};
+use dandeliondeal_http::reply_body::ReplyBody;
 
 const SERVICE_PREFIX: &str = "/v1/services/";
 const REQUEST_PREFIX: &str = "/v1/requests/";
--- a/crates/dandeliondeal_entry/src/claim_coordinator.rs
+++ b/crates/dandeliondeal_entry/src/claim_coordinator.rs
@@ -10,7 +10,7 @@
     ClaimOrigin, ClaimRecord, ClaimSettings, OutcomeRecord, ShardAction, ShardEvent, ShardIndex,
     ShardReply, ShardTask, ShardWriter, TicketId, UnconfirmedCause,
 };
-use dandeliondeal_platform::{ResolvedWrite, WriteVerdict, put_resolved};
+use dandeliondeal_store::{ResolvedWrite, WriteVerdict, put_resolved};
 use dandeliondeal_types::{Clock, ObjectStore, PutCondition};
 use tokio::sync::{Mutex, oneshot};
 
--- a/crates/dandeliondeal_entry/src/claim_flow.rs
+++ b/crates/dandeliondeal_entry/src/claim_flow.rs
@@ -15,8 +15,8 @@
 
 use crate::entry_context::EntryContext;
 use crate::reply;
-use crate::reply_body::ReplyBody;
 use crate::settlement::{SettlementTarget, settle};
+use dandeliondeal_http::reply_body::ReplyBody;
 
 /// Longest wait for the platform to confirm a claim.
 const CONFIRM_TIME: Duration = Duration::from_secs(3);
--- a/crates/dandeliondeal_entry/src/completion_claim.rs
+++ b/crates/dandeliondeal_entry/src/completion_claim.rs
@@ -19,8 +19,8 @@
 use crate::entry_context::EntryContext;
 use crate::generation::GenerationRequest;
 use crate::reply;
-use crate::reply_body::ReplyBody;
 use crate::token_text::token_text;
+use dandeliondeal_http::reply_body::ReplyBody;
 
 /// Time added to the longest deadline before a completion counts as abandoned.
 const ABANDONED_MARGIN: Duration = Duration::from_secs(5);
--- a/crates/dandeliondeal_entry/src/completion_handler.rs
+++ b/crates/dandeliondeal_entry/src/completion_handler.rs
@@ -22,11 +22,11 @@
 use crate::entry_context::EntryContext;
 use crate::generation::{GenerationRequest, GenerationSite, generate};
 use crate::reply;
-use crate::reply_body::ReplyBody;
 use crate::request_life::RequestEvent;
 use crate::route_table::RouteTable;
 use crate::token_text::{prompt_tokens, token_text};
 use crate::watched_engine::WatchedEngine;
+use dandeliondeal_http::reply_body::ReplyBody;
 
 /// Chunks that may wait for the caller's connection.
 ///
--- a/crates/dandeliondeal_entry/src/entry_context.rs
+++ b/crates/dandeliondeal_entry/src/entry_context.rs
@@ -10,7 +10,7 @@
 use dandeliondeal_claim::{ClaimKey, ClaimSettings, ShardIndex};
 use dandeliondeal_config::{EntrySettings, ReadinessGate};
 use dandeliondeal_peer::PeerSettings;
-use dandeliondeal_platform::{CallClass, PlatformClient, PlatformSettings};
+use dandeliondeal_store::{CallClass, PlatformClient, PlatformSettings};
 use dandeliondeal_types::{Clock, Incarnation, OrganisationId, Outcome, RequestId, SheetModel};
 use derive_more::{Display, Error, From};
 use xxhash_rust::xxh3::xxh3_64;
--- a/crates/dandeliondeal_entry/src/entry_server.rs
+++ b/crates/dandeliondeal_entry/src/entry_server.rs
@@ -7,17 +7,17 @@
 use dandeliondeal_config::EntrySettings;
 use dandeliondeal_order::OrderSettings;
 use dandeliondeal_peer::FanOut;
-use dandeliondeal_platform::LeaseSettings;
+use dandeliondeal_store::LeaseSettings;
 use dandeliondeal_types::{Clock, SheetModel};
 use tokio::task::JoinHandle;
 
 use crate::drain_state::{DrainEvent, DrainState};
 use crate::endpoint_watch::watch_endpoints;
 use crate::entry_context::{EntryContext, EntryError};
-use crate::http_listener::{HttpListener, ListenerSettings};
 use crate::order_runner::OrderRunner;
 use crate::peer_link::PeerLink;
 use crate::{caller_api, load_poll, operator_api};
+use dandeliondeal_http::{HttpListener, ListenerSettings};
 
 /// Connections open at once on the operators' address.
 const OPERATOR_CONNECTIONS: usize = 64;
--- a/crates/dandeliondeal_entry/src/operator_api.rs
+++ b/crates/dandeliondeal_entry/src/operator_api.rs
@@ -8,7 +8,7 @@
 use crate::caller_headers::bearer_key;
 use crate::entry_context::EntryContext;
 use crate::reply;
-use crate::reply_body::ReplyBody;
+use dandeliondeal_http::reply_body::ReplyBody;
 
 /// Answers one request of an operator or of the balancer's health check.
 pub fn handle<ClockSource>(
--- a/crates/dandeliondeal_entry/src/order_call.rs
+++ b/crates/dandeliondeal_entry/src/order_call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dandeliondeal_order::{EndpointOrder, EngineContent, OrderAnswer};
-use dandeliondeal_platform::SendFailure;
+use dandeliondeal_store::SendFailure;
 
 use crate::http_pool::HttpPool;
 
--- a/crates/dandeliondeal_entry/src/order_runner.rs
+++ b/crates/dandeliondeal_entry/src/order_runner.rs
@@ -9,7 +9,7 @@
 use dandeliondeal_order::{
     OrderAction, OrderAnswer, OrderEvent, OrderReconciler, OrderSettings, OrderTerm, desired_states,
 };
-use dandeliondeal_platform::{
+use dandeliondeal_store::{
     CallClass, LeaseAction, LeaseEvent, LeaseMachine, LeaseSettings, LeaseTime, PlatformClient,
 };
 use dandeliondeal_types::{Clock, EndpointId, ObjectStore, Revision};
--- a/crates/dandeliondeal_entry/src/peer_link.rs
+++ b/crates/dandeliondeal_entry/src/peer_link.rs
@@ -8,7 +8,7 @@
     FanOut, Heartbeat, MemberCard, MemberState, MembershipAction, MembershipEvent,
     MembershipMachine, MembershipSettings, PeerClient, PeerServer, PeerSettings,
 };
-use dandeliondeal_platform::{CallClass, PlatformClient};
+use dandeliondeal_store::{CallClass, PlatformClient};
 use dandeliondeal_types::{Clock, InstanceList, InstanceRecord, InstanceRole, InstanceState};
 
 use crate::claim_link::{ClaimMember, OwnerProcess};
--- a/crates/dandeliondeal_entry/src/reply.rs
+++ b/crates/dandeliondeal_entry/src/reply.rs
@@ -7,7 +7,7 @@
 use dandeliondeal_types::{ErrorKind, Outcome, RouteError};
 use serde::Serialize;
 
-use crate::reply_body::ReplyBody;
+use dandeliondeal_http::reply_body::ReplyBody;
 
 /// Names the outcome of the request.
 pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("dandeliondeal-outcome");
--- a/crates/dandeliondeal_entry/src/rollout.rs
+++ b/crates/dandeliondeal_entry/src/rollout.rs
@@ -10,7 +10,7 @@
     ReadinessEvent, ReadinessGate, RevisionSource, RevisionStamp, RolloutAction, RolloutEvent,
     RolloutMachine, SheetHead,
 };
-use dandeliondeal_platform::PlatformClient;
+use dandeliondeal_store::PlatformClient;
 use dandeliondeal_types::{Clock, InstanceId, ObjectStore, ObjectValue, StoreError, Version};
 
 use tokio::sync::Notify;
--- a/crates/dandeliondeal_entry/src/service_call.rs
+++ b/crates/dandeliondeal_entry/src/service_call.rs
@@ -21,11 +21,11 @@
 use crate::caller_headers::CallerHeaders;
 use crate::claim_flow::{ClaimCall, ClaimVerdict, claim, repeat_answer};
 use crate::entry_context::EntryContext;
-use crate::reply_body::ReplyBody;
 use crate::request_life::RequestEvent;
 use crate::service_dispatch::{ServiceAnswer, ServiceAttempt, send};
 use crate::settlement::{Settlement, SettlementTarget, settle};
 use crate::shared_monitor::service_group;
+use dandeliondeal_http::reply_body::ReplyBody;
 
 /// Endpoints that one call may be tried at.
 const CANDIDATES: usize = 3;
--- a/crates/dandeliondeal_entry/src/service_dispatch.rs
+++ b/crates/dandeliondeal_entry/src/service_dispatch.rs
@@ -14,9 +14,9 @@
 use crate::entry_context::EntryContext;
 use crate::http_pool::call_failure;
 use crate::reply::{self, IDEMPOTENCY_HEADER, REQUEST_ID_HEADER};
-use crate::reply_body::ReplyBody;
 use crate::service_call::ServiceCall;
 use crate::settlement::Settlement;
+use dandeliondeal_http::reply_body::ReplyBody;
 
 /// Largest answer of a service in bytes.
 const ANSWER_BYTES: usize = 8 * 1024 * 1024;
--- a/crates/dandeliondeal_entry/tests/common/sheet_operator.rs
+++ b/crates/dandeliondeal_entry/tests/common/sheet_operator.rs
@@ -7,8 +7,8 @@
     verify_trail,
 };
 use dandeliondeal_entry::EntryServer;
-use dandeliondeal_platform::PlatformClient;
 use dandeliondeal_standin::PlatformStandin;
+use dandeliondeal_store::PlatformClient;
 use dandeliondeal_types::{Clock, SystemClock};
 
 const PATIENCE: Duration = Duration::from_secs(15);
@@ -24,10 +24,10 @@
     capacity: u32,
 ) -> Result<AcceptReport, AcceptError> {
     let client = PlatformClient::new(
-        dandeliondeal_platform::PlatformSettings {
+        dandeliondeal_store::PlatformSettings {
             address: platform.address(),
             call_timeout: Duration::from_millis(300),
-            ..dandeliondeal_platform::PlatformSettings::default()
+            ..dandeliondeal_store::PlatformSettings::default()
         },
         SystemClock,
     );
--- a/crates/dandeliondeal_entry/tests/engine_orders.rs
+++ b/crates/dandeliondeal_entry/tests/engine_orders.rs
@@ -10,8 +10,8 @@
 use dandeliondeal_entry::order_runner::OrderRunner;
 use dandeliondeal_entry::route_table::RouteTable;
 use dandeliondeal_order::OrderSettings;
-use dandeliondeal_platform::LeaseSettings;
 use dandeliondeal_standin::{EngineSettings, EngineStandin, FaultChange, PlatformStandin};
+use dandeliondeal_store::LeaseSettings;
 use dandeliondeal_types::sheet_model::{EndpointEntry, EndpointTarget, ModelEntry};
 use dandeliondeal_types::{Clock as _, LayerRange, ManualClock, SheetModel};
 
--- a/crates/dandeliondeal_entry/src/http_listener.rs
+++ b/crates/dandeliondeal_http/src/http_listener.rs
@@ -7,13 +7,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::body::MessageBody;
 use actix_http::{HttpService, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::head_timer::{GuardedBody, OpenRequests, TimedStream};
-use crate::reply_body::ReplyBody;
 
 /// Bounds of a listener.
 #[derive(Clone, Copy, Debug)]
@@ -50,14 +50,15 @@
     /// # Errors
     ///
     /// Returns the error of the operating system if the address cannot be bound.
-    pub async fn start<Handler, Reply>(
+    pub async fn start<Handler, Reply, Body>(
         address: SocketAddr,
         settings: ListenerSettings,
         handler: Handler,
     ) -> io::Result<Self>
     where
         Handler: Fn(Request) -> Reply + Clone + 'static,
-        Reply: Future<Output = Response<ReplyBody>> + 'static,
+        Reply: Future<Output = Response<Body>> + 'static,
+        Body: MessageBody + Unpin + 'static,
     {
         let socket = TcpListener::bind(address).await?;
         let address = socket.local_addr()?;
@@ -87,7 +88,7 @@
     }
 }
 
-async fn accept<Handler, Reply>(
+async fn accept<Handler, Reply, Body>(
     socket: TcpListener,
     settings: ListenerSettings,
     handler: Handler,
@@ -95,7 +96,8 @@
     open: Rc<Cell<usize>>,
 ) where
     Handler: Fn(Request) -> Reply + Clone + 'static,
-    Reply: Future<Output = Response<ReplyBody>> + 'static,
+    Reply: Future<Output = Response<Body>> + 'static,
+    Body: MessageBody + Unpin + 'static,
 {
     let signal = closed.clone();
     let factory = HttpService::build()
--- /dev/null
+++ b/crates/dandeliondeal_http/src/lib.rs
@@ -0,0 +1,22 @@
+//! HTTP on the current arbiter: listeners for callers and connections to endpoints.
+//!
+//! [`HttpListener`] serves requests with bounded heads. [`EndpointConnection`] carries one request
+//! at a time and tells what the pools of client libraries hide: whether a byte was written, how a
+//! body ended, and whether bytes were left over. [`ConnectionPool`] keeps idle connections.
+
+pub mod connection_pool;
+pub mod endpoint_connection;
+pub mod head_timer;
+pub mod http_listener;
+pub mod reply_body;
+
+#[doc(inline)]
+pub use connection_pool::{ConnectionPool, PoolSettings};
+#[doc(inline)]
+pub use endpoint_connection::{
+    AnswerHead, BodyFraming, EndpointConnection, LinkError, OutboundRequest,
+};
+#[doc(inline)]
+pub use http_listener::{HttpListener, ListenerSettings};
+#[doc(inline)]
+pub use reply_body::ReplyBody;
--- a/crates/dandeliondeal_measure/src/claim_site.rs
+++ b/crates/dandeliondeal_measure/src/claim_site.rs
@@ -13,8 +13,8 @@
 use dandeliondeal_entry::claim_link::ClaimMember;
 use dandeliondeal_entry::claim_rpc::{ClaimHandler, ClaimPeers};
 use dandeliondeal_peer::{PeerServer, PeerSettings};
-use dandeliondeal_platform::{BudgetSettings, CallClass, PlatformClient, PlatformSettings};
 use dandeliondeal_standin::PlatformStandin;
+use dandeliondeal_store::{BudgetSettings, CallClass, PlatformClient, PlatformSettings};
 use dandeliondeal_types::{ObjectStore, Outcome, PutCondition, SystemClock};
 use serde::Serialize;
 
--- a/crates/dandeliondeal_measure/src/fleet_site.rs
+++ b/crates/dandeliondeal_measure/src/fleet_site.rs
@@ -9,8 +9,8 @@
 };
 use dandeliondeal_entry::EntryServer;
 use dandeliondeal_peer::{FanOut, MemberState};
-use dandeliondeal_platform::{BudgetSettings, PlatformClient};
 use dandeliondeal_standin::{PlatformStandin, StandinError};
+use dandeliondeal_store::{BudgetSettings, PlatformClient};
 use dandeliondeal_types::{Clock, SystemClock};
 
 use crate::MeasureError;
@@ -125,14 +125,14 @@
     ///
     /// Why it was not accepted.
     pub async fn accept(&self, rows: &SheetRows, change: &str) -> Result<u64, MeasureError> {
-        let settings = dandeliondeal_platform::PlatformSettings {
+        let settings = dandeliondeal_store::PlatformSettings {
             address: self.platform.address(),
             budget: BudgetSettings {
                 fleet_writes_per_second: 100_000.0,
                 fleet_reads_per_second: 100_000.0,
                 ..BudgetSettings::default()
             },
-            ..dandeliondeal_platform::PlatformSettings::default()
+            ..dandeliondeal_store::PlatformSettings::default()
         };
         let client = PlatformClient::new(settings, SystemClock);
         let call = StoreCall {
--- a/crates/dandeliondeal_replay/src/replay_instance.rs
+++ b/crates/dandeliondeal_replay/src/replay_instance.rs
@@ -7,7 +7,7 @@
 use dandeliondeal_claim::{ClaimSettings, ShardWriter, TicketId};
 use dandeliondeal_config::{ReadinessGate, RolloutMachine};
 use dandeliondeal_order::{OrderReconciler, OrderSettings};
-use dandeliondeal_platform::{LeaseMachine, LeaseSettings};
+use dandeliondeal_store::{LeaseMachine, LeaseSettings};
 use dandeliondeal_types::{Incarnation, InstanceId, RequestId};
 
 use crate::TraceError;
--- a/crates/dandeliondeal_replay/src/replay_leases.rs
+++ b/crates/dandeliondeal_replay/src/replay_leases.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dandeliondeal_platform::{LeaseAction, LeaseEvent, LeaseTime, StoreFault};
+use dandeliondeal_store::{LeaseAction, LeaseEvent, LeaseTime, StoreFault};
 use dandeliondeal_types::InstanceId;
 
 use crate::ReplayMismatch;
--- a/crates/dandeliondeal_replay/src/replay_orders.rs
+++ b/crates/dandeliondeal_replay/src/replay_orders.rs
@@ -7,7 +7,7 @@
 use dandeliondeal_order::{
     DesiredState, EndpointOrder, EngineContent, OrderAction, OrderAnswer, OrderEvent, OrderTerm,
 };
-use dandeliondeal_platform::LeaseTime;
+use dandeliondeal_store::LeaseTime;
 use dandeliondeal_types::{EndpointId, InstanceId};
 
 use crate::replay_engine::{ReplayEngine, take_one};
--- a/crates/dandeliondeal_replay/src/replay_sheets.rs
+++ b/crates/dandeliondeal_replay/src/replay_sheets.rs
@@ -10,7 +10,7 @@
     AcceptError, AcceptReport, ChangeRequest, ReadinessEvent, RevisionSource, RevisionStamp,
     RolloutAction, RolloutEvent, RowKey, SheetKind, example_sheet, read_sheet,
 };
-use dandeliondeal_platform::{MemoryStore, StoreFault};
+use dandeliondeal_store::{MemoryStore, StoreFault};
 use dandeliondeal_types::{
     InstanceId, ObjectStore, ObjectValue, PutCondition, Revision, StoreError, Version,
 };
--- a/crates/dandeliondeal_replay/src/replay_store.rs
+++ b/crates/dandeliondeal_replay/src/replay_store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dandeliondeal_claim::{ShardAction, ShardEvent};
-use dandeliondeal_platform::{MemoryStore, StoreFault};
+use dandeliondeal_store::{MemoryStore, StoreFault};
 
 use crate::replay_engine::take_one;
 
--- a/crates/dandeliondeal_replay/src/replay_world.rs
+++ b/crates/dandeliondeal_replay/src/replay_world.rs
@@ -8,7 +8,7 @@
 use dandeliondeal_config::RolloutEvent;
 use dandeliondeal_order::{DesiredState, OrderAction, OrderEvent};
 use dandeliondeal_pipeline::{AttemptNumber, PlanIndex, PlanSettings, SessionEvent};
-use dandeliondeal_platform::{LeaseAction, LeaseEvent};
+use dandeliondeal_store::{LeaseAction, LeaseEvent};
 use dandeliondeal_types::sheet_model::{EndpointEntry, EndpointTarget};
 use dandeliondeal_types::{Clock, EndpointId, FencingNumber, InstanceId, ManualClock, RequestId};
 
--- a/crates/dandeliondeal_platform/src/call_budget.rs
+++ b/crates/dandeliondeal_store/src/call_budget.rs
@@ -68,7 +68,7 @@
 /// # Examples
 ///
 /// ```
-/// use dandeliondeal_platform::{BudgetSettings, CallBudget, CallClass, CallKind};
+/// use dandeliondeal_store::{BudgetSettings, CallBudget, CallClass, CallKind};
 /// use std::time::Instant;
 ///
 /// let now = Instant::now();
--- /dev/null
+++ b/crates/dandeliondeal_store/src/plain_dialect.rs
@@ -0,0 +1,146 @@
+//! The object API of the stand-ins: versions in entity tags, names without kinds.
+
+use awc::http::{Method, StatusCode, header};
+use dandeliondeal_types::{KindChanges, ObjectValue, PutCondition, StoreError, Version};
+use serde::de::DeserializeOwned;
+
+use crate::object_record::ObjectRecord;
+use crate::store_dialect::{
+    HttpAnswer, HttpCall, KindPage, StoreDialect, StoreRequest, encode_path,
+};
+
+/// The object API that docs/PROTOCOLS.md describes and the stand-ins serve.
+///
+/// It has no kinds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlainDialect;
+
+impl StoreDialect for PlainDialect {
+    fn encode(&self, request: &StoreRequest<'_>) -> HttpCall {
+        match request {
+            StoreRequest::Get { name } => HttpCall::bare(Method::GET, object_path(name)),
+            StoreRequest::Put {
+                name,
+                condition,
+                body,
+            } => HttpCall {
+                headers: vec![match condition {
+                    PutCondition::Absent => (header::IF_NONE_MATCH, "*".to_owned()),
+                    PutCondition::Version(version) => (header::IF_MATCH, format!("\"{version}\"")),
+                }],
+                body: (*body).to_owned(),
+                ..HttpCall::bare(Method::PUT, object_path(name))
+            },
+            StoreRequest::Delete { name, version } => HttpCall {
+                headers: vec![(header::IF_MATCH, format!("\"{version}\""))],
+                ..HttpCall::bare(Method::DELETE, object_path(name))
+            },
+            StoreRequest::List { prefix } => {
+                let path = format!("/objects?prefix={}", encode_path(prefix));
+                HttpCall::bare(Method::GET, path)
+            }
+            StoreRequest::Watch { name, seen, limit } => {
+                let limit_ms = limit.as_millis();
+                let path = format!("{}?watch={seen}&limit_ms={limit_ms}", object_path(name));
+                HttpCall::bare(Method::GET, path)
+            }
+            StoreRequest::KindPage { kind, .. } | StoreRequest::KindWatch { kind, .. } => {
+                HttpCall::bare(Method::GET, object_path(kind))
+            }
+        }
+    }
+
+    fn check(&self, name: &str, answer: &HttpAnswer) -> Result<(), StoreError> {
+        match answer.status {
+            StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::PAYLOAD_TOO_LARGE
+            | StatusCode::PRECONDITION_REQUIRED
+            | StatusCode::BAD_REQUEST => Err(StoreError::unavailable(name, &answer.status)),
+            StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict {
+                name: name.into(),
+                found: entity_version(answer),
+            }),
+            status if status.is_server_error() => Err(StoreError::answer_lost(name, &status)),
+            _ => Ok(()),
+        }
+    }
+
+    fn read_object(
+        &self,
+        name: &str,
+        answer: &HttpAnswer,
+    ) -> Result<Option<ObjectValue>, StoreError> {
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let text = std::str::from_utf8(&answer.body)
+            .map_err(|error| StoreError::answer_lost(name, &error))?;
+        Ok(Some(ObjectValue {
+            name: name.into(),
+            version: self.read_version(name, answer)?,
+            body: text.into(),
+        }))
+    }
+
+    fn read_version(&self, name: &str, answer: &HttpAnswer) -> Result<Version, StoreError> {
+        match entity_version(answer) {
+            Some(version) if answer.status.is_success() => Ok(version),
+            _ => Err(unexpected(name, answer)),
+        }
+    }
+
+    fn read_list(&self, prefix: &str, answer: &HttpAnswer) -> Result<Vec<ObjectValue>, StoreError> {
+        let records: Vec<ObjectRecord> = parse(prefix, answer)?;
+        Ok(records.into_iter().map(ObjectRecord::into_value).collect())
+    }
+
+    fn read_watch(
+        &self,
+        name: &str,
+        answer: &HttpAnswer,
+    ) -> Option<Result<Option<ObjectValue>, StoreError>> {
+        let is_changed = answer.status != StatusCode::NOT_MODIFIED;
+        is_changed.then(|| self.read_object(name, answer))
+    }
+
+    fn read_page(&self, kind: &str, _answer: &HttpAnswer) -> Result<KindPage, StoreError> {
+        Err(without_kinds(kind))
+    }
+
+    fn read_changes(&self, kind: &str, _answer: &HttpAnswer) -> Result<KindChanges, StoreError> {
+        Err(without_kinds(kind))
+    }
+}
+
+/// Parses a JSON answer.
+///
+/// # Errors
+///
+/// The platform refused, or the answer is not what was asked for.
+pub(crate) fn parse<Parsed>(name: &str, answer: &HttpAnswer) -> Result<Parsed, StoreError>
+where
+    Parsed: DeserializeOwned,
+{
+    if !answer.status.is_success() {
+        return Err(StoreError::unavailable(name, &answer.status));
+    }
+    serde_json::from_slice(&answer.body).map_err(|error| StoreError::answer_lost(name, &error))
+}
+
+fn object_path(name: &str) -> String {
+    format!("/objects/{}", encode_path(name))
+}
+
+fn entity_version(answer: &HttpAnswer) -> Option<Version> {
+    let value = answer.headers.get(header::ETAG)?;
+    value.to_str().ok()?.trim_matches('"').parse().ok()
+}
+
+fn unexpected(name: &str, answer: &HttpAnswer) -> StoreError {
+    StoreError::answer_lost(name, &format!("unexpected answer {}", answer.status))
+}
+
+fn without_kinds(kind: &str) -> StoreError {
+    StoreError::unavailable(kind, "this object API has no kinds")
+}
--- a/crates/dandeliondeal_platform/src/platform_client.rs
+++ b/crates/dandeliondeal_store/src/platform_client.rs
@@ -1,25 +1,24 @@
 //! The platform over HTTP.
 
 use std::cell::{Cell, RefCell};
-use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use awc::http::{Method, StatusCode, header};
+use awc::http::Method;
 use awc::{Client, Connector};
-use bytes::Bytes;
 use dandeliondeal_types::{
-    Clock, InstanceList, InstanceRecord, ObjectStore, ObjectValue, PutCondition, StoreError,
-    Version,
+    Clock, InstanceList, InstanceRecord, KindChanges, KindSnapshot, KindStore, ObjectStore,
+    ObjectValue, PutCondition, StoreError, Version,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use crate::call_budget::{BudgetSettings, CallBudget, CallClass, CallKind};
-use crate::object_record::ObjectRecord;
+use crate::plain_dialect::{PlainDialect, parse};
 use crate::send_failure::SendFailure;
+use crate::store_dialect::{HttpAnswer, HttpCall, StoreDialect, StoreRequest};
 
 /// How the platform is reached.
 #[derive(Clone, Debug)]
@@ -62,8 +61,9 @@
 /// Clones share connections and budget. Reads are retried; a write is sent once. After a lost
 /// answer all kept connections are given up, since others may have gone silent with it.
 #[derive(Clone)]
-pub struct PlatformClient<Time> {
+pub struct PlatformClient<Time, Dialect = PlainDialect> {
     shared: Rc<ClientState<Time>>,
+    dialect: Dialect,
     class: CallClass,
 }
 
@@ -76,24 +76,7 @@
     calls: Cell<u64>,
 }
 
-/// One HTTP call.
-struct PlatformCall<'call> {
-    name: &'call str,
-    path: String,
-    method: Method,
-    condition: Option<PutCondition>,
-    body: Option<Arc<str>>,
-    timeout: Duration,
-}
-
-/// An answer, read whole.
-struct PlatformAnswer {
-    status: StatusCode,
-    version: Option<Version>,
-    body: Bytes,
-}
-
-impl<Time> std::fmt::Debug for PlatformClient<Time> {
+impl<Time, Dialect> std::fmt::Debug for PlatformClient<Time, Dialect> {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         formatter
             .debug_struct("PlatformClient")
@@ -107,8 +90,19 @@
 where
     Time: Clock,
 {
-    /// Makes a client; nothing is sent yet.
+    /// Makes a client of the stand-ins' object API; nothing is sent yet.
     pub fn new(settings: PlatformSettings, clock: Time) -> Self {
+        Self::with_dialect(settings, clock, PlainDialect)
+    }
+}
+
+impl<Time, Dialect> PlatformClient<Time, Dialect>
+where
+    Time: Clock,
+    Dialect: StoreDialect,
+{
+    /// Makes a client that speaks `dialect`; nothing is sent yet.
+    pub fn with_dialect(settings: PlatformSettings, clock: Time, dialect: Dialect) -> Self {
         let budget = CallBudget::new(settings.budget.clone(), clock.now());
         let client = http_client(&settings);
         let jitter = StdRng::seed_from_u64(settings.seed);
@@ -122,6 +116,7 @@
         };
         Self {
             shared: Rc::new(shared),
+            dialect,
             class: CallClass::default(),
         }
     }
@@ -131,6 +126,7 @@
     pub fn with_class(&self, class: CallClass) -> Self {
         Self {
             shared: Rc::clone(&self.shared),
+            dialect: self.dialect.clone(),
             class,
         }
     }
@@ -145,24 +141,17 @@
         self.shared.calls.get()
     }
 
-    async fn read(
-        &self,
-        name: &str,
-        path: String,
-        timeout: Duration,
-    ) -> Result<PlatformAnswer, StoreError> {
+    async fn read(&self, request: StoreRequest<'_>) -> Result<HttpAnswer, StoreError> {
+        let call = self.dialect.encode(&request);
+        self.read_call(request.name(), call).await
+    }
+
+    async fn read_call(&self, name: &str, call: HttpCall) -> Result<HttpAnswer, StoreError> {
+        let timeout = self.shared.settings.call_timeout;
         let mut attempt = 0;
         let mut patience = timeout;
         loop {
-            let call = PlatformCall {
-                name,
-                path: path.clone(),
-                method: Method::GET,
-                condition: None,
-                body: None,
-                timeout,
-            };
-            match self.call(call, CallKind::Read).await {
+            match self.call(name, call.clone(), timeout, CallKind::Read).await {
                 Err(StoreError::Unavailable { .. } | StoreError::AnswerLost { .. })
                     if attempt < self.shared.settings.read_retries =>
                 {
@@ -186,14 +175,22 @@
         longest.mul_f64(share)
     }
 
+    async fn write(&self, request: StoreRequest<'_>) -> Result<HttpAnswer, StoreError> {
+        let call = self.dialect.encode(&request);
+        let timeout = self.shared.settings.call_timeout;
+        self.call(request.name(), call, timeout, CallKind::Write)
+            .await
+    }
+
     async fn call(
         &self,
-        call: PlatformCall<'_>,
+        name: &str,
+        call: HttpCall,
+        timeout: Duration,
         kind: CallKind,
-    ) -> Result<PlatformAnswer, StoreError> {
+    ) -> Result<HttpAnswer, StoreError> {
         self.take_budget(kind)?;
-        let name = call.name;
-        let result = self.send(call).await;
+        let result = self.send(name, call, timeout).await;
         let answer = match result {
             Err(error) => {
                 if !error.is_not_written() {
@@ -204,19 +201,8 @@
             }
             Ok(answer) => answer,
         };
-        match answer.status {
-            StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::PAYLOAD_TOO_LARGE
-            | StatusCode::PRECONDITION_REQUIRED
-            | StatusCode::BAD_REQUEST => Err(unavailable(name, &answer.status)),
-            StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict {
-                name: name.into(),
-                found: answer.version,
-            }),
-            status if status.is_server_error() => Err(lost(name, &status)),
-            _ => Ok(answer),
-        }
+        self.dialect.check(name, &answer)?;
+        Ok(answer)
     }
 
     fn take_budget(&self, kind: CallKind) -> Result<(), StoreError> {
@@ -227,46 +213,46 @@
             .map_err(|wait| StoreError::OverBudget { wait })
     }
 
-    async fn send(&self, call: PlatformCall<'_>) -> Result<PlatformAnswer, StoreError> {
+    async fn send(
+        &self,
+        name: &str,
+        call: HttpCall,
+        timeout: Duration,
+    ) -> Result<HttpAnswer, StoreError> {
         self.shared.calls.set(self.shared.calls.get() + 1);
         let settings = &self.shared.settings;
         let address = format!("http://{}{}", settings.address, call.path);
         let mut request = self.shared.client.borrow().request(call.method, address);
-        request = match call.condition {
-            Some(PutCondition::Absent) => request.insert_header((header::IF_NONE_MATCH, "*")),
-            Some(PutCondition::Version(version)) => {
-                request.insert_header((header::IF_MATCH, format!("\"{version}\"")))
-            }
-            None => request,
-        };
-        let request = request.timeout(call.timeout);
-        let body = call.body.map(|body| body.to_string()).unwrap_or_default();
-        let sent = request.send_body(body).await;
+        for header in call.headers {
+            request = request.insert_header(header);
+        }
+        let request = request.timeout(timeout);
+        let sent = request.send_body(call.body).await;
         let mut answer = sent.map_err(|error| match SendFailure::classify(&error) {
-            SendFailure::NotSent => unavailable(call.name, &error),
-            SendFailure::AnswerLost => lost(call.name, &error),
+            SendFailure::NotSent => StoreError::unavailable(name, &error),
+            SendFailure::AnswerLost => StoreError::answer_lost(name, &error),
         })?;
         let bytes = answer.body().limit(settings.answer_limit);
-        let body = actix_rt::time::timeout(call.timeout, bytes)
+        let body = actix_rt::time::timeout(timeout, bytes)
             .await
-            .map_err(|_elapsed| lost(call.name, "answer stopped half-way"))?
-            .map_err(|error| lost(call.name, &error))?;
-        Ok(PlatformAnswer {
+            .map_err(|_elapsed| StoreError::answer_lost(name, "answer stopped half-way"))?
+            .map_err(|error| StoreError::answer_lost(name, &error))?;
+        Ok(HttpAnswer {
             status: answer.status(),
-            version: version_of(answer.headers().get(header::ETAG)),
+            headers: answer.headers().clone(),
             body,
         })
     }
 }
 
-impl<Time> ObjectStore for PlatformClient<Time>
+impl<Time, Dialect> ObjectStore for PlatformClient<Time, Dialect>
 where
     Time: Clock,
+    Dialect: StoreDialect,
 {
     async fn get(&self, name: &str) -> Result<Option<ObjectValue>, StoreError> {
-        let timeout = self.shared.settings.call_timeout;
-        let answer = self.read(name, object_path(name), timeout).await?;
-        object_value(name, &answer)
+        let answer = self.read(StoreRequest::Get { name }).await?;
+        self.dialect.read_object(name, &answer)
     }
 
     async fn put(
@@ -275,43 +261,27 @@
         condition: PutCondition,
         body: Arc<str>,
     ) -> Result<Version, StoreError> {
-        let call = PlatformCall {
+        let request = StoreRequest::Put {
             name,
-            path: object_path(name),
-            method: Method::PUT,
-            condition: Some(condition),
-            body: Some(body),
-            timeout: self.shared.settings.call_timeout,
+            condition,
+            body: &body,
         };
-        let answer = self.call(call, CallKind::Write).await?;
-        match answer.version {
-            Some(version) if answer.status.is_success() => Ok(version),
-            _ => Err(lost(name, &format!("unexpected answer {}", answer.status))),
-        }
+        let answer = self.write(request).await?;
+        self.dialect.read_version(name, &answer)
     }
 
     async fn delete(&self, name: &str, version: Version) -> Result<(), StoreError> {
-        let call = PlatformCall {
-            name,
-            path: object_path(name),
-            method: Method::DELETE,
-            condition: Some(PutCondition::Version(version)),
-            body: None,
-            timeout: self.shared.settings.call_timeout,
-        };
-        let answer = self.call(call, CallKind::Write).await?;
+        let answer = self.write(StoreRequest::Delete { name, version }).await?;
         if answer.status.is_success() {
             return Ok(());
         }
-        Err(lost(name, &format!("unexpected answer {}", answer.status)))
+        let text = format!("unexpected answer {}", answer.status);
+        Err(StoreError::answer_lost(name, &text))
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<ObjectValue>, StoreError> {
-        let path = format!("/objects?prefix={}", encode(prefix));
-        let timeout = self.shared.settings.call_timeout;
-        let answer = self.read(prefix, path, timeout).await?;
-        let records: Vec<ObjectRecord> = parse(prefix, &answer)?;
-        Ok(records.into_iter().map(ObjectRecord::into_value).collect())
+        let answer = self.read(StoreRequest::List { prefix }).await?;
+        self.dialect.read_list(prefix, &answer)
     }
 
     /// Waits on the platform for a change, then reads the object over another call if the watch
@@ -322,31 +292,73 @@
         seen: Version,
         limit: Duration,
     ) -> Result<Option<ObjectValue>, StoreError> {
-        let limit_ms = limit.as_millis();
-        let call = PlatformCall {
-            name,
-            path: format!("{}?watch={seen}&limit_ms={limit_ms}", object_path(name)),
-            method: Method::GET,
-            condition: None,
-            body: None,
-            timeout: limit + self.shared.settings.call_timeout,
-        };
-        match self.call(call, CallKind::Read).await {
-            Ok(answer) if answer.status != StatusCode::NOT_MODIFIED => object_value(name, &answer),
+        let call = self
+            .dialect
+            .encode(&StoreRequest::Watch { name, seen, limit });
+        let timeout = limit + self.shared.settings.call_timeout;
+        match self.call(name, call, timeout, CallKind::Read).await {
+            Ok(answer) => match self.dialect.read_watch(name, &answer) {
+                Some(value) => value,
+                None => self.get(name).await,
+            },
             Err(error @ StoreError::OverBudget { .. }) => Err(error),
-            _ => self.get(name).await,
+            Err(_) => self.get(name).await,
         }
     }
 }
 
+impl<Time, Dialect> KindStore for PlatformClient<Time, Dialect>
+where
+    Time: Clock,
+    Dialect: StoreDialect,
+{
+    /// The version is that of the first page: changes made while later pages were read come
+    /// again with the changes since.
+    async fn snapshot(&self, kind: &str) -> Result<KindSnapshot, StoreError> {
+        let mut snapshot = KindSnapshot::default();
+        let mut after: Option<String> = None;
+        loop {
+            let request = StoreRequest::KindPage {
+                kind,
+                after: after.as_deref(),
+            };
+            let answer = self.read(request).await?;
+            let page = self.dialect.read_page(kind, &answer)?;
+            if after.is_none() {
+                snapshot.version = page.version;
+            }
+            snapshot.objects.extend(page.objects);
+            if page.next.is_none() || page.next == after {
+                return Ok(snapshot);
+            }
+            after = page.next;
+        }
+    }
+
+    /// Is not repeated: the caller continues from the same version.
+    async fn changes(
+        &self,
+        kind: &str,
+        seen: Version,
+        limit: Duration,
+    ) -> Result<KindChanges, StoreError> {
+        let call = self
+            .dialect
+            .encode(&StoreRequest::KindWatch { kind, seen, limit });
+        let timeout = limit + self.shared.settings.call_timeout;
+        let answer = self.call(kind, call, timeout, CallKind::Read).await?;
+        self.dialect.read_changes(kind, &answer)
+    }
+}
+
 impl<Time> InstanceList for PlatformClient<Time>
 where
     Time: Clock,
 {
     async fn instances(&self) -> Result<Vec<InstanceRecord>, StoreError> {
         let name = "instances";
-        let timeout = self.shared.settings.call_timeout;
-        let answer = self.read(name, "/instances".to_owned(), timeout).await?;
+        let call = HttpCall::bare(Method::GET, "/instances".to_owned());
+        let answer = self.read_call(name, call).await?;
         parse(name, &answer)
     }
 }
@@ -358,71 +370,3 @@
         .disable_redirects()
         .finish()
 }
-
-fn object_path(name: &str) -> String {
-    format!("/objects/{}", encode(name))
-}
-
-/// Percent-encodes all but unreserved characters and `/`.
-fn encode(name: &str) -> String {
-    use std::fmt::Write as _;
-    let mut text = String::with_capacity(name.len());
-    for byte in name.bytes() {
-        if byte.is_ascii_alphanumeric() || b"/-._~".contains(&byte) {
-            text.push(char::from(byte));
-        } else {
-            // Writing to a string cannot fail.
-            let _ = write!(text, "%{byte:02X}");
-        }
-    }
-    text
-}
-
-fn version_of(value: Option<&header::HeaderValue>) -> Option<Version> {
-    value?.to_str().ok()?.trim_matches('"').parse().ok()
-}
-
-fn object_value(name: &str, answer: &PlatformAnswer) -> Result<Option<ObjectValue>, StoreError> {
-    if answer.status == StatusCode::NOT_FOUND {
-        return Ok(None);
-    }
-    let text = std::str::from_utf8(&answer.body).map_err(|error| lost(name, &error))?;
-    match answer.version {
-        Some(version) if answer.status.is_success() => Ok(Some(ObjectValue {
-            name: name.into(),
-            version,
-            body: text.into(),
-        })),
-        _ => Err(lost(name, &format!("unexpected answer {}", answer.status))),
-    }
-}
-
-fn parse<Parsed>(name: &str, answer: &PlatformAnswer) -> Result<Parsed, StoreError>
-where
-    Parsed: serde::de::DeserializeOwned,
-{
-    if !answer.status.is_success() {
-        return Err(unavailable(name, &answer.status));
-    }
-    serde_json::from_slice(&answer.body).map_err(|error| lost(name, &error))
-}
-
-fn unavailable<Reason>(name: &str, reason: &Reason) -> StoreError
-where
-    Reason: Display + ?Sized,
-{
-    StoreError::Unavailable {
-        name: name.into(),
-        reason: reason.to_string().into(),
-    }
-}
-
-fn lost<Reason>(name: &str, reason: &Reason) -> StoreError
-where
-    Reason: Display + ?Sized,
-{
-    StoreError::AnswerLost {
-        name: name.into(),
-        reason: reason.to_string().into(),
-    }
-}
--- a/crates/dandeliondeal_platform/tests/call_budget.rs
+++ b/crates/dandeliondeal_store/tests/call_budget.rs
@@ -1,7 +1,7 @@
 //! The call budget towards a platform on a real socket.
 
-use dandeliondeal_platform::{BudgetSettings, PlatformClient, PlatformSettings};
 use dandeliondeal_standin::PlatformStandin;
+use dandeliondeal_store::{BudgetSettings, PlatformClient, PlatformSettings};
 use dandeliondeal_types::{ObjectStore, PutCondition, StoreError, SystemClock};
 
 /// A client that may make two calls at once and some ten more a second.
--- a/crates/dandeliondeal_platform/tests/lost_answers.rs
+++ b/crates/dandeliondeal_store/tests/lost_answers.rs
@@ -5,7 +5,7 @@
 
 use bolero_generator::driver::{Options, Rng};
 use bolero_generator::{ValueGenerator as _, produce};
-use dandeliondeal_platform::{
+use dandeliondeal_store::{
     MemoryStore, ResolvedWrite, StampSource, StoreFault, WriteVerdict, put_resolved,
 };
 use dandeliondeal_types::{PutCondition, StoreError, SystemClock};
--- a/crates/dandeliondeal_platform/tests/platform_client.rs
+++ b/crates/dandeliondeal_store/tests/platform_client.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use dandeliondeal_platform::{PlatformClient, PlatformSettings};
 use dandeliondeal_standin::{FaultChange, PlatformStandin};
+use dandeliondeal_store::{PlatformClient, PlatformSettings};
 use dandeliondeal_types::{ObjectStore as _, PutCondition, StoreError, SystemClock};
 
 const NAME: &str = "status/entry 1";
--- a/crates/dandeliondeal_platform/tests/random_leases.rs
+++ b/crates/dandeliondeal_store/tests/random_leases.rs
@@ -4,7 +4,7 @@
 
 use bolero_generator::driver::{Options, Rng};
 use bolero_generator::{ValueGenerator as _, produce};
-use dandeliondeal_platform::{
+use dandeliondeal_store::{
     LeaseAction, LeaseEvent, LeaseMachine, LeaseSettings, LeaseTime, MemoryStore, StoreFault,
 };
 use dandeliondeal_types::{FencingNumber, StoreError};
--- a/crates/dandeliondeal_types/src/lib.rs
+++ b/crates/dandeliondeal_types/src/lib.rs
@@ -6,10 +6,12 @@
 //! [`EngineClient`]).
 
 pub mod clock;
+pub mod endpoint_record;
 pub mod endpoint_view;
 pub mod engine_client;
 pub mod id;
 pub mod instance_list;
+pub mod kind_store;
 pub mod layer_range;
 pub mod object_store;
 pub mod outcome;
@@ -21,6 +23,8 @@
 #[doc(inline)]
 pub use clock::{Clock, ManualClock, SystemClock};
 #[doc(inline)]
+pub use endpoint_record::EndpointRecord;
+#[doc(inline)]
 pub use endpoint_view::{EndpointView, IdleView};
 #[doc(inline)]
 pub use engine_client::EngineClient;
@@ -29,6 +33,8 @@
 #[doc(inline)]
 pub use instance_list::{InstanceList, InstanceRecord, InstanceRole, InstanceState};
 #[doc(inline)]
+pub use kind_store::{KindChanges, KindEvent, KindSnapshot, KindStore};
+#[doc(inline)]
 pub use layer_range::LayerRange;
 #[doc(inline)]
 pub use object_store::{ObjectStore, ObjectValue, PutCondition, StoreError};
--- a/crates/dandeliondeal_types/src/object_store.rs
+++ b/crates/dandeliondeal_types/src/object_store.rs
@@ -55,6 +55,12 @@
         /// What happened to the connection.
         reason: Arc<str>,
     },
+    /// The platform no longer has the changes since the version that was asked for.
+    #[display("the platform's history of {name} no longer reaches back far enough")]
+    HistoryGone {
+        /// The kind of object.
+        name: ObjectName,
+    },
     /// The call budget of this instance is spent.
     #[display("call budget spent, next call in {} ms", wait.as_millis())]
     OverBudget {
@@ -64,6 +70,28 @@
 }
 
 impl StoreError {
+    /// The platform did nothing.
+    pub fn unavailable<Reason>(name: &str, reason: &Reason) -> Self
+    where
+        Reason: std::fmt::Display + ?Sized,
+    {
+        Self::Unavailable {
+            name: name.into(),
+            reason: reason.to_string().into(),
+        }
+    }
+
+    /// The answer was lost or cannot be read.
+    pub fn answer_lost<Reason>(name: &str, reason: &Reason) -> Self
+    where
+        Reason: std::fmt::Display + ?Sized,
+    {
+        Self::AnswerLost {
+            name: name.into(),
+            reason: reason.to_string().into(),
+        }
+    }
+
     /// Whether the write surely did not take effect and never will.
     pub fn is_not_written(&self) -> bool {
         !matches!(self, Self::AnswerLost { .. })
