--- /dev/null
+++ b/crates/dandeliondeal_layout/tests/chain_search.rs
@@ -0,0 +1,127 @@
+//! Chains through engines under load.
+
+use dandeliondeal_layout::{ChainGraph, ChainQuery, EngineNode};
+use dandeliondeal_types::LayerRange;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+fn node(id: &str, domain: &str, start: u32, end: u32) -> EngineNode {
+    EngineNode {
+        id: id.into(),
+        address: ([127, 0, 0, 1], 8000).into(),
+        failure_domain: domain.into(),
+        range: LayerRange::new(start, end),
+        step: 0.001,
+        read: 0.000_01,
+        room: 60_000.0,
+        committed: 0.0,
+        running: 0.0,
+        slowness: 1.0,
+    }
+}
+
+fn query() -> ChainQuery {
+    ChainQuery {
+        prompt: 800.0,
+        answer: 200.0,
+        crossing: 0.01,
+        crossing_step: 0.000_75,
+        run_limit: 100.0,
+        fill_limit: 1.0,
+    }
+}
+
+fn ids(graph: &ChainGraph) -> Vec<String> {
+    let chain = graph.find(&query());
+    let hops = chain.into_iter().flat_map(|chain| chain.hops);
+    hops.map(|hop| hop.id.to_string()).collect()
+}
+
+#[test]
+fn own_domain() {
+    let graph = ChainGraph::new(
+        8,
+        vec![
+            node("a", "one", 0, 4),
+            node("b", "two", 4, 8),
+            node("c", "one", 4, 8),
+        ],
+    );
+    assert_eq!(ids(&graph), ["a", "c"]);
+}
+
+#[test]
+fn lost_range_elsewhere() {
+    let graph = ChainGraph::new(8, vec![node("a", "one", 0, 4), node("b", "two", 4, 8)]);
+    let chain = graph.find(&query()).expect("a chain over two domains");
+    assert_eq!(chain.crossings, 2);
+}
+
+#[test]
+fn loaded_engine() {
+    let mut busy = node("b", "one", 4, 8);
+    busy.running = 90.0;
+    let graph = ChainGraph::new(
+        8,
+        vec![node("a", "one", 0, 4), busy, node("c", "one", 4, 8)],
+    );
+    assert_eq!(ids(&graph), ["a", "c"]);
+}
+
+#[test]
+fn slow_engine() {
+    let mut slow = node("b", "one", 4, 8);
+    slow.slowness = 5.0;
+    let graph = ChainGraph::new(
+        8,
+        vec![node("a", "one", 0, 4), slow, node("c", "one", 4, 8)],
+    );
+    assert_eq!(ids(&graph), ["a", "c"]);
+}
+
+#[test]
+fn full_engine() {
+    let mut full = node("b", "one", 4, 8);
+    full.committed = 59_500.0;
+    let graph = ChainGraph::new(8, vec![node("a", "one", 0, 4), full]);
+    assert!(graph.find(&query()).is_none());
+    assert!(graph.is_complete());
+}
+
+#[test]
+fn gap_in_layers() {
+    let graph = ChainGraph::new(8, vec![node("a", "one", 0, 4), node("b", "one", 5, 8)]);
+    assert!(graph.find(&query()).is_none());
+    assert!(!graph.is_complete());
+}
+
+#[test]
+fn every_layer_once() {
+    let mut random = StdRng::seed_from_u64(7);
+    for _ in 0..2_000 {
+        let layers = random.random_range(1..=12);
+        let nodes = (0..random.random_range(1..=14)).map(|index| {
+            let start = random.random_range(0..layers);
+            let end = random.random_range(start + 1..=layers);
+            let domain = ["one", "two", "three"][random.random_range(0..3)];
+            let mut node = node(&format!("e{index}"), domain, start, end);
+            node.running = random.random_range(0.0..120.0);
+            node.committed = random.random_range(0.0..70_000.0);
+            node
+        });
+        let graph = ChainGraph::new(layers, nodes.collect());
+        let Some(chain) = graph.find(&query()) else {
+            continue;
+        };
+        let mut at = 0;
+        for hop in &chain.hops {
+            assert_eq!(hop.range.start, at);
+            at = hop.range.end;
+        }
+        assert_eq!(at, layers);
+        let mut seen: Vec<&str> = chain.hops.iter().map(|hop| &*hop.id).collect();
+        seen.sort_unstable();
+        seen.dedup();
+        assert_eq!(seen.len(), chain.hops.len());
+    }
+}
--- /dev/null
+++ b/crates/dandeliondeal_layout/tests/support/mod.rs
@@ -0,0 +1,79 @@
+//! Engines and cards of a small and of a grown site.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::time::Duration;
+
+use dandeliondeal_layout::{CardProfile, EngineProfile, EngineState};
+
+pub fn profile() -> EngineProfile {
+    let card = |kind: &str, memory_mb, step_factor, read_factor| CardProfile {
+        kind: kind.into(),
+        memory_mb,
+        step_factor,
+        read_factor,
+    };
+    EngineProfile {
+        model: "m".into(),
+        layers: 80,
+        layer_mb: 1_750.0,
+        token_bytes: 590_000.0,
+        activation_bytes: 29_500.0,
+        step: Duration::from_micros(1_020),
+        step_for_request: Duration::from_nanos(4_590),
+        read_rate: 164_000.0,
+        load_time: Duration::from_secs(14),
+        parallel_loads: 6,
+        usual_prompt: 774,
+        usual_answer: 210,
+        pipe_mbps: 19_000.0,
+        cards: vec![
+            card("a100", 72_000.0, 2.4, 3.2),
+            card("v100", 14_400.0, 5.3, 7.9),
+            card("l4", 21_600.0, 16.0, 8.2),
+        ],
+    }
+}
+
+pub fn engine(id: &str, domain: &str, kind: &str) -> EngineState {
+    EngineState {
+        id: id.into(),
+        failure_domain: domain.into(),
+        kind: kind.into(),
+        held: None,
+    }
+}
+
+fn site(parts: &[(&str, &str, usize)]) -> Vec<EngineState> {
+    let engines = parts.iter().flat_map(|(domain, kind, count)| {
+        (0..*count).map(move |index| engine(&format!("{domain}-{kind}-{index}"), domain, kind))
+    });
+    engines.collect()
+}
+
+pub fn small_site() -> Vec<EngineState> {
+    site(&[
+        ("didube", "a100", 1),
+        ("saburtalo", "a100", 1),
+        ("isani", "a100", 2),
+        ("didube", "v100", 6),
+        ("saburtalo", "v100", 10),
+        ("isani", "v100", 4),
+        ("didube", "l4", 6),
+        ("saburtalo", "l4", 4),
+        ("isani", "l4", 4),
+    ])
+}
+
+pub fn large_site() -> Vec<EngineState> {
+    site(&[
+        ("didube", "a100", 3),
+        ("saburtalo", "a100", 2),
+        ("isani", "a100", 4),
+        ("didube", "v100", 14),
+        ("saburtalo", "v100", 24),
+        ("isani", "v100", 10),
+        ("didube", "l4", 16),
+        ("saburtalo", "l4", 9),
+        ("isani", "l4", 11),
+    ])
+}
--- /dev/null
+++ b/crates/dandeliondeal_relay/tests/event_splitter.rs
@@ -0,0 +1,67 @@
+//! Whole events, each once and in order, however the bytes arrive.
+
+use dandeliondeal_relay::{EventError, EventSplitter};
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: tokens of {id}\n\n")
+}
+
+#[test]
+fn whole_events() {
+    let mut splitter = EventSplitter::default();
+    let text = event(0) + &event(1);
+    let out = splitter.push(text.as_bytes()).expect("in order");
+    assert_eq!(out, text);
+    assert_eq!(splitter.last(), Some(1));
+}
+
+#[test]
+fn every_cut() {
+    let text = event(7) + &event(8) + "id: 9\r\ndata: x\r\n\r\n";
+    for cut in 0..=text.len() {
+        let mut splitter = EventSplitter::after(Some(6));
+        let (first, second) = text.as_bytes().split_at(cut);
+        let mut out = splitter.push(first).expect("in order").to_vec();
+        out.extend_from_slice(&splitter.push(second).expect("in order"));
+        assert_eq!(out, text.as_bytes(), "cut at {cut}");
+        assert!(!splitter.is_partial());
+    }
+}
+
+#[test]
+fn half_event() {
+    let mut splitter = EventSplitter::default();
+    let text = event(0);
+    let out = splitter
+        .push(&text.as_bytes()[..text.len() - 1])
+        .expect("in order");
+    assert!(out.is_empty());
+    assert!(splitter.is_partial());
+    splitter.discard();
+    assert!(!splitter.is_partial());
+    assert_eq!(splitter.last(), None);
+}
+
+#[test]
+fn repeated_events() {
+    let mut splitter = EventSplitter::after(Some(3));
+    let text = event(2) + &event(3) + &event(4);
+    let out = splitter.push(text.as_bytes()).expect("in order");
+    assert_eq!(out, event(4));
+}
+
+#[test]
+fn missing_event() {
+    let mut splitter = EventSplitter::after(Some(3));
+    let error = splitter
+        .push(event(5).as_bytes())
+        .expect_err("4 is missing");
+    assert_eq!(error, EventError::Gap { last: 3, found: 5 });
+}
+
+#[test]
+fn endless_event() {
+    let mut splitter = EventSplitter::default();
+    let error = splitter.push(&[b'x'; 70_000]).expect_err("no end");
+    assert_eq!(error, EventError::TooLong);
+}
--- /dev/null
+++ b/crates/dandeliondeal_relay/tests/fleet_view.rs
@@ -0,0 +1,127 @@
+//! Registrations: changes, old writes, restarts and lapses.
+
+use std::time::{Duration, Instant};
+
+use dandeliondeal_relay::{FleetChange, FleetView};
+use dandeliondeal_types::{EndpointRecord, LayerRange};
+
+fn record(id: &str, beat: u64) -> EndpointRecord {
+    EndpointRecord {
+        id: id.into(),
+        service: "desk".into(),
+        address: ([127, 0, 0, 1], 8000).into(),
+        failure_domain: "didube".into(),
+        slots: 6,
+        is_draining: false,
+        warm_up: Duration::ZERO,
+        accelerator: None,
+        layers: None,
+        beat,
+        start_ms: 1_000,
+    }
+}
+
+fn view() -> FleetView {
+    FleetView::new(&"router".into()).expect("a sound chart")
+}
+
+#[test]
+fn draining_at_once() {
+    let now = Instant::now();
+    let mut view = view();
+    view.update(record("a", 1), now);
+    let mut draining = record("a", 2);
+    draining.is_draining = true;
+    assert_eq!(
+        view.update(draining, now),
+        Some(FleetChange::Draining("a".into()))
+    );
+    let mut random = rand::rng();
+    assert!(view.ranked("desk", true, &mut random, now).is_empty());
+}
+
+#[test]
+fn late_old_write() {
+    let now = Instant::now();
+    let mut view = view();
+    let mut held = record("a", 5);
+    held.layers = Some(LayerRange::new(0, 4));
+    view.update(held, now);
+    assert_eq!(view.update(record("a", 4), now), None);
+    assert!(
+        view.record("a")
+            .is_some_and(|record| record.layers.is_some())
+    );
+}
+
+#[test]
+fn restart_under_one_id() {
+    let now = Instant::now();
+    let mut view = view();
+    let mut held = record("a", 50);
+    held.layers = Some(LayerRange::new(0, 4));
+    view.update(held, now);
+    let mut fresh = record("a", 1);
+    fresh.start_ms = 2_000;
+    assert_eq!(
+        view.update(fresh, now),
+        Some(FleetChange::Changed("a".into()))
+    );
+    assert!(
+        view.record("a")
+            .is_some_and(|record| record.layers.is_none())
+    );
+}
+
+#[test]
+fn plain_deletion() {
+    let now = Instant::now();
+    let mut view = view();
+    view.update(record("a", 1), now);
+    assert_eq!(
+        view.delete("a", false, now),
+        Some(FleetChange::Gone("a".into()))
+    );
+    assert!(view.is_empty());
+}
+
+#[test]
+fn lapse_in_outage() {
+    let now = Instant::now();
+    let mut view = view();
+    view.update(record("a", 1), now);
+    view.update(record("b", 1), now);
+    assert_eq!(
+        view.delete("a", true, now),
+        Some(FleetChange::Lapsing("a".into()))
+    );
+    assert_eq!(
+        view.delete("b", true, now),
+        Some(FleetChange::Lapsing("b".into()))
+    );
+    view.update(record("a", 2), now + Duration::from_secs(1));
+    let changes = view.tick(now + Duration::from_secs(3));
+    assert_eq!(changes, [FleetChange::Gone("b".into())]);
+    assert_eq!(view.len(), 1);
+}
+
+#[test]
+fn draining_never_lapses() {
+    let now = Instant::now();
+    let mut view = view();
+    let mut draining = record("a", 1);
+    draining.is_draining = true;
+    view.update(draining, now);
+    assert_eq!(
+        view.replace(Vec::new(), true, now),
+        [FleetChange::Gone("a".into())]
+    );
+}
+
+#[test]
+fn unchanged_beat() {
+    let now = Instant::now();
+    let mut view = view();
+    view.update(record("a", 1), now);
+    assert_eq!(view.update(record("a", 2), now), None);
+}
