Requests move off lost engines; evidence takes engines out of use; watches list anew

Ruled out: the window of repeats itself, which its property test holds. Change: a failed watch lists anew; no slack before instances are counted, and 0.7 of it after; the engine at fault is the chain's hop at that address; a 421 doubts its layers, a 503 takes it out of use unless its memory explains it; a later start at an address replaces earlier ones; a stalled request is moved by order to a chain with the same first engine.

--- a/crates/dandeliondeal_balance/src/endpoint_monitor.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_monitor.rs
@@ -257,7 +257,8 @@
         &self.slots[slot].profile.group
     }
 
-    pub(crate) fn is_usable(&self, endpoint: &EndpointId, is_repeatable: bool) -> bool {
+    /// Whether new work may be sent to an endpoint.
+    pub fn is_usable(&self, endpoint: &EndpointId, is_repeatable: bool) -> bool {
         self.slot_of(endpoint)
             .is_some_and(|slot| self.slots[slot].health.is_usable(is_repeatable))
     }
--- a/crates/dandeliondeal_layout/src/chain_graph.rs
+++ b/crates/dandeliondeal_layout/src/chain_graph.rs
@@ -31,8 +31,10 @@
 }
 
 /// What a chain is asked for.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ChainQuery {
+    /// The first engine, where a running request has to keep it.
+    pub first: Option<EndpointId>,
     /// Tokens to read.
     pub prompt: f64,
     /// Tokens to write.
@@ -159,7 +161,8 @@
                     continue;
                 };
                 let entry = if *start == 0 {
-                    (*node.failure_domain == *domain).then_some(PathEnd {
+                    let is_allowed = query.first.as_ref().is_none_or(|first| *first == node.id);
+                    (is_allowed && *node.failure_domain == *domain).then_some(PathEnd {
                         cost: 0.0,
                         crossings: 0,
                         before: None,
--- a/crates/dandeliondeal_layout/tests/chain_search.rs
+++ b/crates/dandeliondeal_layout/tests/chain_search.rs
@@ -22,6 +22,7 @@
 
 fn query() -> ChainQuery {
     ChainQuery {
+        first: None,
         prompt: 800.0,
         answer: 200.0,
         crossing: 0.01,
--- /dev/null
+++ b/crates/dandeliondeal_relay/src/call_guard.rs
@@ -0,0 +1,69 @@
+//! A call that is open at one endpoint, or at all engines of a chain.
+
+use std::time::Instant;
+
+use dandeliondeal_balance::CallResult;
+use dandeliondeal_layout::EngineChain;
+use dandeliondeal_types::{Clock, EndpointId};
+
+use crate::relay_context::RelayContext;
+
+/// Counts a call as open at its endpoints; a guard that is dropped early counts it as cancelled.
+#[derive(Debug)]
+pub struct CallGuard<Time, Dialect>
+where
+    Time: Clock,
+{
+    context: RelayContext<Time, Dialect>,
+    endpoints: Vec<EndpointId>,
+    started: Instant,
+    result: CallResult,
+}
+
+impl<Time, Dialect> CallGuard<Time, Dialect>
+where
+    Time: Clock,
+{
+    /// Begins a call now.
+    pub fn begin(context: &RelayContext<Time, Dialect>, endpoints: Vec<EndpointId>) -> Self {
+        let started = context.now();
+        let mut fleet = context.fleet().borrow_mut();
+        for endpoint in &endpoints {
+            fleet.started(endpoint, started);
+        }
+        drop(fleet);
+        Self {
+            context: context.clone(),
+            endpoints,
+            started,
+            result: CallResult::Cancelled,
+        }
+    }
+
+    /// Begins a call at all engines of a chain.
+    pub fn begin_chain(context: &RelayContext<Time, Dialect>, chain: &EngineChain) -> Self {
+        let hops = chain.hops.iter();
+        Self::begin(
+            context,
+            hops.map(|hop| EndpointId::clone(&hop.id)).collect(),
+        )
+    }
+
+    /// Ends the call.
+    pub fn end(mut self, result: CallResult) {
+        self.result = result;
+    }
+}
+
+impl<Time, Dialect> Drop for CallGuard<Time, Dialect>
+where
+    Time: Clock,
+{
+    fn drop(&mut self) {
+        let now = self.context.now();
+        let mut fleet = self.context.fleet().borrow_mut();
+        for endpoint in &self.endpoints {
+            fleet.finished(endpoint, self.started, self.result, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dandeliondeal_relay/src/chain_choice.rs
@@ -0,0 +1,72 @@
+//! Chooses the chain for one request.
+
+use dandeliondeal_layout::{ChainQuery, EngineChain, EngineProfile};
+use dandeliondeal_types::{Clock, EndpointId};
+
+use crate::dialect::CallerFacts;
+use crate::relay_context::RelayContext;
+
+/// Seconds that a change of failure domain adds to each token, on the way and back.
+const CROSSING_STEP: f64 = 0.000_75;
+/// Requests that one engine runs at once without getting much slower.
+const RUN_LIMIT: f64 = 110.0;
+/// Share of an engine's memory that may be committed. Requests rarely reach their full size all
+/// at once, so that commitments of all of the memory leave a quarter of it free.
+const FILL_LIMIT: f64 = 1.1;
+/// Answers are about as long as callers estimate in the middle, and often longer.
+const HINT_FACTOR: f64 = 1.2;
+
+/// What one request asks of a chain.
+#[derive(Clone, Copy, Debug)]
+pub struct ChainDemand {
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Tokens of the answer, as far as they can be told.
+    pub answer: f64,
+}
+
+impl ChainDemand {
+    /// The demand of a request at engines of a profile.
+    pub fn new(facts: &CallerFacts, profile: &EngineProfile) -> Self {
+        let limit = f64::from(facts.answer_limit.max(1));
+        let usual = f64::from(profile.usual_answer);
+        let hint = facts.answer_hint.map(|hint| f64::from(hint) * HINT_FACTOR);
+        Self {
+            prompt: facts.prompt_tokens,
+            answer: hint.unwrap_or(usual).min(limit),
+        }
+    }
+
+    /// Tokens that the request will have taken by its end.
+    pub fn tokens(&self) -> f64 {
+        f64::from(self.prompt) + self.answer
+    }
+}
+
+/// The cheapest chain, with the engine `first` where a running request has to keep it.
+pub fn choose_chain<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    service: &str,
+    profile: &EngineProfile,
+    demand: ChainDemand,
+    first: Option<&EndpointId>,
+    avoided: &[EndpointId],
+) -> Option<EngineChain>
+where
+    Time: Clock,
+{
+    let now = context.now();
+    let fleet = context.fleet().borrow();
+    let instances = context.instances();
+    let graph = fleet.graph(service, profile, context.book(), instances, avoided, now);
+    let query = ChainQuery {
+        first: first.cloned(),
+        prompt: f64::from(demand.prompt),
+        answer: demand.answer,
+        crossing: profile.crossing_time(demand.prompt).as_secs_f64(),
+        crossing_step: CROSSING_STEP,
+        run_limit: RUN_LIMIT,
+        fill_limit: FILL_LIMIT,
+    };
+    graph.find(&query)
+}
--- a/crates/dandeliondeal_relay/src/dialect.rs
+++ b/crates/dandeliondeal_relay/src/dialect.rs
@@ -208,6 +208,10 @@
     /// Writes an order.
     fn write_order(&self, order: &LayerOrder) -> OutboundRequest;
 
+    /// Writes the order to move a request that an engine runs first to another chain, which
+    /// starts with the same engine.
+    fn write_move(&self, request: &str, chain: &EngineChain) -> OutboundRequest;
+
     /// Reads the answer to an order.
     fn read_order(&self, status: StatusCode) -> OrderReply;
 
--- a/crates/dandeliondeal_relay/src/engine_reports.rs
+++ b/crates/dandeliondeal_relay/src/engine_calls.rs
@@ -1,4 +1,6 @@
-//! Reports of engines, asked for once by all requests that want one at the same time.
+//! Calls to engines beside requests: reports, and orders.
+//!
+//! A report is asked for once by all requests that want one at the same time.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -7,15 +9,17 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::time::timeout;
-use dandeliondeal_http::LinkError;
+use dandeliondeal_http::{EndpointConnection, LinkError, OutboundRequest};
 use dandeliondeal_types::{Clock, EndpointId};
 
-use crate::dialect::{EngineReport, FleetDialect};
-use crate::endpoint_link::{LinkChoice, open};
+use crate::dialect::{EngineReport, FleetDialect, OrderReply};
+use crate::endpoint_link::{CONNECT_LIMIT, LinkChoice, open};
 use crate::relay_context::RelayContext;
 
 /// Longest wait for a report; an engine in reach answers without a queue.
 const REPORT_LIMIT: Duration = Duration::from_millis(300);
+/// Longest wait for the answer to an order.
+const ORDER_LIMIT: Duration = Duration::from_millis(600);
 /// A report is used again for this long: it is some 200 ms old when it comes.
 const REPORT_LIFE: Duration = Duration::from_millis(150);
 /// Longest report, in bytes: one with every request of an engine stalled.
@@ -126,3 +130,30 @@
         Err(_elapsed) => Err(LinkError::written("no report in time")),
     }
 }
+
+/// Sends an order over a connection of its own and reads what the engine says to it.
+///
+/// # Errors
+///
+/// No answer came: the order may have begun, or begin later.
+pub async fn send_order<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    address: SocketAddr,
+    order: &OutboundRequest,
+) -> Result<OrderReply, LinkError>
+where
+    Time: Clock,
+    Dialect: FleetDialect,
+{
+    let call = async {
+        let now = context.now();
+        let mut connection = EndpointConnection::connect(address, CONNECT_LIMIT, now).await?;
+        connection.send(order).await?;
+        let head = connection.read_head().await?;
+        Ok(context.dialect().read_order(head.status))
+    };
+    match timeout(ORDER_LIMIT, call).await {
+        Ok(result) => result,
+        Err(_elapsed) => Err(LinkError::written("no answer in time")),
+    }
+}
--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -1,7 +1,6 @@
 //! The endpoints as they registered, with the health that this instance saw.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -34,6 +33,8 @@
     engines: EndpointMonitor,
     slowness: HashMap<EndpointId, (f64, Instant)>,
     engine_services: HashSet<ServiceId>,
+    /// Engines that stated not to hold what they registered, until when that counts.
+    doubted: HashMap<EndpointId, Instant>,
 }
 
 /// What a change of the registrations did.
@@ -49,6 +50,10 @@
     Lapsing(EndpointId),
 }
 
+/// Longest time for which an engine's statement goes before its registration, which lags by about
+/// a heartbeat.
+const DOUBT_LIFE: Duration = Duration::from_secs(3);
+
 /// How long a slowness that an engine reported counts; reports are a second apart at most.
 const SLOWNESS_LIFE: Duration = Duration::from_secs(3);
 
@@ -92,6 +97,7 @@
             engines: EndpointMonitor::new(Arc::clone(instance), settings(engines))?,
             slowness: HashMap::new(),
             engine_services: HashSet::new(),
+            doubted: HashMap::new(),
         })
     }
 
@@ -169,6 +175,8 @@
         if is_new_start {
             self.slowness.remove(&id);
         }
+        self.doubted.remove(&id);
+        self.remove_replaced(&record);
         self.records.insert(EndpointId::clone(&id), record);
         Some(if is_draining {
             FleetChange::Draining(id)
@@ -177,6 +185,25 @@
         })
     }
 
+    /// A process that started later at the same address has taken the place of earlier ones.
+    fn remove_replaced(&mut self, record: &EndpointRecord) {
+        self.records.retain(|id, known| {
+            let is_replaced = known.address == record.address
+                && known.start_ms < record.start_ms
+                && *id != record.id;
+            if is_replaced {
+                tracing::info!(endpoint = %id, by = %record.id, "registration replaced");
+            }
+            !is_replaced
+        });
+    }
+
+    /// Notes that an engine does not hold the layers that it registered.
+    pub fn doubt_layers(&mut self, engine: &EndpointId, now: Instant) {
+        self.doubted
+            .insert(EndpointId::clone(engine), now + DOUBT_LIFE);
+    }
+
     fn remove(&mut self, id: &EndpointId, is_after_outage: bool, now: Instant) -> FleetChange {
         let is_draining = self
             .records
@@ -246,15 +273,6 @@
         self.records.is_empty()
     }
 
-    /// The endpoint that serves at an address.
-    pub fn at(&self, address: SocketAddr) -> Option<&EndpointId> {
-        let found = self
-            .records
-            .values()
-            .find(|record| record.address == address && !record.is_draining);
-        found.map(|record| &record.id)
-    }
-
     /// Endpoints of a plain service for one call, the best first.
     pub fn ranked<Source>(
         &self,
@@ -290,7 +308,7 @@
         self.engines.finished(endpoint, started, result, now);
     }
 
-    /// Takes an engine out of use, on evidence that it does not answer.
+    /// Takes an engine out of use, on evidence that it does not do its part.
     pub fn blame(&mut self, engine: &EndpointId, now: Instant) {
         let failure = CallResult::Failed(FailureSignal::Refused);
         self.engines.started(engine, now);
@@ -307,8 +325,7 @@
 
     /// Whether the engine may be used, as far as this instance saw.
     pub fn is_sound(&self, engine: &EndpointId) -> bool {
-        use dandeliondeal_balance::HealthState;
-        !matches!(self.engines.state(engine), None | Some(HealthState::Failed))
+        self.engines.is_usable(engine, true)
     }
 
     /// The first engine of a chain that is gone or known not to answer.
@@ -337,6 +354,13 @@
         let scale = book.scale(instances, now);
         let nodes = self.engines_of(service).filter_map(|record| {
             let range = record.layers?;
+            if self
+                .doubted
+                .get(&record.id)
+                .is_some_and(|until| now < *until)
+            {
+                return None;
+            }
             let card = profile.card(record.accelerator.as_ref()?)?;
             if avoided.contains(&record.id) || !self.is_sound(&record.id) {
                 return None;
@@ -358,6 +382,13 @@
         ChainGraph::new(profile.layers, nodes.collect())
     }
 
+    /// Tokens for which an engine has memory beside its layers.
+    pub fn token_room(&self, engine: &str, profile: &EngineProfile) -> Option<f64> {
+        let record = self.records.get(engine)?;
+        let card = profile.card(record.accelerator.as_ref()?)?;
+        Some(profile.token_room(card, record.layers?.len()))
+    }
+
     fn slowness_of(&self, engine: &str, now: Instant) -> f64 {
         let known = self.slowness.get(engine);
         let fresh = known.filter(|(_, at)| now.saturating_duration_since(*at) < SLOWNESS_LIFE);
--- a/crates/dandeliondeal_relay/src/instance_registry.rs
+++ b/crates/dandeliondeal_relay/src/instance_registry.rs
@@ -31,11 +31,13 @@
     Store: ObjectStore + KindStore,
 {
     register(&context, &store).await;
+    let mut known = None;
     loop {
         match store.snapshot(REGISTRY_KIND).await {
             Ok(snapshot) => {
                 let count = snapshot.objects.len();
-                if count != context.instances() {
+                if known != Some(count) {
+                    known = Some(count);
                     tracing::info!(count, revision = snapshot.version, "instances counted");
                     context.set_instances(count);
                 }
--- a/crates/dandeliondeal_relay/src/layout_keeper.rs
+++ b/crates/dandeliondeal_relay/src/layout_keeper.rs
@@ -10,8 +10,7 @@
 use dandeliondeal_types::{Clock, EndpointId, FencingNumber, LayerRange, ObjectStore, ServiceId};
 
 use crate::dialect::{FleetDialect, LayerOrder, OrderReply};
-use crate::endpoint_link::CONNECT_LIMIT;
-use crate::engine_reports::ask;
+use crate::engine_calls::{ask, send_order};
 use crate::relay_context::RelayContext;
 use crate::relay_error::RelayError;
 
@@ -20,8 +19,6 @@
 /// The list of engines has to be unchanged for this long before the first layout: engines
 /// register within a second of one another.
 const STILL_TIME: Duration = Duration::from_millis(600);
-/// Longest wait for the answer to an order.
-const ORDER_LIMIT: Duration = Duration::from_millis(600);
 /// Pause before an engine that refused an order, or did not answer one, is ordered again.
 const ORDER_PAUSE: Duration = Duration::from_millis(700);
 /// Loads may take this many times as long as one alone before the order counts as lost.
@@ -264,7 +261,8 @@
             let known = state.counts.get(&order.engine);
             order.order_count = known.map_or(0, |(_, count)| *count);
         }
-        let reply = self.exchange(&order).await;
+        let request = self.context.dialect().write_order(&order);
+        let reply = send_order(&self.context, order.address, &request).await;
         let label = match &reply {
             Ok(reply) => reply.to_string(),
             Err(error) => format!("no answer: {error}"),
@@ -333,24 +331,4 @@
             }
         }
     }
-
-    async fn exchange(
-        &self,
-        order: &LayerOrder,
-    ) -> Result<OrderReply, dandeliondeal_http::LinkError> {
-        use dandeliondeal_http::{EndpointConnection, LinkError};
-        let request = self.context.dialect().write_order(order);
-        let call = async {
-            let now = self.context.now();
-            let mut connection =
-                EndpointConnection::connect(order.address, CONNECT_LIMIT, now).await?;
-            connection.send(&request).await?;
-            let head = connection.read_head().await?;
-            Ok(self.context.dialect().read_order(head.status))
-        };
-        match actix_rt::time::timeout(ORDER_LIMIT, call).await {
-            Ok(result) => result,
-            Err(_elapsed) => Err(LinkError::written("no answer in time")),
-        }
-    }
 }
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -5,9 +5,12 @@
 //! are the two ways of a request. [`LayoutKeeper`] orders engines to hold layers. A deployment's
 //! words are read and written by its [`RequestDialect`] and [`FleetDialect`].
 
+pub mod call_guard;
+pub mod chain_choice;
+pub mod chain_watch;
 pub mod dialect;
 pub mod endpoint_link;
-pub mod engine_reports;
+pub mod engine_calls;
 pub mod event_splitter;
 pub mod fleet_sinks;
 pub mod fleet_view;
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -10,6 +10,7 @@
 use dandeliondeal_route::RepeatClass;
 use dandeliondeal_types::{Clock, EndpointId, EndpointRecord};
 
+use crate::call_guard::CallGuard;
 use crate::dialect::{AttemptFacts, FleetDialect, RequestDialect};
 use crate::endpoint_link::{ANSWER_LIMIT, LinkChoice, exchange, open, outbound};
 use crate::refusal::RefusalCause;
@@ -157,7 +158,7 @@
             return AttemptEnd::Unsent(error);
         }
     };
-    let guard = CallGuard::begin(context, endpoint, started);
+    let guard = CallGuard::begin(context, vec![EndpointId::clone(&endpoint.id)]);
     request.life.apply(LifeEvent::Offer);
     let end =
         match actix_rt::time::timeout(limit, call(context, request, endpoint, &mut connection))
@@ -250,49 +251,3 @@
     fleet.started(&endpoint.id, started);
     fleet.finished(&endpoint.id, started, result, now);
 }
-
-/// Counts a call as open at its endpoint; a dropped guard counts it as cancelled.
-struct CallGuard<Time, Dialect>
-where
-    Time: Clock,
-{
-    context: RelayContext<Time, Dialect>,
-    endpoint: EndpointId,
-    started: Instant,
-    result: CallResult,
-}
-
-impl<Time, Dialect> CallGuard<Time, Dialect>
-where
-    Time: Clock,
-{
-    fn begin(
-        context: &RelayContext<Time, Dialect>,
-        endpoint: &EndpointRecord,
-        started: Instant,
-    ) -> Self {
-        let id = EndpointId::clone(&endpoint.id);
-        context.fleet().borrow_mut().started(&id, started);
-        Self {
-            context: context.clone(),
-            endpoint: id,
-            started,
-            result: CallResult::Cancelled,
-        }
-    }
-
-    fn end(mut self, result: CallResult) {
-        self.result = result;
-    }
-}
-
-impl<Time, Dialect> Drop for CallGuard<Time, Dialect>
-where
-    Time: Clock,
-{
-    fn drop(&mut self) {
-        let now = self.context.now();
-        let mut fleet = self.context.fleet().borrow_mut();
-        fleet.finished(&self.endpoint, self.started, self.result, now);
-    }
-}
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -14,13 +14,17 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::engine_reports::EngineReports;
+use crate::engine_calls::EngineReports;
 use crate::fleet_view::FleetView;
 use crate::load_book::LoadBook;
 use crate::relay_error::RelayError;
 use crate::relay_life::{LifeTable, life_table};
 use crate::relay_metrics::RelayMetrics;
 
+/// Part of the slack that running instances use; the rest is for those that restart within a
+/// window and have forgotten what they used.
+const SLACK_SHARE: f64 = 0.7;
+
 /// What all requests of a router share; clones share the state.
 #[derive(Debug)]
 pub struct RelayContext<Time, Dialect> {
@@ -85,7 +89,7 @@
             metrics: RelayMetrics::new()?,
             life: life_table()?,
             planner: LayoutPlanner::new(LayoutSettings::default()),
-            instances: Cell::new(1),
+            instances: Cell::new(0),
             is_stopping: Cell::new(false),
         };
         Ok(Self {
@@ -168,7 +172,7 @@
 
     /// Instances that share the budget of repeats and the load.
     pub fn instances(&self) -> usize {
-        self.shared.instances.get()
+        self.shared.instances.get().max(1)
     }
 
     /// Sets how many instances there are.
@@ -181,8 +185,15 @@
         }
     }
 
+    /// This instance's part of the slack; none until the instances are counted, since a fresh
+    /// process does not know how many others there are.
     fn slack(&self) -> f64 {
-        self.shared.settings.allowances.repeat_slack / self.instances() as f64
+        let instances = self.shared.instances.get();
+        let slack = self.shared.settings.allowances.repeat_slack * SLACK_SHARE;
+        if instances == 0 {
+            return 0.0;
+        }
+        slack / instances as f64
     }
 
     /// Whether the process is asked to stop.
--- a/crates/dandeliondeal_relay/src/store_watch.rs
+++ b/crates/dandeliondeal_relay/src/store_watch.rs
@@ -66,6 +66,9 @@
                 seen = None;
             }
             Err(error) => {
+                // A watch that was cut may have missed changes whose history is dropped before
+                // a next watch is told so; a new list shows them at once.
+                seen = None;
                 if outage_start.is_none() {
                     tracing::warn!(kind, %error, "store lost");
                     outage_start = Some(now);
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -6,13 +6,19 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
+use dandeliondeal_balance::CallResult;
 use dandeliondeal_http::{AnswerHead, EndpointConnection, LinkError};
-use dandeliondeal_layout::{ChainQuery, EngineChain, EngineProfile};
+use dandeliondeal_layout::{EngineChain, EngineProfile};
 use dandeliondeal_types::{Clock, EndpointId};
 
-use crate::dialect::{AnswerFacts, AttemptFacts, FleetDialect, RequestDialect};
+use crate::call_guard::CallGuard;
+use crate::chain_choice::{ChainDemand, choose_chain};
+use crate::chain_watch::watch_chain;
+use crate::dialect::{AnswerFacts, AttemptFacts, FleetDialect, OrderReply, RequestDialect};
 use crate::endpoint_link::{ANSWER_LIMIT, LinkChoice, exchange, open, outbound};
+use crate::engine_calls::send_order;
 use crate::event_splitter::EventSplitter;
+use crate::fleet_view::FleetView;
 use crate::load_book::LoadTicket;
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
@@ -20,24 +26,13 @@
 use crate::relay_life::LifeEvent;
 use crate::request_intake::RelayRequest;
 
-/// Time without an event after which the engines of the chain are looked at. Events come every
-/// 20 to 40 ms on a chain in good order; callers count a pause of 250 ms as late.
-const QUIET_LIMIT: Duration = Duration::from_millis(160);
-/// Time without an event after which the first engine is asked what it waits for.
-const REPORT_AFTER: Duration = Duration::from_millis(300);
 /// First engines that refuse the connection before the request is refused; nothing was sent.
 const CONNECT_TRIES: u32 = 4;
 /// Offers of one request at most, counting those that engines stated not to have run.
 const OFFER_LIMIT: u32 = 4;
-/// Seconds that a change of failure domain adds to each token, on the way and back.
-const CROSSING_STEP: f64 = 0.000_75;
-/// Requests that one engine runs at once without getting much slower.
-const RUN_LIMIT: f64 = 110.0;
-/// Share of an engine's memory that may be committed. Requests rarely reach their full size all
-/// at once, so that commitments of all of the memory leave a quarter of it free.
-const FILL_LIMIT: f64 = 1.1;
-/// Answers are about as long as callers estimate in the middle, and often longer.
-const HINT_FACTOR: f64 = 1.2;
+/// Share of an engine's memory above which a rejection is put down to want of memory; below it
+/// the engine is draining, giving up its layers, or lost.
+const CROWDED_SHARE: f64 = 0.6;
 
 /// Why a stream goes on without its chain.
 #[derive(Clone, Debug)]
@@ -68,20 +63,29 @@
 
 /// A chain that runs the request now.
 #[derive(Debug)]
-struct StreamLink {
+struct StreamLink<Time, Dialect>
+where
+    Time: Clock,
+{
     connection: EndpointConnection,
     chain: EngineChain,
-    _ticket: LoadTicket,
+    ticket: LoadTicket,
+    /// The offer, until the chain begins to answer.
+    offer: Option<CallGuard<Time, Dialect>>,
 }
 
 /// A stream that is relayed.
 #[derive(Debug)]
-pub struct StreamRelay<Time, Dialect> {
+pub struct StreamRelay<Time, Dialect>
+where
+    Time: Clock,
+{
     context: RelayContext<Time, Dialect>,
     request: RelayRequest,
     profile: Arc<EngineProfile>,
+    demand: ChainDemand,
     splitter: EventSplitter,
-    link: Option<StreamLink>,
+    link: Option<StreamLink<Time, Dialect>>,
     head: Option<HeaderMap>,
     /// Engines that this request does not use again.
     avoided: Vec<EndpointId>,
@@ -102,11 +106,13 @@
         profile: Arc<EngineProfile>,
     ) -> Self {
         let splitter = EventSplitter::after(request.facts.last_event);
+        let demand = ChainDemand::new(&request.facts, &profile);
         let last_sign = context.now();
         Self {
             context,
             request,
             profile,
+            demand,
             splitter,
             link: None,
             head: None,
@@ -201,7 +207,13 @@
         let chunk = tokio::select! {
             biased;
             chunk = link.connection.read_chunk() => chunk.map_err(BreakCause::Broken)?,
-            engine = watch => return Err(BreakCause::Stalled(engine)),
+            engine = watch => {
+                return if self.move_link(&engine).await {
+                    Ok(Some(Bytes::new()))
+                } else {
+                    Err(BreakCause::Stalled(engine))
+                };
+            }
         };
         let Some(chunk) = chunk else {
             if self.splitter.is_partial() {
@@ -213,12 +225,58 @@
         let events = self.splitter.push(&chunk);
         let events = events.map_err(|error| BreakCause::Broken(LinkError::written(&error)))?;
         if !events.is_empty() {
-            self.last_sign = self.context.now();
-            self.request.life.apply(LifeEvent::Start);
+            self.note_events();
         }
         Ok(Some(events))
     }
 
+    fn note_events(&mut self) {
+        let now = self.context.now();
+        self.last_sign = now;
+        if let Some(link) = &mut self.link
+            && let Some(offer) = link.offer.take()
+        {
+            offer.end(CallResult::Answered);
+        }
+        self.request.life.apply(LifeEvent::Start);
+    }
+
+    /// Moves the running request off a lost engine; `false` if it has to be run anew.
+    async fn move_link(&mut self, lost: &EndpointId) -> bool {
+        let Some(link) = &self.link else {
+            return false;
+        };
+        let chain = self.move_chain(&link.chain, lost).await;
+        let Some(chain) = chain else {
+            return false;
+        };
+        let ticket = self.context.book().enter(&chain, self.demand.tokens());
+        self.last_sign = self.context.now();
+        if let Some(link) = &mut self.link {
+            link.chain = chain;
+            link.ticket = ticket;
+        }
+        true
+    }
+
+    /// Orders the first engine of a chain to run the request on without a lost one.
+    async fn move_chain(&self, chain: &EngineChain, lost: &EndpointId) -> Option<EngineChain> {
+        let first = chain.hops.first().filter(|first| first.id != *lost)?;
+        let next = self.choose(Some(&first.id))?;
+        let id = &self.request.facts.request;
+        let order = self.context.dialect().write_move(id, &next);
+        let reply = send_order(&self.context, first.address, &order).await;
+        let (text, is_moved) = match &reply {
+            Ok(reply) => (
+                reply.to_string(),
+                matches!(reply, OrderReply::Begun | OrderReply::Done),
+            ),
+            Err(error) => (error.to_string(), false),
+        };
+        tracing::info!(request = %id, engine = %first.id, %lost, reply = text, "move ordered");
+        is_moved.then_some(next)
+    }
+
     /// Gives up the present chain; an error if the stream may not go on elsewhere.
     fn break_link(&mut self, cause: &BreakCause) -> Result<(), StreamEnd> {
         self.splitter.discard();
@@ -257,10 +315,10 @@
             if left.is_zero() {
                 return Err(self.late());
             }
-            let Some(chain) = self.choose() else {
+            let Some(chain) = self.choose(None) else {
                 return Err(self.refused(RefusalCause::NoEndpoint));
             };
-            let tokens = self.tokens();
+            let tokens = self.demand.tokens();
             let ticket = self.context.book().enter(&chain, tokens);
             let first = chain.hops[0].clone();
             let opened = open(
@@ -288,10 +346,12 @@
             self.runs += 1;
             self.request.life.apply(LifeEvent::Offer);
             self.last_sign = self.context.now();
+            let offer = CallGuard::begin_chain(&self.context, &chain);
             let link = StreamLink {
                 connection,
                 chain,
-                _ticket: ticket,
+                ticket,
+                offer: Some(offer),
             };
             if self.begin(link, left).await? {
                 return Ok(());
@@ -300,7 +360,11 @@
     }
 
     /// Sends the request over a link; `false` if it has to be offered again.
-    async fn begin(&mut self, mut link: StreamLink, left: Duration) -> Result<bool, StreamEnd> {
+    async fn begin(
+        &mut self,
+        mut link: StreamLink<Time, Dialect>,
+        left: Duration,
+    ) -> Result<bool, StreamEnd> {
         let facts = AttemptFacts {
             endpoint: &link.chain.hops[0].id,
             organisation: self.request.matched.organisation.as_ref(),
@@ -313,12 +377,21 @@
         let dialect = self.context.dialect().clone();
         let answer = {
             let answer = exchange(&dialect, &mut link.connection, &message, &id);
-            let watch = watch_chain(&self.context, &link.chain, &id, self.last_sign);
+            let mut answer = std::pin::pin!(answer);
             let both = async {
-                tokio::select! {
-                    biased;
-                    answer = answer => answer.map_err(BreakCause::Broken),
-                    engine = watch => Err(BreakCause::Stalled(engine)),
+                loop {
+                    let watch = watch_chain(&self.context, &link.chain, &id, self.last_sign);
+                    let lost = tokio::select! {
+                        biased;
+                        answer = &mut answer => return answer.map_err(BreakCause::Broken),
+                        engine = watch => engine,
+                    };
+                    let Some(chain) = self.move_chain(&link.chain, &lost).await else {
+                        return Err(BreakCause::Stalled(lost));
+                    };
+                    link.ticket = self.context.book().enter(&chain, self.demand.tokens());
+                    link.chain = chain;
+                    self.last_sign = self.context.now();
                 }
             };
             actix_rt::time::timeout(left, both).await
@@ -363,17 +436,13 @@
     /// The engines stated that the request did not run.
     fn rejected(
         &mut self,
-        link: StreamLink,
+        link: StreamLink<Time, Dialect>,
         head: &AnswerHead,
         facts: &AnswerFacts,
     ) -> Result<bool, StreamEnd> {
         self.request.life.apply(LifeEvent::Reject);
         self.runs -= 1;
-        let first = EndpointId::clone(&link.chain.hops[0].id);
-        let fleet = self.context.fleet().borrow();
-        let named = facts.faulty.and_then(|address| fleet.at(address).cloned());
-        drop(fleet);
-        let faulty = named.unwrap_or(first);
+        let faulty = self.fault(&link, head, facts);
         let may_repeat = self.offers < OFFER_LIMIT
             && self.context.take_repeat(&self.request.service, "rejected");
         tracing::info!(
@@ -393,8 +462,42 @@
         }
     }
 
+    /// The engine that is at fault for a rejection, taken out of use where that is evident.
+    fn fault(
+        &self,
+        link: &StreamLink<Time, Dialect>,
+        head: &AnswerHead,
+        facts: &AnswerFacts,
+    ) -> EndpointId {
+        let now = self.context.now();
+        let hops = &link.chain.hops;
+        let named = facts
+            .faulty
+            .and_then(|address| hops.iter().find(|hop| hop.address == address));
+        let engine = EndpointId::clone(&named.unwrap_or(&hops[0]).id);
+        let mut fleet = self.context.fleet().borrow_mut();
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            fleet.doubt_layers(&engine, now);
+        } else if !self.is_crowded(&fleet, &engine, now) {
+            fleet.blame(&engine, now);
+        }
+        engine
+    }
+
+    /// Whether want of memory explains that an engine rejects a request.
+    fn is_crowded(&self, fleet: &FleetView, engine: &EndpointId, now: Instant) -> bool {
+        let scale = self.context.book().scale(self.context.instances(), now);
+        let work = self.context.book().work(engine, scale, now);
+        let room = fleet.token_room(engine, &self.profile);
+        room.is_some_and(|room| work.tokens > room * CROWDED_SHARE)
+    }
+
     /// The engine answered with a failure of its own.
-    async fn failed(&mut self, mut link: StreamLink, head: &AnswerHead) -> Result<bool, StreamEnd> {
+    async fn failed(
+        &mut self,
+        mut link: StreamLink<Time, Dialect>,
+        head: &AnswerHead,
+    ) -> Result<bool, StreamEnd> {
         let body = link.connection.read_body(ANSWER_LIMIT).await;
         let body = match body {
             Ok(body) => body,
@@ -418,107 +521,20 @@
         self.request.life.apply(LifeEvent::Complete);
         Err(StreamEnd::Failure(response))
     }
-
-    /// Tokens that the request will have taken by its end.
-    fn tokens(&self) -> f64 {
-        f64::from(self.request.facts.prompt_tokens) + self.answer_tokens()
-    }
-
-    fn answer_tokens(&self) -> f64 {
-        let facts = &self.request.facts;
-        let limit = f64::from(facts.answer_limit);
-        let usual = f64::from(self.profile.usual_answer);
-        let hint = facts.answer_hint.map(|hint| f64::from(hint) * HINT_FACTOR);
-        hint.unwrap_or(usual).min(limit.max(1.0))
-    }
-
-    fn choose(&self) -> Option<EngineChain> {
-        let now = self.context.now();
-        let fleet = self.context.fleet().borrow();
-        let graph = fleet.graph(
-            &self.request.service,
-            &self.profile,
-            self.context.book(),
-            self.context.instances(),
-            &self.avoided,
-            now,
-        );
-        let prompt = self.request.facts.prompt_tokens;
-        let query = ChainQuery {
-            prompt: f64::from(prompt),
-            answer: self.answer_tokens(),
-            crossing: self.profile.crossing_time(prompt).as_secs_f64(),
-            crossing_step: CROSSING_STEP,
-            run_limit: RUN_LIMIT,
-            fill_limit: FILL_LIMIT,
-        };
-        graph.find(&query)
-    }
 }
 
-/// Waits until an engine of the chain is known not to answer, and names it.
-///
-/// As long as events come, the relay starts a new watch with each.
-async fn watch_chain<Time, Dialect>(
-    context: &RelayContext<Time, Dialect>,
-    chain: &EngineChain,
-    request: &str,
-    last_sign: Instant,
-) -> EndpointId
-where
-    Time: Clock,
-    Dialect: FleetDialect,
-{
-    loop {
-        let quiet = context.now().saturating_duration_since(last_sign);
-        if quiet < QUIET_LIMIT {
-            actix_rt::time::sleep(QUIET_LIMIT.saturating_sub(quiet)).await;
-            continue;
-        }
-        if let Some(engine) = context.fleet().borrow().first_lost(chain) {
-            return engine;
-        }
-        if quiet >= REPORT_AFTER
-            && let Some(engine) = diagnose(context, chain, request).await
-        {
-            return engine;
-        }
-        actix_rt::time::sleep(QUIET_LIMIT).await;
-    }
-}
-
-/// Asks the first engine what the request waits for; takes an engine that is lost out of use.
-async fn diagnose<Time, Dialect>(
-    context: &RelayContext<Time, Dialect>,
-    chain: &EngineChain,
-    request: &str,
-) -> Option<EndpointId>
+impl<Time, Dialect> StreamRelay<Time, Dialect>
 where
     Time: Clock,
-    Dialect: FleetDialect,
 {
-    let first = &chain.hops[0];
-    let report = context
-        .reports()
-        .fetch(context, &first.id, first.address)
-        .await;
-    let lost = match &report {
-        None => Some(EndpointId::clone(&first.id)),
-        Some(report) => {
-            let stalled = report
-                .stalled
-                .iter()
-                .find(|stalled| *stalled.request == *request);
-            stalled.and_then(|stalled| {
-                let hop = chain.hops.iter().find(|hop| hop.address == stalled.engine);
-                hop.map(|hop| EndpointId::clone(&hop.id))
-            })
-        }
-    };
-    if let Some(engine) = &lost {
-        let now = context.now();
-        context.fleet().borrow_mut().blame(engine, now);
-        tracing::info!(request, %engine, "engine does not answer; taken out of use");
+    fn choose(&self, first: Option<&EndpointId>) -> Option<EngineChain> {
+        choose_chain(
+            &self.context,
+            &self.request.service,
+            &self.profile,
+            self.demand,
+            first,
+            &self.avoided,
+        )
     }
-    lost
 }
--- a/crates/dandeliondeal_relay/tests/event_splitter.rs
+++ b/crates/dandeliondeal_relay/tests/event_splitter.rs
@@ -62,6 +62,6 @@
 #[test]
 fn endless_event() {
     let mut splitter = EventSplitter::default();
-    let error = splitter.push(&[b'x'; 70_000]).expect_err("no end");
+    let error = splitter.push(&vec![b'x'; 70_000]).expect_err("no end");
     assert_eq!(error, EventError::TooLong);
 }
