Fewer calls to the store; links between failure domains bound the chains that cross them

Ruled out: machines and processor time, which cost a tenth of the calls. Change: changes are gathered for 350 ms before the next watch; three contenders read the lease, others every 9 s or so; the registry is read relaxed; the links' load weighs on a crossing and forbids it above 0.7.

--- a/crates/dandeliondeal_layout/src/chain_graph.rs
+++ b/crates/dandeliondeal_layout/src/chain_graph.rs
@@ -41,6 +41,8 @@
     pub answer: f64,
     /// Seconds that sending the prompt to another failure domain takes.
     pub crossing: f64,
+    /// Share of the links between failure domains that is taken, from 0 to 1.
+    pub crossing_load: f64,
     /// Seconds that each token takes longer for each change of failure domain.
     pub crossing_step: f64,
     /// Requests that one engine runs at once without getting much slower.
@@ -82,6 +84,9 @@
 const FULL_MARGIN: f64 = 1.1;
 /// A crossing counts for more than its time: the link is shared by all requests.
 const CROSSING_WEIGHT: f64 = 3.0;
+/// Share of the links above which no further request crosses: transfers pass one after another,
+/// so that each further one delays all.
+const CROSSING_LIMIT: f64 = 0.7;
 /// Fewest prompt and answer tokens in a cost, so that tiny requests still avoid loaded engines.
 const LEAST_TOKENS: f64 = 16.0;
 
@@ -213,8 +218,12 @@
         let entries = before?.iter().filter_map(|index| {
             let end = ends.get(index)?;
             let is_crossing = self.nodes[*index].failure_domain != node.failure_domain;
+            if is_crossing && query.crossing_load > CROSSING_LIMIT {
+                return None;
+            }
             let crossing = if is_crossing {
-                (query.crossing + query.answer * query.crossing_step) * CROSSING_WEIGHT
+                let transfer = query.crossing / (FULL_MARGIN - query.crossing_load);
+                (transfer + query.answer * query.crossing_step) * CROSSING_WEIGHT
             } else {
                 0.0
             };
--- a/crates/dandeliondeal_layout/tests/chain_search.rs
+++ b/crates/dandeliondeal_layout/tests/chain_search.rs
@@ -26,6 +26,7 @@
         prompt: 800.0,
         answer: 200.0,
         crossing: 0.01,
+        crossing_load: 0.0,
         crossing_step: 0.000_75,
         run_limit: 100.0,
         fill_limit: 1.0,
@@ -58,6 +59,16 @@
     assert_eq!(chain.crossings, 2);
 }
 
+#[test]
+fn full_link() {
+    let graph = ChainGraph::new(8, vec![node("a", "one", 0, 4), node("b", "two", 4, 8)]);
+    let query = ChainQuery {
+        crossing_load: 0.9,
+        ..query()
+    };
+    assert!(graph.find(&query).is_none());
+}
+
 #[test]
 fn loaded_engine() {
     let mut busy = node("b", "one", 4, 8);
--- a/crates/dandeliondeal_relay/src/chain_choice.rs
+++ b/crates/dandeliondeal_relay/src/chain_choice.rs
@@ -58,15 +58,22 @@
     let now = context.now();
     let fleet = context.fleet().borrow();
     let instances = context.instances();
-    let graph = fleet.graph(service, profile, context.book(), instances, avoided, now);
+    let book = context.book();
+    let graph = fleet.graph(service, profile, book, instances, avoided, now);
+    let crossing = profile.crossing_time(demand.prompt).as_secs_f64();
     let query = ChainQuery {
         first: first.cloned(),
         prompt: f64::from(demand.prompt),
         answer: demand.answer,
-        crossing: profile.crossing_time(demand.prompt).as_secs_f64(),
+        crossing,
+        crossing_load: book.crossing_load(book.scale(instances, now), now),
         crossing_step: CROSSING_STEP,
         run_limit: RUN_LIMIT,
         fill_limit: FILL_LIMIT,
     };
-    graph.find(&query)
+    let chain = graph.find(&query)?;
+    // The prompt crosses on the way, not back.
+    let crossings = f64::from(chain.crossings.div_ceil(2));
+    book.cross(crossing * crossings, now);
+    Some(chain)
 }
--- a/crates/dandeliondeal_relay/src/engine_calls.rs
+++ b/crates/dandeliondeal_relay/src/engine_calls.rs
@@ -20,8 +20,9 @@
 const REPORT_LIMIT: Duration = Duration::from_millis(300);
 /// Longest wait for the answer to an order.
 const ORDER_LIMIT: Duration = Duration::from_millis(600);
-/// A report is used again for this long: it is some 200 ms old when it comes.
-const REPORT_LIFE: Duration = Duration::from_millis(150);
+/// A report is used again for this long. It is some 200 ms old when it comes, and each is priced
+/// as a probe.
+const REPORT_LIFE: Duration = Duration::from_millis(300);
 /// Longest report, in bytes: one with every request of an engine stalled.
 const REPORT_BYTES: usize = 256 * 1024;
 /// Pause between two looks at a report that another request asked for.
--- a/crates/dandeliondeal_relay/src/instance_registry.rs
+++ b/crates/dandeliondeal_relay/src/instance_registry.rs
@@ -1,9 +1,13 @@
 //! The instances of the system, each an object in the store.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use dandeliondeal_types::{Clock, KindStore, ObjectStore, PutCondition, StoreError};
+use dandeliondeal_types::{
+    Clock, FailureDomain, InstanceId, KindStore, ObjectStore, ObjectValue, PutCondition,
+    ReadFreshness, StoreError,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::relay_context::RelayContext;
@@ -15,10 +19,21 @@
 /// Time between two tries to register.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// An instance as it registered itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerInstance {
+    /// The instance.
+    pub id: InstanceId,
+    /// Its address for other instances.
+    pub address: SocketAddr,
+    /// Failure domain it runs in.
+    pub failure_domain: FailureDomain,
+}
+
 /// What an instance registers.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct InstanceEntry {
-    address: Arc<str>,
+    address: SocketAddr,
     failure_domain: Arc<str>,
 }
 
@@ -33,14 +48,17 @@
     register(&context, &store).await;
     let mut known = None;
     loop {
-        match store.snapshot(REGISTRY_KIND).await {
+        let list = store.snapshot(REGISTRY_KIND, ReadFreshness::Relaxed);
+        match list.await {
             Ok(snapshot) => {
-                let count = snapshot.objects.len();
+                let peers = snapshot.objects.iter().filter_map(read_entry);
+                let peers: Vec<PeerInstance> = peers.collect();
+                let count = peers.len();
                 if known != Some(count) {
                     known = Some(count);
                     tracing::info!(count, revision = snapshot.version, "instances counted");
-                    context.set_instances(count);
                 }
+                context.set_peers(peers);
             }
             Err(error) => tracing::info!(%error, "instances not counted"),
         }
@@ -48,6 +66,17 @@
     }
 }
 
+fn read_entry(object: &ObjectValue) -> Option<PeerInstance> {
+    let entry: InstanceEntry = serde_json::from_str(&object.body)
+        .inspect_err(|error| tracing::warn!(instance = %object.name, %error, "entry skipped"))
+        .ok()?;
+    Some(PeerInstance {
+        id: InstanceId::clone(&object.name),
+        address: entry.address,
+        failure_domain: entry.failure_domain,
+    })
+}
+
 async fn register<Time, Dialect, Store>(context: &RelayContext<Time, Dialect>, store: &Store)
 where
     Time: Clock,
@@ -56,7 +85,7 @@
     let settings = context.settings();
     let name = format!("{REGISTRY_KIND}/{}", settings.instance.id);
     let entry = InstanceEntry {
-        address: settings.endpoints.peers.to_string().into(),
+        address: settings.endpoints.peers,
         failure_domain: Arc::clone(&settings.instance.failure_domain),
     };
     let body: Arc<str> = serde_json::to_string(&entry).unwrap_or_default().into();
--- a/crates/dandeliondeal_relay/src/layout_keeper.rs
+++ b/crates/dandeliondeal_relay/src/layout_keeper.rs
@@ -7,13 +7,23 @@
 
 use dandeliondeal_layout::{EngineProfile, EngineState, LayoutMove};
 use dandeliondeal_store::{LeaseAction, LeaseEvent, LeaseMachine, LeaseSettings, LeaseTime};
-use dandeliondeal_types::{Clock, EndpointId, FencingNumber, LayerRange, ObjectStore, ServiceId};
+use dandeliondeal_types::rendezvous::preferred;
+use dandeliondeal_types::{
+    Clock, EndpointId, FencingNumber, InstanceId, LayerRange, ObjectStore, ServiceId,
+};
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::dialect::{FleetDialect, LayerOrder, OrderReply};
 use crate::engine_calls::{ask, send_order};
 use crate::relay_context::RelayContext;
 use crate::relay_error::RelayError;
 
+/// Instances that look at the lease all the time; each look is a priced call to the store.
+const CONTENDERS: usize = 3;
+/// What the contenders are chosen by.
+const CONTENDER_KEY: &str = "layout";
+/// Time between two looks of the other instances, in case that all contenders are gone.
+const OUTSIDER_INTERVAL: Duration = Duration::from_secs(9);
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(200);
 /// The list of engines has to be unchanged for this long before the first layout: engines
@@ -103,8 +113,13 @@
 
     /// Runs until the process is asked to stop, then gives the lease back.
     pub async fn run(self) {
+        let mut next_look = self.context.now();
         while !self.context.is_stopping() {
-            self.drive_lease(LeaseEvent::Tick);
+            let now = self.context.now();
+            if self.fence().is_some() || self.is_contender() || now >= next_look {
+                self.drive_lease(LeaseEvent::Tick);
+                next_look = now + self.context.jitter(OUTSIDER_INTERVAL);
+            }
             self.note_holder();
             self.keep();
             actix_rt::time::sleep(TICK).await;
@@ -112,6 +127,22 @@
         self.drive_lease(LeaseEvent::Release);
     }
 
+    /// Whether this instance is one of those that look at the lease all the time.
+    fn is_contender(&self) -> bool {
+        let peers = self.context.peers();
+        let mut names: Vec<&InstanceId> = peers.iter().map(|peer| &peer.id).collect();
+        for _ in 0..CONTENDERS {
+            match preferred(CONTENDER_KEY, &names, Xxh3::new) {
+                None => return true,
+                Some(index) if *names[index] == self.context.settings().instance.id => return true,
+                Some(index) => {
+                    names.swap_remove(index);
+                }
+            }
+        }
+        false
+    }
+
     fn drive_lease(&self, event: LeaseEvent) {
         let time = LeaseTime::of(self.context.clock());
         let action = self.state.borrow_mut().lease.handle(event, time);
--- a/crates/dandeliondeal_relay/src/load_book.rs
+++ b/crates/dandeliondeal_relay/src/load_book.rs
@@ -29,6 +29,9 @@
     own: HashMap<EndpointId, EngineWork>,
     /// First engines state how many requests of all instances they run.
     stated: HashMap<EndpointId, StatedWork>,
+    /// Seconds of transfers between failure domains, fading with [`CROSSING_FADE`].
+    crossing: f64,
+    crossing_at: Option<Instant>,
 }
 
 /// Load of the engines; clones share it.
@@ -45,6 +48,8 @@
     tokens: f64,
 }
 
+/// Time in which the transfers of a moment fade out of the measured share of the links.
+const CROSSING_FADE: Duration = Duration::from_secs(2);
 /// A stated load counts for this long; engines state it with each answer, and their state
 /// changes within about the length of a request.
 const STATED_LIFE: Duration = Duration::from_millis(1_500);
@@ -83,6 +88,19 @@
         state.stated.insert(EndpointId::clone(engine), stated);
     }
 
+    /// Notes that a request's prompt crosses between failure domains for `seconds` in all.
+    pub fn cross(&self, seconds: f64, now: Instant) {
+        let mut state = self.state.borrow_mut();
+        state.crossing = state.crossing_left(now) + seconds;
+        state.crossing_at = Some(now);
+    }
+
+    /// Share of the links between failure domains that the requests of all instances take.
+    pub fn crossing_load(&self, scale: f64, now: Instant) -> f64 {
+        let left = self.state.borrow().crossing_left(now);
+        (left / CROSSING_FADE.as_secs_f64() * scale).clamp(0.0, 1.0)
+    }
+
     /// Forgets an engine that is gone.
     pub fn forget(&self, engine: &str) {
         self.state.borrow_mut().stated.remove(engine);
@@ -138,6 +156,12 @@
 }
 
 impl BookState {
+    fn crossing_left(&self, now: Instant) -> f64 {
+        let since = self.crossing_at.map(|at| now.saturating_duration_since(at));
+        let fade = since.unwrap_or_default().as_secs_f64() / CROSSING_FADE.as_secs_f64();
+        self.crossing * (-fade).exp()
+    }
+
     fn usual_tokens(&self) -> f64 {
         let running: f64 = self.own.values().map(|work| work.running).sum();
         let tokens: f64 = self.own.values().map(|work| work.tokens).sum();
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -16,6 +16,7 @@
 
 use crate::engine_calls::EngineReports;
 use crate::fleet_view::FleetView;
+use crate::instance_registry::PeerInstance;
 use crate::load_book::LoadBook;
 use crate::relay_error::RelayError;
 use crate::relay_life::{LifeTable, life_table};
@@ -47,6 +48,7 @@
     life: Arc<LifeTable>,
     planner: LayoutPlanner,
     instances: Cell<usize>,
+    peers: RefCell<Rc<Vec<PeerInstance>>>,
     is_stopping: Cell<bool>,
 }
 
@@ -90,6 +92,7 @@
             life: life_table()?,
             planner: LayoutPlanner::new(LayoutSettings::default()),
             instances: Cell::new(0),
+            peers: RefCell::default(),
             is_stopping: Cell::new(false),
         };
         Ok(Self {
@@ -175,8 +178,15 @@
         self.shared.instances.get().max(1)
     }
 
-    /// Sets how many instances there are.
-    pub fn set_instances(&self, instances: usize) {
+    /// The instances as they registered.
+    pub fn peers(&self) -> Rc<Vec<PeerInstance>> {
+        Rc::clone(&self.shared.peers.borrow())
+    }
+
+    /// Takes in the instances as they registered.
+    pub fn set_peers(&self, peers: Vec<PeerInstance>) {
+        let instances = peers.len();
+        self.shared.peers.replace(Rc::new(peers));
         self.shared.instances.set(instances.max(1));
         self.fleet().borrow_mut().set_instances(instances.max(1));
         let slack = self.slack();
--- a/crates/dandeliondeal_relay/src/store_watch.rs
+++ b/crates/dandeliondeal_relay/src/store_watch.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use dandeliondeal_types::{Clock, KindChanges, KindSnapshot, KindStore, StoreError, Version};
+use dandeliondeal_types::{
+    Clock, KindChanges, KindSnapshot, KindStore, ReadFreshness, StoreError, Version,
+};
 
 use crate::relay_context::RelayContext;
 
@@ -14,6 +16,10 @@
 /// meanwhile return within two seconds.
 pub const OUTAGE_MEMORY: Duration = Duration::from_millis(2_500);
 
+/// Pause after changes before the next watch. Changes that come meanwhile are told together; each
+/// call is priced, and an endpoint that drains takes requests for seconds still.
+const BATCH_PAUSE: Duration = Duration::from_millis(350);
+
 /// What takes in the objects of a kind.
 pub trait KindSink {
     /// Takes in all objects.
@@ -41,7 +47,10 @@
     let mut pause = FIRST_PAUSE;
     loop {
         let result = match seen {
-            None => store.snapshot(kind).await.map(Update::Whole),
+            None => store
+                .snapshot(kind, ReadFreshness::Latest)
+                .await
+                .map(Update::Whole),
             Some(version) => store.changes(kind, version, limit).await.map(Update::Part),
         };
         let now = context.now();
@@ -58,7 +67,10 @@
                 match update {
                     Update::Whole(snapshot) => sink.replace(snapshot, is_after_outage),
                     Update::Part(changes) if changes.events.is_empty() => {}
-                    Update::Part(changes) => sink.change(changes, is_after_outage),
+                    Update::Part(changes) => {
+                        sink.change(changes, is_after_outage);
+                        actix_rt::time::sleep(BATCH_PAUSE).await;
+                    }
                 }
             }
             Err(StoreError::HistoryGone { .. }) => {
--- a/crates/dandeliondeal_store/src/platform_client.rs
+++ b/crates/dandeliondeal_store/src/platform_client.rs
@@ -10,7 +10,7 @@
 use awc::{Client, Connector};
 use dandeliondeal_types::{
     Clock, InstanceList, InstanceRecord, KindChanges, KindSnapshot, KindStore, ObjectStore,
-    ObjectValue, PutCondition, StoreError, Version,
+    ObjectValue, PutCondition, ReadFreshness, StoreError, Version,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -314,13 +314,18 @@
 {
     /// The version is that of the first page: changes made while later pages were read come
     /// again with the changes since.
-    async fn snapshot(&self, kind: &str) -> Result<KindSnapshot, StoreError> {
+    async fn snapshot(
+        &self,
+        kind: &str,
+        freshness: ReadFreshness,
+    ) -> Result<KindSnapshot, StoreError> {
         let mut snapshot = KindSnapshot::default();
         let mut after: Option<String> = None;
         loop {
             let request = StoreRequest::KindPage {
                 kind,
                 after: after.as_deref(),
+                freshness,
             };
             let answer = self.read(request).await?;
             let page = self.dialect.read_page(kind, &answer)?;
--- a/crates/dandeliondeal_store/src/store_dialect.rs
+++ b/crates/dandeliondeal_store/src/store_dialect.rs
@@ -6,7 +6,9 @@
 use awc::http::header::{HeaderMap, HeaderName};
 use awc::http::{Method, StatusCode};
 use bytes::Bytes;
-use dandeliondeal_types::{KindChanges, ObjectValue, PutCondition, StoreError, Version};
+use dandeliondeal_types::{
+    KindChanges, ObjectValue, PutCondition, ReadFreshness, StoreError, Version,
+};
 
 /// One call to the object API.
 #[derive(Clone, Debug)]
@@ -52,6 +54,8 @@
         kind: &'call str,
         /// Name of the last object of the page before.
         after: Option<&'call str>,
+        /// How fresh the page has to be.
+        freshness: ReadFreshness,
     },
     /// Waits for changes of a kind.
     KindWatch {
--- a/crates/dandeliondeal_types/src/kind_store.rs
+++ b/crates/dandeliondeal_types/src/kind_store.rs
@@ -33,10 +33,23 @@
     pub version: Version,
 }
 
+/// How fresh a list has to be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadFreshness {
+    /// As of the call.
+    Latest,
+    /// It may be seconds old, which costs the platform less.
+    Relaxed,
+}
+
 /// The part of the platform's object API that works on kinds.
 pub trait KindStore: Debug + 'static {
     /// Reads all objects of a kind, over as many pages as that takes.
-    fn snapshot(&self, kind: &str) -> impl Future<Output = Result<KindSnapshot, StoreError>>;
+    fn snapshot(
+        &self,
+        kind: &str,
+        freshness: ReadFreshness,
+    ) -> impl Future<Output = Result<KindSnapshot, StoreError>>;
 
     /// Waits until a kind changes after `seen`, or until `limit` is over.
     ///
--- a/crates/dandeliondeal_types/src/lib.rs
+++ b/crates/dandeliondeal_types/src/lib.rs
@@ -33,7 +33,7 @@
 #[doc(inline)]
 pub use instance_list::{InstanceList, InstanceRecord, InstanceRole, InstanceState};
 #[doc(inline)]
-pub use kind_store::{KindChanges, KindEvent, KindSnapshot, KindStore};
+pub use kind_store::{KindChanges, KindEvent, KindSnapshot, KindStore, ReadFreshness};
 #[doc(inline)]
 pub use layer_range::LayerRange;
 #[doc(inline)]
