Instances share their load through hubs; random factors against herding; tokens wait behind prompts

Change: one hub a failure domain sums up the reports of its instances, hubs exchange sums, every 200 ms over the peers' JSON-RPC; factors of 0.6 to 1.4 on engine times for each request; a crossing costs each token the wait behind the prompts on the link, and none is made above 0.4 of it.

--- a/crates/dandeliondeal_layout/src/chain_graph.rs
+++ b/crates/dandeliondeal_layout/src/chain_graph.rs
@@ -82,11 +82,9 @@
 
 /// Room that is left above a full engine in the weight of its load; keeps the weight finite.
 const FULL_MARGIN: f64 = 1.1;
-/// A crossing counts for more than its time: the link is shared by all requests.
-const CROSSING_WEIGHT: f64 = 3.0;
 /// Share of the links above which no further request crosses: transfers pass one after another,
 /// so that each further one delays all.
-const CROSSING_LIMIT: f64 = 0.7;
+const CROSSING_LIMIT: f64 = 0.4;
 /// Fewest prompt and answer tokens in a cost, so that tiny requests still avoid loaded engines.
 const LEAST_TOKENS: f64 = 16.0;
 
@@ -121,6 +119,19 @@
         }
     }
 
+    /// Multiplies each engine's times by a factor, such as a random one.
+    ///
+    /// Instances that know the same load would all choose the same chain until they hear of one
+    /// another's choices; factors drawn for each request spread them.
+    pub fn spread<Draw>(&mut self, mut draw: Draw)
+    where
+        Draw: FnMut() -> f64,
+    {
+        for node in &mut self.nodes {
+            node.slowness *= draw();
+        }
+    }
+
     /// The engines.
     pub fn nodes(&self) -> &[EngineNode] {
         &self.nodes
@@ -191,7 +202,7 @@
             let is_away = *self.nodes[*index].failure_domain != *domain;
             // Only tokens return, not the prompt.
             let back = if is_away {
-                query.answer * query.crossing_step
+                query.answer * (query.crossing_step + query.crossing * query.crossing_load)
             } else {
                 0.0
             };
@@ -222,8 +233,9 @@
                 return None;
             }
             let crossing = if is_crossing {
-                let transfer = query.crossing / (FULL_MARGIN - query.crossing_load);
-                (transfer + query.answer * query.crossing_step) * CROSSING_WEIGHT
+                // Each token waits behind the prompts that are on the link.
+                let wait = query.crossing * query.crossing_load;
+                query.crossing + wait + query.answer * (query.crossing_step + wait)
             } else {
                 0.0
             };
--- a/crates/dandeliondeal_relay/src/chain_choice.rs
+++ b/crates/dandeliondeal_relay/src/chain_choice.rs
@@ -2,6 +2,7 @@
 
 use dandeliondeal_layout::{ChainQuery, EngineChain, EngineProfile};
 use dandeliondeal_types::{Clock, EndpointId};
+use rand::Rng;
 
 use crate::dialect::CallerFacts;
 use crate::relay_context::RelayContext;
@@ -15,6 +16,9 @@
 const FILL_LIMIT: f64 = 1.1;
 /// Answers are about as long as callers estimate in the middle, and often longer.
 const HINT_FACTOR: f64 = 1.2;
+/// Factors on the times of engines, drawn for each request. What is known of the load of others is
+/// some 300 ms old, in which a tenth of the running requests change.
+const SPREAD: std::ops::Range<f64> = 0.6..1.4;
 
 /// What one request asks of a chain.
 #[derive(Clone, Copy, Debug)]
@@ -59,7 +63,8 @@
     let fleet = context.fleet().borrow();
     let instances = context.instances();
     let book = context.book();
-    let graph = fleet.graph(service, profile, book, instances, avoided, now);
+    let mut graph = fleet.graph(service, profile, book, instances, avoided, now);
+    context.random(|random| graph.spread(|| random.random_range(SPREAD)));
     let crossing = profile.crossing_time(demand.prompt).as_secs_f64();
     let query = ChainQuery {
         first: first.cloned(),
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod instance_registry;
 pub mod layout_keeper;
 pub mod load_book;
+pub mod load_share;
 pub mod plain_relay;
 pub mod refusal;
 pub mod relay_body;
--- a/crates/dandeliondeal_relay/src/load_book.rs
+++ b/crates/dandeliondeal_relay/src/load_book.rs
@@ -7,9 +7,12 @@
 
 use dandeliondeal_layout::EngineChain;
 use dandeliondeal_types::EndpointId;
+use serde::{Deserialize, Serialize};
+
+use crate::load_share::WorkSum;
 
 /// Work of one engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct EngineWork {
     /// Requests that run through it.
     pub running: f64,
@@ -32,6 +35,8 @@
     /// Seconds of transfers between failure domains, fading with [`CROSSING_FADE`].
     crossing: f64,
     crossing_at: Option<Instant>,
+    /// Work of the other instances, as they told it, and when.
+    others: Option<(Instant, WorkSum)>,
 }
 
 /// Load of the engines; clones share it.
@@ -48,6 +53,8 @@
     tokens: f64,
 }
 
+/// What other instances told counts for this long; they tell it several times a second.
+const TOLD_LIFE: Duration = Duration::from_millis(1_200);
 /// Time in which the transfers of a moment fade out of the measured share of the links.
 const CROSSING_FADE: Duration = Duration::from_secs(2);
 /// A stated load counts for this long; engines state it with each answer, and their state
@@ -97,8 +104,13 @@
 
     /// Share of the links between failure domains that the requests of all instances take.
     pub fn crossing_load(&self, scale: f64, now: Instant) -> f64 {
-        let left = self.state.borrow().crossing_left(now);
-        (left / CROSSING_FADE.as_secs_f64() * scale).clamp(0.0, 1.0)
+        let state = self.state.borrow();
+        let own = state.crossing_left(now) / CROSSING_FADE.as_secs_f64();
+        let all = match state.told(now) {
+            Some(others) => own + others.crossing,
+            None => own * scale,
+        };
+        all.clamp(0.0, 1.0)
     }
 
     /// Forgets an engine that is gone.
@@ -106,13 +118,47 @@
         self.state.borrow_mut().stated.remove(engine);
     }
 
+    /// This instance's own work at all engines.
+    pub fn own_sum(&self, now: Instant) -> WorkSum {
+        let state = self.state.borrow();
+        let engines = state.own.iter();
+        WorkSum {
+            engines: engines
+                .map(|(engine, work)| (EndpointId::clone(engine), *work))
+                .collect(),
+            crossing: state.crossing_left(now) / CROSSING_FADE.as_secs_f64(),
+        }
+    }
+
+    /// Takes in the work of all instances, in which `own` was this instance's part.
+    pub fn set_fleet(&self, all: &WorkSum, own: &WorkSum, at: Instant) {
+        let mut others = all.clone();
+        for (engine, work) in &own.engines {
+            if let Some(sum) = others.engines.get_mut(engine) {
+                sum.running = (sum.running - work.running).max(0.0);
+                sum.tokens = (sum.tokens - work.tokens).max(0.0);
+            }
+        }
+        others.crossing = (others.crossing - own.crossing).max(0.0);
+        self.state.borrow_mut().others = Some((at, others));
+    }
+
     /// Work of all instances at an engine, as far as it can be told.
     ///
+    /// What the others told lately goes first.
+    ///
     /// What an engine stated is corrected by what this instance began or ended since. For engines
     /// that state nothing, this instance's work is scaled by `scale`.
     pub fn work(&self, engine: &str, scale: f64, now: Instant) -> EngineWork {
         let state = self.state.borrow();
         let own = state.own.get(engine).copied().unwrap_or_default();
+        if let Some(others) = state.told(now) {
+            let others = others.engines.get(engine).copied().unwrap_or_default();
+            return EngineWork {
+                running: own.running + others.running,
+                tokens: own.tokens + others.tokens,
+            };
+        }
         let stated = state.stated.get(engine);
         let fresh = stated.filter(|stated| now.saturating_duration_since(stated.at) < STATED_LIFE);
         let running = match fresh {
@@ -162,6 +208,12 @@
         self.crossing * (-fade).exp()
     }
 
+    /// What the other instances told lately.
+    fn told(&self, now: Instant) -> Option<&WorkSum> {
+        let (at, work) = self.others.as_ref()?;
+        (now.saturating_duration_since(*at) < TOLD_LIFE).then_some(work)
+    }
+
     fn usual_tokens(&self) -> f64 {
         let running: f64 = self.own.values().map(|work| work.running).sum();
         let tokens: f64 = self.own.values().map(|work| work.tokens).sum();
--- /dev/null
+++ b/crates/dandeliondeal_relay/src/load_share.rs
@@ -0,0 +1,262 @@
+//! Load that instances tell one another, so that each sees the load of all at every engine.
+//!
+//! Each instance reports to one hub in its failure domain; hubs exchange the sums of their
+//! domains. A report's answer is the sum of all. Nothing is agreed: an instance that hears
+//! nothing estimates the load from its own.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use dandeliondeal_peer::{PeerClient, PeerError, PeerHandler};
+use dandeliondeal_types::rendezvous::preferred;
+use dandeliondeal_types::{Clock, EndpointId, FailureDomain, InstanceId};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::instance_registry::PeerInstance;
+use crate::load_book::EngineWork;
+use crate::relay_context::RelayContext;
+
+/// Reports an instance's work to its hub.
+const REPORT_METHOD: &str = "load-report";
+/// Exchanges the sums of two domains between their hubs.
+const EXCHANGE_METHOD: &str = "load-exchange";
+/// Time between two reports. Requests last a second or two, so that load changes little in it.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest wait for a hub's answer.
+const REPORT_LIMIT: Duration = Duration::from_millis(300);
+/// A report or sum that is older counts no more: its instance has gone.
+const REPORT_LIFE: Duration = Duration::from_millis(1_200);
+/// For this long an instance that did not answer is not taken for a hub.
+const HUB_PAUSE: Duration = Duration::from_secs(3);
+/// What hubs are chosen by.
+const HUB_KEY: &str = "load-hub";
+
+/// Work at all engines.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct WorkSum {
+    /// Requests and tokens by engine.
+    pub engines: BTreeMap<EndpointId, EngineWork>,
+    /// Share of the links between failure domains that is taken.
+    pub crossing: f64,
+}
+
+impl WorkSum {
+    /// Adds another sum.
+    pub fn add(&mut self, other: &Self) {
+        for (engine, work) in &other.engines {
+            let sum = self.engines.entry(EndpointId::clone(engine)).or_default();
+            sum.running += work.running;
+            sum.tokens += work.tokens;
+        }
+        self.crossing += other.crossing;
+    }
+}
+
+/// What an instance or a hub tells.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct WorkReport {
+    /// The instance, or the failure domain that a hub sums up.
+    from: InstanceId,
+    work: WorkSum,
+}
+
+/// What a hub has heard, and when.
+#[derive(Clone, Debug, Default)]
+pub struct HubState {
+    instances: HashMap<InstanceId, (Instant, WorkSum)>,
+    domains: HashMap<FailureDomain, (Instant, WorkSum)>,
+}
+
+impl HubState {
+    /// Takes in the work of an instance of this domain.
+    pub fn report(&mut self, instance: InstanceId, work: WorkSum, now: Instant) {
+        self.instances.insert(instance, (now, work));
+    }
+
+    /// Takes in the sum of another domain.
+    pub fn exchange(&mut self, domain: FailureDomain, work: WorkSum, now: Instant) {
+        self.domains.insert(domain, (now, work));
+    }
+
+    /// Work of this domain's instances.
+    pub fn own(&mut self, now: Instant) -> WorkSum {
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) <= REPORT_LIFE;
+        self.instances.retain(|_, (at, _)| is_fresh(*at));
+        let mut sum = WorkSum::default();
+        for (_, work) in self.instances.values() {
+            sum.add(work);
+        }
+        sum
+    }
+
+    /// Work of all instances.
+    pub fn all(&mut self, now: Instant) -> WorkSum {
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) <= REPORT_LIFE;
+        let mut sum = self.own(now);
+        self.domains.retain(|_, (at, _)| is_fresh(*at));
+        for (_, work) in self.domains.values() {
+            sum.add(work);
+        }
+        sum
+    }
+}
+
+/// Shares load with the other instances; clones share the state.
+#[derive(Debug)]
+pub struct LoadShare<Time, Dialect> {
+    context: RelayContext<Time, Dialect>,
+    client: PeerClient,
+    hub: Rc<RefCell<HubState>>,
+    /// Instances that did not answer, until when they are no hubs.
+    silent: Rc<RefCell<HashMap<InstanceId, Instant>>>,
+}
+
+impl<Time, Dialect> Clone for LoadShare<Time, Dialect> {
+    fn clone(&self) -> Self {
+        Self {
+            context: self.context.clone(),
+            client: self.client.clone(),
+            hub: Rc::clone(&self.hub),
+            silent: Rc::clone(&self.silent),
+        }
+    }
+}
+
+impl<Time, Dialect> LoadShare<Time, Dialect>
+where
+    Time: Clock,
+    Dialect: std::fmt::Debug + 'static,
+{
+    /// Makes a share that tells nothing until it runs.
+    pub fn new(context: RelayContext<Time, Dialect>, client: PeerClient) -> Self {
+        Self {
+            context,
+            client,
+            hub: Rc::default(),
+            silent: Rc::default(),
+        }
+    }
+
+    /// Reports and exchanges until the task is dropped.
+    pub async fn run(self) {
+        loop {
+            let pause = self.context.jitter(REPORT_INTERVAL);
+            actix_rt::time::sleep(pause).await;
+            self.report().await;
+        }
+    }
+
+    async fn report(&self) {
+        let settings = &self.context.settings().instance;
+        let Some(hub) = self.hub_of(&settings.failure_domain) else {
+            return;
+        };
+        let sent = self.context.now();
+        let work = self.context.book().own_sum(sent);
+        let id = InstanceId::clone(&settings.id);
+        let all = if hub.id == id {
+            self.hub.borrow_mut().report(id, work.clone(), sent);
+            self.exchange().await;
+            Some(self.hub.borrow_mut().all(self.context.now()))
+        } else {
+            let report = WorkReport {
+                from: id,
+                work: work.clone(),
+            };
+            self.call(&hub, REPORT_METHOD, &report).await
+        };
+        if let Some(all) = all {
+            self.context.book().set_fleet(&all, &work, sent);
+        }
+    }
+
+    /// Exchanges this domain's sum with the hubs of all other domains at once.
+    async fn exchange(&self) {
+        let own = FailureDomain::clone(&self.context.settings().instance.failure_domain);
+        let peers = self.context.peers();
+        let mut domains: Vec<&FailureDomain> = peers
+            .iter()
+            .map(|peer| &peer.failure_domain)
+            .filter(|domain| **domain != own)
+            .collect();
+        domains.sort_unstable();
+        domains.dedup();
+        let report = WorkReport {
+            from: own,
+            work: self.hub.borrow_mut().own(self.context.now()),
+        };
+        let calls = domains.into_iter().map(|domain| async {
+            let hub = self.hub_of(domain)?;
+            let sum = self.call(&hub, EXCHANGE_METHOD, &report).await?;
+            let now = self.context.now();
+            let domain = FailureDomain::clone(domain);
+            self.hub.borrow_mut().exchange(domain, sum, now);
+            Some(())
+        });
+        futures_util::future::join_all(calls).await;
+    }
+
+    async fn call(
+        &self,
+        hub: &PeerInstance,
+        method: &'static str,
+        report: &WorkReport,
+    ) -> Option<WorkSum> {
+        let address: SocketAddr = hub.address;
+        let reply = self
+            .client
+            .call_within(address, method, report, REPORT_LIMIT);
+        match reply.await {
+            Ok(sum) => Some(sum),
+            Err(error) => {
+                tracing::info!(hub = %hub.id, %error, "hub does not answer; another is taken");
+                let until = self.context.now() + HUB_PAUSE;
+                let mut silent = self.silent.borrow_mut();
+                silent.insert(InstanceId::clone(&hub.id), until);
+                None
+            }
+        }
+    }
+
+    /// The hub of a failure domain; all instances choose the same unless one does not answer.
+    fn hub_of(&self, domain: &str) -> Option<PeerInstance> {
+        let now = self.context.now();
+        let mut silent = self.silent.borrow_mut();
+        silent.retain(|_, until| now < *until);
+        let peers = self.context.peers();
+        let members: Vec<&PeerInstance> = peers
+            .iter()
+            .filter(|peer| *peer.failure_domain == *domain && !silent.contains_key(&peer.id))
+            .collect();
+        let names: Vec<&InstanceId> = members.iter().map(|peer| &peer.id).collect();
+        let index = preferred(HUB_KEY, &names, Xxh3::new)?;
+        Some(members[index].clone())
+    }
+}
+
+impl<Time, Dialect> PeerHandler for LoadShare<Time, Dialect>
+where
+    Time: Clock,
+    Dialect: std::fmt::Debug + 'static,
+{
+    const METHODS: &'static [&'static str] = &[REPORT_METHOD, EXCHANGE_METHOD];
+
+    async fn handle(&self, method: &'static str, body: Box<str>) -> Result<String, PeerError> {
+        let refused = |error: serde_json::Error| PeerError::refused(method, error.to_string());
+        let report: WorkReport = serde_json::from_str(&body).map_err(refused)?;
+        let now = self.context.now();
+        let mut hub = self.hub.borrow_mut();
+        let sum = if method == EXCHANGE_METHOD {
+            hub.exchange(report.from, report.work, now);
+            hub.own(now)
+        } else {
+            hub.report(report.from, report.work, now);
+            hub.all(now)
+        };
+        serde_json::to_string(&sum).map_err(refused)
+    }
+}
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use dandeliondeal_config::RouterSettings;
 use dandeliondeal_http::{HttpListener, ListenerSettings};
+use dandeliondeal_peer::{PeerClient, PeerServer, PeerSettings};
 use dandeliondeal_store::{CallClass, LeaseSettings, PlatformClient, StoreDialect};
 use dandeliondeal_types::{Clock, Incarnation};
 use tokio::task::JoinHandle;
@@ -15,6 +16,7 @@
 use crate::fleet_sinks::{ConfigSink, EndpointSink};
 use crate::instance_registry;
 use crate::layout_keeper::LayoutKeeper;
+use crate::load_share::LoadShare;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
 use crate::relay_error::RelayError;
@@ -50,6 +52,7 @@
     callers: HttpListener,
     readiness: HttpListener,
     metrics: HttpListener,
+    peers: PeerServer,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -74,7 +77,7 @@
         Words: StoreDialect,
     {
         let context = RelayContext::new(settings, clock, dialect, incarnation)?;
-        let tasks = start_tasks(&context, &store, incarnation)?;
+        let mut tasks = start_tasks(&context, &store, incarnation)?;
         let listen = context.settings().endpoints.clone();
         let descriptors = context.settings().machine.descriptors;
         let bounds = ListenerSettings {
@@ -82,6 +85,11 @@
                 .unwrap_or(usize::MAX),
             ..ListenerSettings::default()
         };
+        let settings = PeerSettings::default();
+        let share = LoadShare::new(context.clone(), PeerClient::new(settings.clone()));
+        let listener = std::net::TcpListener::bind(listen.peers)?;
+        let peers = PeerServer::start(listener, &settings, share.clone())?;
+        tasks.push(actix_rt::spawn(share.run()));
         let shared = context.clone();
         let serve = move |request: Request| handle(shared.clone(), request);
         let callers = HttpListener::start(listen.callers, bounds, serve).await?;
@@ -102,6 +110,7 @@
             callers,
             readiness,
             metrics,
+            peers,
             tasks,
         })
     }
@@ -147,6 +156,7 @@
         for task in &self.tasks {
             task.abort();
         }
+        self.peers.stop();
         self.readiness.close();
         self.metrics.close();
     }
