Chains of small cards alone; longer pauses while the store is away

Calls to the store went on at full pace while it refused them. Change: the template also cuts the wide ranges' layers into narrow ranges; a domain with small cards to spare forms chains of them alone. The store is asked again after 0.1 to 1.2 s, by the task that follows it and no retry within.

--- a/crates/dandeliondeal_command/src/router_command.rs
+++ b/crates/dandeliondeal_command/src/router_command.rs
@@ -153,6 +153,8 @@
             least_burst: STORE_BURST,
             ..BudgetSettings::default()
         },
+        // Whoever follows the store repeats its calls itself.
+        read_retries: 0,
         seed,
         ..PlatformSettings::default()
     }
--- a/crates/dandeliondeal_layout/src/layout_planner.rs
+++ b/crates/dandeliondeal_layout/src/layout_planner.rs
@@ -1,6 +1,7 @@
 //! Gives each engine a range of layers, moving as few engines as possible.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 
 use dandeliondeal_types::{AcceleratorKind, EndpointId, FailureDomain, LayerRange};
 
@@ -96,12 +97,23 @@
 struct DraftEngine<'plan> {
     state: &'plan EngineState,
     width: CardWidth,
-    /// Index of its range in the template.
+    /// Index of its range in the draft.
     range: Option<usize>,
 }
 
+/// Whole chains that the engines of a domain can form by themselves.
+#[derive(Clone, Copy, Debug, Default)]
+struct OwnChains {
+    /// With wide ranges on large cards.
+    mixed: usize,
+    /// On small cards alone.
+    narrow: usize,
+}
+
 struct LayoutDraft<'plan> {
     template: &'plan LayoutTemplate,
+    /// The ranges of the template, then the narrow ones of its wide ranges' layers.
+    ranges: Vec<LayerRange>,
     engines: Vec<DraftEngine<'plan>>,
     domains: BTreeSet<&'plan str>,
 }
@@ -114,10 +126,12 @@
         tokens: f64,
     ) -> Self {
         let widest = template.ranges.first().copied().unwrap_or_default();
+        let narrowest = template.ranges.last().copied().unwrap_or_default();
+        let mut ranges = template.ranges.clone();
+        ranges.extend(&template.split);
         let mut engines: Vec<DraftEngine<'plan>> = Vec::new();
         for state in states {
             let is_wide = template.wide > 0 && LayoutTemplate::fits(profile, state, widest, tokens);
-            let narrowest = template.ranges.last().copied().unwrap_or_default();
             if !is_wide && !LayoutTemplate::fits(profile, state, narrowest, tokens) {
                 continue;
             }
@@ -126,14 +140,12 @@
             } else {
                 CardWidth::Narrow
             };
-            let held = state.held.and_then(|held| {
-                let found = template.ranges.iter().position(|range| *range == held);
-                found.filter(|index| Self::allows(template, width, *index))
-            });
+            let found = ranges.iter().position(|range| Some(*range) == state.held);
+            let range = found.filter(|index| (*index < template.wide) == is_wide);
             engines.push(DraftEngine {
                 state,
                 width,
-                range: held,
+                range,
             });
         }
         // Fast cards first, so that each domain's own chain gets them; by id for one result.
@@ -152,25 +164,25 @@
             .collect();
         Self {
             template,
+            ranges,
             engines,
             domains,
         }
     }
 
-    /// Wide cards hold wide ranges and narrow cards narrow ones; where a template has one width
-    /// only, every card that has the memory may hold any.
-    fn allows(template: &LayoutTemplate, width: CardWidth, index: usize) -> bool {
-        let is_wide_range = index < template.wide;
-        is_wide_range == (width == CardWidth::Wide)
-    }
-
-    fn ranges_of(&self, width: CardWidth) -> std::ops::Range<usize> {
+    /// The ranges of the template for cards of a width.
+    fn main_ranges(&self, width: CardWidth) -> Range<usize> {
         match width {
             CardWidth::Wide => 0..self.template.wide,
             CardWidth::Narrow => self.template.wide..self.template.ranges.len(),
         }
     }
 
+    /// The narrow ranges of the wide ranges' layers.
+    fn split_ranges(&self) -> Range<usize> {
+        self.template.ranges.len()..self.ranges.len()
+    }
+
     fn count(&self, index: usize, domain: Option<&str>) -> usize {
         let is_here = |engine: &&DraftEngine<'_>| {
             engine.range == Some(index)
@@ -179,32 +191,55 @@
         self.engines.iter().filter(is_here).count()
     }
 
-    /// Whole chains that the engines of a domain can form by themselves.
-    fn own_chains(&self, domain: &str) -> usize {
-        let chains = |width: CardWidth| {
-            let ranges = self.ranges_of(width).len();
+    fn own_chains(&self, domain: &str) -> OwnChains {
+        let engines = |width: CardWidth| {
             let is_here = |engine: &&DraftEngine<'_>| {
                 engine.width == width && *engine.state.failure_domain == *domain
             };
-            let engines = self.engines.iter().filter(is_here).count();
-            engines.checked_div(ranges).unwrap_or(usize::MAX)
+            self.engines.iter().filter(is_here).count()
         };
-        chains(CardWidth::Wide).min(chains(CardWidth::Narrow))
+        let main = self.main_ranges(CardWidth::Narrow).len();
+        let small = engines(CardWidth::Narrow);
+        if self.template.wide == 0 {
+            let narrow = small.checked_div(main).unwrap_or(0);
+            return OwnChains { mixed: 0, narrow };
+        }
+        let large = engines(CardWidth::Wide) / self.template.wide;
+        let mixed = small.checked_div(main).unwrap_or(large).min(large);
+        let alone = main + self.split_ranges().len();
+        let narrow = (small - mixed * main).checked_div(alone).unwrap_or(0);
+        OwnChains { mixed, narrow }
+    }
+
+    /// Engines of a domain that its own chains need for a range.
+    fn quota(&self, index: usize, chains: OwnChains) -> usize {
+        if index < self.template.wide {
+            chains.mixed
+        } else if index < self.template.ranges.len() {
+            chains.mixed + chains.narrow
+        } else {
+            chains.narrow
+        }
     }
 
     /// Gives free engines the ranges that their domain's own chains lack.
     fn fill_domains(&mut self) {
         for domain in self.domains.clone() {
-            let quota = self.own_chains(domain);
+            let chains = self.own_chains(domain);
             for position in 0..self.engines.len() {
                 let engine = &self.engines[position];
                 if engine.range.is_some() || *engine.state.failure_domain != *domain {
                     continue;
                 }
+                let split = match engine.width {
+                    CardWidth::Wide => 0..0,
+                    CardWidth::Narrow => self.split_ranges(),
+                };
                 let range = self
-                    .ranges_of(engine.width)
+                    .main_ranges(engine.width)
+                    .chain(split)
                     .map(|index| (self.count(index, Some(domain)), index))
-                    .filter(|(count, _)| *count < quota)
+                    .filter(|(count, index)| *count < self.quota(*index, chains))
                     .min();
                 self.engines[position].range = range.map(|(_, index)| index);
             }
@@ -220,13 +255,10 @@
                     continue;
                 }
                 let range = self
-                    .ranges_of(engine.width)
+                    .main_ranges(engine.width)
                     .map(|index| {
-                        (
-                            self.count(index, None),
-                            self.count(index, Some(domain)),
-                            index,
-                        )
+                        let here = self.count(index, Some(domain));
+                        (self.count(index, None), here, index)
                     })
                     .min();
                 self.engines[position].range = range.map(|(_, _, index)| index);
@@ -237,16 +269,10 @@
     /// Moves engines that a domain can spare to ranges that its own chains lack.
     fn repair_domains(&mut self) {
         for domain in self.domains.clone() {
-            let quota = self.own_chains(domain);
-            if quota == 0 {
-                continue;
-            }
-            for index in 0..self.template.ranges.len() {
-                while self.count(index, Some(domain)) < quota {
-                    let width = self.width_of(index);
-                    let least = self.least(width);
-                    let spare = self.spare(width, domain, quota, least);
-                    let Some(position) = spare else {
+            let chains = self.own_chains(domain);
+            for index in 0..self.ranges.len() {
+                while self.count(index, Some(domain)) < self.quota(index, chains) {
+                    let Some(position) = self.spare(index, domain, chains) else {
                         break;
                     };
                     self.engines[position].range = Some(index);
@@ -255,31 +281,31 @@
         }
     }
 
-    fn width_of(&self, index: usize) -> CardWidth {
-        if index < self.template.wide {
+    /// An engine of `domain` that may hold range `target`, whose own range has more engines than
+    /// the domain's chains need, and more than the range with the fewest engines of all.
+    fn spare(&self, target: usize, domain: &str, chains: OwnChains) -> Option<usize> {
+        let width = if target < self.template.wide {
             CardWidth::Wide
         } else {
             CardWidth::Narrow
-        }
-    }
-
-    /// Engines that hold the range with the fewest.
-    fn least(&self, width: CardWidth) -> usize {
-        let counts = self.ranges_of(width).map(|index| self.count(index, None));
-        counts.min().unwrap_or(0)
-    }
-
-    /// An engine of `domain` whose range has more engines than the domain's chains need, and
-    /// more than the range with the fewest engines of all.
-    fn spare(&self, width: CardWidth, domain: &str, quota: usize, least: usize) -> Option<usize> {
+        };
+        let counts = self.main_ranges(width).map(|index| self.count(index, None));
+        let least = counts.min().unwrap_or(0);
         let mut best: Option<(usize, usize)> = None;
         for (position, engine) in self.engines.iter().enumerate() {
             let Some(index) = engine.range.filter(|_| engine.width == width) else {
                 continue;
             };
             let is_here = *engine.state.failure_domain == *domain;
-            let whole = self.count(index, None);
-            if !is_here || self.count(index, Some(domain)) <= quota || whole <= least {
+            let is_needed = self.count(index, Some(domain)) <= self.quota(index, chains);
+            // Narrow ranges of wide layers help nobody but their own domain.
+            let is_split = index >= self.template.ranges.len();
+            let whole = if is_split {
+                usize::MAX
+            } else {
+                self.count(index, None)
+            };
+            if !is_here || is_needed || whole <= least {
                 continue;
             }
             if best.is_none_or(|(_, count)| whole > count) {
@@ -300,7 +326,7 @@
 
     fn next_balance(&self, width: CardWidth) -> Option<(usize, usize)> {
         let counts: Vec<(usize, usize)> = self
-            .ranges_of(width)
+            .main_ranges(width)
             .map(|index| (self.count(index, None), index))
             .collect();
         let (least, target) = *counts.iter().min()?;
@@ -309,11 +335,14 @@
             return None;
         }
         // Of the engines that can go, one whose domain keeps its own chains.
-        let is_full = |index: usize| self.count(index, None) == most;
+        let is_full = |index: usize| {
+            self.main_ranges(width).contains(&index) && self.count(index, None) == most
+        };
         let rank = |engine: &DraftEngine<'_>, index: usize| {
             let domain = &*engine.state.failure_domain;
-            let kept = self.count(index, Some(domain)) > self.own_chains(domain);
-            let lacks = self.count(target, Some(domain)) < self.own_chains(domain);
+            let chains = self.own_chains(domain);
+            let kept = self.count(index, Some(domain)) > self.quota(index, chains);
+            let lacks = self.count(target, Some(domain)) < self.quota(target, chains);
             (kept, lacks)
         };
         self.engines
@@ -328,7 +357,7 @@
 
     fn moves(&self) -> Vec<LayoutMove> {
         let changed = self.engines.iter().filter_map(|engine| {
-            let range = self.template.ranges[engine.range?];
+            let range = self.ranges[engine.range?];
             (engine.state.held != Some(range)).then(|| LayoutMove {
                 engine: EndpointId::clone(&engine.state.id),
                 range,
--- a/crates/dandeliondeal_layout/src/layout_template.rs
+++ b/crates/dandeliondeal_layout/src/layout_template.rs
@@ -14,6 +14,8 @@
     pub ranges: Vec<LayerRange>,
     /// How many of the first ranges are wide.
     pub wide: usize,
+    /// The wide ranges' layers in narrow ranges, with which small cards form chains alone.
+    pub split: Vec<LayerRange>,
 }
 
 /// Least factor between the layers of large and small cards that makes two widths worth it.
@@ -58,12 +60,13 @@
         Some(Self {
             ranges,
             wide: count as usize,
+            split: split(0, wide_layers, wide_layers.div_ceil(narrow)),
         })
     }
 
     /// Whether `range` is one of the cut.
     pub fn has(&self, range: LayerRange) -> bool {
-        self.ranges.contains(&range)
+        self.ranges.contains(&range) || self.split.contains(&range)
     }
 
     /// Whether an engine has the memory for a range, and for enough tokens beside it.
--- a/crates/dandeliondeal_relay/src/store_watch.rs
+++ b/crates/dandeliondeal_relay/src/store_watch.rs
@@ -9,16 +9,16 @@
 use crate::relay_context::RelayContext;
 
 /// First and longest pause between two calls while the store does not answer. All instances
-/// come back within the longest, at times of their own.
-const FIRST_PAUSE: Duration = Duration::from_millis(60);
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+/// come back within the longest, at times of their own; each refused call is priced as well.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
 /// For this long after a failed call the store counts as just back: entries that lapsed
 /// meanwhile return within two seconds.
 pub const OUTAGE_MEMORY: Duration = Duration::from_millis(2_500);
 
 /// Pause after changes before the next watch. Changes that come meanwhile are told together; each
 /// call is priced, and an endpoint that drains takes requests for seconds still.
-const BATCH_PAUSE: Duration = Duration::from_millis(350);
+const BATCH_PAUSE: Duration = Duration::from_millis(500);
 
 /// What takes in the objects of a kind.
 pub trait KindSink {
