--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -98,6 +98,9 @@
             }
         }
         sends += 1;
+        if request.left(context.now()).is_zero() {
+            return request.end_late(last_failure);
+        }
         let is_open = is_repeatable || request.life.is_not_run();
         if !is_open || sends >= request.matched.route.attempts {
             return request.end_without(RefusalCause::LostAnswer, last_failure);
--- a/crates/dandeliondeal_relay/src/refusal.rs
+++ b/crates/dandeliondeal_relay/src/refusal.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use actix_http::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
-use actix_http::{Response, StatusCode};
+use actix_http::header::{CONTENT_TYPE, HeaderValue};
+use actix_http::{ConnectionType, Response, StatusCode};
 use bytes::Bytes;
 
 use crate::dialect::RequestDialect;
@@ -92,7 +92,8 @@
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     dialect.write_refusal(request, wait, headers);
     if cause == RefusalCause::LostBody {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        let head = response.head_mut();
+        head.set_connection_type(ConnectionType::Close);
     }
     response
 }
--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use actix_http::header::{CACHE_CONTROL, CONNECTION, HeaderValue};
-use actix_http::{Request, Response, StatusCode};
+use actix_http::header::{CACHE_CONTROL, HeaderValue};
+use actix_http::{ConnectionType, Request, Response, StatusCode};
 use bytes::Bytes;
 use dandeliondeal_types::{Clock, RequestId};
 use tokio::sync::mpsc;
@@ -45,8 +45,9 @@
         Ok(request) => serve(&context, request).await,
     };
     if context.is_stopping() {
-        let headers = response.headers_mut();
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        // The library leaves out a header of this name and writes its own.
+        let head = response.head_mut();
+        head.set_connection_type(ConnectionType::Close);
     }
     response
 }
