--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -321,13 +321,13 @@
             let tokens = self.demand.tokens();
             let ticket = self.context.book().enter(&chain, tokens);
             let first = chain.hops[0].clone();
-            let opened = open(
-                &self.context,
-                &first.id,
-                first.address,
-                LinkChoice::Idle,
-                left,
-            );
+            // An idle connection may have been dropped without notice; a second run must not
+            // meet that as well.
+            let choice = match self.runs {
+                0 => LinkChoice::Idle,
+                _ => LinkChoice::New,
+            };
+            let opened = open(&self.context, &first.id, first.address, choice, left);
             let connection = match opened.await {
                 Ok(connection) => connection,
                 Err(error) => {
