--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -6,6 +6,7 @@
 use actix_http::{ConnectionType, Request, Response, StatusCode};
 use bytes::Bytes;
 use dandeliondeal_types::{Clock, RequestId};
+use prometheus::IntGauge;
 use tokio::sync::mpsc;
 
 use crate::dialect::{FleetDialect, RequestDialect};
@@ -35,14 +36,15 @@
     Dialect: RequestDialect + FleetDialect,
 {
     let arrived = context.now();
+    let open = OpenGauge::new(&context);
     let taken = take_in(&context, request).await;
     let mut response = match taken {
         Err((facts, cause)) => {
-            let record = OpenRequest::begin(&context, &facts.request, "none", arrived);
+            let record = OpenRequest::begin(&context, &facts.request, "none", arrived, open);
             let wait = facts.deadline.map(|deadline| deadline.mul_f64(0.3));
             record.refuse(cause, wait.unwrap_or(CAPACITY_WAIT))
         }
-        Ok(request) => serve(&context, request).await,
+        Ok(request) => serve(&context, request, open).await,
     };
     if context.is_stopping() {
         // The library leaves out a header of this name and writes its own.
@@ -55,6 +57,7 @@
 async fn serve<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     mut request: RelayRequest,
+    open: OpenGauge,
 ) -> Response<RelayBody>
 where
     Time: Clock,
@@ -65,6 +68,7 @@
         &request.facts.request,
         &request.service,
         request.arrived,
+        open,
     );
     let rule = context
         .table()
@@ -167,6 +171,26 @@
     }
 }
 
+/// Counts a request as open from its head to its last byte.
+struct OpenGauge(IntGauge);
+
+impl OpenGauge {
+    fn new<Time, Dialect>(context: &RelayContext<Time, Dialect>) -> Self
+    where
+        Time: Clock,
+    {
+        let gauge = context.metrics().open_requests.clone();
+        gauge.inc();
+        Self(gauge)
+    }
+}
+
+impl Drop for OpenGauge {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 /// A request that is open; it logs how the request ended, also if its caller left.
 struct OpenRequest<Time, Dialect>
 where
@@ -180,6 +204,7 @@
     chain: String,
     runs: u32,
     is_ended: bool,
+    _open: OpenGauge,
 }
 
 impl<Time, Dialect> OpenRequest<Time, Dialect>
@@ -191,8 +216,8 @@
         request: &RequestId,
         service: &str,
         arrived: Instant,
+        open: OpenGauge,
     ) -> Self {
-        context.metrics().open_requests.inc();
         Self {
             context: context.clone(),
             request: RequestId::clone(request),
@@ -202,6 +227,7 @@
             chain: String::new(),
             runs: 0,
             is_ended: false,
+            _open: open,
         }
     }
 
@@ -224,7 +250,6 @@
         self.is_ended = true;
         let total = self.context.now().saturating_duration_since(self.arrived);
         let metrics = self.context.metrics();
-        metrics.open_requests.dec();
         metrics
             .outcomes
             .with_label_values(&[&*self.service, outcome])
@@ -270,7 +295,13 @@
 {
     fn drop(&mut self) {
         if !self.is_ended {
-            self.end("caller-left", 0);
+            // A stop whose grace is over cuts what is still open.
+            let outcome = if self.context.is_stopping() {
+                "cut-by-stop"
+            } else {
+                "caller-left"
+            };
+            self.end(outcome, 0);
         }
     }
 }
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -40,6 +40,8 @@
 const BALANCER_LAG: Duration = Duration::from_millis(2_500);
 /// Time before the end of the grace in which the process ends by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
+/// Time in which an answer that is ready reaches its caller.
+const WRITE_TIME: Duration = Duration::from_millis(300);
 /// Time between two looks at whether open requests have ended.
 const IDLE_INTERVAL: Duration = Duration::from_millis(50);
 /// Descriptors kept back for files, the store, peers and endpoints.
@@ -144,10 +146,13 @@
         let limit = grace.saturating_sub(GRACE_MARGIN);
         actix_rt::time::sleep(BALANCER_LAG.min(limit)).await;
         self.callers.close();
+        // Answers that were just made are still being written.
+        actix_rt::time::sleep(WRITE_TIME.min(limit)).await;
         loop {
             let elapsed = self.context.now().saturating_duration_since(started);
             let open = self.context.metrics().open_requests.get();
-            if elapsed >= limit || (open <= 0 && self.callers.open_connections() == 0) {
+            // Idle connections of callers need no answer; they end with the process.
+            if elapsed >= limit || open <= 0 {
                 tracing::info!(open, elapsed_ms = %elapsed.as_millis(), "stopped");
                 break;
             }
