Refused streams come back after two seconds, refused plain calls after a quarter

Cause: a stream that is refused twice is lost to its caller, and places become free within the length of a stream; 0.7 s brought callers back into the same overload.

--- a/crates/dandeliondeal_relay/src/refusal.rs
+++ b/crates/dandeliondeal_relay/src/refusal.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Whether it says that the request has not run and will not, so that it may come back.
+    pub fn says_not_run(self) -> bool {
+        self.status() == StatusCode::SERVICE_UNAVAILABLE
+    }
+
     /// Name in logs, metrics and answers.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/dandeliondeal_relay/src/relay_outcome.rs
+++ b/crates/dandeliondeal_relay/src/relay_outcome.rs
@@ -41,15 +41,7 @@
             return RelayOutcome::Answered(response);
         }
         let is_not_run = self.life.is_not_run();
-        let says_not_run = matches!(
-            cause,
-            RefusalCause::NoEndpoint
-                | RefusalCause::Overloaded
-                | RefusalCause::Rejected
-                | RefusalCause::LateUnsent
-                | RefusalCause::NoConfig
-        );
-        let cause = match (is_not_run, says_not_run) {
+        let cause = match (is_not_run, cause.says_not_run()) {
             (true, false) => RefusalCause::Rejected,
             (false, true) => RefusalCause::LostAnswer,
             _ => cause,
--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -20,11 +20,11 @@
 
 /// Batches of events that wait for a slow caller before its stream is read on no further.
 const EVENT_QUEUE: usize = 16;
-/// Time to come back when capacity is short: about the length of a usual stream, in which a
-/// place becomes free.
-const CAPACITY_WAIT: Duration = Duration::from_millis(700);
-/// Time to come back when an endpoint refused or could not be reached: others are used then.
-const REJECTION_WAIT: Duration = Duration::from_millis(250);
+/// Time after which a refused stream comes back: about the length of a stream under load, in
+/// which places become free. One that is refused twice is lost to its caller.
+const STREAM_WAIT: Duration = Duration::from_secs(2);
+/// Time after which a refused request of a plain service comes back; others have ended by then.
+const PLAIN_WAIT: Duration = Duration::from_millis(250);
 
 /// Serves one request.
 pub async fn handle<Time, Dialect>(
@@ -42,7 +42,7 @@
         Err((facts, cause)) => {
             let record = OpenRequest::begin(&context, &facts.request, "none", arrived, open);
             let wait = facts.deadline.map(|deadline| deadline.mul_f64(0.3));
-            record.refuse(cause, wait.unwrap_or(CAPACITY_WAIT))
+            record.refuse(cause, wait.unwrap_or(PLAIN_WAIT))
         }
         Ok(request) => serve(&context, request, open).await,
     };
@@ -93,6 +93,7 @@
     Time: Clock,
     Dialect: RequestDialect + FleetDialect,
 {
+    record.is_stream = true;
     let first = relay.events().await;
     let longest = relay.request().longest_return(record.context.now());
     record.runs = relay.runs();
@@ -203,6 +204,7 @@
     first: Option<Duration>,
     chain: String,
     runs: u32,
+    is_stream: bool,
     is_ended: bool,
     _open: OpenGauge,
 }
@@ -226,6 +228,7 @@
             first: None,
             chain: String::new(),
             runs: 0,
+            is_stream: false,
             is_ended: false,
             _open: open,
         }
@@ -276,13 +279,14 @@
     Dialect: RequestDialect,
 {
     fn refuse(mut self, cause: RefusalCause, longest: Duration) -> Response<RelayBody> {
-        let wait = match cause {
-            RefusalCause::Overloaded | RefusalCause::NoEndpoint | RefusalCause::NoConfig => {
-                Some(self.context.jitter(CAPACITY_WAIT).min(longest))
-            }
-            RefusalCause::Rejected => Some(self.context.jitter(REJECTION_WAIT).min(longest)),
-            _ => None,
+        let base = if self.is_stream {
+            STREAM_WAIT
+        } else {
+            PLAIN_WAIT
         };
+        let wait = cause
+            .says_not_run()
+            .then(|| self.context.jitter(base).min(longest));
         let response = refuse(self.context.dialect(), &self.request, cause, wait);
         self.end(cause.name(), response.status().as_u16());
         response
