--- a/crates/dandeliondeal/src/lib.rs
+++ b/crates/dandeliondeal/src/lib.rs
@@ -6,10 +6,12 @@
 //! - [`types`]: ids, the clock, outcomes, errors, and the interfaces to the outside;
 //! - [`chart`]: state charts that are read from files;
 //! - [`pipeline`]: plans over layer ranges, sessions, recovery;
-//! - [`platform`], [`claim`], [`order`]: the object API, at-most-once requests, orders;
+//! - [`store`], [`claim`], [`order`]: the object API, at-most-once requests, orders;
 //! - [`config`], [`peer`]: settings, the sheet, the audit trail, membership;
 //! - [`balance`], [`limit`]: choice of endpoint, health, limits, admission;
 //! - [`replay`]: recorded traces against stated outcomes;
+//! - [`http`]: listeners, and connections to endpoints;
+//! - [`layout`], [`route`], [`relay`]: the router before engines that run whole chains;
 //! - [`entry`]: the entry instance itself.
 //!
 //! # Examples
@@ -40,6 +42,10 @@
 #[doc(inline)]
 pub use dandeliondeal_entry as entry;
 #[doc(inline)]
+pub use dandeliondeal_http as http;
+#[doc(inline)]
+pub use dandeliondeal_layout as layout;
+#[doc(inline)]
 pub use dandeliondeal_limit as limit;
 #[doc(inline)]
 pub use dandeliondeal_order as order;
@@ -48,9 +54,13 @@
 #[doc(inline)]
 pub use dandeliondeal_pipeline as pipeline;
 #[doc(inline)]
+pub use dandeliondeal_relay as relay;
+#[doc(inline)]
 pub use dandeliondeal_replay as replay;
 #[doc(inline)]
-pub use dandeliondeal_store as platform;
+pub use dandeliondeal_route as route;
+#[doc(inline)]
+pub use dandeliondeal_store as store;
 #[doc(inline)]
 pub use dandeliondeal_types as types;
 
--- a/crates/dandeliondeal_command/src/bounded_log.rs
+++ b/crates/dandeliondeal_command/src/bounded_log.rs
@@ -2,7 +2,7 @@
 
 use std::io::stdout;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use tracing::{Level, Metadata, Subscriber};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
@@ -41,6 +41,14 @@
     guard
 }
 
+/// Lines that were left out so far, for the metrics.
+pub fn dropped_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// A filter cannot log by itself, nor reach the metrics; whoever runs the process asks for this.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
 /// Passes a bounded number of lines each second; warnings and errors always pass.
 #[derive(Debug)]
 struct RateFilter {
@@ -48,7 +56,6 @@
     start: Instant,
     second: AtomicU64,
     lines: AtomicU64,
-    dropped: AtomicU64,
 }
 
 impl RateFilter {
@@ -58,23 +65,17 @@
             start: Instant::now(),
             second: AtomicU64::new(0),
             lines: AtomicU64::new(0),
-            dropped: AtomicU64::new(0),
         }
     }
 
     fn take(&self) -> bool {
-        let elapsed: Duration = self.start.elapsed();
-        let second = elapsed.as_secs();
+        let second = self.start.elapsed().as_secs();
         if self.second.swap(second, Ordering::Relaxed) != second {
             self.lines.store(0, Ordering::Relaxed);
-            let dropped = self.dropped.swap(0, Ordering::Relaxed);
-            if dropped > 0 {
-                tracing::warn!(dropped, "log lines left out");
-            }
         }
         let is_allowed = self.lines.fetch_add(1, Ordering::Relaxed) < self.limit;
         if !is_allowed {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+            DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         is_allowed
     }
--- a/crates/dandeliondeal_command/src/router_command.rs
+++ b/crates/dandeliondeal_command/src/router_command.rs
@@ -8,10 +8,11 @@
 use dandeliondeal_store::{BudgetSettings, PlatformClient, PlatformSettings, StoreDialect};
 use dandeliondeal_types::{Clock, Incarnation, SystemClock};
 use pico_args::Arguments;
+use prometheus::IntCounter;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::CommandError;
-use crate::bounded_log::start_bounded_log;
+use crate::bounded_log::{dropped_lines, start_bounded_log};
 use crate::command_line::reject_rest;
 use crate::stop_signal::wait_for_stop;
 
@@ -25,6 +26,8 @@
   --defaults        print every setting with its default and exit
 ";
 
+/// Time between two looks at how many log lines were left out.
+const DROPPED_INTERVAL: std::time::Duration = std::time::Duration::from_secs(5);
 /// Connections to the store are made within this time; it answers within milliseconds.
 const STORE_CONNECT_LIMIT: std::time::Duration = std::time::Duration::from_millis(300);
 /// Longest answer of the store, in bytes: a page is about a megabyte.
@@ -104,12 +107,26 @@
         "started"
     );
     actix_rt::spawn(note_reloads(file));
+    let dropped = server.context().metrics().dropped_logs.clone();
+    actix_rt::spawn(note_dropped(dropped));
     wait_for_stop().await?;
     tracing::info!(%instance, "stopping");
     server.stop().await;
     Ok(())
 }
 
+/// Counts log lines that were left out, and says so.
+async fn note_dropped(counter: IntCounter) {
+    loop {
+        actix_rt::time::sleep(DROPPED_INTERVAL).await;
+        let dropped = dropped_lines().saturating_sub(counter.get());
+        if dropped > 0 {
+            counter.inc_by(dropped);
+            tracing::warn!(dropped, "log lines left out");
+        }
+    }
+}
+
 /// Checks the settings file again with each SIGHUP. What it sets is fixed for the life of a
 /// process: addresses and bounds of the machine.
 async fn note_reloads(file: String) {
--- a/crates/dandeliondeal_config/src/router_settings.rs
+++ b/crates/dandeliondeal_config/src/router_settings.rs
@@ -99,12 +99,6 @@
     pub repeat_window: Duration,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
-    /// Time for which an endpoint that leaves still takes requests.
-    pub drain: Duration,
-    /// Time after which an engine gives up work that waits for a lost engine.
-    pub stall: Duration,
-    /// Time between two heartbeats of an endpoint.
-    pub heartbeat: Duration,
 }
 
 impl Default for AllowanceSettings {
@@ -114,9 +108,6 @@
             repeat_slack: 10.0,
             repeat_window: Duration::from_secs(10),
             grace: Duration::from_secs(8),
-            drain: Duration::from_secs(2),
-            stall: Duration::from_secs(3),
-            heartbeat: Duration::from_secs(1),
         }
     }
 }
@@ -124,18 +115,13 @@
 /// What the machine gives.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MachineSettings {
-    /// Memory of the process in megabytes.
-    pub memory_mb: u64,
     /// File descriptors of the process.
     pub descriptors: u64,
 }
 
 impl Default for MachineSettings {
     fn default() -> Self {
-        Self {
-            memory_mb: 256,
-            descriptors: 1_024,
-        }
+        Self { descriptors: 1_024 }
     }
 }
 
@@ -214,30 +200,6 @@
             HOUR,
             "Time from the signal to stop until the process is killed."
         ),
-        setting_field!(
-            allowances.drain,
-            MILLISECOND * 100,
-            HOUR,
-            "Time for which an endpoint that leaves still takes requests."
-        ),
-        setting_field!(
-            allowances.stall,
-            MILLISECOND * 100,
-            HOUR,
-            "Time after which an engine gives up work that waits for a lost engine."
-        ),
-        setting_field!(
-            allowances.heartbeat,
-            MILLISECOND * 10,
-            HOUR,
-            "Time between two heartbeats of an endpoint."
-        ),
-        setting_field!(
-            machine.memory_mb,
-            16,
-            1_048_576,
-            "Memory of the process in megabytes."
-        ),
         setting_field!(
             machine.descriptors,
             64,
--- a/crates/dandeliondeal_layout/src/engine_profile.rs
+++ b/crates/dandeliondeal_layout/src/engine_profile.rs
@@ -6,8 +6,6 @@
 
 /// Bytes in a megabyte, as the operators count memory.
 const MEGABYTE: f64 = 1e6;
-/// Tokens that rates and costs are stated for.
-const THOUSAND: f64 = 1e3;
 
 /// One kind of accelerator.
 #[derive(Clone, Debug, PartialEq)]
@@ -37,8 +35,6 @@
     pub activation_bytes: f64,
     /// Base time of one token step.
     pub step: Duration,
-    /// Further time of a step for each request that writes.
-    pub step_for_request: Duration,
     /// Prompt tokens read in a second.
     pub read_rate: f64,
     /// Time to load the whole model.
@@ -104,9 +100,4 @@
     pub fn loading_time(&self, layers: u32) -> Duration {
         self.load_time.mul_f64(self.share(layers))
     }
-
-    /// Prompt tokens for each thousandth of a second, for people.
-    pub fn reads_per_ms(&self) -> f64 {
-        self.read_rate / THOUSAND
-    }
 }
--- a/crates/dandeliondeal_layout/tests/support/mod.rs
+++ b/crates/dandeliondeal_layout/tests/support/mod.rs
@@ -19,7 +19,6 @@
         token_bytes: 590_000.0,
         activation_bytes: 29_500.0,
         step: Duration::from_micros(1_020),
-        step_for_request: Duration::from_nanos(4_590),
         read_rate: 164_000.0,
         load_time: Duration::from_secs(14),
         parallel_loads: 6,
--- a/examples/claim_once.rs
+++ b/examples/claim_once.rs
@@ -7,7 +7,7 @@
     ClaimKey, ClaimOrigin, ClaimRecord, ClaimSettings, RequestFingerprint, ShardAction, ShardEvent,
     ShardReply, ShardTask, ShardWriter,
 };
-use dandeliondeal::platform::MemoryStore;
+use dandeliondeal::store::MemoryStore;
 
 fn writer(instance: &str) -> ShardWriter {
     let settings = ClaimSettings {
--- a/examples/lease_order.rs
+++ b/examples/lease_order.rs
@@ -7,10 +7,10 @@
     DesiredState, EngineContent, OrderAction, OrderAnswer, OrderEvent, OrderReconciler,
     OrderSettings, OrderTerm,
 };
-use dandeliondeal::platform::{
+use dandeliondeal::prelude::{Clock, ManualClock};
+use dandeliondeal::store::{
     LeaseAction, LeaseEvent, LeaseMachine, LeaseSettings, LeaseTime, MemoryStore,
 };
-use dandeliondeal::prelude::{Clock, ManualClock};
 
 /// Makes the calls that the lease asks for, until it has none left.
 fn drive(lease: &mut LeaseMachine, store: &MemoryStore, time: LeaseTime) {
