--- a/crates/dandeliondeal_config/src/router_settings.rs
+++ b/crates/dandeliondeal_config/src/router_settings.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use crate::InstanceSettings;
-use crate::setting_table::{SettingField, SettingsTable, setting_field};
+use crate::setting_table::{
+    HOUR, MILLISECOND, MINUTE, SECOND, SettingField, SettingsTable, setting_field,
+};
 
 /// Everything that a router learns from its settings file.
 ///
@@ -125,11 +127,6 @@
     }
 }
 
-const MILLISECOND: Duration = Duration::from_millis(1);
-const SECOND: Duration = Duration::from_secs(1);
-const MINUTE: Duration = Duration::from_mins(1);
-const HOUR: Duration = Duration::from_hours(1);
-
 impl SettingsTable for RouterSettings {
     const FIELDS: &'static [SettingField<Self>] = &[
         setting_field!(
--- a/crates/dandeliondeal_config/src/setting_table.rs
+++ b/crates/dandeliondeal_config/src/setting_table.rs
@@ -96,10 +96,10 @@
 
 pub(crate) use setting_field;
 
-const MILLISECOND: Duration = Duration::from_millis(1);
-const SECOND: Duration = Duration::from_secs(1);
-const MINUTE: Duration = Duration::from_mins(1);
-const HOUR: Duration = Duration::from_hours(1);
+pub(crate) const MILLISECOND: Duration = Duration::from_millis(1);
+pub(crate) const SECOND: Duration = Duration::from_secs(1);
+pub(crate) const MINUTE: Duration = Duration::from_mins(1);
+pub(crate) const HOUR: Duration = Duration::from_hours(1);
 const DAY: Duration = Duration::from_hours(24);
 
 impl SettingsTable for EntrySettings {
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod request_intake;
 pub mod router_server;
 pub mod store_watch;
+mod stream_rejection;
 pub mod stream_relay;
 
 #[doc(inline)]
--- /dev/null
+++ b/crates/dandeliondeal_relay/src/stream_rejection.rs
@@ -0,0 +1,116 @@
+//! What follows when a chain does not run a stream, or its engine fails it.
+
+use std::time::Instant;
+
+use actix_http::{Response, StatusCode};
+use dandeliondeal_http::{AnswerHead, LinkError};
+use dandeliondeal_types::{Clock, EndpointId};
+
+use crate::dialect::{AnswerFacts, FleetDialect, RequestDialect};
+use crate::endpoint_link::ANSWER_LIMIT;
+use crate::fleet_view::FleetView;
+use crate::refusal::RefusalCause;
+use crate::relay_body::RelayBody;
+use crate::relay_life::LifeEvent;
+use crate::stream_relay::{BreakCause, StreamEnd, StreamLink, StreamRelay};
+
+/// Offers of one request at most, counting those that engines stated not to have run.
+const OFFER_LIMIT: u32 = 4;
+/// Share of an engine's memory above which a rejection is put down to want of memory; below it
+/// the engine is draining, giving up its layers, or lost.
+const CROWDED_SHARE: f64 = 0.6;
+
+impl<Time, Dialect> StreamRelay<Time, Dialect>
+where
+    Time: Clock,
+    Dialect: RequestDialect + FleetDialect,
+{
+    /// The engines stated that the request did not run.
+    pub(crate) fn rejected(
+        &mut self,
+        link: StreamLink<Time, Dialect>,
+        head: &AnswerHead,
+        facts: &AnswerFacts,
+    ) -> Result<bool, StreamEnd> {
+        self.request.life.apply(LifeEvent::Reject);
+        self.runs -= 1;
+        let faulty = self.fault(&link, head, facts);
+        let may_repeat = self.offers < OFFER_LIMIT
+            && self.context.take_repeat(&self.request.service, "rejected");
+        tracing::info!(
+            request = %self.request.facts.request,
+            status = head.status.as_u16(),
+            engine = %faulty,
+            offers = self.offers,
+            repeated = may_repeat,
+            "engine stated not run"
+        );
+        self.avoided.push(faulty);
+        drop(link);
+        if may_repeat {
+            Ok(false)
+        } else {
+            Err(self.refused(RefusalCause::Rejected))
+        }
+    }
+
+    /// The engine that is at fault for a rejection, taken out of use where that is evident.
+    fn fault(
+        &self,
+        link: &StreamLink<Time, Dialect>,
+        head: &AnswerHead,
+        facts: &AnswerFacts,
+    ) -> EndpointId {
+        let now = self.context.now();
+        let hops = &link.chain.hops;
+        let named = facts
+            .faulty
+            .and_then(|address| hops.iter().find(|hop| hop.address == address));
+        let engine = EndpointId::clone(&named.unwrap_or(&hops[0]).id);
+        let mut fleet = self.context.fleet().borrow_mut();
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            fleet.doubt_layers(&engine, now);
+        } else if !self.is_crowded(&fleet, &engine, now) {
+            fleet.blame(&engine, now);
+        }
+        engine
+    }
+
+    /// Whether want of memory explains that an engine rejects a request.
+    fn is_crowded(&self, fleet: &FleetView, engine: &EndpointId, now: Instant) -> bool {
+        let scale = self.context.book().scale(self.context.instances(), now);
+        let work = self.context.book().work(engine, scale, now);
+        let room = fleet.token_room(engine, &self.profile);
+        room.is_some_and(|room| work.tokens > room * CROWDED_SHARE)
+    }
+
+    /// The engine answered with a failure of its own.
+    pub(crate) async fn failed(
+        &mut self,
+        mut link: StreamLink<Time, Dialect>,
+        head: &AnswerHead,
+    ) -> Result<bool, StreamEnd> {
+        let body = link.connection.read_body(ANSWER_LIMIT).await;
+        let body = match body {
+            Ok(body) => body,
+            Err(error) => {
+                self.link = Some(link);
+                self.break_link(&BreakCause::Broken(error))?;
+                return Ok(false);
+            }
+        };
+        if self.head.is_some() {
+            // The answer has begun; an engine's failure cannot follow in it.
+            let error = LinkError::written(&format!("status {}", head.status));
+            self.link = Some(link);
+            self.break_link(&BreakCause::Broken(error))?;
+            return Ok(false);
+        }
+        let status = StatusCode::from_u16(head.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
+        let mut response = Response::with_body(status, RelayBody::Whole(body));
+        *response.headers_mut() = self.context.dialect().answer_headers(&head.headers);
+        self.request.life.apply(LifeEvent::Start);
+        self.request.life.apply(LifeEvent::Complete);
+        Err(StreamEnd::Failure(response))
+    }
+}
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -3,22 +3,21 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use actix_http::Response;
 use actix_http::header::HeaderMap;
-use actix_http::{Response, StatusCode};
 use bytes::Bytes;
 use dandeliondeal_balance::CallResult;
-use dandeliondeal_http::{AnswerHead, EndpointConnection, LinkError};
+use dandeliondeal_http::{EndpointConnection, LinkError};
 use dandeliondeal_layout::{EngineChain, EngineProfile};
 use dandeliondeal_types::{Clock, EndpointId};
 
 use crate::call_guard::CallGuard;
 use crate::chain_choice::{ChainDemand, choose_chain};
 use crate::chain_watch::watch_chain;
-use crate::dialect::{AnswerFacts, AttemptFacts, FleetDialect, OrderReply, RequestDialect};
-use crate::endpoint_link::{ANSWER_LIMIT, LinkChoice, exchange, open, outbound};
+use crate::dialect::{AttemptFacts, FleetDialect, OrderReply, RequestDialect};
+use crate::endpoint_link::{LinkChoice, exchange, open, outbound};
 use crate::engine_calls::send_order;
 use crate::event_splitter::EventSplitter;
-use crate::fleet_view::FleetView;
 use crate::load_book::LoadTicket;
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
@@ -28,15 +27,10 @@
 
 /// First engines that refuse the connection before the request is refused; nothing was sent.
 const CONNECT_TRIES: u32 = 4;
-/// Offers of one request at most, counting those that engines stated not to have run.
-const OFFER_LIMIT: u32 = 4;
-/// Share of an engine's memory above which a rejection is put down to want of memory; below it
-/// the engine is draining, giving up its layers, or lost.
-const CROWDED_SHARE: f64 = 0.6;
 
 /// Why a stream goes on without its chain.
 #[derive(Clone, Debug)]
-enum BreakCause {
+pub(crate) enum BreakCause {
     /// The connection or the answer broke.
     Broken(LinkError),
     /// The request waits for an engine that does not answer.
@@ -63,12 +57,12 @@
 
 /// A chain that runs the request now.
 #[derive(Debug)]
-struct StreamLink<Time, Dialect>
+pub(crate) struct StreamLink<Time, Dialect>
 where
     Time: Clock,
 {
-    connection: EndpointConnection,
-    chain: EngineChain,
+    pub(crate) connection: EndpointConnection,
+    pub(crate) chain: EngineChain,
     ticket: LoadTicket,
     /// The offer, until the chain begins to answer.
     offer: Option<CallGuard<Time, Dialect>>,
@@ -80,17 +74,17 @@
 where
     Time: Clock,
 {
-    context: RelayContext<Time, Dialect>,
-    request: RelayRequest,
-    profile: Arc<EngineProfile>,
+    pub(crate) context: RelayContext<Time, Dialect>,
+    pub(crate) request: RelayRequest,
+    pub(crate) profile: Arc<EngineProfile>,
     demand: ChainDemand,
     splitter: EventSplitter,
-    link: Option<StreamLink<Time, Dialect>>,
-    head: Option<HeaderMap>,
+    pub(crate) link: Option<StreamLink<Time, Dialect>>,
+    pub(crate) head: Option<HeaderMap>,
     /// Engines that this request does not use again.
-    avoided: Vec<EndpointId>,
-    offers: u32,
-    runs: u32,
+    pub(crate) avoided: Vec<EndpointId>,
+    pub(crate) offers: u32,
+    pub(crate) runs: u32,
     last_sign: Instant,
 }
 
@@ -178,7 +172,7 @@
         self.refused(RefusalCause::LateSent)
     }
 
-    fn refused(&mut self, cause: RefusalCause) -> StreamEnd {
+    pub(crate) fn refused(&mut self, cause: RefusalCause) -> StreamEnd {
         self.link = None;
         match self.request.end_without(cause, None) {
             crate::relay_outcome::RelayOutcome::Refused(cause) => StreamEnd::Refused(cause),
@@ -278,7 +272,7 @@
     }
 
     /// Gives up the present chain; an error if the stream may not go on elsewhere.
-    fn break_link(&mut self, cause: &BreakCause) -> Result<(), StreamEnd> {
+    pub(crate) fn break_link(&mut self, cause: &BreakCause) -> Result<(), StreamEnd> {
         self.splitter.discard();
         self.request.life.lose_track();
         let chain = self.chain_text();
@@ -432,95 +426,6 @@
         self.link = Some(link);
         Ok(true)
     }
-
-    /// The engines stated that the request did not run.
-    fn rejected(
-        &mut self,
-        link: StreamLink<Time, Dialect>,
-        head: &AnswerHead,
-        facts: &AnswerFacts,
-    ) -> Result<bool, StreamEnd> {
-        self.request.life.apply(LifeEvent::Reject);
-        self.runs -= 1;
-        let faulty = self.fault(&link, head, facts);
-        let may_repeat = self.offers < OFFER_LIMIT
-            && self.context.take_repeat(&self.request.service, "rejected");
-        tracing::info!(
-            request = %self.request.facts.request,
-            status = head.status.as_u16(),
-            engine = %faulty,
-            offers = self.offers,
-            repeated = may_repeat,
-            "engine stated not run"
-        );
-        self.avoided.push(faulty);
-        drop(link);
-        if may_repeat {
-            Ok(false)
-        } else {
-            Err(self.refused(RefusalCause::Rejected))
-        }
-    }
-
-    /// The engine that is at fault for a rejection, taken out of use where that is evident.
-    fn fault(
-        &self,
-        link: &StreamLink<Time, Dialect>,
-        head: &AnswerHead,
-        facts: &AnswerFacts,
-    ) -> EndpointId {
-        let now = self.context.now();
-        let hops = &link.chain.hops;
-        let named = facts
-            .faulty
-            .and_then(|address| hops.iter().find(|hop| hop.address == address));
-        let engine = EndpointId::clone(&named.unwrap_or(&hops[0]).id);
-        let mut fleet = self.context.fleet().borrow_mut();
-        if head.status == StatusCode::MISDIRECTED_REQUEST {
-            fleet.doubt_layers(&engine, now);
-        } else if !self.is_crowded(&fleet, &engine, now) {
-            fleet.blame(&engine, now);
-        }
-        engine
-    }
-
-    /// Whether want of memory explains that an engine rejects a request.
-    fn is_crowded(&self, fleet: &FleetView, engine: &EndpointId, now: Instant) -> bool {
-        let scale = self.context.book().scale(self.context.instances(), now);
-        let work = self.context.book().work(engine, scale, now);
-        let room = fleet.token_room(engine, &self.profile);
-        room.is_some_and(|room| work.tokens > room * CROWDED_SHARE)
-    }
-
-    /// The engine answered with a failure of its own.
-    async fn failed(
-        &mut self,
-        mut link: StreamLink<Time, Dialect>,
-        head: &AnswerHead,
-    ) -> Result<bool, StreamEnd> {
-        let body = link.connection.read_body(ANSWER_LIMIT).await;
-        let body = match body {
-            Ok(body) => body,
-            Err(error) => {
-                self.link = Some(link);
-                self.break_link(&BreakCause::Broken(error))?;
-                return Ok(false);
-            }
-        };
-        if self.head.is_some() {
-            // The answer has begun; an engine's failure cannot follow in it.
-            let error = LinkError::written(&format!("status {}", head.status));
-            self.link = Some(link);
-            self.break_link(&BreakCause::Broken(error))?;
-            return Ok(false);
-        }
-        let status = StatusCode::from_u16(head.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
-        let mut response = Response::with_body(status, RelayBody::Whole(body));
-        *response.headers_mut() = self.context.dialect().answer_headers(&head.headers);
-        self.request.life.apply(LifeEvent::Start);
-        self.request.life.apply(LifeEvent::Complete);
-        Err(StreamEnd::Failure(response))
-    }
 }
 
 impl<Time, Dialect> StreamRelay<Time, Dialect>
