Silence ends no stream: an engine that left the list goes on, and a stall without another run is waited out

Change: an engine counts as lost on evidence only; a stalled stream that can be neither moved nor run again stays with its chain.

--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -328,15 +328,12 @@
         self.engines.is_usable(engine, true)
     }
 
-    /// The first engine of a chain that is gone or known not to answer.
+    /// The first engine of a chain that is known not to answer.
     ///
-    /// An engine that drains still finishes what it has.
+    /// An engine that drains, or has left the list, still finishes what it has.
     pub fn first_lost(&self, chain: &EngineChain) -> Option<EndpointId> {
         use dandeliondeal_balance::HealthState;
-        let is_lost = |hop: &&ChainHop| {
-            let is_failed = self.engines.state(&hop.id) == Some(HealthState::Failed);
-            is_failed || !self.records.contains_key(&hop.id)
-        };
+        let is_lost = |hop: &&ChainHop| self.engines.state(&hop.id) == Some(HealthState::Failed);
         let lost = chain.hops.iter().find(is_lost);
         lost.map(|hop| EndpointId::clone(&hop.id))
     }
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -85,6 +85,8 @@
     pub(crate) avoided: Vec<EndpointId>,
     pub(crate) offers: u32,
     pub(crate) runs: u32,
+    /// Whether the present chain is kept though it stalls.
+    stays: bool,
     last_sign: Instant,
 }
 
@@ -113,6 +115,7 @@
             avoided: Vec::new(),
             offers: 0,
             runs: 0,
+            stays: false,
             last_sign,
         }
     }
@@ -198,15 +201,19 @@
         };
         let id = &self.request.facts.request;
         let watch = watch_chain(&self.context, &link.chain, id, self.last_sign);
+        let stays = self.stays;
         let chunk = tokio::select! {
             biased;
             chunk = link.connection.read_chunk() => chunk.map_err(BreakCause::Broken)?,
-            engine = watch => {
-                return if self.move_link(&engine).await {
-                    Ok(Some(Bytes::new()))
-                } else {
-                    Err(BreakCause::Stalled(engine))
-                };
+            engine = watch, if !stays => {
+                if self.move_link(&engine).await {
+                    return Ok(Some(Bytes::new()));
+                }
+                if self.take_resume() {
+                    return Err(BreakCause::Stalled(engine));
+                }
+                self.stay();
+                return Ok(Some(Bytes::new()));
             }
         };
         let Some(chunk) = chunk else {
@@ -271,6 +278,27 @@
         is_moved.then_some(next)
     }
 
+    /// Takes a further run out of the route's attempts and the budget, if both allow one.
+    fn take_resume(&self) -> bool {
+        let route = &self.request.matched.route;
+        let may_resume = route.repeat.is_repeatable() && self.runs < route.attempts;
+        may_resume
+            && self
+                .context
+                .take_repeat(&self.request.service, "broken-stream")
+    }
+
+    /// Keeps a stalled chain that can be neither left nor replaced: its engine may come back, and
+    /// silence alone is no reason to end an answer.
+    fn stay(&mut self) {
+        self.stays = true;
+        tracing::info!(
+            request = %self.request.facts.request,
+            chain = self.chain_text(),
+            "stalled stream stays with its chain"
+        );
+    }
+
     /// Gives up the present chain; an error if the stream may not go on elsewhere.
     pub(crate) fn break_link(&mut self, cause: &BreakCause) -> Result<(), StreamEnd> {
         self.splitter.discard();
@@ -280,12 +308,9 @@
         if let BreakCause::Stalled(engine) = cause {
             self.avoided.push(EndpointId::clone(engine));
         }
-        let may_resume = self.request.matched.route.repeat.is_repeatable()
-            && self.runs < self.request.matched.route.attempts;
-        let is_resumed = may_resume
-            && self
-                .context
-                .take_repeat(&self.request.service, "broken-stream");
+        // A stall ends a run only where another one was allowed.
+        let is_stall = matches!(cause, BreakCause::Stalled(_));
+        let is_resumed = is_stall || self.take_resume();
         tracing::info!(
             request = %self.request.facts.request,
             cause = %cause,
@@ -381,7 +406,10 @@
                         engine = watch => engine,
                     };
                     let Some(chain) = self.move_chain(&link.chain, &lost).await else {
-                        return Err(BreakCause::Stalled(lost));
+                        if self.take_resume() {
+                            return Err(BreakCause::Stalled(lost));
+                        }
+                        return answer.await.map_err(BreakCause::Broken);
                     };
                     link.ticket = self.context.book().enter(&chain, self.demand.tokens());
                     link.chain = chain;
