Ranges by memory: the cut whose tightest range has memory for most tokens a second

Ruled out: store, links and processor time, which were not short in those seconds. Change: cuts with wide, middle and narrow ranges are all rated by the memory of their tightest range after a loss, over the time of a token; free engines go to the range with the least memory.

--- a/crates/dandeliondeal_layout/src/layout_planner.rs
+++ b/crates/dandeliondeal_layout/src/layout_planner.rs
@@ -6,7 +6,7 @@
 use dandeliondeal_types::{AcceleratorKind, EndpointId, FailureDomain, LayerRange};
 
 use crate::engine_profile::EngineProfile;
-use crate::layout_template::LayoutTemplate;
+use crate::layout_template::{ChainCounts, LayoutTemplate, RangeWidth, WidthCounts};
 
 /// An engine as the planner sees it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -87,30 +87,27 @@
     }
 }
 
-/// Cards of one width, which may hold the same ranges.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum CardWidth {
-    Wide,
-    Narrow,
-}
-
 struct DraftEngine<'plan> {
     state: &'plan EngineState,
-    width: CardWidth,
+    /// The longest ranges that its card is meant for.
+    width: RangeWidth,
     /// Index of its range in the draft.
     range: Option<usize>,
 }
 
-/// Whole chains that the engines of a domain can form by themselves.
-#[derive(Clone, Copy, Debug, Default)]
-struct OwnChains {
-    /// With wide ranges on large cards.
-    mixed: usize,
-    /// On small cards alone.
-    narrow: usize,
+impl DraftEngine<'_> {
+    /// Whether it may hold ranges of a width; large cards are kept for wide ones.
+    fn may_hold(&self, width: RangeWidth) -> bool {
+        match self.width {
+            RangeWidth::Wide => width == RangeWidth::Wide,
+            RangeWidth::Middle => width != RangeWidth::Wide,
+            RangeWidth::Narrow => width == RangeWidth::Narrow,
+        }
+    }
 }
 
 struct LayoutDraft<'plan> {
+    profile: &'plan EngineProfile,
     template: &'plan LayoutTemplate,
     /// The ranges of the template, then the narrow ones of its wide ranges' layers.
     ranges: Vec<LayerRange>,
@@ -120,33 +117,27 @@
 
 impl<'plan> LayoutDraft<'plan> {
     fn new(
-        profile: &EngineProfile,
+        profile: &'plan EngineProfile,
         template: &'plan LayoutTemplate,
         states: &'plan [EngineState],
         tokens: f64,
     ) -> Self {
-        let widest = template.ranges.first().copied().unwrap_or_default();
-        let narrowest = template.ranges.last().copied().unwrap_or_default();
-        let mut ranges = template.ranges.clone();
-        ranges.extend(&template.split);
+        let ranges = template.all_ranges();
         let mut engines: Vec<DraftEngine<'plan>> = Vec::new();
         for state in states {
-            let is_wide = template.wide > 0 && LayoutTemplate::fits(profile, state, widest, tokens);
-            if !is_wide && !LayoutTemplate::fits(profile, state, narrowest, tokens) {
+            let card = profile.card(&state.kind);
+            let limit = card.map_or(0, |card| profile.layer_limit(card, tokens));
+            let Some(width) = template.width_of(limit) else {
                 continue;
-            }
-            let width = if is_wide {
-                CardWidth::Wide
-            } else {
-                CardWidth::Narrow
             };
-            let found = ranges.iter().position(|range| Some(*range) == state.held);
-            let range = found.filter(|index| (*index < template.wide) == is_wide);
-            engines.push(DraftEngine {
+            let mut engine = DraftEngine {
                 state,
                 width,
-                range,
-            });
+                range: None,
+            };
+            let found = ranges.iter().position(|range| Some(*range) == state.held);
+            engine.range = found.filter(|index| engine.may_hold(template.width(*index)));
+            engines.push(engine);
         }
         // Fast cards first, so that each domain's own chain gets them; by id for one result.
         let speed = |engine: &DraftEngine<'_>| {
@@ -163,6 +154,7 @@
             .map(|engine| &*engine.state.failure_domain)
             .collect();
         Self {
+            profile,
             template,
             ranges,
             engines,
@@ -170,98 +162,121 @@
         }
     }
 
-    /// The ranges of the template for cards of a width.
-    fn main_ranges(&self, width: CardWidth) -> Range<usize> {
-        match width {
-            CardWidth::Wide => 0..self.template.wide,
-            CardWidth::Narrow => self.template.wide..self.template.ranges.len(),
-        }
+    fn may_hold(&self, engine: &DraftEngine<'_>, index: usize) -> bool {
+        engine.may_hold(self.template.width(index))
     }
 
-    /// The narrow ranges of the wide ranges' layers.
-    fn split_ranges(&self) -> Range<usize> {
-        self.template.ranges.len()..self.ranges.len()
+    /// Indices of the template's ranges, without the narrow ones of wide ranges' layers.
+    fn main_ranges(&self) -> Range<usize> {
+        0..self.template.ranges.len()
     }
 
-    fn count(&self, index: usize, domain: Option<&str>) -> usize {
-        let is_here = |engine: &&DraftEngine<'_>| {
+    fn is_split(&self, index: usize) -> bool {
+        self.template.split_indices().contains(&index)
+    }
+
+    fn holders(
+        &self,
+        index: usize,
+        domain: Option<&str>,
+    ) -> impl Iterator<Item = &DraftEngine<'_>> {
+        self.engines.iter().filter(move |engine| {
             engine.range == Some(index)
                 && domain.is_none_or(|domain| *engine.state.failure_domain == *domain)
-        };
-        self.engines.iter().filter(is_here).count()
+        })
     }
 
-    fn own_chains(&self, domain: &str) -> OwnChains {
-        let engines = |width: CardWidth| {
-            let is_here = |engine: &&DraftEngine<'_>| {
-                engine.width == width && *engine.state.failure_domain == *domain
-            };
-            self.engines.iter().filter(is_here).count()
-        };
-        let main = self.main_ranges(CardWidth::Narrow).len();
-        let small = engines(CardWidth::Narrow);
-        if self.template.wide == 0 {
-            let narrow = small.checked_div(main).unwrap_or(0);
-            return OwnChains { mixed: 0, narrow };
+    fn count(&self, index: usize, domain: Option<&str>) -> usize {
+        self.holders(index, domain).count()
+    }
+
+    /// Tokens for which the engines of a range have memory.
+    fn room(&self, index: usize) -> f64 {
+        let length = self.ranges[index].len();
+        let rooms = self.holders(index, None).map(|engine| {
+            let card = self.profile.card(&engine.state.kind);
+            card.map_or(0.0, |card| self.profile.token_room(card, length))
+        });
+        rooms.sum()
+    }
+
+    /// Whole chains that the engines of a domain, or of all, can form by themselves.
+    fn chains(&self, domain: Option<&str>) -> ChainCounts {
+        let mut cards = WidthCounts::default();
+        for engine in &self.engines {
+            if domain.is_none_or(|domain| *engine.state.failure_domain == *domain) {
+                match engine.width {
+                    RangeWidth::Wide => cards.wide += 1,
+                    RangeWidth::Middle => cards.middle += 1,
+                    RangeWidth::Narrow => cards.narrow += 1,
+                }
+            }
         }
-        let large = engines(CardWidth::Wide) / self.template.wide;
-        let mixed = small.checked_div(main).unwrap_or(large).min(large);
-        let alone = main + self.split_ranges().len();
-        let narrow = (small - mixed * main).checked_div(alone).unwrap_or(0);
-        OwnChains { mixed, narrow }
+        self.template.chains(cards)
     }
 
     /// Engines of a domain that its own chains need for a range.
-    fn quota(&self, index: usize, chains: OwnChains) -> usize {
-        if index < self.template.wide {
+    fn quota(&self, index: usize, chains: ChainCounts) -> usize {
+        if self.is_split(index) {
+            chains.alone
+        } else if self.template.width(index) == RangeWidth::Wide {
             chains.mixed
-        } else if index < self.template.ranges.len() {
-            chains.mixed + chains.narrow
         } else {
-            chains.narrow
+            chains.mixed + chains.alone
         }
     }
 
     /// Gives free engines the ranges that their domain's own chains lack.
     fn fill_domains(&mut self) {
         for domain in self.domains.clone() {
-            let chains = self.own_chains(domain);
+            let chains = self.chains(Some(domain));
             for position in 0..self.engines.len() {
                 let engine = &self.engines[position];
                 if engine.range.is_some() || *engine.state.failure_domain != *domain {
                     continue;
                 }
-                let split = match engine.width {
-                    CardWidth::Wide => 0..0,
-                    CardWidth::Narrow => self.split_ranges(),
-                };
-                let range = self
-                    .main_ranges(engine.width)
-                    .chain(split)
-                    .map(|index| (self.count(index, Some(domain)), index))
-                    .filter(|(count, index)| *count < self.quota(*index, chains))
+                let range = (0..self.ranges.len())
+                    .filter(|index| self.may_hold(engine, *index))
+                    .map(|index| {
+                        (
+                            self.template.width(index),
+                            self.count(index, Some(domain)),
+                            index,
+                        )
+                    })
+                    .filter(|(_, count, index)| *count < self.quota(*index, chains))
                     .min();
-                self.engines[position].range = range.map(|(_, index)| index);
+                self.engines[position].range = range.map(|(_, _, index)| index);
             }
         }
     }
 
-    /// Gives the free engines that are left the ranges that fewest engines hold.
+    /// Gives the free engines that are left the ranges that lack engines for whole chains, then
+    /// those with the least memory.
     fn fill_rest(&mut self) {
+        let chains = self.chains(None);
+        let goal = chains.mixed + chains.alone;
         for domain in self.domains.clone() {
             for position in 0..self.engines.len() {
                 let engine = &self.engines[position];
                 if engine.range.is_some() || *engine.state.failure_domain != *domain {
                     continue;
                 }
+                let rank = |index: &usize| {
+                    let here = self.count(*index, Some(domain));
+                    (self.count(*index, None).min(goal), self.room(*index), here)
+                };
                 let range = self
-                    .main_ranges(engine.width)
-                    .map(|index| {
-                        let here = self.count(index, Some(domain));
-                        (self.count(index, None), here, index)
-                    })
-                    .min();
-                self.engines[position].range = range.map(|(_, _, index)| index);
+                    .main_ranges()
+                    .filter(|index| self.may_hold(engine, *index))
+                    .min_by(|left, right| {
+                        let (left, right) = (rank(left), rank(right));
+                        left.0
+                            .cmp(&right.0)
+                            .then(left.1.total_cmp(&right.1))
+                            .then(left.2.cmp(&right.2))
+                    });
+                self.engines[position].range = range;
             }
         }
     }
@@ -269,7 +284,7 @@
     /// Moves engines that a domain can spare to ranges that its own chains lack.
     fn repair_domains(&mut self) {
         for domain in self.domains.clone() {
-            let chains = self.own_chains(domain);
+            let chains = self.chains(Some(domain));
             for index in 0..self.ranges.len() {
                 while self.count(index, Some(domain)) < self.quota(index, chains) {
                     let Some(position) = self.spare(index, domain, chains) else {
@@ -283,24 +298,24 @@
 
     /// An engine of `domain` that may hold range `target`, whose own range has more engines than
     /// the domain's chains need, and more than the range with the fewest engines of all.
-    fn spare(&self, target: usize, domain: &str, chains: OwnChains) -> Option<usize> {
-        let width = if target < self.template.wide {
-            CardWidth::Wide
-        } else {
-            CardWidth::Narrow
-        };
-        let counts = self.main_ranges(width).map(|index| self.count(index, None));
-        let least = counts.min().unwrap_or(0);
+    fn spare(&self, target: usize, domain: &str, chains: ChainCounts) -> Option<usize> {
+        let width = self.template.width(target);
+        let alike = self
+            .main_ranges()
+            .filter(|index| self.template.width(*index) == width);
+        let least = alike
+            .map(|index| self.count(index, None))
+            .min()
+            .unwrap_or(0);
         let mut best: Option<(usize, usize)> = None;
         for (position, engine) in self.engines.iter().enumerate() {
-            let Some(index) = engine.range.filter(|_| engine.width == width) else {
+            let Some(index) = engine.range.filter(|_| self.may_hold(engine, target)) else {
                 continue;
             };
             let is_here = *engine.state.failure_domain == *domain;
             let is_needed = self.count(index, Some(domain)) <= self.quota(index, chains);
             // Narrow ranges of wide layers help nobody but their own domain.
-            let is_split = index >= self.template.ranges.len();
-            let whole = if is_split {
+            let whole = if self.is_split(index) {
                 usize::MAX
             } else {
                 self.count(index, None)
@@ -317,42 +332,45 @@
 
     /// Moves engines from ranges that many hold to ranges that fewer hold by two or more.
     fn balance(&mut self) {
-        for width in [CardWidth::Wide, CardWidth::Narrow] {
-            while let Some((position, index)) = self.next_balance(width) {
-                self.engines[position].range = Some(index);
-            }
+        while let Some((position, index)) = self.next_balance() {
+            self.engines[position].range = Some(index);
         }
     }
 
-    fn next_balance(&self, width: CardWidth) -> Option<(usize, usize)> {
-        let counts: Vec<(usize, usize)> = self
-            .main_ranges(width)
-            .map(|index| (self.count(index, None), index))
+    fn next_balance(&self) -> Option<(usize, usize)> {
+        let counts: Vec<usize> = self
+            .main_ranges()
+            .map(|index| self.count(index, None))
             .collect();
-        let (least, target) = *counts.iter().min()?;
-        let (most, _) = *counts.iter().max()?;
-        if most < least + 2 {
-            return None;
-        }
-        // Of the engines that can go, one whose domain keeps its own chains.
-        let is_full = |index: usize| {
-            self.main_ranges(width).contains(&index) && self.count(index, None) == most
-        };
+        let mut targets: Vec<usize> = self.main_ranges().collect();
+        targets.sort_by_key(|index| counts[*index]);
+        targets.into_iter().find_map(|target| {
+            let position = self.balance_source(target, &counts)?;
+            Some((position, target))
+        })
+    }
+
+    /// Of the engines that can go to `target`, one of the fullest range, whose domain keeps its
+    /// own chains.
+    fn balance_source(&self, target: usize, counts: &[usize]) -> Option<usize> {
         let rank = |engine: &DraftEngine<'_>, index: usize| {
             let domain = &*engine.state.failure_domain;
-            let chains = self.own_chains(domain);
+            let chains = self.chains(Some(domain));
             let kept = self.count(index, Some(domain)) > self.quota(index, chains);
             let lacks = self.count(target, Some(domain)) < self.quota(target, chains);
-            (kept, lacks)
+            (counts[index], kept, lacks)
         };
         self.engines
             .iter()
             .enumerate()
-            .filter(|(_, engine)| engine.width == width)
+            .filter(|(_, engine)| self.may_hold(engine, target))
             .filter_map(|(position, engine)| Some((position, engine, engine.range?)))
-            .filter(|(_, _, index)| is_full(*index))
+            .filter(|(_, _, index)| {
+                let count = counts.get(*index);
+                count.is_some_and(|count| *count >= counts[target] + 2)
+            })
             .max_by_key(|(_, engine, index)| rank(engine, *index))
-            .map(|(position, _, _)| (position, target))
+            .map(|(position, _, _)| position)
     }
 
     fn moves(&self) -> Vec<LayoutMove> {
--- a/crates/dandeliondeal_layout/src/layout_template.rs
+++ b/crates/dandeliondeal_layout/src/layout_template.rs
@@ -1,67 +1,67 @@
 //! How the layers of a model are cut into ranges that engines hold.
 
+use std::ops::Range;
+
 use dandeliondeal_types::LayerRange;
 
+use crate::card_supply::CardSupply;
 use crate::engine_profile::EngineProfile;
 use crate::layout_planner::EngineState;
+use crate::template_search;
 
-/// A cut of a model's layers: wide ranges for large cards first, then narrow ones.
+/// A cut of a model's layers: wide ranges for large cards first, then middle and narrow ones.
 ///
 /// All chains use the same cut, so that any engine of a range can stand in for any other.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct LayoutTemplate {
     /// The ranges in order; together they are all layers.
     pub ranges: Vec<LayerRange>,
     /// How many of the first ranges are wide.
     pub wide: usize,
+    /// How many of the ranges after the wide ones are too long for the smallest cards.
+    pub middle: usize,
     /// The wide ranges' layers in narrow ranges, with which small cards form chains alone.
     pub split: Vec<LayerRange>,
 }
 
-/// Least factor between the layers of large and small cards that makes two widths worth it.
-const WIDTH_FACTOR: u32 = 2;
+/// Which cards a range is meant for.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum RangeWidth {
+    /// Large cards.
+    Wide,
+    /// Cards that hold more than the smallest.
+    Middle,
+    /// Any card but large ones.
+    Narrow,
+}
+
+/// Cards of each width.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WidthCounts {
+    /// Large cards.
+    pub wide: usize,
+    /// Cards that can hold the middle ranges.
+    pub middle: usize,
+    /// Cards that can hold narrow ranges only.
+    pub narrow: usize,
+}
+
+/// Whole chains that a set of cards can form.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ChainCounts {
+    /// With wide ranges on large cards.
+    pub mixed: usize,
+    /// On small cards alone.
+    pub alone: usize,
+}
 
 impl LayoutTemplate {
-    /// The cut that gives the most chains.
+    /// The cut with the most chains, and among those the one that serves most requests at once.
     ///
-    /// Among equal cuts, one that engines already hold wins; a cut that engines hold is given up
-    /// only for at least one chain more. `None` if no cut gives a chain.
+    /// A cut that engines already hold is given up only for at least one chain more. `None` if
+    /// no cut gives a chain.
     pub fn choose(profile: &EngineProfile, engines: &[EngineState], tokens: f64) -> Option<Self> {
-        let (narrow, wide) = widths(profile, engines, tokens)?;
-        let most_wide = profile.layers.div_ceil(wide);
-        let templates = (0..=most_wide).filter_map(|count| Self::cut(profile, narrow, wide, count));
-        let held = |template: &Self| {
-            let holds = |engine: &&EngineState| engine.held.is_some_and(|held| template.has(held));
-            engines.iter().filter(holds).count()
-        };
-        let most_held = templates.clone().map(|template| held(&template)).max();
-        templates
-            .map(|template| {
-                let is_held =
-                    held(&template) * 2 > engines.len() && Some(held(&template)) == most_held;
-                let bonus = if is_held { 1.0 } else { 0.0 };
-                let score = template.chains(profile, engines, tokens) + bonus;
-                (template, score, bonus)
-            })
-            .filter(|(_, score, bonus)| score - bonus >= 1.0)
-            .max_by(|left, right| left.1.total_cmp(&right.1))
-            .map(|(template, _, _)| template)
-    }
-
-    /// Cuts `count` wide ranges and as many narrow ones as the rest takes.
-    fn cut(profile: &EngineProfile, narrow: u32, wide: u32, count: u32) -> Option<Self> {
-        let wide_layers = (wide * count).min(profile.layers);
-        let rest = profile.layers - wide_layers;
-        if count > 0 && rest == 0 && wide * (count - 1) >= profile.layers {
-            return None;
-        }
-        let mut ranges = split(0, wide_layers, count);
-        ranges.extend(split(wide_layers, rest, rest.div_ceil(narrow)));
-        Some(Self {
-            ranges,
-            wide: count as usize,
-            split: split(0, wide_layers, wide_layers.div_ceil(narrow)),
-        })
+        template_search::best(&CardSupply::count(profile, engines, tokens))
     }
 
     /// Whether `range` is one of the cut.
@@ -69,59 +69,78 @@
         self.ranges.contains(&range) || self.split.contains(&range)
     }
 
-    /// Whether an engine has the memory for a range, and for enough tokens beside it.
-    pub fn fits(
-        profile: &EngineProfile,
-        engine: &EngineState,
-        range: LayerRange,
-        tokens: f64,
-    ) -> bool {
-        let card = profile.card(&engine.kind);
-        card.is_some_and(|card| profile.layer_limit(card, tokens) >= range.len())
+    /// All ranges: those of the cut, then the narrow ones of the wide ranges' layers.
+    pub fn all_ranges(&self) -> Vec<LayerRange> {
+        let ranges = self.ranges.iter().chain(&self.split);
+        ranges.copied().collect()
     }
 
-    /// Chains that the engines could form, not counting failure domains.
-    fn chains(&self, profile: &EngineProfile, engines: &[EngineState], tokens: f64) -> f64 {
-        let wide_range = self.ranges.first().copied().unwrap_or_default();
-        let is_large = |engine: &&EngineState| Self::fits(profile, engine, wide_range, tokens);
-        let large = engines.iter().filter(is_large).count();
-        let narrow = self.ranges.len() - self.wide;
-        match (self.wide, narrow) {
-            (0, narrow) => engines.len() as f64 / narrow.max(1) as f64,
-            (wide, 0) => large as f64 / wide as f64,
-            (wide, narrow) => {
-                let small = engines.len() - large;
-                (large as f64 / wide as f64).min(small as f64 / narrow as f64)
-            }
+    /// Width of a range by its index among all ranges.
+    pub fn width(&self, index: usize) -> RangeWidth {
+        if index < self.wide {
+            RangeWidth::Wide
+        } else if index < self.wide + self.middle {
+            RangeWidth::Middle
+        } else {
+            RangeWidth::Narrow
         }
     }
-}
 
-/// Layers of small and of large cards.
-fn widths(profile: &EngineProfile, engines: &[EngineState], tokens: f64) -> Option<(u32, u32)> {
-    let mut limits: Vec<u32> = engines
-        .iter()
-        .filter_map(|engine| profile.card(&engine.kind))
-        .map(|card| profile.layer_limit(card, tokens))
-        .filter(|limit| *limit > 0)
-        .collect();
-    limits.sort_unstable();
-    let narrow = *limits.first()?;
-    let wide = *limits.last()?;
-    Some(if wide < narrow * WIDTH_FACTOR {
-        (narrow, narrow)
-    } else {
-        (narrow, wide)
-    })
-}
+    /// Indices of the narrow ranges of the wide ranges' layers.
+    pub fn split_indices(&self) -> Range<usize> {
+        self.ranges.len()..self.ranges.len() + self.split.len()
+    }
 
-/// Splits `length` layers from `start` into `count` ranges of nearly equal length.
-fn split(start: u32, length: u32, count: u32) -> Vec<LayerRange> {
-    (0..count)
-        .map(|index| {
-            let from = start + length * index / count;
-            let to = start + length * (index + 1) / count;
-            LayerRange::new(from, to)
-        })
-        .collect()
+    /// The longest range that a card which can hold `limit` layers is meant for; `None` if it is
+    /// too small for all.
+    pub fn width_of(&self, limit: u32) -> Option<RangeWidth> {
+        let fits = |index: usize| {
+            let range = self.ranges.get(index);
+            range.is_some_and(|range| range.len() <= limit)
+        };
+        let longest_narrow = self.ranges[self.wide + self.middle..]
+            .iter()
+            .chain(&self.split)
+            .map(|range| range.len())
+            .max();
+        if self.wide > 0 && fits(0) {
+            Some(RangeWidth::Wide)
+        } else if self.middle > 0 && fits(self.wide) {
+            Some(RangeWidth::Middle)
+        } else if longest_narrow.is_some_and(|longest| longest <= limit) {
+            Some(RangeWidth::Narrow)
+        } else {
+            None
+        }
+    }
+
+    /// Whole chains that cards of these counts can form.
+    pub fn chains(&self, cards: WidthCounts) -> ChainCounts {
+        let main = self.ranges.len() - self.wide;
+        let small = cards.middle + cards.narrow;
+        let most = |large: usize, small: usize, middle: usize, small_ranges: usize| {
+            let wide = large.checked_div(self.wide);
+            let narrow = small.checked_div(small_ranges);
+            let middle = middle.checked_div(self.middle);
+            [wide, narrow, middle].into_iter().flatten().min()
+        };
+        let mixed = if self.wide == 0 {
+            0
+        } else {
+            most(cards.wide, small, cards.middle, main).unwrap_or(0)
+        };
+        let alone_ranges = main + self.split.len();
+        let alone = most(
+            usize::MAX,
+            small - mixed * main,
+            cards.middle - mixed * self.middle,
+            alone_ranges,
+        );
+        let alone = if alone_ranges == 0 {
+            0
+        } else {
+            alone.unwrap_or(0)
+        };
+        ChainCounts { mixed, alone }
+    }
 }
--- a/crates/dandeliondeal_layout/src/lib.rs
+++ b/crates/dandeliondeal_layout/src/lib.rs
@@ -5,10 +5,13 @@
 //! another; [`ChainGraph`] finds the cheapest chain of engines that runs every layer once and in
 //! order, under the load that is known.
 
+mod card_supply;
 pub mod chain_graph;
 pub mod engine_profile;
 pub mod layout_planner;
 pub mod layout_template;
+pub mod plan_cache;
+mod template_search;
 
 #[doc(inline)]
 pub use chain_graph::{ChainGraph, ChainHop, ChainQuery, EngineChain, EngineNode};
@@ -17,4 +20,6 @@
 #[doc(inline)]
 pub use layout_planner::{EngineState, LayoutMove, LayoutPlanner, LayoutSettings};
 #[doc(inline)]
-pub use layout_template::LayoutTemplate;
+pub use layout_template::{ChainCounts, LayoutTemplate, RangeWidth, WidthCounts};
+#[doc(inline)]
+pub use plan_cache::PlanCache;
--- /dev/null
+++ b/crates/dandeliondeal_layout/tests/tight_memory.rs
@@ -0,0 +1,75 @@
+//! Layouts whose tightest range has memory for many requests.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use dandeliondeal_layout::{EngineState, LayoutPlanner, LayoutSettings, PlanCache};
+use dandeliondeal_types::LayerRange;
+use support::{large_site, profile, small_site};
+
+/// Tokens for which the holders of each range have memory.
+fn rooms(engines: &[EngineState]) -> BTreeMap<LayerRange, f64> {
+    let profile = profile();
+    let planner = LayoutPlanner::new(LayoutSettings::default());
+    let mut rooms = BTreeMap::new();
+    for step in planner.plan(&profile, engines) {
+        let engine = engines.iter().find(|engine| engine.id == step.engine);
+        let kind = &engine.expect("a planned engine").kind;
+        let card = profile.card(kind).expect("a known card");
+        *rooms.entry(step.range).or_default() += profile.token_room(card, step.range.len());
+    }
+    rooms
+}
+
+/// Pattern: more requests at once than usual. With large cards filled up, the small ones had
+/// memory for three times as many requests as the large ones, which rejected the rest.
+#[test]
+fn balanced_ranges() {
+    for (engines, chains) in [(small_site(), 4.0), (large_site(), 9.0)] {
+        let rooms = rooms(&engines);
+        let wide = rooms.iter().max_by_key(|(range, _)| range.len());
+        let (wide, room) = wide.expect("a layout");
+        // Large cards alone could hold 33 layers; each chain then has memory for 60,000 tokens.
+        assert!(wide.len() < 33, "{wide:?}");
+        assert!(*room >= 90_000.0 * chains, "{room} tokens at {wide:?}");
+        let main = rooms.iter().filter(|(range, _)| !wide.contains(**range));
+        for (range, room) in main {
+            assert!(*room >= 90_000.0 * chains, "{room} tokens at {range:?}");
+        }
+    }
+}
+
+/// Pattern: loss of three large cards at once. What is left serves a usual day.
+#[test]
+fn large_cards_lost() {
+    let mut engines = large_site();
+    let mut lost = 0;
+    engines.retain(|engine| {
+        let is_lost = &*engine.kind == "a100" && lost < 3;
+        lost += usize::from(is_lost);
+        !is_lost
+    });
+    let least = rooms(&engines).into_iter();
+    let wide = least.max_by_key(|(range, _)| range.len());
+    let (range, room) = wide.expect("a layout");
+    // Some 430 requests of 1,000 tokens run at once on a usual day.
+    assert!(room >= 430_000.0, "{room} tokens at {range:?}");
+}
+
+#[test]
+fn plan_kept() {
+    let profile = profile();
+    let planner = LayoutPlanner::new(LayoutSettings::default());
+    let mut cache = PlanCache::default();
+    let engines = small_site();
+    let first = cache.plan(&planner, &profile, engines.clone());
+    assert_eq!(first, planner.plan(&profile, &engines));
+    let mut turned: Vec<EngineState> = engines.clone();
+    turned.reverse();
+    assert_eq!(cache.plan(&planner, &profile, turned), first);
+    let mut fewer = engines;
+    fewer.truncate(30);
+    let other = cache.plan(&planner, &profile, fewer.clone());
+    assert_eq!(other.len(), planner.plan(&profile, &fewer).len());
+}
--- a/crates/dandeliondeal_relay/src/layout_keeper.rs
+++ b/crates/dandeliondeal_relay/src/layout_keeper.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use dandeliondeal_layout::{EngineProfile, EngineState, LayoutMove};
+use dandeliondeal_layout::{EngineProfile, EngineState, LayoutMove, PlanCache};
 use dandeliondeal_store::{LeaseAction, LeaseEvent, LeaseMachine, LeaseSettings, LeaseTime};
 use dandeliondeal_types::rendezvous::preferred;
 use dandeliondeal_types::{
@@ -54,6 +54,7 @@
     fenced: Option<FencingNumber>,
     still: Option<(usize, Instant)>,
     was_holder: bool,
+    plans: HashMap<ServiceId, PlanCache>,
 }
 
 /// Contends for the lease and, while it holds it, orders engines to hold what is planned.
@@ -103,6 +104,7 @@
             fenced: None,
             still: None,
             was_holder: false,
+            plans: HashMap::new(),
         };
         Ok(Self {
             context,
@@ -207,7 +209,11 @@
         if !self.is_still(engines.len(), now) && held == 0 {
             return;
         }
-        let moves = self.context.planner().plan(profile, &engines);
+        let moves = {
+            let mut state = self.state.borrow_mut();
+            let plans = state.plans.entry(ServiceId::clone(service)).or_default();
+            plans.plan(self.context.planner(), profile, engines)
+        };
         for step in moves {
             let state = self.state.borrow();
             let is_paused = state
