Engines in question are checked by their own report; accusations of other instances start checks

Rejected streams came back after 2 s, so late. Ruled out: believing accusations (tried before: an instance with broken links misled the others). Change: a rejection, an accusation that hubs pass on, or the end of a lost engine's pause starts one report; silence takes the engine out of use, an answer tells its memory and layers. Rejected streams come back after 0.1 to 0.3 s.

--- a/crates/dandeliondeal_relay/src/dialect.rs
+++ b/crates/dandeliondeal_relay/src/dialect.rs
@@ -145,6 +145,17 @@
     pub stalled: Vec<StalledRequest>,
 }
 
+impl EngineReport {
+    /// Share of its memory that running requests hold, from 0 to 1.
+    pub fn fill(&self) -> f64 {
+        if self.total > 0.0 {
+            (self.used / self.total).clamp(0.0, 1.0)
+        } else {
+            0.0
+        }
+    }
+}
+
 /// Why something in a deployment's words cannot be read.
 #[derive(Clone, Debug, Display, Error)]
 #[display("{subject}: {problem}")]
--- a/crates/dandeliondeal_relay/src/engine_calls.rs
+++ b/crates/dandeliondeal_relay/src/engine_calls.rs
@@ -17,7 +17,7 @@
 use crate::relay_context::RelayContext;
 
 /// Longest wait for a report; an engine in reach answers without a queue.
-const REPORT_LIMIT: Duration = Duration::from_millis(300);
+pub(crate) const REPORT_LIMIT: Duration = Duration::from_millis(300);
 /// Longest wait for the answer to an order.
 const ORDER_LIMIT: Duration = Duration::from_millis(600);
 /// A report is used again for this long. It is some 200 ms old when it comes, and each is priced
--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_balance::{
-    CallResult, EndpointMonitor, EndpointProfile, FailureSignal, HealthSettings, MonitorSettings,
+    CallResult, EndpointMonitor, EndpointProfile, FailureSignal, HealthSettings, HealthState,
+    MonitorSettings,
 };
 use dandeliondeal_chart::ChartError;
 use dandeliondeal_layout::{
@@ -82,7 +83,8 @@
             suspicion_run: 1,
             overdue_floor: Duration::from_mins(1),
             retry_wait: Duration::from_millis(1_500),
-            retry_wait_limit: Duration::from_secs(6),
+            // A check costs no request, so that a return is noticed soon.
+            retry_wait_limit: Duration::from_secs(3),
             list_lag: Duration::ZERO,
             ..HealthSettings::default()
         };
@@ -200,8 +202,17 @@
 
     /// Notes that an engine does not hold the layers that it registered.
     pub fn doubt_layers(&mut self, engine: &EndpointId, now: Instant) {
-        self.doubted
-            .insert(EndpointId::clone(engine), now + DOUBT_LIFE);
+        self.doubt_until(engine, now + DOUBT_LIFE);
+    }
+
+    /// Leaves an engine out of new chains until a time, or until it is trusted again.
+    pub fn doubt_until(&mut self, engine: &EndpointId, until: Instant) {
+        self.doubted.insert(EndpointId::clone(engine), until);
+    }
+
+    /// Notes that an engine holds the layers that it registered.
+    pub fn trust_layers(&mut self, engine: &str) {
+        self.doubted.remove(engine);
     }
 
     fn remove(&mut self, id: &EndpointId, is_after_outage: bool, now: Instant) -> FleetChange {
@@ -324,15 +335,26 @@
     }
 
     /// Whether the engine may be used, as far as this instance saw.
+    ///
+    /// One that was found lost is used again only after a check of it, not by a request.
     pub fn is_sound(&self, engine: &EndpointId) -> bool {
-        self.engines.is_usable(engine, true)
+        let state = self.engines.state(engine);
+        state != Some(HealthState::Testing) && self.engines.is_usable(engine, true)
+    }
+
+    /// Engines that were found lost and are due to be checked.
+    pub fn engines_to_test(&self) -> Vec<EndpointId> {
+        let states = self.engines.states();
+        states
+            .filter(|(_, state, _)| *state == HealthState::Testing)
+            .map(|(engine, _, _)| EndpointId::clone(engine))
+            .collect()
     }
 
     /// The first engine of a chain that is known not to answer.
     ///
     /// An engine that drains, or has left the list, still finishes what it has.
     pub fn first_lost(&self, chain: &EngineChain) -> Option<EndpointId> {
-        use dandeliondeal_balance::HealthState;
         let is_lost = |hop: &&ChainHop| self.engines.state(&hop.id) == Some(HealthState::Failed);
         let lost = chain.hops.iter().find(is_lost);
         lost.map(|hop| EndpointId::clone(&hop.id))
@@ -363,6 +385,7 @@
                 return None;
             }
             let work = book.work(&record.id, scale, now);
+            let room = profile.token_room(card, range.len());
             Some(EngineNode {
                 id: EndpointId::clone(&record.id),
                 address: record.address,
@@ -370,8 +393,8 @@
                 range,
                 step: profile.step_time(card, range.len()).as_secs_f64(),
                 read: profile.read_time(card, range.len(), 1_000).as_secs_f64() / 1e3,
-                room: profile.token_room(card, range.len()),
-                committed: work.tokens,
+                room,
+                committed: work.tokens.max(book.fill(&record.id, now) * room),
                 running: work.running,
                 slowness: self.slowness_of(&record.id, now),
             })
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dialect;
 pub mod endpoint_link;
 pub mod engine_calls;
+pub mod engine_check;
 pub mod event_splitter;
 pub mod fleet_sinks;
 pub mod fleet_view;
--- a/crates/dandeliondeal_relay/src/load_book.rs
+++ b/crates/dandeliondeal_relay/src/load_book.rs
@@ -32,6 +32,8 @@
     own: HashMap<EndpointId, EngineWork>,
     /// First engines state how many requests of all instances they run.
     stated: HashMap<EndpointId, StatedWork>,
+    /// Share of its memory that an engine reported to be taken, and when.
+    fills: HashMap<EndpointId, (f64, Instant)>,
     /// Seconds of transfers between failure domains, fading with [`CROSSING_FADE`].
     crossing: f64,
     crossing_at: Option<Instant>,
@@ -60,6 +62,9 @@
 /// A stated load counts for this long; engines state it with each answer, and their state
 /// changes within about the length of a request.
 const STATED_LIFE: Duration = Duration::from_millis(1_500);
+/// A reported share of memory counts for this long: in it about a quarter of the requests that
+/// hold the memory end.
+const FILL_LIFE: Duration = Duration::from_millis(500);
 
 impl LoadBook {
     /// Notes a request of `tokens` tokens on a chain.
@@ -95,6 +100,20 @@
         state.stated.insert(EndpointId::clone(engine), stated);
     }
 
+    /// Notes which share of its memory an engine reports to be taken, from 0 to 1.
+    pub fn set_fill(&self, engine: &EndpointId, fill: f64, now: Instant) {
+        let mut state = self.state.borrow_mut();
+        state.fills.insert(EndpointId::clone(engine), (fill, now));
+    }
+
+    /// Share of its memory that an engine reported lately to be taken; 0 if it did not.
+    pub fn fill(&self, engine: &str, now: Instant) -> f64 {
+        let state = self.state.borrow();
+        let known = state.fills.get(engine);
+        let fresh = known.filter(|(_, at)| now.saturating_duration_since(*at) < FILL_LIFE);
+        fresh.map_or(0.0, |(fill, _)| *fill)
+    }
+
     /// Notes that a request's prompt crosses between failure domains for `seconds` in all.
     pub fn cross(&self, seconds: f64, now: Instant) {
         let mut state = self.state.borrow_mut();
@@ -115,7 +134,9 @@
 
     /// Forgets an engine that is gone.
     pub fn forget(&self, engine: &str) {
-        self.state.borrow_mut().stated.remove(engine);
+        let mut state = self.state.borrow_mut();
+        state.stated.remove(engine);
+        state.fills.remove(engine);
     }
 
     /// This instance's own work at all engines.
@@ -127,6 +148,7 @@
                 .map(|(engine, work)| (EndpointId::clone(engine), *work))
                 .collect(),
             crossing: state.crossing_left(now) / CROSSING_FADE.as_secs_f64(),
+            ..WorkSum::default()
         }
     }
 
--- a/crates/dandeliondeal_relay/src/load_share.rs
+++ b/crates/dandeliondeal_relay/src/load_share.rs
@@ -5,7 +5,7 @@
 //! nothing estimates the load from its own.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,6 +16,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::dialect::FleetDialect;
+use crate::engine_check::{CheckCause, check_engine};
 use crate::instance_registry::PeerInstance;
 use crate::load_book::EngineWork;
 use crate::relay_context::RelayContext;
@@ -42,6 +44,9 @@
     pub engines: BTreeMap<EndpointId, EngineWork>,
     /// Share of the links between failure domains that is taken.
     pub crossing: f64,
+    /// Engines that instances found lost.
+    #[serde(default)]
+    pub lost: BTreeSet<EndpointId>,
 }
 
 impl WorkSum {
@@ -53,6 +58,7 @@
             sum.tokens += work.tokens;
         }
         self.crossing += other.crossing;
+        self.lost.extend(other.lost.iter().cloned());
     }
 }
 
@@ -129,7 +135,7 @@
 impl<Time, Dialect> LoadShare<Time, Dialect>
 where
     Time: Clock,
-    Dialect: std::fmt::Debug + 'static,
+    Dialect: FleetDialect,
 {
     /// Makes a share that tells nothing until it runs.
     pub fn new(context: RelayContext<Time, Dialect>, client: PeerClient) -> Self {
@@ -156,7 +162,8 @@
             return;
         };
         let sent = self.context.now();
-        let work = self.context.book().own_sum(sent);
+        let mut work = self.context.book().own_sum(sent);
+        work.lost = self.context.checks().accused(sent).into_iter().collect();
         let id = InstanceId::clone(&settings.id);
         let all = if hub.id == id {
             self.hub.borrow_mut().report(id, work.clone(), sent);
@@ -171,6 +178,16 @@
         };
         if let Some(all) = all {
             self.context.book().set_fleet(&all, &work, sent);
+            self.check_accused(&all);
+        }
+    }
+
+    /// Checks the engines that other instances found lost and this one still uses.
+    fn check_accused(&self, all: &WorkSum) {
+        for engine in &all.lost {
+            if self.context.fleet().borrow().is_sound(engine) {
+                check_engine(&self.context, engine, CheckCause::Accusation);
+            }
         }
     }
 
@@ -241,7 +258,7 @@
 impl<Time, Dialect> PeerHandler for LoadShare<Time, Dialect>
 where
     Time: Clock,
-    Dialect: std::fmt::Debug + 'static,
+    Dialect: FleetDialect,
 {
     const METHODS: &'static [&'static str] = &[REPORT_METHOD, EXCHANGE_METHOD];
 
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -15,6 +15,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::engine_calls::EngineReports;
+use crate::engine_check::EngineChecks;
 use crate::fleet_view::FleetView;
 use crate::instance_registry::PeerInstance;
 use crate::load_book::LoadBook;
@@ -44,6 +45,7 @@
     random: RefCell<StdRng>,
     book: LoadBook,
     reports: EngineReports,
+    checks: EngineChecks,
     metrics: RelayMetrics,
     life: Arc<LifeTable>,
     planner: LayoutPlanner,
@@ -88,6 +90,7 @@
             random: RefCell::new(StdRng::seed_from_u64(seed)),
             book: LoadBook::default(),
             reports: EngineReports::default(),
+            checks: EngineChecks::default(),
             metrics: RelayMetrics::new()?,
             life: life_table()?,
             planner: LayoutPlanner::new(LayoutSettings::default()),
@@ -158,6 +161,11 @@
         &self.shared.reports
     }
 
+    /// The checks of engines.
+    pub fn checks(&self) -> &EngineChecks {
+        &self.shared.checks
+    }
+
     /// The metrics.
     pub fn metrics(&self) -> &RelayMetrics {
         &self.shared.metrics
--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -23,6 +23,9 @@
 /// Time after which a refused stream comes back: about the length of a stream under load, in
 /// which places become free. One that is refused twice is lost to its caller.
 const STREAM_WAIT: Duration = Duration::from_secs(2);
+/// Time after which a stream comes back that engines rejected: others have room, and by then it is
+/// known which. Early enough for a first event within the usual objective of half a second.
+const REJECTED_WAIT: Duration = Duration::from_millis(200);
 /// Time after which a refused request of a plain service comes back; others have ended by then.
 const PLAIN_WAIT: Duration = Duration::from_millis(250);
 
@@ -279,10 +282,10 @@
     Dialect: RequestDialect,
 {
     fn refuse(mut self, cause: RefusalCause, longest: Duration) -> Response<RelayBody> {
-        let base = if self.is_stream {
-            STREAM_WAIT
-        } else {
-            PLAIN_WAIT
+        let base = match cause {
+            _ if !self.is_stream => PLAIN_WAIT,
+            RefusalCause::Rejected => REJECTED_WAIT,
+            _ => STREAM_WAIT,
         };
         let wait = cause
             .says_not_run()
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinHandle;
 
 use crate::dialect::{FleetDialect, RequestDialect};
+use crate::engine_check::retest_engines;
 use crate::fleet_sinks::{ConfigSink, EndpointSink};
 use crate::instance_registry;
 use crate::layout_keeper::LayoutKeeper;
@@ -213,6 +214,7 @@
 async fn sweep<Time, Dialect>(context: RelayContext<Time, Dialect>)
 where
     Time: Clock,
+    Dialect: FleetDialect,
 {
     loop {
         actix_rt::time::sleep(SWEEP_INTERVAL).await;
@@ -222,6 +224,7 @@
         for change in changes {
             tracing::info!(?change, "registration did not return");
         }
+        retest_engines(&context);
     }
 }
 
--- a/crates/dandeliondeal_relay/src/stream_rejection.rs
+++ b/crates/dandeliondeal_relay/src/stream_rejection.rs
@@ -1,14 +1,12 @@
 //! What follows when a chain does not run a stream, or its engine fails it.
 
-use std::time::Instant;
-
 use actix_http::{Response, StatusCode};
 use dandeliondeal_http::{AnswerHead, LinkError};
 use dandeliondeal_types::{Clock, EndpointId};
 
 use crate::dialect::{AnswerFacts, FleetDialect, RequestDialect};
 use crate::endpoint_link::ANSWER_LIMIT;
-use crate::fleet_view::FleetView;
+use crate::engine_check::{CheckCause, check_engine};
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
 use crate::relay_life::LifeEvent;
@@ -16,9 +14,6 @@
 
 /// Offers of one request at most, counting those that engines stated not to have run.
 const OFFER_LIMIT: u32 = 4;
-/// Share of an engine's memory above which a rejection is put down to want of memory; below it
-/// the engine is draining, giving up its layers, or lost.
-const CROWDED_SHARE: f64 = 0.6;
 
 impl<Time, Dialect> StreamRelay<Time, Dialect>
 where
@@ -54,7 +49,7 @@
         }
     }
 
-    /// The engine that is at fault for a rejection, taken out of use where that is evident.
+    /// The engine that is at fault for a rejection; it is left out until it is checked.
     fn fault(
         &self,
         link: &StreamLink<Time, Dialect>,
@@ -67,23 +62,16 @@
             .faulty
             .and_then(|address| hops.iter().find(|hop| hop.address == address));
         let engine = EndpointId::clone(&named.unwrap_or(&hops[0]).id);
-        let mut fleet = self.context.fleet().borrow_mut();
         if head.status == StatusCode::MISDIRECTED_REQUEST {
+            let mut fleet = self.context.fleet().borrow_mut();
             fleet.doubt_layers(&engine, now);
-        } else if !self.is_crowded(&fleet, &engine, now) {
-            fleet.blame(&engine, now);
+        } else {
+            // It is lost, leaves, gives up its layers or lacks memory; its report tells which.
+            check_engine(&self.context, &engine, CheckCause::Rejection);
         }
         engine
     }
 
-    /// Whether want of memory explains that an engine rejects a request.
-    fn is_crowded(&self, fleet: &FleetView, engine: &EndpointId, now: Instant) -> bool {
-        let scale = self.context.book().scale(self.context.instances(), now);
-        let work = self.context.book().work(engine, scale, now);
-        let room = fleet.token_room(engine, &self.profile);
-        room.is_some_and(|room| work.tokens > room * CROWDED_SHARE)
-    }
-
     /// The engine answered with a failure of its own.
     pub(crate) async fn failed(
         &mut self,
