Offers to first engines are counted over all instances; failing ones are left out

Ruled out: loss of engines (their reports answer); own links of single instances (all met it). Change: answered and failed offers fade by half in 2 s and are summed through the hubs; an engine that fails half of them is left out but for one request in fifty. Rejections log what the instance took for the engine's memory and the age of that.

--- a/crates/dandeliondeal_relay/src/chain_choice.rs
+++ b/crates/dandeliondeal_relay/src/chain_choice.rs
@@ -63,7 +63,11 @@
     let fleet = context.fleet().borrow();
     let instances = context.instances();
     let book = context.book();
-    let mut graph = fleet.graph(service, profile, book, instances, avoided, now);
+    let draw = context.random(|random| random.random::<f64>());
+    let mut avoided = avoided.to_vec();
+    let failing = context.firsts().failing(draw, now).into_iter();
+    avoided.extend(failing.filter(|engine| first != Some(engine)));
+    let mut graph = fleet.graph(service, profile, book, instances, &avoided, now);
     context.random(|random| graph.spread(|| random.random_range(SPREAD)));
     let crossing = profile.crossing_time(demand.prompt).as_secs_f64();
     let query = ChainQuery {
--- a/crates/dandeliondeal_relay/src/fleet_sinks.rs
+++ b/crates/dandeliondeal_relay/src/fleet_sinks.rs
@@ -112,6 +112,7 @@
         if matches!(change, FleetChange::Gone(_)) {
             self.context.book().forget(id);
             self.context.reports().forget(id);
+            self.context.firsts().forget(id);
             self.context.pool().borrow_mut().forget(id);
         }
         let fleet = self.context.fleet().borrow();
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod engine_calls;
 pub mod engine_check;
 pub mod event_splitter;
+pub mod first_health;
 pub mod fleet_sinks;
 pub mod fleet_view;
 pub mod instance_registry;
--- a/crates/dandeliondeal_relay/src/load_book.rs
+++ b/crates/dandeliondeal_relay/src/load_book.rs
@@ -216,6 +216,14 @@
         (all / own).clamp(1.0, most)
     }
 
+    /// Age of what the other instances told of their work; `None` if it counts no more.
+    pub fn told_age(&self, now: Instant) -> Option<Duration> {
+        let state = self.state.borrow();
+        state.told(now)?;
+        let (at, _) = state.others.as_ref()?;
+        Some(now.saturating_duration_since(*at))
+    }
+
     /// This instance's own work at an engine.
     pub fn own(&self, engine: &str) -> EngineWork {
         let state = self.state.borrow();
--- a/crates/dandeliondeal_relay/src/load_share.rs
+++ b/crates/dandeliondeal_relay/src/load_share.rs
@@ -18,6 +18,7 @@
 
 use crate::dialect::FleetDialect;
 use crate::engine_check::{CheckCause, check_engine};
+use crate::first_health::OfferSum;
 use crate::instance_registry::PeerInstance;
 use crate::load_book::EngineWork;
 use crate::relay_context::RelayContext;
@@ -47,6 +48,9 @@
     /// Engines that instances found lost.
     #[serde(default)]
     pub lost: BTreeSet<EndpointId>,
+    /// How offers to first engines ended.
+    #[serde(default)]
+    pub offers: OfferSum,
 }
 
 impl WorkSum {
@@ -59,6 +63,10 @@
         }
         self.crossing += other.crossing;
         self.lost.extend(other.lost.iter().cloned());
+        for (engine, counts) in &other.offers {
+            let sum = self.offers.entry(EndpointId::clone(engine)).or_default();
+            sum.add(*counts);
+        }
     }
 }
 
@@ -164,6 +172,7 @@
         let sent = self.context.now();
         let mut work = self.context.book().own_sum(sent);
         work.lost = self.context.checks().accused(sent).into_iter().collect();
+        work.offers = self.context.firsts().own_sum(sent);
         let id = InstanceId::clone(&settings.id);
         let all = if hub.id == id {
             self.hub.borrow_mut().report(id, work.clone(), sent);
@@ -178,6 +187,8 @@
         };
         if let Some(all) = all {
             self.context.book().set_fleet(&all, &work, sent);
+            let firsts = self.context.firsts();
+            firsts.set_fleet(&all.offers, &work.offers, sent);
             self.check_accused(&all);
         }
     }
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -16,6 +16,7 @@
 
 use crate::engine_calls::EngineReports;
 use crate::engine_check::EngineChecks;
+use crate::first_health::FirstHealth;
 use crate::fleet_view::FleetView;
 use crate::instance_registry::PeerInstance;
 use crate::load_book::LoadBook;
@@ -46,6 +47,7 @@
     book: LoadBook,
     reports: EngineReports,
     checks: EngineChecks,
+    firsts: FirstHealth,
     metrics: RelayMetrics,
     life: Arc<LifeTable>,
     planner: LayoutPlanner,
@@ -91,6 +93,7 @@
             book: LoadBook::default(),
             reports: EngineReports::default(),
             checks: EngineChecks::default(),
+            firsts: FirstHealth::default(),
             metrics: RelayMetrics::new()?,
             life: life_table()?,
             planner: LayoutPlanner::new(LayoutSettings::default()),
@@ -166,6 +169,11 @@
         &self.shared.checks
     }
 
+    /// How offers to first engines end.
+    pub fn firsts(&self) -> &FirstHealth {
+        &self.shared.firsts
+    }
+
     /// The metrics.
     pub fn metrics(&self) -> &RelayMetrics {
         &self.shared.metrics
--- a/crates/dandeliondeal_relay/src/stream_rejection.rs
+++ b/crates/dandeliondeal_relay/src/stream_rejection.rs
@@ -37,6 +37,8 @@
             status = head.status.as_u16(),
             engine = %faulty,
             offers = self.offers,
+            believed_fill = self.believed_fill(&faulty),
+            load_age_ms = self.load_age_ms(),
             repeated = may_repeat,
             "engine stated not run"
         );
@@ -72,6 +74,23 @@
         engine
     }
 
+    /// Share of an engine's memory that this instance takes for committed.
+    fn believed_fill(&self, engine: &EndpointId) -> Option<f64> {
+        let now = self.context.now();
+        let book = self.context.book();
+        let scale = book.scale(self.context.instances(), now);
+        let work = book.work(engine, scale, now);
+        let fleet = self.context.fleet().borrow();
+        let room = fleet.token_room(engine, &self.profile)?;
+        Some(work.tokens / room.max(1.0))
+    }
+
+    /// Age of what the other instances told of their load; `None` if it counts no more.
+    fn load_age_ms(&self) -> Option<u64> {
+        let age = self.context.book().told_age(self.context.now())?;
+        Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// The engine answered with a failure of its own.
     pub(crate) async fn failed(
         &mut self,
@@ -94,6 +113,9 @@
             self.break_link(&BreakCause::Broken(error))?;
             return Ok(false);
         }
+        let now = self.context.now();
+        let first = &link.chain.hops[0].id;
+        self.context.firsts().note(first, false, now);
         let status = StatusCode::from_u16(head.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
         let mut response = Response::with_body(status, RelayBody::Whole(body));
         *response.headers_mut() = self.context.dialect().answer_headers(&head.headers);
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -238,6 +238,8 @@
             && let Some(offer) = link.offer.take()
         {
             offer.end(CallResult::Answered);
+            let first = &link.chain.hops[0].id;
+            self.context.firsts().note(first, true, now);
         }
         self.request.life.apply(LifeEvent::Start);
     }
@@ -304,6 +306,7 @@
         self.splitter.discard();
         self.request.life.lose_track();
         let chain = self.chain_text();
+        self.note_break(cause);
         self.link = None;
         if let BreakCause::Stalled(engine) = cause {
             self.avoided.push(EndpointId::clone(engine));
@@ -326,6 +329,20 @@
         }
     }
 
+    /// Counts a break before the first event against the first engine, and leaves it out.
+    fn note_break(&mut self, cause: &BreakCause) {
+        let Some(link) = &self.link else {
+            return;
+        };
+        if link.offer.is_none() || matches!(cause, BreakCause::Stalled(_)) {
+            return;
+        }
+        let first = EndpointId::clone(&link.chain.hops[0].id);
+        let now = self.context.now();
+        self.context.firsts().note(&first, false, now);
+        self.avoided.push(first);
+    }
+
     /// Offers the request to a chain until one begins to answer.
     async fn offer(&mut self) -> Result<(), StreamEnd> {
         let mut unsent = 0;
@@ -353,6 +370,7 @@
                     tracing::info!(request = %self.request.facts.request, engine = %first.id, %error, "connection not made");
                     let now = self.context.now();
                     self.context.fleet().borrow_mut().blame(&first.id, now);
+                    self.context.firsts().note(&first.id, false, now);
                     self.avoided.push(first.id);
                     unsent += 1;
                     if unsent >= CONNECT_TRIES {
