Members of a large fleet follow the store by the hub of their failure domain

Ruled out: relaxed watches (seconds old, so that leaving endpoints would be used too long); longer watches (a connection that went silent would be noticed later). Large changes are read from the store.

--- a/crates/dandeliondeal_relay/src/engine_check.rs
+++ b/crates/dandeliondeal_relay/src/engine_check.rs
@@ -161,7 +161,8 @@
     context.book().set_fill(engine, report.fill(), now);
     let mut fleet = context.fleet().borrow_mut();
     let registered = fleet.record(engine).and_then(|record| record.layers);
-    let is_held = registered == report.layers;
+    // Some reports leave the layers out.
+    let is_held = report.layers.is_none() || registered == report.layers;
     if is_held {
         fleet.trust_layers(engine);
     } else {
--- /dev/null
+++ b/crates/dandeliondeal_relay/src/hub_choice.rs
@@ -0,0 +1,70 @@
+//! Which instance of a failure domain is its hub.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use dandeliondeal_types::rendezvous::preferred;
+use dandeliondeal_types::{Clock, InstanceId};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::instance_registry::PeerInstance;
+use crate::relay_context::RelayContext;
+
+/// For this long an instance that did not answer is not taken for a hub.
+const HUB_PAUSE: Duration = Duration::from_secs(3);
+/// What hubs are chosen by.
+const HUB_KEY: &str = "load-hub";
+
+/// Chooses hubs; clones share what they know of instances that do not answer.
+#[derive(Debug)]
+pub struct HubChoice<Time, Dialect> {
+    context: RelayContext<Time, Dialect>,
+    /// Instances that did not answer, until when they are no hubs.
+    silent: Rc<RefCell<HashMap<InstanceId, Instant>>>,
+}
+
+impl<Time, Dialect> Clone for HubChoice<Time, Dialect> {
+    fn clone(&self) -> Self {
+        Self {
+            context: self.context.clone(),
+            silent: Rc::clone(&self.silent),
+        }
+    }
+}
+
+impl<Time, Dialect> HubChoice<Time, Dialect>
+where
+    Time: Clock,
+{
+    /// Makes a choice among the instances that the context knows.
+    pub fn new(context: RelayContext<Time, Dialect>) -> Self {
+        Self {
+            context,
+            silent: Rc::default(),
+        }
+    }
+
+    /// The hub of a failure domain; all instances choose the same unless one does not answer.
+    pub fn hub_of(&self, domain: &str) -> Option<PeerInstance> {
+        let now = self.context.now();
+        let mut silent = self.silent.borrow_mut();
+        silent.retain(|_, until| now < *until);
+        let peers = self.context.peers();
+        let members: Vec<&PeerInstance> = peers
+            .iter()
+            .filter(|peer| *peer.failure_domain == *domain && !silent.contains_key(&peer.id))
+            .collect();
+        let names: Vec<&InstanceId> = members.iter().map(|peer| &peer.id).collect();
+        let index = preferred(HUB_KEY, &names, Xxh3::new)?;
+        Some(members[index].clone())
+    }
+
+    /// Leaves an instance that did not answer out for a while.
+    pub fn avoid(&self, hub: &InstanceId) {
+        let until = self.context.now() + HUB_PAUSE;
+        let mut silent = self.silent.borrow_mut();
+        silent.insert(InstanceId::clone(hub), until);
+    }
+}
--- a/crates/dandeliondeal_relay/src/load_share.rs
+++ b/crates/dandeliondeal_relay/src/load_share.rs
@@ -11,17 +11,17 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_peer::{PeerClient, PeerError, PeerHandler};
-use dandeliondeal_types::rendezvous::preferred;
 use dandeliondeal_types::{Clock, EndpointId, FailureDomain, InstanceId};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::dialect::FleetDialect;
 use crate::engine_check::{CheckCause, check_engine};
 use crate::first_health::OfferSum;
+use crate::hub_choice::HubChoice;
 use crate::instance_registry::PeerInstance;
 use crate::load_book::EngineWork;
 use crate::relay_context::RelayContext;
+use crate::shared_store::{FEED_METHOD, FeedTable};
 
 /// Reports an instance's work to its hub.
 const REPORT_METHOD: &str = "load-report";
@@ -33,10 +33,6 @@
 const REPORT_LIMIT: Duration = Duration::from_millis(300);
 /// A report or sum that is older counts no more: its instance has gone.
 const REPORT_LIFE: Duration = Duration::from_millis(1_200);
-/// For this long an instance that did not answer is not taken for a hub.
-const HUB_PAUSE: Duration = Duration::from_secs(3);
-/// What hubs are chosen by.
-const HUB_KEY: &str = "load-hub";
 
 /// Work at all engines.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -125,8 +121,8 @@
     context: RelayContext<Time, Dialect>,
     client: PeerClient,
     hub: Rc<RefCell<HubState>>,
-    /// Instances that did not answer, until when they are no hubs.
-    silent: Rc<RefCell<HashMap<InstanceId, Instant>>>,
+    hubs: HubChoice<Time, Dialect>,
+    feeds: FeedTable,
 }
 
 impl<Time, Dialect> Clone for LoadShare<Time, Dialect> {
@@ -135,7 +131,8 @@
             context: self.context.clone(),
             client: self.client.clone(),
             hub: Rc::clone(&self.hub),
-            silent: Rc::clone(&self.silent),
+            hubs: self.hubs.clone(),
+            feeds: self.feeds.clone(),
         }
     }
 }
@@ -145,13 +142,20 @@
     Time: Clock,
     Dialect: FleetDialect,
 {
-    /// Makes a share that tells nothing until it runs.
-    pub fn new(context: RelayContext<Time, Dialect>, client: PeerClient) -> Self {
+    /// Makes a share that tells nothing until it runs; `feeds` answer members that follow the store
+    /// by this instance.
+    pub fn new(
+        context: RelayContext<Time, Dialect>,
+        client: PeerClient,
+        hubs: HubChoice<Time, Dialect>,
+        feeds: FeedTable,
+    ) -> Self {
         Self {
             context,
             client,
             hub: Rc::default(),
-            silent: Rc::default(),
+            hubs,
+            feeds,
         }
     }
 
@@ -166,7 +170,7 @@
 
     async fn report(&self) {
         let settings = &self.context.settings().instance;
-        let Some(hub) = self.hub_of(&settings.failure_domain) else {
+        let Some(hub) = self.hubs.hub_of(&settings.failure_domain) else {
             return;
         };
         let sent = self.context.now();
@@ -218,7 +222,7 @@
             work: self.hub.borrow_mut().own(self.context.now()),
         };
         let calls = domains.into_iter().map(|domain| async {
-            let hub = self.hub_of(domain)?;
+            let hub = self.hubs.hub_of(domain)?;
             let sum = self.call(&hub, EXCHANGE_METHOD, &report).await?;
             let now = self.context.now();
             let domain = FailureDomain::clone(domain);
@@ -242,28 +246,11 @@
             Ok(sum) => Some(sum),
             Err(error) => {
                 tracing::info!(hub = %hub.id, %error, "hub does not answer; another is taken");
-                let until = self.context.now() + HUB_PAUSE;
-                let mut silent = self.silent.borrow_mut();
-                silent.insert(InstanceId::clone(&hub.id), until);
+                self.hubs.avoid(&hub.id);
                 None
             }
         }
     }
-
-    /// The hub of a failure domain; all instances choose the same unless one does not answer.
-    fn hub_of(&self, domain: &str) -> Option<PeerInstance> {
-        let now = self.context.now();
-        let mut silent = self.silent.borrow_mut();
-        silent.retain(|_, until| now < *until);
-        let peers = self.context.peers();
-        let members: Vec<&PeerInstance> = peers
-            .iter()
-            .filter(|peer| *peer.failure_domain == *domain && !silent.contains_key(&peer.id))
-            .collect();
-        let names: Vec<&InstanceId> = members.iter().map(|peer| &peer.id).collect();
-        let index = preferred(HUB_KEY, &names, Xxh3::new)?;
-        Some(members[index].clone())
-    }
 }
 
 impl<Time, Dialect> PeerHandler for LoadShare<Time, Dialect>
@@ -271,9 +258,12 @@
     Time: Clock,
     Dialect: FleetDialect,
 {
-    const METHODS: &'static [&'static str] = &[REPORT_METHOD, EXCHANGE_METHOD];
+    const METHODS: &'static [&'static str] = &[REPORT_METHOD, EXCHANGE_METHOD, FEED_METHOD];
 
     async fn handle(&self, method: &'static str, body: Box<str>) -> Result<String, PeerError> {
+        if method == FEED_METHOD {
+            return self.feeds.answer(&self.context, &body).await;
+        }
         let refused = |error: serde_json::Error| PeerError::refused(method, error.to_string());
         let report: WorkReport = serde_json::from_str(&body).map_err(refused)?;
         let now = self.context.now();
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -15,6 +15,7 @@
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::engine_check::retest_engines;
 use crate::fleet_sinks::{ConfigSink, EndpointSink};
+use crate::hub_choice::HubChoice;
 use crate::instance_registry;
 use crate::layout_keeper::LayoutKeeper;
 use crate::load_share::LoadShare;
@@ -22,6 +23,7 @@
 use crate::relay_context::RelayContext;
 use crate::relay_error::RelayError;
 use crate::request_handler::handle;
+use crate::shared_store::{FeedTable, SharedStore};
 use crate::store_watch::follow;
 
 /// Name of the lease for orders of layers.
@@ -80,7 +82,18 @@
         Words: StoreDialect,
     {
         let context = RelayContext::new(settings, clock, dialect, incarnation)?;
-        let mut tasks = start_tasks(&context, &store, incarnation)?;
+        let settings = PeerSettings::default();
+        let client = PeerClient::new(settings.clone());
+        let hubs = HubChoice::new(context.clone());
+        let feeds = FeedTable::default();
+        let shared = SharedStore::new(
+            context.clone(),
+            store.clone(),
+            client.clone(),
+            hubs.clone(),
+            feeds.clone(),
+        );
+        let mut tasks = start_tasks(&context, &store, &shared, incarnation)?;
         let listen = context.settings().endpoints.clone();
         let descriptors = context.settings().machine.descriptors;
         let bounds = ListenerSettings {
@@ -88,8 +101,7 @@
                 .unwrap_or(usize::MAX),
             ..ListenerSettings::default()
         };
-        let settings = PeerSettings::default();
-        let share = LoadShare::new(context.clone(), PeerClient::new(settings.clone()));
+        let share = LoadShare::new(context.clone(), client, hubs, feeds);
         let listener = std::net::TcpListener::bind(listen.peers)?;
         let peers = PeerServer::start(listener, &settings, share.clone())?;
         tasks.push(actix_rt::spawn(share.run()));
@@ -171,6 +183,7 @@
 fn start_tasks<Time, Dialect, Words>(
     context: &RelayContext<Time, Dialect>,
     store: &PlatformClient<Time, Words>,
+    shared: &SharedStore<Time, Dialect, PlatformClient<Time, Words>>,
     incarnation: Incarnation,
 ) -> Result<Vec<JoinHandle<()>>, RelayError>
 where
@@ -195,13 +208,13 @@
     Ok(vec![
         actix_rt::spawn(follow(
             context.clone(),
-            store.clone(),
+            shared.clone(),
             Dialect::CONFIG_KIND,
             config,
         )),
         actix_rt::spawn(follow(
             context.clone(),
-            status.clone(),
+            shared.clone(),
             Dialect::ENDPOINT_KIND,
             endpoints,
         )),
--- a/crates/dandeliondeal_relay/src/store_watch.rs
+++ b/crates/dandeliondeal_relay/src/store_watch.rs
@@ -18,7 +18,7 @@
 
 /// Pause after changes before the next watch. Changes that come meanwhile are told together; each
 /// call is priced, and an endpoint that drains takes requests for seconds still.
-const BATCH_PAUSE: Duration = Duration::from_millis(500);
+const BATCH_PAUSE: Duration = Duration::from_millis(350);
 
 /// What takes in the objects of a kind.
 pub trait KindSink {
--- /dev/null
+++ b/crates/dandeliondeal_relay/tests/kind_feed.rs
@@ -0,0 +1,97 @@
+//! What a hub tells the members that follow the store by it.
+
+use std::time::{Duration, Instant};
+
+use dandeliondeal_relay::kind_feed::{FeedReply, KindFeed};
+use dandeliondeal_types::{KindChanges, KindEvent, ObjectValue, Version};
+
+fn changes(version: Version, names: &[&str]) -> KindChanges {
+    let event = |name: &&str| KindEvent {
+        object: ObjectValue {
+            name: (*name).into(),
+            version,
+            body: "{}".into(),
+        },
+        is_deleted: false,
+    };
+    KindChanges {
+        events: names.iter().map(event).collect(),
+        version,
+    }
+}
+
+fn names(reply: &FeedReply) -> Vec<String> {
+    match reply {
+        FeedReply::Changes(changes) => changes
+            .events
+            .iter()
+            .map(|event| event.object.name.to_string())
+            .collect(),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn feed(now: Instant) -> KindFeed {
+    let mut feed = KindFeed::default();
+    feed.restart(10, now);
+    feed.extend(10, &changes(12, &["a"]), now);
+    feed.extend(12, &changes(15, &["b", "c"]), now);
+    feed
+}
+
+#[test]
+fn changes_since() {
+    let now = Instant::now();
+    let feed = feed(now);
+    assert_eq!(names(&feed.since(10, now)), ["a", "b", "c"]);
+    assert_eq!(names(&feed.since(12, now)), ["b", "c"]);
+    assert!(names(&feed.since(15, now)).is_empty());
+    assert!(feed.has_news(12) && !feed.has_news(15));
+}
+
+#[test]
+fn member_ahead() {
+    // A member that has read the store itself is not taken back.
+    let now = Instant::now();
+    let reply = feed(now).since(20, now);
+    assert_eq!(reply, FeedReply::Changes(changes(20, &[])));
+}
+
+#[test]
+fn too_far_back() {
+    let now = Instant::now();
+    assert_eq!(feed(now).since(9, now), FeedReply::ReadStore);
+    assert!(feed(now).has_news(9), "it is told at once");
+}
+
+#[test]
+fn hub_cut_off() {
+    // A hub that hears nothing from the store does not vouch for silence.
+    let now = Instant::now();
+    let mut feed = feed(now);
+    let later = now + Duration::from_millis(1_300);
+    assert_eq!(feed.since(15, later), FeedReply::Unproven);
+    feed.extend(15, &changes(15, &[]), later);
+    assert!(names(&feed.since(15, later)).is_empty());
+    assert_eq!(KindFeed::default().since(0, now), FeedReply::Unproven);
+}
+
+#[test]
+fn gap_in_changes() {
+    // A hub that was a member meanwhile does not know the changes between.
+    let now = Instant::now();
+    let mut feed = feed(now);
+    feed.extend(30, &changes(31, &["d"]), now);
+    assert_eq!(feed.since(15, now), FeedReply::ReadStore);
+    assert_eq!(names(&feed.since(30, now)), ["d"]);
+}
+
+#[test]
+fn large_changes() {
+    let now = Instant::now();
+    let mut feed = feed(now);
+    let mut large = changes(16, &["config"]);
+    large.events[0].object.body = "x".repeat(40_000).into();
+    feed.extend(15, &large, now);
+    assert_eq!(feed.since(15, now), FeedReply::ReadStore);
+}
--- a/crates/dandeliondeal_types/src/kind_store.rs
+++ b/crates/dandeliondeal_types/src/kind_store.rs
@@ -1,5 +1,6 @@
 //! Objects by kind: whole lists, and the changes since a version of the store.
 
+use serde::{Deserialize, Serialize};
 use std::fmt::Debug;
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 }
 
 /// One change of an object.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct KindEvent {
     /// The object after the change, or before its deletion.
     pub object: ObjectValue,
@@ -25,7 +26,7 @@
 }
 
 /// Changes of one kind.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct KindChanges {
     /// The changes in the order in which they were made.
     pub events: Vec<KindEvent>,
--- a/crates/dandeliondeal_types/src/object_store.rs
+++ b/crates/dandeliondeal_types/src/object_store.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
 
 use crate::id::{ObjectName, Version};
 
 /// An object as read from the platform.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ObjectValue {
     /// Name of the object.
     pub name: ObjectName,
