--- a/crates/dandeliondeal_relay/src/instance_registry.rs
+++ b/crates/dandeliondeal_relay/src/instance_registry.rs
@@ -16,6 +16,8 @@
 const REGISTRY_KIND: &str = "routers";
 /// Time between two counts of the instances; they change a few times a day.
 const COUNT_INTERVAL: Duration = Duration::from_secs(8);
+/// Time until the second count, since instances often start together: registering takes a call.
+const FIRST_INTERVAL: Duration = Duration::from_millis(700);
 /// Time between two tries to register.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -47,6 +49,7 @@
 {
     register(&context, &store).await;
     let mut known = None;
+    let mut pause = FIRST_INTERVAL;
     loop {
         let list = store.snapshot(REGISTRY_KIND, ReadFreshness::Relaxed);
         match list.await {
@@ -62,7 +65,8 @@
             }
             Err(error) => tracing::info!(%error, "instances not counted"),
         }
-        actix_rt::time::sleep(context.jitter(COUNT_INTERVAL)).await;
+        actix_rt::time::sleep(context.jitter(pause)).await;
+        pause = (pause * 2).min(COUNT_INTERVAL);
     }
 }
 
