explain tells one request's story from the instances' logs; engines are told a request's urgency

explain: the lines of a request in order, with what befell its engines and its instance in the five seconds before. The chart's event of a caller that leaves was never applied and is gone.

--- a/crates/dandeliondeal_command/src/command_line.rs
+++ b/crates/dandeliondeal_command/src/command_line.rs
@@ -3,8 +3,8 @@
 use pico_args::Arguments;
 
 use crate::{
-    CommandError, audit_command, measure_command, replay_command, set_command, settings_command,
-    sheet_command, standalone,
+    CommandError, audit_command, explain_command, measure_command, replay_command, set_command,
+    settings_command, sheet_command, standalone,
 };
 
 const HELP: &str = "\
@@ -18,6 +18,7 @@
   sheet          print, check and accept sheets, show what is accepted
   set            change an attribute of the accepted sheet
   audit          read and verify the audit trail
+  explain        tell what the routers' logs say of one request
   settings       check a settings file, or print the defaults
 
 `dandeliondeal COMMAND --help` tells more.
@@ -41,6 +42,9 @@
         Some("sheet") => run_or_help(help, sheet_command::HELP, arguments, sheet_command::run),
         Some("set") => run_or_help(help, set_command::HELP, arguments, set_command::run),
         Some("audit") => run_or_help(help, audit_command::HELP, arguments, audit_command::run),
+        Some("explain") => {
+            run_or_help(help, explain_command::HELP, arguments, explain_command::run)
+        }
         Some("settings") => run_or_help(
             help,
             settings_command::HELP,
--- a/crates/dandeliondeal_relay/src/dialect.rs
+++ b/crates/dandeliondeal_relay/src/dialect.rs
@@ -50,6 +50,8 @@
     pub last_event: Option<u64>,
     /// The chain that runs the request.
     pub chain: Option<&'attempt EngineChain>,
+    /// Urgency from 0, the highest; engines admit more urgent requests first.
+    pub urgency: u8,
 }
 
 /// Load that an endpoint states with an answer.
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -209,6 +209,7 @@
         left: request.left(context.now()),
         last_event: None,
         chain: None,
+        urgency: request.matched.urgency,
     };
     let message = outbound(context, request, &facts);
     let id = &request.facts.request;
--- a/crates/dandeliondeal_relay/src/relay_life.rs
+++ b/crates/dandeliondeal_relay/src/relay_life.rs
@@ -23,8 +23,6 @@
         Refused = "refused",
         /// The caller was told that the outcome is unknown.
         Failed = "failed",
-        /// The caller went away.
-        Left = "left",
     }
 }
 
@@ -45,8 +43,6 @@
         Refuse = "refuse",
         /// The caller is told that the outcome is unknown.
         Fail = "fail",
-        /// The caller goes away.
-        Leave = "leave",
     }
 }
 
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -408,6 +408,7 @@
             left,
             last_event: self.splitter.last(),
             chain: Some(&link.chain),
+            urgency: self.request.matched.urgency,
         };
         let message = outbound(&self.context, &self.request, &facts);
         let id = Arc::clone(&self.request.facts.request);
