Small cards of several failure domains replace large ones that are lost

Change: the planner also fills the narrow ranges of wide layers over the fleet, with cards that no whole chain needs where they are. Test large_cards_replaced failed first, and found that the repair of domains took such cards back, which is mended as well.

--- a/crates/dandeliondeal_layout/src/layout_planner.rs
+++ b/crates/dandeliondeal_layout/src/layout_planner.rs
@@ -82,6 +82,7 @@
         draft.fill_domains();
         draft.fill_rest();
         draft.repair_domains();
+        draft.replace_wide();
         draft.balance();
         draft.moves()
     }
@@ -296,6 +297,40 @@
         }
     }
 
+    /// Moves small cards that no whole chain of the fleet needs where they are to the narrow ranges
+    /// of wide layers: in place of large cards that are lost, also across failure domains.
+    fn replace_wide(&mut self) {
+        let chains = self.chains(None);
+        let goal = chains.mixed + chains.alone;
+        for target in self.template.split_indices() {
+            while self.count(target, None) < chains.alone {
+                let Some(position) = self.surplus(goal) else {
+                    return;
+                };
+                self.engines[position].range = Some(target);
+            }
+        }
+    }
+
+    /// A small card of the fullest range that more than `goal` engines hold; one that its own
+    /// domain's chains can spare, if there is one.
+    fn surplus(&self, goal: usize) -> Option<usize> {
+        let rank = |engine: &DraftEngine<'_>, index: usize| {
+            let domain = &*engine.state.failure_domain;
+            let quota = self.quota(index, self.chains(Some(domain)));
+            let is_spare = self.count(index, Some(domain)) > quota;
+            (is_spare, self.count(index, None))
+        };
+        self.engines
+            .iter()
+            .enumerate()
+            .filter(|(_, engine)| engine.may_hold(RangeWidth::Narrow))
+            .filter_map(|(position, engine)| Some((position, engine, engine.range?)))
+            .filter(|(_, _, index)| !self.is_split(*index) && self.count(*index, None) > goal)
+            .max_by_key(|(_, engine, index)| rank(engine, *index))
+            .map(|(position, _, _)| position)
+    }
+
     /// An engine of `domain` that may hold range `target`, whose own range has more engines than
     /// the domain's chains need, and more than the range with the fewest engines of all.
     fn spare(&self, target: usize, domain: &str, chains: ChainCounts) -> Option<usize> {
@@ -307,14 +342,16 @@
             .map(|index| self.count(index, None))
             .min()
             .unwrap_or(0);
+        let fleet = self.chains(None);
         let mut best: Option<(usize, usize)> = None;
         for (position, engine) in self.engines.iter().enumerate() {
             let Some(index) = engine.range.filter(|_| self.may_hold(engine, target)) else {
                 continue;
             };
             let is_here = *engine.state.failure_domain == *domain;
-            let is_needed = self.count(index, Some(domain)) <= self.quota(index, chains);
-            // Narrow ranges of wide layers help nobody but their own domain.
+            let is_needed = self.count(index, Some(domain)) <= self.quota(index, chains)
+                || (self.is_split(index) && self.count(index, None) <= fleet.alone);
+            // Narrow ranges of wide layers beyond that help nobody.
             let whole = if self.is_split(index) {
                 usize::MAX
             } else {
--- a/crates/dandeliondeal_layout/tests/tight_memory.rs
+++ b/crates/dandeliondeal_layout/tests/tight_memory.rs
@@ -105,6 +105,45 @@
     }
 }
 
+/// Pattern: most large cards are gone for good. Small cards of several failure domains take their
+/// layers; without them all requests go through the one large card that is left.
+#[test]
+fn large_cards_replaced() {
+    let profile = profile();
+    let planner = LayoutPlanner::new(LayoutSettings::default());
+    let mut engines = small_site();
+    let settle = |engines: &mut Vec<EngineState>| {
+        for step in planner.plan(&profile, engines) {
+            let engine = engines.iter_mut().find(|engine| engine.id == step.engine);
+            engine.expect("a planned engine").held = Some(step.range);
+        }
+    };
+    settle(&mut engines);
+    let mut left = 0;
+    engines.retain(|engine| {
+        left += usize::from(&*engine.kind == "a100");
+        &*engine.kind != "a100" || left > 3
+    });
+    settle(&mut engines);
+    let held = |range: LayerRange| {
+        let holders = engines.iter().filter(|engine| engine.held == Some(range));
+        holders.count()
+    };
+    let wide = engines.iter().find(|engine| &*engine.kind == "a100");
+    let wide = wide.and_then(|engine| engine.held).expect("a wide range");
+    for range in held_ranges(&engines) {
+        let least = if range == wide {
+            1
+        } else if wide.contains(range) {
+            2
+        } else {
+            3
+        };
+        assert!(held(range) >= least, "{range:?} has {}", held(range));
+    }
+    assert!(planner.plan(&profile, &engines).is_empty(), "it settles");
+}
+
 fn held_ranges(engines: &[EngineState]) -> Vec<LayerRange> {
     let mut ranges: Vec<LayerRange> = engines.iter().filter_map(|engine| engine.held).collect();
     ranges.sort_unstable_by_key(|range| (range.start, range.end));
