--- a/crates/dandeliondeal_command/src/explain_command.rs
+++ b/crates/dandeliondeal_command/src/explain_command.rs
@@ -1,5 +1,6 @@
 //! `dandeliondeal explain`: the story of one request out of the instances' logs.
 
+use std::io::{ErrorKind, Write};
 use std::path::Path;
 
 use pico_args::Arguments;
@@ -36,8 +37,14 @@
         let message = format!("no line of {} files names request {request}", files.len());
         return Err(CommandError::failed(message));
     }
+    let mut output = std::io::stdout().lock();
     for line in story {
-        println!("{line}");
+        match writeln!(output, "{line}") {
+            Ok(()) => {}
+            // The reader has seen enough.
+            Err(error) if error.kind() == ErrorKind::BrokenPipe => break,
+            Err(error) => return Err(CommandError::failed(format!("output: {error}"))),
+        }
     }
     Ok(())
 }
--- a/crates/dandeliondeal_command/src/log_story.rs
+++ b/crates/dandeliondeal_command/src/log_story.rs
@@ -19,6 +19,8 @@
     "hub does not answer; another is taken",
     "instances counted",
 ];
+/// Said of an engine by the request that met its loss.
+const LOSS_MESSAGE: &str = "engine does not answer; taken out of use";
 /// Fields that name an engine.
 const ENGINE_FIELDS: [&str; 4] = ["engine", "lost", "endpoint", "faulty"];
 /// Fields that each line has and the story shows otherwise.
@@ -55,6 +57,8 @@
     pub role: LineRole,
     /// The message.
     pub message: String,
+    /// The engine that the line is about, if it names one.
+    pub subject: String,
     /// The other fields as `name=value`.
     pub fields: String,
 }
@@ -100,6 +104,15 @@
         Some(hours * 3_600.0 + minutes * 60.0 + seconds)
     }
 
+    /// The engine that the line is about.
+    fn engine(&self) -> &str {
+        let named = ENGINE_FIELDS.iter().map(|name| self.text(name));
+        named
+            .into_iter()
+            .find(|name| !name.is_empty())
+            .unwrap_or("")
+    }
+
     fn engines(&self) -> impl Iterator<Item = &str> {
         let named = ENGINE_FIELDS.iter().map(|name| self.text(name));
         let chain = self.text("chain").split(',');
@@ -121,6 +134,7 @@
             instance: self.instance.to_owned(),
             role,
             message: self.text("message").to_owned(),
+            subject: self.engine().to_owned(),
             fields: fields.join(" "),
         }
     }
@@ -143,10 +157,7 @@
         .filter_map(|line| {
             let role = if line.text("request") == request {
                 LineRole::Request
-            } else if !line.text("request").is_empty() && line.text("message") == "request ended" {
-                // Other requests over the same engines explain nothing by themselves.
-                return None;
-            } else if line.engines().any(|engine| engines.contains(engine)) {
+            } else if is_engine_news(line, &engines) {
                 LineRole::Engine
             } else if instances.contains(line.instance)
                 && INSTANCE_MESSAGES.contains(&line.text("message"))
@@ -160,9 +171,22 @@
         })
         .collect();
     story.sort_by(|left, right| left.timestamp.cmp(&right.timestamp));
+    // Of what many instances say of an engine, the first to say it is enough.
+    let mut told = BTreeSet::new();
+    story.retain(|line| {
+        let is_own = instances.contains(&*line.instance);
+        let is_new = told.insert((line.message.clone(), line.subject.clone()));
+        line.role != LineRole::Engine || is_own || is_new
+    });
     story
 }
 
+/// Whether a line tells how one of the engines fares, rather than of another request over it.
+fn is_engine_news(line: &ParsedLine<'_>, engines: &BTreeSet<&str>) -> bool {
+    let is_verdict = line.text("message") == LOSS_MESSAGE;
+    (line.text("request").is_empty() || is_verdict) && engines.contains(line.engine())
+}
+
 fn parse(log: &InstanceLog) -> impl Iterator<Item = ParsedLine<'_>> {
     log.text.lines().filter_map(|line| {
         let start = line.find('{')?;
