A moved request keeps the engines that hold its memory

Change: engines of the present chain cost a moved request nothing and need no room; the new one may be committed to 1.25 of its memory. Test chain_search::moved_request: on the code before, the full kept engines leave no chain.

--- a/crates/dandeliondeal_layout/src/chain_graph.rs
+++ b/crates/dandeliondeal_layout/src/chain_graph.rs
@@ -31,10 +31,12 @@
 }
 
 /// What a chain is asked for.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ChainQuery {
     /// The first engine, where a running request has to keep it.
     pub first: Option<EndpointId>,
+    /// Engines that hold the request's memory already and read nothing again.
+    pub kept: Vec<EndpointId>,
     /// Tokens to read.
     pub prompt: f64,
     /// Tokens to write.
@@ -267,6 +269,9 @@
 
 /// Seconds that the request spends in an engine, weighed by its load; `None` without room.
 fn node_cost(node: &EngineNode, query: &ChainQuery) -> Option<f64> {
+    if query.kept.contains(&node.id) {
+        return Some(0.0);
+    }
     let tokens = query.prompt + query.answer;
     let fill = (node.committed + tokens) / node.room.max(1.0);
     if fill > query.fill_limit {
--- a/crates/dandeliondeal_layout/tests/chain_search.rs
+++ b/crates/dandeliondeal_layout/tests/chain_search.rs
@@ -23,6 +23,7 @@
 fn query() -> ChainQuery {
     ChainQuery {
         first: None,
+        kept: Vec::new(),
         prompt: 800.0,
         answer: 200.0,
         crossing: 0.01,
@@ -80,6 +81,33 @@
     assert_eq!(ids(&graph), ["a", "c"]);
 }
 
+#[test]
+fn moved_request() {
+    // Pattern: one engine of a running request is lost. The others keep what they have read.
+    let full = |id: &str, start, end| {
+        let mut node = node(id, "one", start, end);
+        node.committed = 60_000.0;
+        node
+    };
+    let graph = ChainGraph::new(
+        12,
+        vec![
+            full("a", 0, 4),
+            full("b", 4, 8),
+            node("idle", "one", 4, 8),
+            node("c", "one", 8, 12),
+        ],
+    );
+    let query = ChainQuery {
+        first: Some("a".into()),
+        kept: vec!["a".into(), "b".into()],
+        ..query()
+    };
+    let chain = graph.find(&query).expect("a chain");
+    let ids: Vec<&str> = chain.hops.iter().map(|hop| &*hop.id).collect();
+    assert_eq!(ids, ["a", "b", "c"]);
+}
+
 #[test]
 fn slow_engine() {
     let mut slow = node("b", "one", 4, 8);
--- a/crates/dandeliondeal_relay/src/chain_choice.rs
+++ b/crates/dandeliondeal_relay/src/chain_choice.rs
@@ -14,6 +14,9 @@
 /// Share of an engine's memory that may be committed. Requests rarely reach their full size all
 /// at once, so that commitments of all of the memory leave a quarter of it free.
 const FILL_LIMIT: f64 = 1.1;
+/// The same for a request that runs and has lost an engine: it has waited already, and its memory
+/// at the engine that is lost comes free.
+const MOVE_FILL_LIMIT: f64 = 1.25;
 /// Answers are about as long as callers estimate in the middle, and often longer.
 const HINT_FACTOR: f64 = 1.2;
 /// Factors on the times of engines, drawn for each request. What is known of the load of others is
@@ -47,14 +50,22 @@
     }
 }
 
-/// The cheapest chain, with the engine `first` where a running request has to keep it.
+/// Which engines a chain may have.
+#[derive(Clone, Copy, Debug)]
+pub struct ChainLimits<'request> {
+    /// The chain that runs the request now, whose first engine and sound others are kept.
+    pub moved: Option<&'request EngineChain>,
+    /// Engines that are left out.
+    pub avoided: &'request [EndpointId],
+}
+
+/// The cheapest chain for a request, or for one that is moved off its chain.
 pub fn choose_chain<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     service: &str,
     profile: &EngineProfile,
     demand: ChainDemand,
-    first: Option<&EndpointId>,
-    avoided: &[EndpointId],
+    limits: ChainLimits<'_>,
 ) -> Option<EngineChain>
 where
     Time: Clock,
@@ -64,21 +75,29 @@
     let instances = context.instances();
     let book = context.book();
     let draw = context.random(|random| random.random::<f64>());
-    let mut avoided = avoided.to_vec();
+    let kept = limits.moved.map(|chain| &*chain.hops).unwrap_or_default();
+    let kept: Vec<EndpointId> = kept.iter().map(|hop| EndpointId::clone(&hop.id)).collect();
+    let first = kept.first().cloned();
+    let mut avoided = limits.avoided.to_vec();
     let failing = context.firsts().failing(draw, now).into_iter();
-    avoided.extend(failing.filter(|engine| first != Some(engine)));
+    avoided.extend(failing.filter(|engine| first.as_ref() != Some(engine)));
     let mut graph = fleet.graph(service, profile, book, instances, &avoided, now);
     context.random(|random| graph.spread(|| random.random_range(SPREAD)));
     let crossing = profile.crossing_time(demand.prompt).as_secs_f64();
     let query = ChainQuery {
-        first: first.cloned(),
+        first,
+        kept,
         prompt: f64::from(demand.prompt),
         answer: demand.answer,
         crossing,
         crossing_load: book.crossing_load(book.scale(instances, now), now),
         crossing_step: CROSSING_STEP,
         run_limit: RUN_LIMIT,
-        fill_limit: FILL_LIMIT,
+        fill_limit: if limits.moved.is_some() {
+            MOVE_FILL_LIMIT
+        } else {
+            FILL_LIMIT
+        },
     };
     let chain = graph.find(&query)?;
     // The prompt crosses on the way, not back.
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -12,7 +12,7 @@
 use dandeliondeal_types::{Clock, EndpointId};
 
 use crate::call_guard::CallGuard;
-use crate::chain_choice::{ChainDemand, choose_chain};
+use crate::chain_choice::{ChainDemand, ChainLimits, choose_chain};
 use crate::chain_watch::watch_chain;
 use crate::dialect::{AttemptFacts, FleetDialect, OrderReply, RequestDialect};
 use crate::endpoint_link::{LinkChoice, exchange, open, outbound};
@@ -265,7 +265,7 @@
     /// Orders the first engine of a chain to run the request on without a lost one.
     async fn move_chain(&self, chain: &EngineChain, lost: &EndpointId) -> Option<EngineChain> {
         let first = chain.hops.first().filter(|first| first.id != *lost)?;
-        let next = self.choose(Some(&first.id))?;
+        let next = self.choose(Some(chain))?;
         let id = &self.request.facts.request;
         let order = self.context.dialect().write_move(id, &next);
         let reply = send_order(&self.context, first.address, &order).await;
@@ -479,14 +479,17 @@
 where
     Time: Clock,
 {
-    fn choose(&self, first: Option<&EndpointId>) -> Option<EngineChain> {
+    fn choose(&self, moved: Option<&EngineChain>) -> Option<EngineChain> {
+        let limits = ChainLimits {
+            moved,
+            avoided: &self.avoided,
+        };
         choose_chain(
             &self.context,
             &self.request.service,
             &self.profile,
             self.demand,
-            first,
-            &self.avoided,
+            limits,
         )
     }
 }
