Engines that reject with memory to spare are left out for three seconds

Ruled out: orders (none could be given without the lease) and lost engines (those were out of use). Change: a rejection from an engine whose memory is neither reported nor taken for full leaves it out for three seconds. Test engine_checks::leaving_engine failed first.

--- a/crates/dandeliondeal_relay/src/engine_check.rs
+++ b/crates/dandeliondeal_relay/src/engine_check.rs
@@ -21,6 +21,11 @@
 /// within two reports to a hub, 400 ms.
 const ACCUSATION_LIFE: Duration = Duration::from_secs(1);
 
+/// Share of an engine's memory from which on a rejection is put down to want of memory. Below it
+/// the engine leaves or gives up its layers, which its registration may not tell while the store
+/// is away.
+const CROWDED_FILL: f64 = 0.7;
+
 /// Why an engine is checked.
 #[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
 pub enum CheckCause {
@@ -131,7 +136,7 @@
         tracing::info!(%engine, %cause, "engine does not answer; taken out of use");
         return;
     };
-    let is_held = note_report(context, engine, &report, now);
+    let is_held = note_report(context, engine, cause, &report, now);
     if cause == CheckCause::Retest {
         let mut fleet = context.fleet().borrow_mut();
         fleet.started(engine, started);
@@ -148,21 +153,31 @@
     );
 }
 
-/// Takes in an engine's report; `false` if it does not hold the layers that it registered.
+/// Takes in an engine's report; `false` if it is left out of new chains for its layers.
 fn note_report<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     engine: &EndpointId,
+    cause: CheckCause,
     report: &EngineReport,
     now: Instant,
 ) -> bool
 where
     Time: Clock,
 {
-    context.book().set_fill(engine, report.fill(), now);
+    let is_crowded =
+        report.fill() >= CROWDED_FILL || believed_fill(context, engine, now) >= CROWDED_FILL;
+    let is_leaving = cause == CheckCause::Rejection && !is_crowded;
+    // The first report of an engine may still show it without requests.
+    let fill = if cause == CheckCause::Rejection && is_crowded {
+        1.0
+    } else {
+        report.fill()
+    };
+    context.book().set_fill(engine, fill, now);
     let mut fleet = context.fleet().borrow_mut();
     let registered = fleet.record(engine).and_then(|record| record.layers);
     // Some reports leave the layers out.
-    let is_held = report.layers.is_none() || registered == report.layers;
+    let is_held = !is_leaving && (report.layers.is_none() || registered == report.layers);
     if is_held {
         fleet.trust_layers(engine);
     } else {
@@ -170,3 +185,25 @@
     }
     is_held
 }
+
+/// Share of an engine's memory that this instance takes for committed; 0 if it cannot tell.
+pub(crate) fn believed_fill<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    engine: &EndpointId,
+    now: Instant,
+) -> f64
+where
+    Time: Clock,
+{
+    let scale = context.book().scale(context.instances(), now);
+    let work = context.book().work(engine, scale, now);
+    let Some(table) = context.table() else {
+        return 0.0;
+    };
+    let fleet = context.fleet().borrow();
+    let service = fleet.record(engine).map(|record| &record.service);
+    let rule = service.and_then(|service| table.service(service));
+    let profile = rule.and_then(|rule| rule.engine.as_ref());
+    let room = profile.and_then(|profile| fleet.token_room(engine, profile));
+    room.map_or(0.0, |room| work.tokens / room.max(1.0))
+}
--- a/crates/dandeliondeal_relay/src/stream_rejection.rs
+++ b/crates/dandeliondeal_relay/src/stream_rejection.rs
@@ -6,7 +6,7 @@
 
 use crate::dialect::{AnswerFacts, FleetDialect, RequestDialect};
 use crate::endpoint_link::ANSWER_LIMIT;
-use crate::engine_check::{CheckCause, check_engine};
+use crate::engine_check::{CheckCause, believed_fill, check_engine};
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
 use crate::relay_life::LifeEvent;
@@ -37,7 +37,7 @@
             status = head.status.as_u16(),
             engine = %faulty,
             offers = self.offers,
-            believed_fill = self.believed_fill(&faulty),
+            believed_fill = believed_fill(&self.context, &faulty, self.context.now()),
             load_age_ms = self.load_age_ms(),
             repeated = may_repeat,
             "engine stated not run"
@@ -74,17 +74,6 @@
         engine
     }
 
-    /// Share of an engine's memory that this instance takes for committed.
-    fn believed_fill(&self, engine: &EndpointId) -> Option<f64> {
-        let now = self.context.now();
-        let book = self.context.book();
-        let scale = book.scale(self.context.instances(), now);
-        let work = book.work(engine, scale, now);
-        let fleet = self.context.fleet().borrow();
-        let room = fleet.token_room(engine, &self.profile)?;
-        Some(work.tokens / room.max(1.0))
-    }
-
     /// Age of what the other instances told of their load; `None` if it counts no more.
     fn load_age_ms(&self) -> Option<u64> {
         let age = self.context.book().told_age(self.context.now())?;
