--- a/crates/dandeliondeal_relay/src/chain_choice.rs
+++ b/crates/dandeliondeal_relay/src/chain_choice.rs
@@ -74,7 +74,7 @@
     let fleet = context.fleet().borrow();
     let instances = context.instances();
     let book = context.book();
-    let draw = context.random(|random| random.random::<f64>());
+    let draw = context.random(Rng::random::<f64>);
     let kept = limits.moved.map(|chain| &*chain.hops).unwrap_or_default();
     let kept: Vec<EndpointId> = kept.iter().map(|hop| EndpointId::clone(&hop.id)).collect();
     let first = kept.first().cloned();
--- a/crates/dandeliondeal_relay/src/first_health.rs
+++ b/crates/dandeliondeal_relay/src/first_health.rs
@@ -10,6 +10,8 @@
 use dandeliondeal_types::EndpointId;
 use serde::{Deserialize, Serialize};
 
+use crate::load_share::REPORT_LIFE;
+
 /// Time in which the weight of what an offer told falls to a half: long enough to bridge the
 /// pauses between trials of an engine that fails, short enough to notice that it is well again.
 const COUNT_HALF_LIFE: Duration = Duration::from_secs(2);
@@ -19,8 +21,6 @@
 const LEAST_OFFERS: f64 = 2.5;
 /// Share of the requests that try engines which are left out, so that their return is noticed.
 const TRIAL_SHARE: f64 = 0.02;
-/// What other instances told counts for this long; they tell it several times a second.
-const TOLD_LIFE: Duration = Duration::from_millis(1_200);
 
 /// How offers to an engine ended lately; recent ones weigh more.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -110,7 +110,7 @@
         }
         let book = self.book.borrow();
         let told = book.others.as_ref();
-        let told = told.filter(|(at, _)| now.saturating_duration_since(*at) < TOLD_LIFE);
+        let told = told.filter(|(at, _)| now.saturating_duration_since(*at) < REPORT_LIFE);
         let mut engines: OfferSum = told.map(|(_, sum)| sum.clone()).unwrap_or_default();
         let mut failing = Vec::new();
         for (engine, known) in &book.own {
--- a/crates/dandeliondeal_relay/src/load_book.rs
+++ b/crates/dandeliondeal_relay/src/load_book.rs
@@ -9,7 +9,7 @@
 use dandeliondeal_types::EndpointId;
 use serde::{Deserialize, Serialize};
 
-use crate::load_share::WorkSum;
+use crate::load_share::{REPORT_LIFE, WorkSum};
 
 /// Work of one engine.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -55,8 +55,6 @@
     tokens: f64,
 }
 
-/// What other instances told counts for this long; they tell it several times a second.
-const TOLD_LIFE: Duration = Duration::from_millis(1_200);
 /// Time in which the transfers of a moment fade out of the measured share of the links.
 const CROSSING_FADE: Duration = Duration::from_secs(2);
 /// A stated load counts for this long; engines state it with each answer, and their state
@@ -241,7 +239,7 @@
     /// What the other instances told lately.
     fn told(&self, now: Instant) -> Option<&WorkSum> {
         let (at, work) = self.others.as_ref()?;
-        (now.saturating_duration_since(*at) < TOLD_LIFE).then_some(work)
+        (now.saturating_duration_since(*at) < REPORT_LIFE).then_some(work)
     }
 
     fn usual_tokens(&self) -> f64 {
--- a/crates/dandeliondeal_relay/src/load_share.rs
+++ b/crates/dandeliondeal_relay/src/load_share.rs
@@ -31,8 +31,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest wait for a hub's answer.
 const REPORT_LIMIT: Duration = Duration::from_millis(300);
-/// A report or sum that is older counts no more: its instance has gone.
-const REPORT_LIFE: Duration = Duration::from_millis(1_200);
+/// A report or sum that is older counts no more: its instance has gone, or the way to it.
+pub(crate) const REPORT_LIFE: Duration = Duration::from_millis(1_200);
 
 /// Work at all engines.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
--- a/crates/dandeliondeal_relay/tests/outage_clock.rs
+++ b/crates/dandeliondeal_relay/tests/outage_clock.rs
@@ -34,7 +34,7 @@
     outage.begin(start, start, LIMIT);
     let back = after(start, 2_000);
     outage.end(back);
-    let leave = back + Duration::from_millis(2_000);
+    let leave = back + Duration::from_secs(2);
     assert_eq!(outage.lapse_until(leave), Some(back + LAPSE_GRACE));
     assert_eq!(outage.lapse_until(back + LAPSE_GRACE), None);
 }
