--- a/crates/dandeliondeal_relay/src/chain_watch.rs
+++ b/crates/dandeliondeal_relay/src/chain_watch.rs
@@ -76,7 +76,7 @@
     if let Some(engine) = &lost {
         let now = context.now();
         context.fleet().borrow_mut().blame(engine, now);
-        context.checks().accuse(engine, now);
+        context.checks().suspect(engine, now);
         tracing::info!(request, %engine, "engine does not answer; taken out of use");
     }
     lost
--- a/crates/dandeliondeal_relay/src/engine_check.rs
+++ b/crates/dandeliondeal_relay/src/engine_check.rs
@@ -19,7 +19,7 @@
 const CHECK_PAUSE: Duration = Duration::from_millis(400);
 /// For this long other instances are told of an engine that was found lost; they hear of it
 /// within two reports to a hub, 400 ms.
-const ACCUSATION_LIFE: Duration = Duration::from_secs(1);
+const SUSPICION_LIFE: Duration = Duration::from_secs(1);
 
 /// Share of an engine's memory from which on a rejection is put down to want of memory. Below it
 /// the engine leaves or gives up its layers, which its registration may not tell while the store
@@ -33,8 +33,8 @@
     #[display("rejection")]
     Rejection,
     /// Another instance found it lost.
-    #[display("accusation")]
-    Accusation,
+    #[display("suspicion")]
+    Suspicion,
     /// It was found lost a while ago.
     #[display("retest")]
     Retest,
@@ -61,14 +61,14 @@
         }
     }
 
-    /// Notes that this instance found an engine lost.
-    pub fn accuse(&self, engine: &EndpointId, now: Instant) {
+    /// Notes that this instance found an engine lost, so that others check it.
+    pub fn suspect(&self, engine: &EndpointId, now: Instant) {
         let mut lost = self.lost.borrow_mut();
-        lost.insert(EndpointId::clone(engine), now + ACCUSATION_LIFE);
+        lost.insert(EndpointId::clone(engine), now + SUSPICION_LIFE);
     }
 
     /// Engines that this instance found lost lately.
-    pub fn accused(&self, now: Instant) -> Vec<EndpointId> {
+    pub fn suspects(&self, now: Instant) -> Vec<EndpointId> {
         let mut lost = self.lost.borrow_mut();
         lost.retain(|_, until| now < *until);
         let mut engines: Vec<EndpointId> = lost.keys().cloned().collect();
@@ -132,7 +132,7 @@
     let now = context.now();
     let Some(report) = report else {
         context.fleet().borrow_mut().blame(engine, now);
-        context.checks().accuse(engine, now);
+        context.checks().suspect(engine, now);
         tracing::info!(%engine, %cause, "engine does not answer; taken out of use");
         return;
     };
--- a/crates/dandeliondeal_relay/src/load_share.rs
+++ b/crates/dandeliondeal_relay/src/load_share.rs
@@ -43,7 +43,7 @@
     pub crossing: f64,
     /// Engines that instances found lost.
     #[serde(default)]
-    pub lost: BTreeSet<EndpointId>,
+    pub suspects: BTreeSet<EndpointId>,
     /// How offers to first engines ended.
     #[serde(default)]
     pub offers: OfferSum,
@@ -58,7 +58,7 @@
             sum.tokens += work.tokens;
         }
         self.crossing += other.crossing;
-        self.lost.extend(other.lost.iter().cloned());
+        self.suspects.extend(other.suspects.iter().cloned());
         for (engine, counts) in &other.offers {
             let sum = self.offers.entry(EndpointId::clone(engine)).or_default();
             sum.add(*counts);
@@ -175,7 +175,7 @@
         };
         let sent = self.context.now();
         let mut work = self.context.book().own_sum(sent);
-        work.lost = self.context.checks().accused(sent).into_iter().collect();
+        work.suspects = self.context.checks().suspects(sent).into_iter().collect();
         work.offers = self.context.firsts().own_sum(sent);
         let id = InstanceId::clone(&settings.id);
         let all = if hub.id == id {
@@ -193,15 +193,15 @@
             self.context.book().set_fleet(&all, &work, sent);
             let firsts = self.context.firsts();
             firsts.set_fleet(&all.offers, &work.offers, sent);
-            self.check_accused(&all);
+            self.check_suspects(&all);
         }
     }
 
     /// Checks the engines that other instances found lost and this one still uses.
-    fn check_accused(&self, all: &WorkSum) {
-        for engine in &all.lost {
+    fn check_suspects(&self, all: &WorkSum) {
+        for engine in &all.suspects {
             if self.context.fleet().borrow().is_sound(engine) {
-                check_engine(&self.context, engine, CheckCause::Accusation);
+                check_engine(&self.context, engine, CheckCause::Suspicion);
             }
         }
     }
