An instance that the store does not answer asks the hubs of all failure domains

Ruled out: the hub, which had the change within milliseconds; the test's own wait, which now outlasts the watch that was begun before the fleet was counted. Change: where a member's own watch fails, it asks the first choice of each failure domain, its own first.

--- a/crates/dandeliondeal_relay/src/hub_choice.rs
+++ b/crates/dandeliondeal_relay/src/hub_choice.rs
@@ -51,10 +51,30 @@
         let now = self.context.now();
         let mut silent = self.silent.borrow_mut();
         silent.retain(|_, until| now < *until);
+        self.choose(domain, |peer| !silent.contains_key(&peer.id))
+    }
+
+    /// The first choices of all failure domains, also those that did not answer lately; the hub
+    /// of `own` comes first.
+    pub fn first_choices(&self, own: &str) -> Vec<PeerInstance> {
+        let peers = self.context.peers();
+        let mut domains: Vec<&str> = peers.iter().map(|peer| &*peer.failure_domain).collect();
+        domains.sort_unstable_by_key(|domain| (*domain != own, *domain));
+        domains.dedup();
+        let choices = domains.into_iter();
+        choices
+            .filter_map(|domain| self.choose(domain, |_| true))
+            .collect()
+    }
+
+    fn choose<Filter>(&self, domain: &str, is_candidate: Filter) -> Option<PeerInstance>
+    where
+        Filter: Fn(&PeerInstance) -> bool,
+    {
         let peers = self.context.peers();
         let members: Vec<&PeerInstance> = peers
             .iter()
-            .filter(|peer| *peer.failure_domain == *domain && !silent.contains_key(&peer.id))
+            .filter(|peer| *peer.failure_domain == *domain && is_candidate(peer))
             .collect();
         let names: Vec<&InstanceId> = members.iter().map(|peer| &peer.id).collect();
         let index = preferred(HUB_KEY, &names, Xxh3::new)?;
--- a/crates/dandeliondeal_relay/src/shared_store.rs
+++ b/crates/dandeliondeal_relay/src/shared_store.rs
@@ -3,7 +3,7 @@
 //!
 //! Each call to the store is priced, a waiting watch as well, and its rates do not grow with the
 //! fleet. A member that its hub does not answer in time, or whose hub has not heard from the store
-//! lately, watches the store itself.
+//! lately, watches the store itself, and asks the hubs of all failure domains where that fails.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -164,6 +164,20 @@
         }
     }
 
+    /// Changes from any hub, for an instance that the store does not answer.
+    async fn changes_elsewhere(&self, kind: &str, seen: Version) -> Option<KindChanges> {
+        let own = &self.context.settings().instance;
+        for hub in self.hubs.first_choices(&own.failure_domain) {
+            if hub.id == own.id {
+                continue;
+            }
+            if let FeedReply::Changes(changes) = self.ask(&hub, kind, seen).await {
+                return Some(changes);
+            }
+        }
+        None
+    }
+
     async fn watch(
         &self,
         kind: &str,
@@ -205,12 +219,17 @@
         if self.context.instances() < FEED_FLEET {
             return self.watch(kind, seen, limit).await;
         }
-        let Some(hub) = self.hub() else {
-            return self.watch(kind, seen, HUB_WATCH).await;
-        };
-        match self.ask(&hub, kind, seen).await {
-            FeedReply::Changes(changes) => Ok(changes),
-            FeedReply::ReadStore | FeedReply::Unproven => self.watch(kind, seen, HUB_WATCH).await,
+        if let Some(hub) = self.hub()
+            && let FeedReply::Changes(changes) = self.ask(&hub, kind, seen).await
+        {
+            return Ok(changes);
+        }
+        match self.watch(kind, seen, HUB_WATCH).await {
+            Err(error) if !error.is_history_gone() => {
+                let changes = self.changes_elsewhere(kind, seen).await;
+                changes.ok_or(error)
+            }
+            result => result,
         }
     }
 }
--- a/crates/dandeliondeal_types/src/object_store.rs
+++ b/crates/dandeliondeal_types/src/object_store.rs
@@ -98,6 +98,11 @@
         !matches!(self, Self::AnswerLost { .. })
     }
 
+    /// Whether a new list is needed, since the changes are no longer known.
+    pub fn is_history_gone(&self) -> bool {
+        matches!(self, Self::HistoryGone { .. })
+    }
+
     /// Whether another writer was first.
     pub fn is_conflict(&self) -> bool {
         matches!(self, Self::Conflict { .. })
