--- a/crates/dandeliondeal_relay/src/load_share.rs
+++ b/crates/dandeliondeal_relay/src/load_share.rs
@@ -1,4 +1,5 @@
-//! Load that instances tell one another, so that each sees the load of all at every engine.
+//! What instances tell one another: their load, the engines that they found lost, and how their
+//! offers ended, so that each sees the load of all at every engine.
 //!
 //! Each instance reports to one hub in its failure domain; hubs exchange the sums of their
 //! domains. A report's answer is the sum of all. Nothing is agreed: an instance that hears
