Log what an unanswered request waited for

`runs` of a request whose caller leaves before the first event was always 0, since the count was copied after the first event only; plain requests never had one; a silent stream whose check finds nothing left no line.

Change: the request shares its progress with the record that logs its end: attempts, runs, last event and the endpoint that it waited for. A silence that no engine explains is logged once for each pause and counted by finding (dandeliondeal_relay_silences_total). Reports carry the number of waiting requests.

--- a/crates/dandeliondeal_relay/src/chain_watch.rs
+++ b/crates/dandeliondeal_relay/src/chain_watch.rs
@@ -28,24 +28,47 @@
     Time: Clock,
     Dialect: FleetDialect,
 {
+    let mut is_logged = false;
     loop {
         let silence = context.now().saturating_duration_since(last_activity);
         if silence < SILENCE_LIMIT {
             actix_rt::time::sleep(SILENCE_LIMIT.saturating_sub(silence)).await;
             continue;
         }
-        if let Some(engine) = context.fleet().borrow().first_failed(chain) {
+        let failed = context.fleet().borrow().first_failed(chain);
+        if let Some(engine) = failed {
+            count_silence(context, "known-failure");
             return engine;
         }
-        if silence >= REPORT_DELAY
-            && let Some(engine) = find_stalled_engine(context, chain, request).await
-        {
-            return engine;
+        if silence >= REPORT_DELAY {
+            let found = find_stalled_engine(context, chain, request).await;
+            if let Some(engine) = found {
+                count_silence(context, "engine-failure");
+                return engine;
+            }
+            if !is_logged {
+                is_logged = true;
+                count_silence(context, "none");
+                tracing::info!(
+                    request,
+                    engine = %chain.hops[0].id,
+                    silence_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX),
+                    "stream is silent; its engines report no failure"
+                );
+            }
         }
         actix_rt::time::sleep(SILENCE_LIMIT).await;
     }
 }
 
+fn count_silence<Time, Dialect>(context: &RelayContext<Time, Dialect>, finding: &str)
+where
+    Time: Clock,
+{
+    let silences = &context.metrics().silences;
+    silences.with_label_values(&[finding]).inc();
+}
+
 /// Finds the engine that the request waits for and takes it out of use.
 ///
 /// The first engine is asked for a report; if it does not answer, it is the failed one itself.
--- a/crates/dandeliondeal_relay/src/dialect.rs
+++ b/crates/dandeliondeal_relay/src/dialect.rs
@@ -141,6 +141,8 @@
     pub memory_total: f64,
     /// Number of running requests.
     pub running: u32,
+    /// Number of requests that wait to be admitted.
+    pub waiting: u32,
     /// Factor on the engine's usual times; values above 1 mean that it is slow.
     pub slowness: f64,
     /// Requests that wait for a failed engine.
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod relay_outcome;
 pub mod request_handler;
 pub mod request_intake;
+pub mod request_progress;
 pub mod router_server;
 pub mod shared_store;
 pub mod store_watch;
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -22,6 +22,8 @@
     pub repeats: IntCounterVec,
     /// Number of repeats that the budget denied.
     pub budget_denials: IntCounter,
+    /// Number of checks of streams without events, by what was found.
+    pub silences: IntCounterVec,
     /// Number of failed calls to the platform's store, by kind.
     pub store_failures: IntCounterVec,
     /// Number of orders to engines by reply.
@@ -57,6 +59,11 @@
             "Attempts beyond the first of a request, by cause.",
             &["cause"],
         )?;
+        let silences = counters(
+            "dandeliondeal_relay_silences_total",
+            "Checks of streams without events, by what was found.",
+            &["finding"],
+        )?;
         let store_failures = counters(
             "dandeliondeal_store_failures_total",
             "Calls to the platform's store that failed, by kind.",
@@ -97,6 +104,7 @@
             latency,
             repeats,
             budget_denials,
+            silences,
             store_failures,
             orders,
             config_version,
--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -16,6 +16,7 @@
 use crate::relay_context::RelayContext;
 use crate::relay_outcome::RelayOutcome;
 use crate::request_intake::{RelayRequest, read_request};
+use crate::request_progress::RequestProgress;
 use crate::stream_relay::{StreamEnd, StreamRelay};
 
 /// Maximum number of queued event batches for a slow caller; the stream is not read while the queue
@@ -70,13 +71,14 @@
     Time: Clock,
     Dialect: RequestDialect + FleetDialect,
 {
-    let record = OpenRequest::start(
+    let mut record = OpenRequest::start(
         context,
         &request.facts.request,
         &request.service,
         request.arrived,
         open,
     );
+    record.progress = request.progress.clone();
     let rule = context
         .table()
         .and_then(|table| table.service(&request.service).cloned());
@@ -105,7 +107,6 @@
     record.is_stream = true;
     let first_events = relay.next_events().await;
     let max_delay = relay.request().max_retry_delay(record.context.now());
-    record.runs = relay.runs();
     let first_events = match first_events {
         Err(StreamEnd::Refused(cause)) => return record.finish_refused(cause, max_delay),
         Err(StreamEnd::Failure(response)) => return record.finish_answered(response),
@@ -143,7 +144,6 @@
             () = sender.closed() => return,
             next = relay.next_events() => next,
         };
-        record.runs = relay.runs();
         match next {
             Ok(Some(events)) => {
                 if sender.send(Ok(events)).await.is_err() {
@@ -212,7 +212,7 @@
     arrived: Instant,
     first_latency: Option<Duration>,
     chain: String,
-    runs: u32,
+    progress: RequestProgress,
     is_stream: bool,
     is_ended: bool,
     _open: OpenGauge,
@@ -236,7 +236,7 @@
             arrived,
             first_latency: None,
             chain: String::new(),
-            runs: 0,
+            progress: RequestProgress::default(),
             is_stream: false,
             is_ended: false,
             _open: open,
@@ -278,7 +278,10 @@
                 .first_latency
                 .map(|latency| u64::try_from(latency.as_millis()).unwrap_or(u64::MAX)),
             total_ms = u64::try_from(total.as_millis()).unwrap_or(u64::MAX),
-            runs = self.runs,
+            runs = self.progress.runs(),
+            attempts = self.progress.attempts(),
+            last_event = self.progress.last_event(),
+            waiting_on = self.progress.waiting_on().as_deref(),
             chain = %self.chain,
             config = version,
             "request ended"
--- a/crates/dandeliondeal_relay/src/request_intake.rs
+++ b/crates/dandeliondeal_relay/src/request_intake.rs
@@ -13,6 +13,7 @@
 use crate::refusal::RefusalCause;
 use crate::relay_context::RelayContext;
 use crate::relay_lifecycle::{LifecycleEvent, RelayLifecycle};
+use crate::request_progress::RequestProgress;
 
 /// Deadline of a request without one; far longer than any response of a plain service takes.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -44,6 +45,8 @@
     pub deadline: Instant,
     /// Lifecycle of the request.
     pub lifecycle: RelayLifecycle,
+    /// Progress of the request, for logs.
+    pub progress: RequestProgress,
 }
 
 impl RelayRequest {
@@ -120,6 +123,7 @@
         arrived,
         deadline,
         lifecycle,
+        progress: RequestProgress::default(),
     })
 }
 
--- a/crates/dandeliondeal_relay/src/stream_rejection.rs
+++ b/crates/dandeliondeal_relay/src/stream_rejection.rs
@@ -29,6 +29,7 @@
     ) -> Result<bool, StreamEnd> {
         self.request.lifecycle.apply(LifecycleEvent::Reject);
         self.runs -= 1;
+        self.request.progress.record_rejection();
         let faulty_engine = self.find_faulty_engine(&link, head, facts);
         let may_repeat = self.attempts < MAX_ATTEMPTS
             && self
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -236,6 +236,8 @@
     fn record_events(&mut self) {
         let now = self.context.now();
         self.last_activity = now;
+        let progress = &self.request.progress;
+        progress.record_event(self.splitter.last_id());
         if let Some(link) = &mut self.link
             && let Some(guard) = link.attempt.take()
         {
@@ -383,6 +385,7 @@
             };
             self.attempts += 1;
             self.runs += 1;
+            self.request.progress.record_attempt(&hop.id);
             self.request.lifecycle.apply(LifecycleEvent::Offer);
             self.last_activity = self.context.now();
             let guard = CallGuard::start_chain(&self.context, &chain);
