Waiting for a response can be cancelled and continued

Cause: `read_head` and `exchange` kept their progress in the future, so that a wait for the headers of one response could not be raced against another: the loser was lost. Racing two runs of a request needs both to stay alive.

Change: a connection keeps the unwritten rest of its request and the decoder of the head; PendingExchange keeps what it skips of late responses. `send` and `exchange` behave as before.

--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -10,7 +10,7 @@
 use actix_http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_http::{Method, RequestHead, RequestHeadType, StatusCode, Uri};
 use actix_rt::time::timeout;
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use dandeliondeal_types::Clock;
 use derive_more::{Display, Error};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -126,6 +126,8 @@
 pub struct EndpointConnection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Rest of the current request that is not written yet.
+    unwritten: Bytes,
     state: ReadState,
     /// Whether the endpoint keeps the connection open after the current response.
     is_keep_alive: bool,
@@ -159,6 +161,7 @@
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
+            unwritten: Bytes::new(),
             state: ReadState::Idle,
             is_keep_alive: false,
             is_request_written: true,
@@ -175,6 +178,16 @@
     ///
     /// Returns an error if the connection failed; part of the request may have been written.
     pub async fn send(&mut self, request: &OutboundRequest) -> Result<(), ConnectionError> {
+        self.queue_request(request)?;
+        self.write_queued().await
+    }
+
+    /// Encodes a request, which [`Self::read_head`] writes before it reads.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the request cannot be encoded; nothing was written.
+    pub fn queue_request(&mut self, request: &OutboundRequest) -> Result<(), ConnectionError> {
         let mut head = RequestHead::default();
         head.method = request.method.clone();
         head.uri = request.uri.clone();
@@ -194,23 +207,28 @@
         self.state = ReadState::Head(codec);
         self.is_keep_alive = false;
         self.is_request_written = false;
-        self.write(&output).await
+        self.unwritten = output.freeze();
+        Ok(())
     }
 
-    async fn write(&mut self, output: &[u8]) -> Result<(), ConnectionError> {
-        let mut remaining = output;
+    /// Writes the rest of the queued request. Cancel safe.
+    async fn write_queued(&mut self) -> Result<(), ConnectionError> {
+        if self.unwritten.is_empty() {
+            return Ok(());
+        }
         let (mut reader, mut writer) = self.stream.split();
-        while !remaining.is_empty() {
+        while !self.unwritten.is_empty() {
             tokio::select! {
                 biased;
-                written = writer.write(remaining) => match written {
-                    Ok(count) if count > 0 => remaining = &remaining[count..],
+                written = writer.write(&self.unwritten) => match written {
+                    Ok(count) if count > 0 => self.unwritten.advance(count),
                     Ok(_) => return Err(ConnectionError::after_write("connection closed while writing")),
                     Err(error) => return Err(ConnectionError::after_write(&error)),
                 },
                 read = reader.read_buf(&mut self.buffer) => {
                     // The response or the end of the connection arrived before the request was
                     // written completely.
+                    self.unwritten.clear();
                     return match read {
                         Ok(count) if count > 0 => Ok(()),
                         Ok(_) => Err(ConnectionError::after_write("connection closed while writing")),
@@ -223,34 +241,42 @@
         Ok(())
     }
 
-    /// Reads the head of a response.
+    /// Reads the head of a response. Cancel safe: a later call continues.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection ended or the data is not a valid response.
     pub async fn read_head(&mut self) -> Result<ResponseHead, ConnectionError> {
-        let ReadState::Head(mut codec) = std::mem::replace(&mut self.state, ReadState::Broken)
-        else {
-            return Err(ConnectionError::after_write(
-                "no answer is due on this connection",
-            ));
-        };
+        self.write_queued().await?;
         let head = loop {
+            let ReadState::Head(codec) = &mut self.state else {
+                return Err(ConnectionError::after_write(
+                    "no answer is due on this connection",
+                ));
+            };
             if !self.buffer.is_empty() {
                 match codec.decode(&mut self.buffer) {
                     // An informational (1xx) response precedes the final one.
                     Ok(Some(head)) if head.status.is_informational() => continue,
                     Ok(Some(head)) => break head,
                     Ok(None) => {}
-                    Err(error) => return Err(ConnectionError::after_write(&error)),
+                    Err(error) => {
+                        self.state = ReadState::Broken;
+                        return Err(ConnectionError::after_write(&error));
+                    }
                 }
             }
             if self.fill_buffer().await? == 0 {
+                self.state = ReadState::Broken;
                 return Err(ConnectionError::after_write(
                     "connection closed before the answer",
                 ));
             }
         };
+        let state = std::mem::replace(&mut self.state, ReadState::Broken);
+        let ReadState::Head(codec) = state else {
+            return Err(ConnectionError::after_write("the answer broke off"));
+        };
         let is_delimited = head.headers.contains_key(CONTENT_LENGTH)
             || head.headers.contains_key(TRANSFER_ENCODING);
         let is_bodiless = matches!(
--- a/crates/dandeliondeal_relay/src/endpoint_exchange.rs
+++ b/crates/dandeliondeal_relay/src/endpoint_exchange.rs
@@ -6,7 +6,7 @@
 use dandeliondeal_http::{
     BodyFraming, ConnectionError, EndpointConnection, OutboundRequest, ResponseHead,
 };
-use dandeliondeal_types::{Clock, EndpointId};
+use dandeliondeal_types::{Clock, EndpointId, RequestId};
 
 use crate::dialect::{AttemptFacts, RequestDialect, ResponseFacts};
 use crate::relay_context::RelayContext;
@@ -85,24 +85,80 @@
 where
     Dialect: RequestDialect,
 {
-    connection.send(request).await?;
-    for _ in 0..=MAX_LATE_RESPONSES {
-        let head = connection.read_head().await?;
-        let facts = dialect.read_response(head.status, &head.headers);
-        let is_late = facts
-            .request
-            .as_ref()
-            .is_some_and(|response_to| **response_to != *id);
-        if !is_late {
-            return Ok((head, facts));
-        }
-        if head.framing == BodyFraming::UntilClose {
-            break;
+    let mut exchange = PendingExchange::start(connection, request, id)?;
+    exchange.read_response(dialect, connection).await
+}
+
+/// Request on a connection that waits for the headers of its response.
+#[derive(Debug)]
+pub struct PendingExchange {
+    request: RequestId,
+    late_responses: usize,
+    /// Bytes of a late response's body that were skipped; `None` if no body is being skipped.
+    skipped_bytes: Option<usize>,
+}
+
+impl PendingExchange {
+    /// Queues a request on a connection; [`Self::read_response`] writes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectionError`] if the request cannot be encoded; nothing was sent.
+    pub fn start(
+        connection: &mut EndpointConnection,
+        request: &OutboundRequest,
+        id: &str,
+    ) -> Result<Self, ConnectionError> {
+        connection.queue_request(request)?;
+        Ok(Self {
+            request: id.into(),
+            late_responses: 0,
+            skipped_bytes: None,
+        })
+    }
+
+    /// Reads the headers of the response that belongs to the request. Cancel safe: a later call
+    /// continues.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectionError`] if the connection broke or no response to the request was
+    /// received.
+    pub async fn read_response<Dialect>(
+        &mut self,
+        dialect: &Dialect,
+        connection: &mut EndpointConnection,
+    ) -> Result<(ResponseHead, ResponseFacts), ConnectionError>
+    where
+        Dialect: RequestDialect,
+    {
+        loop {
+            while let Some(skipped_bytes) = &mut self.skipped_bytes {
+                let Some(chunk) = connection.read_chunk().await? else {
+                    connection.expect_next_response();
+                    self.skipped_bytes = None;
+                    break;
+                };
+                *skipped_bytes += chunk.len();
+                if *skipped_bytes > MAX_RESPONSE_BYTES {
+                    return Err(ConnectionError::after_write("a late response is too long"));
+                }
+            }
+            let head = connection.read_head().await?;
+            let facts = dialect.read_response(head.status, &head.headers);
+            let response_to = facts.request.as_ref();
+            let is_late = response_to.is_some_and(|response_to| *response_to != self.request);
+            if !is_late {
+                return Ok((head, facts));
+            }
+            self.late_responses += 1;
+            let is_last = self.late_responses > MAX_LATE_RESPONSES;
+            if is_last || head.framing == BodyFraming::UntilClose {
+                return Err(ConnectionError::after_write(
+                    "received only responses to other requests",
+                ));
+            }
+            self.skipped_bytes = Some(0);
         }
-        connection.read_body(MAX_RESPONSE_BYTES).await?;
-        connection.expect_next_response();
     }
-    Err(ConnectionError::after_write(
-        "received only responses to other requests",
-    ))
 }
