A silent run is kept until its replacement delivers

What callers saw: a stream that had begun ended midway (status 0, `lost-answer`), or a request got 502, because an engine had been silent for 0.3 to 0.6 s; the engine went on a moment later.

Cause: the relay held one run. On a silence it closed the run first and offered the request to another chain after that. If the offer was rejected, broke, stayed silent too or found no chain with room, nothing was left that could answer. Class of fault: something that still works is given up for a replacement that has not been accepted.

Ruled out: longer silence limits. They only move the second at which the run is given up, and delay the replacement of lost engines.

Change: a run is a type of its own (StreamRun) whose steps can be awaited in any order. A silent run stays open beside its replacement; whichever delivers the next event first continues the stream and the other one is cancelled. A request counts as proven not run only if every attempt was rejected.

--- a/crates/dandeliondeal_relay/src/chain_watch.rs
+++ b/crates/dandeliondeal_relay/src/chain_watch.rs
@@ -1,9 +1,10 @@
-//! Detects failed engines of a chain while its stream delivers no events.
+//! Explains why a chain delivers no events.
 
 use std::time::{Duration, Instant};
 
 use dandeliondeal_layout::EngineChain;
 use dandeliondeal_types::{Clock, EndpointId};
+use derive_more::Display;
 
 use crate::dialect::FleetDialect;
 use crate::relay_context::RelayContext;
@@ -15,15 +16,33 @@
 /// Time without an event after which the first engine is asked which engine it waits for.
 const REPORT_DELAY: Duration = Duration::from_millis(300);
 
-/// Waits until an engine of the chain is found unresponsive and returns its id.
+/// Reason why a chain delivers no events.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum SilenceCause {
+    /// An engine does not answer, or the first engine's report names it.
+    #[display("waiting for unresponsive engine {_0}")]
+    Unresponsive(EndpointId),
+}
+
+impl SilenceCause {
+    /// Returns the engine that is held responsible.
+    pub fn engine(&self) -> &EndpointId {
+        match self {
+            Self::Unresponsive(engine) => engine,
+        }
+    }
+}
+
+/// Waits until the chain is silent for a reason that another chain may not share, and returns it.
 ///
-/// The relay starts a new watch after each event.
+/// The relay starts a new watch after each event. An engine that is silent may recover, so the
+/// result justifies another run, but not the end of the current one.
 pub async fn watch_chain<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     chain: &EngineChain,
     request: &str,
     last_activity: Instant,
-) -> EndpointId
+) -> SilenceCause
 where
     Time: Clock,
     Dialect: FleetDialect,
@@ -38,13 +57,13 @@
         let failed = context.fleet().borrow().first_failed(chain);
         if let Some(engine) = failed {
             count_silence(context, "known-failure");
-            return engine;
+            return SilenceCause::Unresponsive(engine);
         }
         if silence >= REPORT_DELAY {
-            let found = find_stalled_engine(context, chain, request).await;
-            if let Some(engine) = found {
+            let finding = check_first_engine(context, chain, request).await;
+            if let ReportFinding::Unresponsive(engine) = finding {
                 count_silence(context, "engine-failure");
-                return engine;
+                return SilenceCause::Unresponsive(engine);
             }
             if !is_logged {
                 is_logged = true;
@@ -53,6 +72,7 @@
                     request,
                     engine = %chain.hops[0].id,
                     silence_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX),
+                    ?finding,
                     "stream is silent; its engines report no failure"
                 );
             }
@@ -69,14 +89,25 @@
     silences.with_label_values(&[finding]).inc();
 }
 
-/// Finds the engine that the request waits for and takes it out of use.
+/// What the first engine's report says about a silent request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum ReportFinding {
+    /// The request waits for this engine.
+    Unresponsive(EndpointId),
+    /// Requests wait to be admitted, so the request may be one of them.
+    Queued,
+    /// Nothing explains the silence.
+    Idle,
+}
+
+/// Asks the first engine which engine the request waits for, and takes that one out of use.
 ///
-/// The first engine is asked for a report; if it does not answer, it is the failed one itself.
-async fn find_stalled_engine<Time, Dialect>(
+/// If the first engine does not answer, it is the unresponsive one itself.
+async fn check_first_engine<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     chain: &EngineChain,
     request: &str,
-) -> Option<EndpointId>
+) -> ReportFinding
 where
     Time: Clock,
     Dialect: FleetDialect,
@@ -99,11 +130,17 @@
             })
         }
     };
-    if let Some(engine) = &failed {
-        let now = context.now();
-        context.fleet().borrow_mut().mark_failed(engine, now);
-        context.engine_checks().add_suspect(engine, now);
-        tracing::info!(request, %engine, "engine does not answer; taken out of use");
-    }
-    failed
+    let Some(engine) = failed else {
+        let is_queued = report.is_some_and(|report| report.waiting > 0);
+        return if is_queued {
+            ReportFinding::Queued
+        } else {
+            ReportFinding::Idle
+        };
+    };
+    let now = context.now();
+    context.fleet().borrow_mut().mark_failed(&engine, now);
+    context.engine_checks().add_suspect(&engine, now);
+    tracing::info!(request, %engine, "engine does not answer; taken out of use");
+    ReportFinding::Unresponsive(engine)
 }
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -41,6 +41,8 @@
 pub mod store_watch;
 mod stream_rejection;
 pub mod stream_relay;
+mod stream_replacement;
+mod stream_run;
 
 #[doc(inline)]
 pub use dialect::{
--- a/crates/dandeliondeal_relay/src/stream_rejection.rs
+++ b/crates/dandeliondeal_relay/src/stream_rejection.rs
@@ -10,31 +10,56 @@
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
 use crate::relay_lifecycle::LifecycleEvent;
-use crate::stream_relay::{BreakCause, StreamEnd, StreamLink, StreamRelay};
+use crate::stream_relay::{StreamEnd, StreamRelay};
+use crate::stream_run::StreamRun;
 
 /// Maximum number of attempts for one request, including those that engines rejected.
-const MAX_ATTEMPTS: u32 = 4;
+pub(crate) const MAX_ATTEMPTS: u32 = 4;
 
 impl<Time, Dialect> StreamRelay<Time, Dialect>
 where
     Time: Clock,
     Dialect: RequestDialect + FleetDialect,
 {
-    /// Handles a statement of the engines that the request was not executed.
+    /// Handles the rejection of the current run; returns an error if the request is refused.
     pub(crate) fn handle_rejection(
         &mut self,
-        link: StreamLink<Time, Dialect>,
         head: &ResponseHead,
         facts: &ResponseFacts,
-    ) -> Result<bool, StreamEnd> {
-        self.request.lifecycle.apply(LifecycleEvent::Reject);
+    ) -> Result<(), StreamEnd> {
+        let rejected = self.current.take();
+        self.current = self.replacement.take();
+        let may_repeat = self.current.is_some()
+            || (self.attempts < MAX_ATTEMPTS
+                && self
+                    .context
+                    .acquire_repeat(&self.request.service, "rejected"));
+        if let Some(run) = rejected {
+            self.record_rejection(&run, head, facts, may_repeat);
+        }
+        if may_repeat {
+            Ok(())
+        } else {
+            Err(self.refuse(RefusalCause::Rejected))
+        }
+    }
+
+    /// Records that a run was rejected, and excludes the engine at fault.
+    pub(crate) fn record_rejection(
+        &mut self,
+        run: &StreamRun<Time, Dialect>,
+        head: &ResponseHead,
+        facts: &ResponseFacts,
+        is_repeated: bool,
+    ) {
         self.runs -= 1;
         self.request.progress.record_rejection();
-        let faulty_engine = self.find_faulty_engine(&link, head, facts);
-        let may_repeat = self.attempts < MAX_ATTEMPTS
-            && self
-                .context
-                .acquire_repeat(&self.request.service, "rejected");
+        // Another run that is open or ended otherwise may have executed the request.
+        if self.runs == 0 {
+            self.request.lifecycle.apply(LifecycleEvent::Reject);
+        }
+        self.record_wait();
+        let faulty_engine = self.find_faulty_engine(run, head, facts);
         tracing::info!(
             request = %self.request.facts.request,
             status = head.status.as_u16(),
@@ -42,27 +67,21 @@
             offers = self.attempts,
             believed_fill = estimated_fill(&self.context, &faulty_engine, self.context.now()),
             load_age_ms = self.load_age_ms(),
-            repeated = may_repeat,
+            repeated = is_repeated,
             "engine stated not run"
         );
         self.excluded.push(faulty_engine);
-        drop(link);
-        if may_repeat {
-            Ok(false)
-        } else {
-            Err(self.refuse(RefusalCause::Rejected))
-        }
     }
 
     /// Returns the engine that caused a rejection, and starts a check of it or excludes it.
     fn find_faulty_engine(
         &self,
-        link: &StreamLink<Time, Dialect>,
+        run: &StreamRun<Time, Dialect>,
         head: &ResponseHead,
         facts: &ResponseFacts,
     ) -> EndpointId {
         let now = self.context.now();
-        let hops = &link.chain.hops;
+        let hops = &run.chain.hops;
         let named = facts
             .faulty_engine
             .and_then(|address| hops.iter().find(|hop| hop.address == address));
@@ -85,32 +104,21 @@
         Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
     }
 
-    /// Handles a failure response of the engine.
-    pub(crate) async fn handle_failure(
-        &mut self,
-        mut link: StreamLink<Time, Dialect>,
-        head: &ResponseHead,
-    ) -> Result<bool, StreamEnd> {
-        let body = link.connection.read_body(MAX_RESPONSE_BYTES).await;
-        let body = match body {
+    /// Handles a failure response of the current run; returns an error if it ends the request.
+    pub(crate) async fn handle_failure(&mut self, head: &ResponseHead) -> Result<(), StreamEnd> {
+        // Once the response to the caller has begun, the failure cannot be passed on.
+        let is_passed_on = self.response_headers.is_none() && self.replacement.is_none();
+        let Some(run) = self.current.as_mut().filter(|_| is_passed_on) else {
+            let error = ConnectionError::after_write(&format!("status {}", head.status));
+            return self.leave_chain(&error);
+        };
+        let body = match run.connection.read_body(MAX_RESPONSE_BYTES).await {
             Ok(body) => body,
-            Err(error) => {
-                self.link = Some(link);
-                self.leave_chain(&BreakCause::Broken(error))?;
-                return Ok(false);
-            }
+            Err(error) => return self.leave_chain(&error),
         };
-        if self.response_headers.is_some() {
-            // The response to the caller has begun, so the engine's failure can no longer be passed
-            // on.
-            let error = ConnectionError::after_write(&format!("status {}", head.status));
-            self.link = Some(link);
-            self.leave_chain(&BreakCause::Broken(error))?;
-            return Ok(false);
-        }
         let now = self.context.now();
-        let first = &link.chain.hops[0].id;
-        self.context.first_engines().record(first, false, now);
+        let first_engines = self.context.first_engines();
+        first_engines.record(run.first_engine(), false, now);
         let status = StatusCode::from_u16(head.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
         let mut response = Response::with_body(status, RelayBody::Complete(body));
         *response.headers_mut() = self.context.dialect().forwarded_headers(&head.headers);
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -1,4 +1,8 @@
 //! Relays an event stream from a chain of engines, and moves it to another chain after a failure.
+//!
+//! At most two runs of a request are open: the current one, and a replacement that is started when
+//! the current one is silent. Whichever delivers the next event first continues the stream, and the
+//! other one is cancelled. A silent run is never given up for a replacement that may still fail.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -6,46 +10,24 @@
 use actix_http::Response;
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
-use dandeliondeal_balance::CallResult;
 use dandeliondeal_http::{ConnectionError, EndpointConnection};
 use dandeliondeal_layout::{EngineChain, EngineProfile};
 use dandeliondeal_types::{Clock, EndpointId};
 
-use crate::call_guard::CallGuard;
 use crate::chain_selection::{ChainConstraints, ChainDemand, select_chain};
-use crate::chain_watch::watch_chain;
-use crate::dialect::{AttemptFacts, FleetDialect, OrderReply, RequestDialect};
-use crate::endpoint_exchange::{ConnectionChoice, build_attempt, exchange, open_connection};
-use crate::engine_calls::send_order;
-use crate::event_splitter::EventSplitter;
-use crate::load_tracker::LoadReservation;
+use crate::chain_watch::{SilenceCause, watch_chain};
+use crate::dialect::{AttemptFacts, FleetDialect, RequestDialect};
+use crate::endpoint_exchange::{ConnectionChoice, build_attempt, open_connection};
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
 use crate::relay_lifecycle::LifecycleEvent;
 use crate::request_intake::RelayRequest;
+use crate::stream_run::{RunStep, StreamRun};
 
 /// Maximum number of failed connections to first engines: none is an attempt, as nothing was sent.
 const MAX_CONNECT_ATTEMPTS: u32 = 4;
 
-/// Reason why a stream leaves its chain.
-#[derive(Clone, Debug)]
-pub(crate) enum BreakCause {
-    /// The connection or the response is broken.
-    Broken(ConnectionError),
-    /// The request waits for an engine that does not answer.
-    Stalled(EndpointId),
-}
-
-impl std::fmt::Display for BreakCause {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Broken(error) => write!(formatter, "{error}"),
-            Self::Stalled(engine) => write!(formatter, "waiting for unresponsive engine {engine}"),
-        }
-    }
-}
-
 /// End of a stream before its last event.
 #[derive(Debug)]
 pub enum StreamEnd {
@@ -55,17 +37,11 @@
     Failure(Response<RelayBody>),
 }
 
-/// Chain that runs the request, with its connection.
-#[derive(Debug)]
-pub(crate) struct StreamLink<Time, Dialect>
-where
-    Time: Clock,
-{
-    pub(crate) connection: EndpointConnection,
-    pub(crate) chain: EngineChain,
-    reservation: LoadReservation,
-    /// Call record of the attempt, until the chain starts to answer.
-    attempt: Option<CallGuard<Time, Dialect>>,
+/// What a stream waited for.
+pub(crate) enum RelayStep {
+    Current(RunStep),
+    Replacement(RunStep),
+    Silent(SilenceCause),
 }
 
 /// Relayed stream.
@@ -76,10 +52,13 @@
 {
     pub(crate) context: RelayContext<Time, Dialect>,
     pub(crate) request: RelayRequest,
-    pub(crate) profile: Arc<EngineProfile>,
-    demand: ChainDemand,
-    splitter: EventSplitter,
-    pub(crate) link: Option<StreamLink<Time, Dialect>>,
+    profile: Arc<EngineProfile>,
+    pub(crate) demand: ChainDemand,
+    /// Run that delivers the events.
+    pub(crate) current: Option<StreamRun<Time, Dialect>>,
+    /// Run that continues the stream if it delivers the next event before the current run does.
+    pub(crate) replacement: Option<StreamRun<Time, Dialect>>,
+    /// Headers of the run that delivered the first event.
     pub(crate) response_headers: Option<HeaderMap>,
     /// Engines that this request must not use again.
     pub(crate) excluded: Vec<EndpointId>,
@@ -87,9 +66,12 @@
     pub(crate) attempts: u32,
     /// Number of attempts that were sent, without those that were rejected.
     pub(crate) runs: u32,
-    /// Whether the request stays on its current chain although the chain is stalled.
-    is_pinned: bool,
-    last_activity: Instant,
+    /// Id of the last event that was passed on.
+    pub(crate) last_event: Option<u64>,
+    /// Whether the current run cannot be moved to another chain while it is silent.
+    pub(crate) is_move_refused: bool,
+    /// Time from which the silence of the current run is measured.
+    pub(crate) silent_since: Instant,
 }
 
 impl<Time, Dialect> StreamRelay<Time, Dialect>
@@ -103,22 +85,23 @@
         request: RelayRequest,
         profile: Arc<EngineProfile>,
     ) -> Self {
-        let splitter = EventSplitter::starting_after(request.facts.last_event);
         let demand = ChainDemand::new(&request.facts, &profile);
-        let last_activity = context.now();
+        let last_event = request.facts.last_event;
+        let silent_since = context.now();
         Self {
             context,
             request,
             profile,
             demand,
-            splitter,
-            link: None,
+            current: None,
+            replacement: None,
             response_headers: None,
             excluded: Vec::new(),
             attempts: 0,
             runs: 0,
-            is_pinned: false,
-            last_activity,
+            last_event,
+            is_move_refused: false,
+            silent_since,
         }
     }
 
@@ -127,21 +110,13 @@
         &self.request
     }
 
-    /// Returns the number of attempts that were sent, without those that were rejected.
-    pub fn runs(&self) -> u32 {
-        self.runs
-    }
-
     /// Returns the engines and layers of the current chain, for logs.
     pub fn describe_chain(&self) -> String {
-        let hops = self.link.iter().flat_map(|link| &link.chain.hops);
-        let names: Vec<String> = hops
-            .map(|hop| format!("{}:{}", hop.id, hop.range))
-            .collect();
-        names.join(",")
+        let current = self.current.as_ref();
+        current.map(StreamRun::describe_chain).unwrap_or_default()
     }
 
-    /// Returns the response headers of the first engine that started to answer.
+    /// Returns the response headers of the run that delivered the first event.
     pub fn response_headers(&self) -> HeaderMap {
         self.response_headers.clone().unwrap_or_default()
     }
@@ -153,177 +128,155 @@
     /// Returns [`StreamEnd`] if the stream cannot continue.
     pub async fn next_events(&mut self) -> Result<Option<Bytes>, StreamEnd> {
         loop {
-            let time_left = self.request.time_left(self.context.now());
-            if time_left.is_zero() {
-                return Err(self.timed_out());
+            let time_left = self.time_left()?;
+            if self.current.is_none() {
+                let run = self.start_run().await?;
+                self.current = Some(run);
             }
-            if self.link.is_none() {
-                self.start_attempts().await?;
-            }
-            match actix_rt::time::timeout(time_left, self.read_events()).await {
-                Err(_elapsed) => return Err(self.timed_out()),
-                Ok(Ok(Some(events))) if events.is_empty() => {}
-                Ok(Ok(Some(events))) => return Ok(Some(events)),
-                Ok(Ok(None)) => {
-                    self.finish();
-                    return Ok(None);
+            let step = actix_rt::time::timeout(time_left, self.next_step());
+            let Ok(step) = step.await else {
+                return Err(self.timed_out());
+            };
+            let step = match step {
+                RelayStep::Silent(cause) => {
+                    let reaction = actix_rt::time::timeout(time_left, self.handle_silence(cause));
+                    match reaction.await {
+                        Ok(Some(step)) => RelayStep::Current(step),
+                        Ok(None) => continue,
+                        Err(_elapsed) => return Err(self.timed_out()),
+                    }
+                }
+                step => step,
+            };
+            match step {
+                RelayStep::Replacement(step @ (RunStep::Events(_) | RunStep::Complete)) => {
+                    self.take_over();
+                    if let Some(end) = self.handle_step(step).await? {
+                        return Ok(end);
+                    }
                 }
-                Ok(Err(cause)) => self.leave_chain(&cause)?,
+                RelayStep::Replacement(step) => self.handle_replacement(&step),
+                RelayStep::Current(step) => {
+                    if let Some(end) = self.handle_step(step).await? {
+                        return Ok(end);
+                    }
+                }
+                RelayStep::Silent(_) => {}
             }
         }
     }
 
-    fn timed_out(&mut self) -> StreamEnd {
+    fn time_left(&mut self) -> Result<Duration, StreamEnd> {
+        let time_left = self.request.time_left(self.context.now());
+        if time_left.is_zero() {
+            return Err(self.timed_out());
+        }
+        Ok(time_left)
+    }
+
+    pub(crate) fn timed_out(&mut self) -> StreamEnd {
         self.refuse(RefusalCause::LateSent)
     }
 
     pub(crate) fn refuse(&mut self, cause: RefusalCause) -> StreamEnd {
-        self.link = None;
+        self.current = None;
+        self.replacement = None;
         match self.request.end_unanswered(cause, None) {
             crate::relay_outcome::RelayOutcome::Refused(cause) => StreamEnd::Refused(cause),
             crate::relay_outcome::RelayOutcome::Answered(response) => StreamEnd::Failure(response),
         }
     }
 
-    fn finish(&mut self) {
-        self.request.lifecycle.apply(LifecycleEvent::Complete);
-        if let Some(link) = self.link.take() {
-            let id = EndpointId::clone(&link.chain.hops[0].id);
-            self.context.pool().borrow_mut().put(&id, link.connection);
-        }
-    }
-
-    /// Reads the next events of the current chain while watching its engines for failures.
-    async fn read_events(&mut self) -> Result<Option<Bytes>, BreakCause> {
-        let Some(link) = &mut self.link else {
-            return Err(BreakCause::Broken(ConnectionError::before_write(
-                "no chain",
-            )));
+    /// Waits for the next step of the runs, or until the current one is silent.
+    async fn next_step(&mut self) -> RelayStep {
+        let Some(current) = &mut self.current else {
+            let error = ConnectionError::before_write("no chain");
+            return RelayStep::Current(RunStep::Broken(error));
         };
+        let chain = std::rc::Rc::clone(&current.chain);
         let id = &self.request.facts.request;
-        let watch = watch_chain(&self.context, &link.chain, id, self.last_activity);
-        let is_pinned = self.is_pinned;
-        let chunk = tokio::select! {
-            biased;
-            chunk = link.connection.read_chunk() => chunk.map_err(BreakCause::Broken)?,
-            engine = watch, if !is_pinned => {
-                if self.move_request(&engine).await {
-                    return Ok(Some(Bytes::new()));
-                }
-                if self.acquire_resume() {
-                    return Err(BreakCause::Stalled(engine));
-                }
-                self.pin_chain();
-                return Ok(Some(Bytes::new()));
+        let watch = watch_chain(&self.context, &chain, id, self.silent_since);
+        let is_watched = self.replacement.is_none();
+        let replacement_step = async {
+            match &mut self.replacement {
+                Some(replacement) => replacement.next_step().await,
+                None => std::future::pending().await,
             }
         };
-        let Some(chunk) = chunk else {
-            if self.splitter.is_partial() {
-                let error = ConnectionError::after_write("the stream ended within an event");
-                return Err(BreakCause::Broken(error));
+        tokio::select! {
+            biased;
+            step = current.next_step() => RelayStep::Current(step),
+            step = replacement_step => RelayStep::Replacement(step),
+            cause = watch, if is_watched => RelayStep::Silent(cause),
+        }
+    }
+
+    /// Handles a step of the current run; returns events, or `None` within for the end of the
+    /// stream, if the caller has to be told.
+    async fn handle_step(&mut self, step: RunStep) -> Result<Option<Option<Bytes>>, StreamEnd> {
+        match step {
+            RunStep::Started => {}
+            RunStep::Events(events) => {
+                self.record_events();
+                return Ok(Some(Some(events)));
             }
-            return Ok(None);
-        };
-        let events = self.splitter.push(&chunk);
-        let events =
-            events.map_err(|error| BreakCause::Broken(ConnectionError::after_write(&error)))?;
-        if !events.is_empty() {
-            self.record_events();
+            RunStep::Complete => {
+                self.finish();
+                return Ok(Some(None));
+            }
+            RunStep::Rejected(head, facts) => self.handle_rejection(&head, &facts)?,
+            RunStep::Failed(head) => self.handle_failure(&head).await?,
+            RunStep::Broken(error) => self.leave_chain(&error)?,
         }
-        Ok(Some(events))
+        Ok(None)
     }
 
     fn record_events(&mut self) {
-        let now = self.context.now();
-        self.last_activity = now;
-        let progress = &self.request.progress;
-        progress.record_event(self.splitter.last_id());
-        if let Some(link) = &mut self.link
-            && let Some(guard) = link.attempt.take()
-        {
-            guard.end(CallResult::Answered);
-            let first = &link.chain.hops[0].id;
-            self.context.first_engines().record(first, true, now);
-        }
+        self.cancel_replacement("the current run continued");
+        self.silent_since = self.context.now();
+        self.is_move_refused = false;
+        self.begin_response();
+        self.last_event = self.current.as_ref().and_then(StreamRun::last_event);
+        self.request.progress.record_event(self.last_event);
         self.request.lifecycle.apply(LifecycleEvent::Start);
     }
 
-    /// Moves the running request to a chain without the failed engine; `false` if the move fails.
-    async fn move_request(&mut self, failed: &EndpointId) -> bool {
-        let Some(link) = &self.link else {
-            return false;
-        };
-        let chain = self.order_move(&link.chain, failed).await;
-        let Some(chain) = chain else {
-            return false;
-        };
-        let reservation = self.context.tracker().reserve(&chain, self.demand.tokens());
-        self.last_activity = self.context.now();
-        if let Some(link) = &mut self.link {
-            link.chain = chain;
-            link.reservation = reservation;
+    /// Keeps the headers of the run that begins the response to the caller.
+    fn begin_response(&mut self) {
+        if self.response_headers.is_none()
+            && let Some(current) = &self.current
+        {
+            self.response_headers = Some(current.headers().clone());
         }
-        true
-    }
-
-    /// Orders the first engine of a chain to continue the request without the failed engine.
-    async fn order_move(&self, chain: &EngineChain, failed: &EndpointId) -> Option<EngineChain> {
-        let first = chain.hops.first().filter(|first| first.id != *failed)?;
-        let next_chain = self.select_chain(Some(chain))?;
-        let id = &self.request.facts.request;
-        let order = self.context.dialect().write_move_order(id, &next_chain);
-        let reply = send_order(&self.context, first.address, &order).await;
-        let (text, is_moved) = match &reply {
-            Ok(reply) => (
-                reply.to_string(),
-                matches!(reply, OrderReply::Started | OrderReply::Done),
-            ),
-            Err(error) => (error.to_string(), false),
-        };
-        tracing::info!(
-            request = %id, engine = %first.id, lost = %failed, reply = text, "chain move ordered"
-        );
-        is_moved.then_some(next_chain)
     }
 
-    /// Charges the repeat budget for another run; returns `false` if it or the route forbids one.
-    fn acquire_resume(&self) -> bool {
-        let route = &self.request.route_match.route;
-        let may_resume = route.repeat_class.is_repeatable() && self.runs < route.attempts;
-        may_resume
-            && self
-                .context
-                .acquire_repeat(&self.request.service, "broken-stream")
-    }
-
-    /// Keeps a stalled chain that cannot be replaced: its engine may recover, and silence alone is
-    /// no reason to end a response.
-    fn pin_chain(&mut self) {
-        self.is_pinned = true;
-        tracing::info!(
-            request = %self.request.facts.request, chain = self.describe_chain(),
-            "stalled stream stays on its chain"
-        );
+    fn finish(&mut self) {
+        self.cancel_replacement("the stream is complete");
+        self.begin_response();
+        self.request.lifecycle.apply(LifecycleEvent::Complete);
+        if let Some(run) = self.current.take() {
+            let id = EndpointId::clone(run.first_engine());
+            self.context.pool().borrow_mut().put(&id, run.connection);
+        }
     }
 
-    /// Gives up the current chain; returns an error if the stream must not continue on another one.
-    pub(crate) fn leave_chain(&mut self, cause: &BreakCause) -> Result<(), StreamEnd> {
-        self.splitter.discard_partial();
+    /// Gives up the current run, whose connection or response is broken; returns an error if the
+    /// stream must not continue on another chain.
+    pub(crate) fn leave_chain(&mut self, error: &ConnectionError) -> Result<(), StreamEnd> {
         self.request.lifecycle.mark_may_have_run();
         let chain = self.describe_chain();
-        self.record_break(cause);
-        self.link = None;
-        if let BreakCause::Stalled(engine) = cause {
-            self.excluded.push(EndpointId::clone(engine));
+        if let Some(run) = self.current.take() {
+            self.record_break(&run);
         }
-        // A stall ends a run only after [`Self::acquire_resume`] has allowed another one.
-        let is_stall = matches!(cause, BreakCause::Stalled(_));
-        let is_resumed = is_stall || self.acquire_resume();
+        self.current = self.replacement.take();
+        let is_resumed = self.current.is_some() || self.acquire_resume();
         tracing::info!(
-            request = %self.request.facts.request, cause = %cause, chain,
-            last_event = self.splitter.last_id(), resumed = is_resumed,
+            request = %self.request.facts.request, cause = %error, chain,
+            last_event = self.last_event, resumed = is_resumed,
             "stream broke"
         );
+        self.silent_since = self.context.now();
+        self.record_wait();
         if is_resumed {
             Ok(())
         } else {
@@ -331,152 +284,116 @@
         }
     }
 
-    /// Counts a break before the first event against the first engine, and excludes the engine.
-    fn record_break(&mut self, cause: &BreakCause) {
-        let Some(link) = &self.link else {
-            return;
-        };
-        if link.attempt.is_none() || matches!(cause, BreakCause::Stalled(_)) {
+    /// Records the engine that the request waits for, for logs.
+    pub(crate) fn record_wait(&self) {
+        if let Some(current) = &self.current {
+            self.request.progress.wait_on(current.first_engine());
+        }
+    }
+
+    /// Counts a run without events against its first engine, and excludes the engine.
+    pub(crate) fn record_break(&mut self, run: &StreamRun<Time, Dialect>) {
+        if run.has_events() {
             return;
         }
-        let first = EndpointId::clone(&link.chain.hops[0].id);
+        let first = EndpointId::clone(run.first_engine());
         let now = self.context.now();
         self.context.first_engines().record(&first, false, now);
         self.excluded.push(first);
     }
 
-    /// Sends the request to one chain after another until one starts to answer.
-    async fn start_attempts(&mut self) -> Result<(), StreamEnd> {
+    /// Charges the repeat budget for another run; returns `false` if it or the route forbids one.
+    pub(crate) fn acquire_resume(&self) -> bool {
+        let service = &self.request.service;
+        self.may_run_again() && self.context.acquire_repeat(service, "broken-stream")
+    }
+
+    /// Returns whether the route allows another run.
+    pub(crate) fn may_run_again(&self) -> bool {
+        let route = &self.request.route_match.route;
+        route.repeat_class.is_repeatable() && self.runs < route.attempts
+    }
+
+    /// Sends the request to the first chain to which a connection can be made.
+    async fn start_run(&mut self) -> Result<StreamRun<Time, Dialect>, StreamEnd> {
         let mut failed_connections = 0;
         loop {
-            let time_left = self.request.time_left(self.context.now());
-            if time_left.is_zero() {
-                return Err(self.timed_out());
-            }
+            let time_left = self.time_left()?;
             let Some(chain) = self.select_chain(None) else {
                 return Err(self.refuse(RefusalCause::NoEndpoint));
             };
-            let tokens = self.demand.tokens();
-            let reservation = self.context.tracker().reserve(&chain, tokens);
             let hop = chain.hops[0].clone();
-            // A repeated run must not fail because an idle connection was closed without notice.
-            let choice = match self.runs {
-                0 => ConnectionChoice::Idle,
-                _ => ConnectionChoice::New,
-            };
+            let choice = self.connection_choice();
             let opened = open_connection(&self.context, &hop.id, hop.address, choice, time_left);
-            let connection = match opened.await {
-                Ok(connection) => connection,
-                Err(error) => {
-                    tracing::info!(
-                        request = %self.request.facts.request, engine = %hop.id, %error,
-                        "connection failed"
-                    );
-                    let now = self.context.now();
-                    self.context.fleet().borrow_mut().mark_failed(&hop.id, now);
-                    self.context.first_engines().record(&hop.id, false, now);
-                    self.excluded.push(hop.id);
-                    failed_connections += 1;
-                    if failed_connections >= MAX_CONNECT_ATTEMPTS {
-                        return Err(self.refuse(RefusalCause::NoEndpoint));
-                    }
-                    continue;
-                }
-            };
-            self.attempts += 1;
-            self.runs += 1;
-            self.request.progress.record_attempt(&hop.id);
-            self.request.lifecycle.apply(LifecycleEvent::Offer);
-            self.last_activity = self.context.now();
-            let guard = CallGuard::start_chain(&self.context, &chain);
-            let link = StreamLink {
-                connection,
-                chain,
-                reservation,
-                attempt: Some(guard),
+            let error = match opened.await {
+                Ok(connection) => match self.send_request(connection, chain) {
+                    Ok(run) => return Ok(run),
+                    Err(error) => error,
+                },
+                Err(error) => error,
             };
-            if self.send_request(link, time_left).await? {
-                return Ok(());
+            self.record_connect_failure(&hop.id, &error);
+            failed_connections += 1;
+            if failed_connections >= MAX_CONNECT_ATTEMPTS {
+                return Err(self.refuse(RefusalCause::NoEndpoint));
             }
         }
     }
 
-    /// Sends the request over a link; returns `false` if another attempt is needed.
-    async fn send_request(
+    /// Returns the kind of connection for the next run.
+    pub(crate) fn connection_choice(&self) -> ConnectionChoice {
+        // A repeated run must not fail because an idle connection was closed without notice.
+        match self.runs {
+            0 => ConnectionChoice::Idle,
+            _ => ConnectionChoice::New,
+        }
+    }
+
+    /// Takes an engine to which no connection could be made out of use.
+    pub(crate) fn record_connect_failure(&mut self, engine: &EndpointId, error: &ConnectionError) {
+        tracing::info!(
+            request = %self.request.facts.request, %engine, %error, "connection failed"
+        );
+        let now = self.context.now();
+        self.context.fleet().borrow_mut().mark_failed(engine, now);
+        self.context.first_engines().record(engine, false, now);
+        self.excluded.push(EndpointId::clone(engine));
+    }
+
+    /// Starts a run on a chain over a connection to its first engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectionError`] if the request cannot be encoded; nothing was sent.
+    pub(crate) fn send_request(
         &mut self,
-        mut link: StreamLink<Time, Dialect>,
-        time_left: Duration,
-    ) -> Result<bool, StreamEnd> {
+        connection: EndpointConnection,
+        chain: EngineChain,
+    ) -> Result<StreamRun<Time, Dialect>, ConnectionError> {
         let facts = AttemptFacts {
-            endpoint: &link.chain.hops[0].id,
+            endpoint: &chain.hops[0].id,
             organisation: self.request.route_match.organisation.as_ref(),
-            time_left,
-            last_event: self.splitter.last_id(),
-            chain: Some(&link.chain),
+            time_left: self.request.time_left(self.context.now()),
+            last_event: self.last_event,
+            chain: Some(&chain),
             urgency: self.request.route_match.urgency,
         };
         let outbound = build_attempt(&self.context, &self.request, &facts);
-        let id = Arc::clone(&self.request.facts.request);
-        let dialect = self.context.dialect().clone();
-        let response = {
-            let response = exchange(&dialect, &mut link.connection, &outbound, &id);
-            let mut response = std::pin::pin!(response);
-            let watched = async {
-                loop {
-                    let watch = watch_chain(&self.context, &link.chain, &id, self.last_activity);
-                    let failed = tokio::select! {
-                        biased;
-                        response = &mut response=> return response.map_err(BreakCause::Broken),
-                        engine = watch => engine,
-                    };
-                    let Some(chain) = self.order_move(&link.chain, &failed).await else {
-                        if self.acquire_resume() {
-                            return Err(BreakCause::Stalled(failed));
-                        }
-                        return response.await.map_err(BreakCause::Broken);
-                    };
-                    link.reservation = self.context.tracker().reserve(&chain, self.demand.tokens());
-                    link.chain = chain;
-                    self.last_activity = self.context.now();
-                }
-            };
-            actix_rt::time::timeout(time_left, watched).await
-        };
-        let (head, facts) = match response {
-            Err(_elapsed) => {
-                self.request.lifecycle.mark_may_have_run();
-                return Err(self.timed_out());
-            }
-            Ok(Err(cause)) => {
-                self.link = Some(link);
-                self.leave_chain(&cause)?;
-                return Ok(false);
-            }
-            Ok(Ok(response)) => response,
-        };
-        if let Some(load) = facts.load {
-            let now = self.context.now();
-            let first = &link.chain.hops[0].id;
-            self.context.tracker().set_running(first, load.running, now);
-        }
-        if facts.is_not_run && !head.status.is_success() {
-            return self.handle_rejection(link, &head, &facts);
-        }
-        if !head.status.is_success() {
-            return self.handle_failure(link, &head).await;
-        }
-        if !facts.is_signed || facts.is_encoded || facts.request.is_none() {
-            let error = ConnectionError::after_write("response lacks the engine's signature");
-            self.link = Some(link);
-            self.leave_chain(&BreakCause::Broken(error))?;
-            return Ok(false);
-        }
-        if self.response_headers.is_none() {
-            self.response_headers = Some(dialect.forwarded_headers(&head.headers));
-        }
-        tracing::debug!(request = %id, "engine started to answer");
-        self.link = Some(link);
-        Ok(true)
+        let reservation = self.context.tracker().reserve(&chain, self.demand.tokens());
+        let run = StreamRun::start(
+            &self.context,
+            connection,
+            chain,
+            reservation,
+            (&outbound, &self.request.facts.request),
+            self.last_event,
+        )?;
+        self.attempts += 1;
+        self.runs += 1;
+        self.request.progress.record_attempt(run.first_engine());
+        self.request.lifecycle.apply(LifecycleEvent::Offer);
+        self.silent_since = self.context.now();
+        Ok(run)
     }
 }
 
@@ -484,7 +401,7 @@
 where
     Time: Clock,
 {
-    fn select_chain(&self, current_chain: Option<&EngineChain>) -> Option<EngineChain> {
+    pub(crate) fn select_chain(&self, current_chain: Option<&EngineChain>) -> Option<EngineChain> {
         let constraints = ChainConstraints {
             current_chain,
             excluded: &self.excluded,
