A mute engine does not hold a request until the caller leaves

Cause: the watch on a chain knew two findings: an engine that does not answer, or one that the first engine's report names. An engine that accepts requests, answers reports and never delivers an event gave neither, so that the request waited until the route's timeout. Class of fault: a wait that nothing ends.

Change: a first engine that reports an empty queue and delivers nothing for 0.8 s counts as mute. The run stays open, as it may only be slow, and a replacement is started beside it.

--- a/crates/dandeliondeal_relay/src/chain_watch.rs
+++ b/crates/dandeliondeal_relay/src/chain_watch.rs
@@ -16,19 +16,26 @@
 /// Time without an event after which the first engine is asked which engine it waits for.
 const REPORT_DELAY: Duration = Duration::from_millis(300);
 
+/// Time without an event after which an engine without a queue counts as mute although it answers
+/// reports.
+const MUTE_LIMIT: Duration = Duration::from_millis(800);
+
 /// Reason why a chain delivers no events.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum SilenceCause {
     /// An engine does not answer, or the first engine's report names it.
     #[display("waiting for unresponsive engine {_0}")]
     Unresponsive(EndpointId),
+    /// The first engine reports no queue and no failure, but delivers no event.
+    #[display("no event from engine {_0}")]
+    Mute(EndpointId),
 }
 
 impl SilenceCause {
     /// Returns the engine that is held responsible.
     pub fn engine(&self) -> &EndpointId {
         match self {
-            Self::Unresponsive(engine) => engine,
+            Self::Unresponsive(engine) | Self::Mute(engine) => engine,
         }
     }
 }
@@ -76,6 +83,10 @@
                     "stream is silent; its engines report no failure"
                 );
             }
+            if finding == ReportFinding::Idle && silence >= MUTE_LIMIT {
+                count_silence(context, "mute");
+                return SilenceCause::Mute(EndpointId::clone(&chain.hops[0].id));
+            }
         }
         actix_rt::time::sleep(SILENCE_LIMIT).await;
     }
--- a/crates/dandeliondeal_relay/src/stream_replacement.rs
+++ b/crates/dandeliondeal_relay/src/stream_replacement.rs
@@ -25,7 +25,10 @@
     ///
     /// Returns a step of the current run that was made meanwhile.
     pub(crate) async fn handle_silence(&mut self, cause: SilenceCause) -> Option<RunStep> {
-        if !self.is_move_refused && self.move_run(cause.engine()).await {
+        if let SilenceCause::Unresponsive(engine) = &cause
+            && !self.is_move_refused
+            && self.move_run(engine).await
+        {
             return None;
         }
         self.is_move_refused = true;
