A failure whose body does not arrive ends at the deadline

What callers saw: neither an answer nor a refusal; the request stayed open beyond its deadline and the route's timeout, until the caller gave up.

Cause: the wait for the body of an engine's failure response had no limit of its own and ran outside the limit of the request. An engine that sends the head of a failure and then falls silent, for good or for long, held the request for ever. Same class as the mute engine: a wait that nothing ends.

Ruled out: the body of a plain service's response, which is read within the attempt's limit.

Change: the wait ends at the request's deadline with 504, as every other wait of a stream.

Evidence: silent_engine::withheld_failure failed before ("an answer before the caller's deadline: Elapsed") and passes; silent_engine 11 of 11.

--- a/crates/dandeliondeal_relay/src/stream_rejection.rs
+++ b/crates/dandeliondeal_relay/src/stream_rejection.rs
@@ -112,9 +112,12 @@
             let error = ConnectionError::after_write(&format!("status {}", head.status));
             return self.leave_chain(&error);
         };
-        let body = match run.connection.read_body(MAX_RESPONSE_BYTES).await {
-            Ok(body) => body,
-            Err(error) => return self.leave_chain(&error),
+        let time_left = self.request.time_left(self.context.now());
+        let body = run.connection.read_body(MAX_RESPONSE_BYTES);
+        let body = match actix_rt::time::timeout(time_left, body).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => return self.leave_chain(&error),
+            Err(_elapsed) => return Err(self.timed_out()),
         };
         let now = self.context.now();
         let first_engines = self.context.first_engines();
