Bound the number of interim heads before an answer

Callers: a request sent to an endpoint that sends interim (1xx) heads without end waits until its attempt's time is over, and the reader uses a processor all the while if the heads come as fast as the socket takes them. Cause: `read_head` skips every interim head. Ruled out by the other tests of the file, which passed before: a status line, a header line, header lines or blank lines without end (limits of the HTTP library), and bodies without end that carry data (limit of `read_body`). Change: `MAX_INTERIM_HEADS` (8). After that the connection is broken with a cause that names them, so that the attempt counts as a lost answer and the connection isn't used again.

--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -21,6 +21,8 @@
 ///
 /// A quarter of a megabyte is far above any response head and bounds memory per connection.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+/// Maximum number of interim (1xx) heads before the final one.
+const MAX_INTERIM_HEADS: usize = 8;
 
 /// An error on a connection to an endpoint.
 #[derive(Clone, Debug, Display, Error)]
@@ -235,11 +237,18 @@
                 "no answer is due on this connection",
             ));
         };
+        let mut interim_heads = 0;
         let head = loop {
             if !self.buffer.is_empty() {
                 match codec.decode(&mut self.buffer) {
-                    // An informational (1xx) response precedes the final one.
-                    Ok(Some(head)) if head.status.is_informational() => continue,
+                    Ok(Some(head)) if head.status.is_informational() => {
+                        interim_heads += 1;
+                        if interim_heads > MAX_INTERIM_HEADS {
+                            let text = format!("more than {MAX_INTERIM_HEADS} interim heads");
+                            return Err(ConnectionError::after_write(&text));
+                        }
+                        continue;
+                    }
                     Ok(Some(head)) => break head,
                     Ok(None) => {}
                     Err(error) => return Err(ConnectionError::after_write(&error)),
