End an attempt whose interim head announces a body

Callers: a request whose endpoint sends an interim head with a body length, or a switch of protocols, ends without an answer, as the task that serves it panics. Cause: the HTTP library's client codec keeps the payload state of the interim head and asserts at the next head that it has none ("Payload decoder should not be set", debug builds). From reading the code, not run: a release build keeps the state of a 101 instead and unwraps a missing payload decoder if the final head has length 0. Change: an interim head that is not the whole message breaks the connection with that cause.

--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -243,10 +243,7 @@
                 match codec.decode(&mut self.buffer) {
                     Ok(Some(head)) if head.status.is_informational() => {
                         interim_heads += 1;
-                        if interim_heads > MAX_INTERIM_HEADS {
-                            let text = format!("more than {MAX_INTERIM_HEADS} interim heads");
-                            return Err(ConnectionError::after_write(&text));
-                        }
+                        check_interim_head(&codec, interim_heads)?;
                         continue;
                     }
                     Ok(Some(head)) => break head,
@@ -396,3 +393,20 @@
         self.idle_since
     }
 }
+
+/// Checks whether the final head may follow an interim one.
+///
+/// The codec keeps the state of an interim head with a body or a switch of protocols, and would
+/// panic at the next head.
+fn check_interim_head(codec: &ClientCodec, count: usize) -> Result<(), ConnectionError> {
+    if !matches!(codec.message_type(), MessageType::None) {
+        return Err(ConnectionError::after_write(
+            "an interim head announces a body",
+        ));
+    }
+    if count > MAX_INTERIM_HEADS {
+        let text = format!("more than {MAX_INTERIM_HEADS} interim heads");
+        return Err(ConnectionError::after_write(&text));
+    }
+    Ok(())
+}
--- a/crates/dandeliondeal_http/tests/endless_answers.rs
+++ b/crates/dandeliondeal_http/tests/endless_answers.rs
@@ -105,6 +105,22 @@
     assert!(result.is_reusable);
 }
 
+// The codec keeps the state of an interim head, so that a body length in it or a switch of
+// protocols panicked at the head that followed.
+#[actix_rt::test]
+async fn informational_length() {
+    for interim in [
+        "HTTP/1.1 100 Continue\r\nContent-Length: 7\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+    ] {
+        let text = format!("{interim}HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        let result = read_answer(RawAnswer::complete(&text), FAILURE_TIME).await;
+        let error = result.outcome.expect_err("no complete answer");
+        assert!(error.to_string().contains("interim"), "{error}");
+        assert!(!result.is_reusable);
+    }
+}
+
 #[actix_rt::test]
 async fn long_header_line() {
     expect_failure(RawAnswer::endless("HTTP/1.1 200 OK\r\nA: ", "x"), "").await;
