Bound the framing of a chunked body

Callers: a request or stream whose endpoint sends a chunk extension, a trailer or the digits of a chunk's size without end waits until its time is over, and the reader uses a processor all the while. Where no time limit applies, it waits until the endpoint stops. Cause: the HTTP library's codec consumes these bytes as they arrive and returns nothing. The limit on buffered bytes never applies, as the buffer is empty, nor does the limit on the body, as it doesn't grow. Evidence: tests `chunk_extensions`, `chunk_size_digits`, `trailers` and `long_trailer` failed before with "the answer ends or fails: Elapsed(())" after 2 s. Tests of the same file with chunks of one byte, one huge chunk, a huge length and a body until the connection's end passed before. Change: bytes that the codec consumed without returning them as data are counted. Each piece of data allows for 256 of them; beyond that a body may have `MAX_EXTRA_FRAMING_BYTES` (16 KiB). More breaks the connection with that cause.

--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -23,6 +23,10 @@
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 /// Maximum number of interim (1xx) heads before the final one.
 const MAX_INTERIM_HEADS: usize = 8;
+/// Maximum size in bytes of chunk sizes, chunk extensions and trailers beyond the usual size.
+const MAX_EXTRA_FRAMING_BYTES: usize = 16 * 1024;
+/// Usual maximum size in bytes of the framing of one chunk.
+const USUAL_FRAMING_BYTES: usize = 256;
 
 /// An error on a connection to an endpoint.
 #[derive(Clone, Debug, Display, Error)]
@@ -133,6 +137,8 @@
     is_keep_alive: bool,
     /// Whether the current request was written completely.
     is_request_written: bool,
+    /// Framing of the current body beyond the usual size of its chunks, in bytes.
+    extra_framing_bytes: usize,
     idle_since: Instant,
 }
 
@@ -164,6 +170,7 @@
             state: ReadState::Idle,
             is_keep_alive: false,
             is_request_written: true,
+            extra_framing_bytes: 0,
             idle_since: now,
         })
     }
@@ -269,6 +276,7 @@
             _ if is_delimited => BodyFraming::Delimited,
             _ => BodyFraming::UntilClose,
         };
+        self.extra_framing_bytes = 0;
         self.state = match framing {
             BodyFraming::Empty => ReadState::Idle,
             BodyFraming::Delimited => ReadState::Body(PayloadCodec(codec.into_payload_codec())),
@@ -296,18 +304,27 @@
                     return Ok(Some(self.buffer.split().freeze()));
                 }
                 ReadState::UntilClose => {}
-                ReadState::Body(codec) => match codec.0.decode(&mut self.buffer) {
-                    Ok(Some(Some(chunk))) => return Ok(Some(chunk)),
-                    Ok(Some(None)) => {
-                        self.state = ReadState::Idle;
-                        return Ok(None);
+                ReadState::Body(codec) => {
+                    let buffered_bytes = self.buffer.len();
+                    match codec.0.decode(&mut self.buffer) {
+                        Ok(Some(Some(chunk))) => {
+                            let framing = buffered_bytes - self.buffer.len() - chunk.len();
+                            self.count_framing(framing)?;
+                            let extra = &mut self.extra_framing_bytes;
+                            *extra = extra.saturating_sub(USUAL_FRAMING_BYTES);
+                            return Ok(Some(chunk));
+                        }
+                        Ok(Some(None)) => {
+                            self.state = ReadState::Idle;
+                            return Ok(None);
+                        }
+                        Ok(None) => self.count_framing(buffered_bytes - self.buffer.len())?,
+                        Err(error) => {
+                            self.state = ReadState::Broken;
+                            return Err(ConnectionError::after_write(&error));
+                        }
                     }
-                    Ok(None) => {}
-                    Err(error) => {
-                        self.state = ReadState::Broken;
-                        return Err(ConnectionError::after_write(&error));
-                    }
-                },
+                }
                 ReadState::Head(_) | ReadState::Broken => {
                     return Err(ConnectionError::after_write("the answer broke off"));
                 }
@@ -324,6 +341,17 @@
         }
     }
 
+    /// Counts bytes that frame the body: the codec consumes them without a limit of its own.
+    fn count_framing(&mut self, bytes: usize) -> Result<(), ConnectionError> {
+        self.extra_framing_bytes += bytes;
+        if self.extra_framing_bytes <= MAX_EXTRA_FRAMING_BYTES {
+            return Ok(());
+        }
+        self.state = ReadState::Broken;
+        let text = format!("more than {MAX_EXTRA_FRAMING_BYTES} bytes of framing between chunks");
+        Err(ConnectionError::after_write(&text))
+    }
+
     /// Reads the complete body, of at most `limit` bytes.
     ///
     /// # Errors
--- a/crates/dandeliondeal_http/tests/endless_answers.rs
+++ b/crates/dandeliondeal_http/tests/endless_answers.rs
@@ -143,6 +143,31 @@
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+// The codec consumes chunk extensions, trailers and leading zeros of a chunk's size as they arrive,
+// so that the limit on buffered bytes never applied to them.
+#[actix_rt::test]
+async fn chunk_extensions() {
+    let start = format!("{CHUNKED}5;a=");
+    expect_failure(RawAnswer::endless(&start, "x"), "between chunks").await;
+}
+
+#[actix_rt::test]
+async fn chunk_size_digits() {
+    expect_failure(RawAnswer::endless(CHUNKED, "0"), "between chunks").await;
+}
+
+#[actix_rt::test]
+async fn trailers() {
+    let start = format!("{CHUNKED}2\r\nok\r\n0\r\n");
+    expect_failure(RawAnswer::endless(&start, "A: b\r\n"), "between chunks").await;
+}
+
+#[actix_rt::test]
+async fn long_trailer() {
+    let start = format!("{CHUNKED}2\r\nok\r\n0\r\nA: ");
+    expect_failure(RawAnswer::endless(&start, "x"), "between chunks").await;
+}
+
 #[actix_rt::test]
 async fn small_chunks() {
     expect_failure(RawAnswer::endless(CHUNKED, "1\r\nx\r\n"), "longer than").await;
