Fail answers whose body has an unknown framing

Callers: a success without its body, complete in form, if the endpoint sends `Transfer-Encoding: identity` or an upgrade to a websocket with a body. Cause: the HTTP library's codec reads no body for such a head; with a length or coding stated, this was taken for an empty body. Found by reading the codec for the tests of endless answers; no endpoint of the platform is known to send such heads. Change: a body is empty only for status 204 and 304, a length of 0 or a HEAD request; any other head without a body that the codec reads breaks the connection with a cause. By the same rule a response to HEAD without a length is complete.

--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -137,6 +137,8 @@
     is_keep_alive: bool,
     /// Whether the current request was written completely.
     is_request_written: bool,
+    /// Whether the current request has the method HEAD, whose responses have no body.
+    is_head_request: bool,
     /// Framing of the current body beyond the usual size of its chunks, in bytes.
     extra_framing_bytes: usize,
     idle_since: Instant,
@@ -170,6 +172,7 @@
             state: ReadState::Idle,
             is_keep_alive: false,
             is_request_written: true,
+            is_head_request: false,
             extra_framing_bytes: 0,
             idle_since: now,
         })
@@ -203,6 +206,7 @@
         self.state = ReadState::Head(codec);
         self.is_keep_alive = false;
         self.is_request_written = false;
+        self.is_head_request = request.method == Method::HEAD;
         self.write(&output).await
     }
 
@@ -266,13 +270,21 @@
         };
         let is_delimited = head.headers.contains_key(CONTENT_LENGTH)
             || head.headers.contains_key(TRANSFER_ENCODING);
-        let is_bodiless = matches!(
-            head.status,
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-        );
+        let is_bodiless = self.is_head_request
+            || matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            )
+            || has_zero_length(&head.headers);
         self.is_keep_alive = codec.keep_alive();
         let framing = match codec.message_type() {
-            MessageType::None if is_delimited || is_bodiless => BodyFraming::Empty,
+            MessageType::None if is_bodiless => BodyFraming::Empty,
+            // The codec skips bodies with other transfer encodings or after a switch of protocols.
+            MessageType::None if is_delimited => {
+                return Err(ConnectionError::after_write(
+                    "the answer's body has an unknown framing",
+                ));
+            }
             _ if is_delimited => BodyFraming::Delimited,
             _ => BodyFraming::UntilClose,
         };
@@ -422,6 +434,13 @@
     }
 }
 
+/// Returns whether a response's headers state that it has no body.
+fn has_zero_length(headers: &HeaderMap) -> bool {
+    let length = headers.get(CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.trim().parse::<u64>().ok());
+    length == Some(0)
+}
+
 /// Checks whether the final head may follow an interim one.
 ///
 /// The codec keeps the state of an interim head with a body or a switch of protocols, and would
--- a/crates/dandeliondeal_http/tests/response_framing.rs
+++ b/crates/dandeliondeal_http/tests/response_framing.rs
@@ -240,3 +240,18 @@
         "new"
     );
 }
+
+// A response whose body has a framing that the HTTP library doesn't read counted as complete and
+// empty, so that its caller got a success without the body.
+#[actix_rt::test]
+async fn unknown_framing() {
+    for response in [
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nUpgrade: websocket\r\nContent-Length: 5\r\n\r\nhello",
+    ] {
+        let (connection, result) = exchange(response, ConnectionEnding::Close).await;
+        let error = result.expect_err("the body is not read");
+        assert!(error.to_string().contains("framing"), "{error}");
+        assert!(!connection.is_reusable());
+    }
+}
