Search each byte of an event once

Callers: beside one stream whose engine sends an event without end in small chunks, all other requests of the router wait for seconds. Cause: `EventSplitter` searched the whole buffered event for its end at each chunk. An event may have 64 KiB; in chunks of one byte that is two billion steps, with no pause in which other tasks run. Change: the splitter remembers up to where it has searched and where the last line starts.

--- a/crates/dandeliondeal_relay/src/event_splitter.rs
+++ b/crates/dandeliondeal_relay/src/event_splitter.rs
@@ -26,6 +26,10 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Position in the buffer up to which no event ends.
+    searched: usize,
+    /// Start of the line that contains this position.
+    line_start: usize,
     last_id: Option<u64>,
 }
 
@@ -33,8 +37,8 @@
     /// Creates a splitter that continues after the event `last_id`; `None` starts a new stream.
     pub fn starting_after(last_id: Option<u64>) -> Self {
         Self {
-            buffer: BytesMut::new(),
             last_id,
+            ..Self::default()
         }
     }
 
@@ -53,8 +57,10 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
         self.buffer.extend_from_slice(bytes);
         let mut events = BytesMut::new();
-        while let Some(end) = event_end(&self.buffer) {
+        while let Some(end) = self.find_event_end() {
             let event = self.buffer.split_to(end);
+            self.searched = 0;
+            self.line_start = 0;
             let Some(id) = event_id(&event) else {
                 events.extend_from_slice(&event);
                 continue;
@@ -82,23 +88,25 @@
     /// Drops the incomplete event that a broken stream left in the buffer.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.searched = 0;
+        self.line_start = 0;
     }
-}
 
-/// Returns the length of the first event, including the blank line that ends it.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
+    /// Returns the length of the first event, including the blank line that ends it.
+    fn find_event_end(&mut self) -> Option<usize> {
+        for (index, byte) in self.buffer.iter().enumerate().skip(self.searched) {
+            if *byte != b'\n' {
+                continue;
+            }
+            let line = &self.buffer[self.line_start..index];
+            if line.is_empty() || line == b"\r" {
+                return Some(index + 1);
+            }
+            self.line_start = index + 1;
         }
-        line_start = index + 1;
+        self.searched = self.buffer.len();
+        None
     }
-    None
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/dandeliondeal_relay/tests/event_splitter.rs
+++ b/crates/dandeliondeal_relay/tests/event_splitter.rs
@@ -1,5 +1,7 @@
 //! The splitter returns complete events, each once and in order, however the bytes are cut.
 
+use std::time::{Duration, Instant};
+
 use dandeliondeal_relay::{EventError, EventSplitter};
 
 fn event(id: u64) -> String {
@@ -65,3 +67,18 @@
     let error = splitter.push(&vec![b'x'; 70_000]).expect_err("no end");
     assert_eq!(error, EventError::TooLong);
 }
+
+// An engine sends an event without end in chunks of one byte: each chunk was searched together with
+// all bytes before it, so that the event loop stood still for seconds.
+#[test]
+fn byte_by_byte() {
+    let started = Instant::now();
+    let mut splitter = EventSplitter::default();
+    let text = format!("id: 0\ndata: {}\n\n", "x".repeat(60_000));
+    for byte in &text.as_bytes()[..text.len() - 1] {
+        let out = splitter.push(&[*byte]).expect("a short event");
+        assert!(out.is_empty());
+    }
+    assert_eq!(splitter.push(b"\n").expect("the end"), text);
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
