--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -35,11 +35,14 @@
 pub mod relay_outcome;
 pub mod request_handler;
 pub mod request_intake;
+pub mod request_progress;
 pub mod router_server;
 pub mod shared_store;
 pub mod store_watch;
 mod stream_rejection;
 pub mod stream_relay;
+mod stream_replacement;
+mod stream_run;
 
 #[doc(inline)]
 pub use dialect::{
