Pass on events that arrive together with an error

Callers: a resumed stream lacks an event. Cause: if one chunk held complete events and after them a gap or an event that is too long, `EventSplitter::push` returned the error alone. The events were lost, but their ids counted as passed on, so that the next run started after them. Found by reading for the tests of endless events; not seen in a log. Change: the events are returned first and the error by the next call; a run checks for it before it reads on.

--- a/crates/dandeliondeal_relay/src/event_splitter.rs
+++ b/crates/dandeliondeal_relay/src/event_splitter.rs
@@ -31,6 +31,8 @@
     /// Start of the line that contains this position.
     line_start: usize,
     last_id: Option<u64>,
+    /// Error after the events that were returned.
+    error: Option<EventError>,
 }
 
 impl EventSplitter {
@@ -49,14 +51,25 @@
 
     /// Adds received bytes and returns the events that they complete.
     ///
-    /// Events with an id up to the last one are dropped, because a restarted run repeats them.
+    /// Events with an id up to the last one are dropped, because a restarted run repeats them. An
+    /// error after complete events is returned by the next call of this method or [`Self::check`].
     ///
     /// # Errors
     ///
     /// Returns [`EventError`] if an event is missing or too long.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
+        self.check()?;
         self.buffer.extend_from_slice(bytes);
         let mut events = BytesMut::new();
+        self.error = self.split_events(&mut events).err();
+        if events.is_empty() {
+            self.check()?;
+        }
+        Ok(events.freeze())
+    }
+
+    /// Moves complete events from the buffer to `events`.
+    fn split_events(&mut self, events: &mut BytesMut) -> Result<(), EventError> {
         while let Some(end) = self.find_event_end() {
             let event = self.buffer.split_to(end);
             self.searched = 0;
@@ -77,17 +90,27 @@
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(EventError::TooLong);
         }
-        Ok(events.freeze())
+        Ok(())
+    }
+
+    /// Returns the error that follows the returned events.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EventError`] if there is one.
+    pub fn check(&self) -> Result<(), EventError> {
+        self.error.map_or(Ok(()), Err)
     }
 
     /// Returns whether the buffer holds an incomplete event.
     pub fn is_partial(&self) -> bool {
-        !self.buffer.is_empty()
+        !self.buffer.is_empty() || self.error.is_some()
     }
 
     /// Drops the incomplete event that a broken stream left in the buffer.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.error = None;
         self.searched = 0;
         self.line_start = 0;
     }
--- a/crates/dandeliondeal_relay/src/stream_run.rs
+++ b/crates/dandeliondeal_relay/src/stream_run.rs
@@ -123,6 +123,8 @@
     }
 
     async fn read_events(&mut self) -> Result<RunStep, ConnectionError> {
+        let earlier_error = self.splitter.check();
+        earlier_error.map_err(|error| ConnectionError::after_write(&error))?;
         loop {
             let Some(chunk) = self.connection.read_chunk().await? else {
                 if self.splitter.is_partial() {
--- a/crates/dandeliondeal_relay/tests/event_splitter.rs
+++ b/crates/dandeliondeal_relay/tests/event_splitter.rs
@@ -82,3 +82,22 @@
     assert_eq!(splitter.push(b"\n").expect("the end"), text);
     assert!(started.elapsed() < Duration::from_secs(1));
 }
+
+// Events that arrive together with an error were lost, but counted as passed on: the stream went on
+// at another engine without them.
+#[test]
+fn events_before_error() {
+    let mut splitter = EventSplitter::starting_after(Some(3));
+    let text = event(4) + &event(6);
+    let out = splitter.push(text.as_bytes()).expect("event 4");
+    assert_eq!(out, event(4));
+    assert_eq!(splitter.last_id(), Some(4));
+    assert!(splitter.is_partial());
+    let gap = EventError::Gap { last: 4, found: 6 };
+    assert_eq!(splitter.check(), Err(gap));
+    splitter.discard_partial();
+    let text = event(5) + &"x".repeat(70_000);
+    let out = splitter.push(text.as_bytes()).expect("event 5");
+    assert_eq!(out, event(5));
+    assert_eq!(splitter.push(b""), Err(EventError::TooLong));
+}
