--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -21,6 +21,12 @@
 ///
 /// A quarter of a megabyte is far above any response head and bounds memory per connection.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+/// Maximum number of interim (1xx) heads before the final one.
+const MAX_INTERIM_HEADS: usize = 8;
+/// Maximum size in bytes of chunk sizes, chunk extensions and trailers beyond the usual size.
+const MAX_EXTRA_FRAMING_BYTES: usize = 16 * 1024;
+/// Usual maximum size in bytes of the framing of one chunk.
+const USUAL_FRAMING_BYTES: usize = 256;
 
 /// An error on a connection to an endpoint.
 #[derive(Clone, Debug, Display, Error)]
@@ -133,6 +139,12 @@
     is_keep_alive: bool,
     /// Whether the current request was written completely.
     is_request_written: bool,
+    /// Whether the current request has the method HEAD, whose responses have no body.
+    is_head_request: bool,
+    /// Number of interim heads before the current response.
+    interim_heads: usize,
+    /// Framing of the current body beyond the usual size of its chunks, in bytes.
+    extra_framing_bytes: usize,
     idle_since: Instant,
 }
 
@@ -165,6 +177,9 @@
             state: ReadState::Idle,
             is_keep_alive: false,
             is_request_written: true,
+            is_head_request: false,
+            interim_heads: 0,
+            extra_framing_bytes: 0,
             idle_since: now,
         })
     }
@@ -207,6 +222,8 @@
         self.state = ReadState::Head(codec);
         self.is_keep_alive = false;
         self.is_request_written = false;
+        self.is_head_request = request.method == Method::HEAD;
+        self.interim_heads = 0;
         self.unwritten = output.freeze();
         Ok(())
     }
@@ -256,8 +273,14 @@
             };
             if !self.buffer.is_empty() {
                 match codec.decode(&mut self.buffer) {
-                    // An informational (1xx) response precedes the final one.
-                    Ok(Some(head)) if head.status.is_informational() => continue,
+                    Ok(Some(head)) if head.status.is_informational() => {
+                        self.interim_heads += 1;
+                        if let Err(error) = check_interim_head(codec, self.interim_heads) {
+                            self.state = ReadState::Broken;
+                            return Err(error);
+                        }
+                        continue;
+                    }
                     Ok(Some(head)) => break head,
                     Ok(None) => {}
                     Err(error) => {
@@ -279,16 +302,25 @@
         };
         let is_delimited = head.headers.contains_key(CONTENT_LENGTH)
             || head.headers.contains_key(TRANSFER_ENCODING);
-        let is_bodiless = matches!(
-            head.status,
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-        );
+        let is_bodiless = self.is_head_request
+            || matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            )
+            || has_zero_length(&head.headers);
         self.is_keep_alive = codec.keep_alive();
         let framing = match codec.message_type() {
-            MessageType::None if is_delimited || is_bodiless => BodyFraming::Empty,
+            MessageType::None if is_bodiless => BodyFraming::Empty,
+            // The codec skips bodies with other transfer encodings or after a switch of protocols.
+            MessageType::None if is_delimited => {
+                return Err(ConnectionError::after_write(
+                    "the answer's body has an unknown framing",
+                ));
+            }
             _ if is_delimited => BodyFraming::Delimited,
             _ => BodyFraming::UntilClose,
         };
+        self.extra_framing_bytes = 0;
         self.state = match framing {
             BodyFraming::Empty => ReadState::Idle,
             BodyFraming::Delimited => ReadState::Body(PayloadCodec(codec.into_payload_codec())),
@@ -316,18 +348,27 @@
                     return Ok(Some(self.buffer.split().freeze()));
                 }
                 ReadState::UntilClose => {}
-                ReadState::Body(codec) => match codec.0.decode(&mut self.buffer) {
-                    Ok(Some(Some(chunk))) => return Ok(Some(chunk)),
-                    Ok(Some(None)) => {
-                        self.state = ReadState::Idle;
-                        return Ok(None);
+                ReadState::Body(codec) => {
+                    let buffered_bytes = self.buffer.len();
+                    match codec.0.decode(&mut self.buffer) {
+                        Ok(Some(Some(chunk))) => {
+                            let framing = buffered_bytes - self.buffer.len() - chunk.len();
+                            self.count_framing(framing)?;
+                            let extra = &mut self.extra_framing_bytes;
+                            *extra = extra.saturating_sub(USUAL_FRAMING_BYTES);
+                            return Ok(Some(chunk));
+                        }
+                        Ok(Some(None)) => {
+                            self.state = ReadState::Idle;
+                            return Ok(None);
+                        }
+                        Ok(None) => self.count_framing(buffered_bytes - self.buffer.len())?,
+                        Err(error) => {
+                            self.state = ReadState::Broken;
+                            return Err(ConnectionError::after_write(&error));
+                        }
                     }
-                    Ok(None) => {}
-                    Err(error) => {
-                        self.state = ReadState::Broken;
-                        return Err(ConnectionError::after_write(&error));
-                    }
-                },
+                }
                 ReadState::Head(_) | ReadState::Broken => {
                     return Err(ConnectionError::after_write("the answer broke off"));
                 }
@@ -344,6 +385,17 @@
         }
     }
 
+    /// Counts bytes that frame the body: the codec consumes them without a limit of its own.
+    fn count_framing(&mut self, bytes: usize) -> Result<(), ConnectionError> {
+        self.extra_framing_bytes += bytes;
+        if self.extra_framing_bytes <= MAX_EXTRA_FRAMING_BYTES {
+            return Ok(());
+        }
+        self.state = ReadState::Broken;
+        let text = format!("more than {MAX_EXTRA_FRAMING_BYTES} bytes of framing between chunks");
+        Err(ConnectionError::after_write(&text))
+    }
+
     /// Reads the complete body, of at most `limit` bytes.
     ///
     /// # Errors
@@ -365,6 +417,7 @@
     pub fn expect_next_response(&mut self) {
         if matches!(self.state, ReadState::Idle) {
             self.state = ReadState::Head(ClientCodec::default());
+            self.interim_heads = 0;
         }
     }
 
@@ -413,3 +466,27 @@
         self.idle_since
     }
 }
+
+/// Returns whether a response's headers state that it has no body.
+fn has_zero_length(headers: &HeaderMap) -> bool {
+    let length = headers.get(CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.trim().parse::<u64>().ok());
+    length == Some(0)
+}
+
+/// Checks whether the final head may follow an interim one.
+///
+/// The codec keeps the state of an interim head with a body or a switch of protocols, and would
+/// panic at the next head.
+fn check_interim_head(codec: &ClientCodec, count: usize) -> Result<(), ConnectionError> {
+    if !matches!(codec.message_type(), MessageType::None) {
+        return Err(ConnectionError::after_write(
+            "an interim head announces a body",
+        ));
+    }
+    if count > MAX_INTERIM_HEADS {
+        let text = format!("more than {MAX_INTERIM_HEADS} interim heads");
+        return Err(ConnectionError::after_write(&text));
+    }
+    Ok(())
+}
--- a/crates/dandeliondeal_relay/src/event_splitter.rs
+++ b/crates/dandeliondeal_relay/src/event_splitter.rs
@@ -26,15 +26,21 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Position in the buffer up to which no event ends.
+    searched: usize,
+    /// Start of the line that contains this position.
+    line_start: usize,
     last_id: Option<u64>,
+    /// Error after the events that were returned.
+    error: Option<EventError>,
 }
 
 impl EventSplitter {
     /// Creates a splitter that continues after the event `last_id`; `None` starts a new stream.
     pub fn starting_after(last_id: Option<u64>) -> Self {
         Self {
-            buffer: BytesMut::new(),
             last_id,
+            ..Self::default()
         }
     }
 
@@ -45,16 +51,29 @@
 
     /// Adds received bytes and returns the events that they complete.
     ///
-    /// Events with an id up to the last one are dropped, because a restarted run repeats them.
+    /// Events with an id up to the last one are dropped, because a restarted run repeats them. An
+    /// error after complete events is returned by the next call of this method or [`Self::check`].
     ///
     /// # Errors
     ///
     /// Returns [`EventError`] if an event is missing or too long.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
+        self.check()?;
         self.buffer.extend_from_slice(bytes);
         let mut events = BytesMut::new();
-        while let Some(end) = event_end(&self.buffer) {
+        self.error = self.split_events(&mut events).err();
+        if events.is_empty() {
+            self.check()?;
+        }
+        Ok(events.freeze())
+    }
+
+    /// Moves complete events from the buffer to `events`.
+    fn split_events(&mut self, events: &mut BytesMut) -> Result<(), EventError> {
+        while let Some(end) = self.find_event_end() {
             let event = self.buffer.split_to(end);
+            self.searched = 0;
+            self.line_start = 0;
             let Some(id) = event_id(&event) else {
                 events.extend_from_slice(&event);
                 continue;
@@ -71,34 +90,46 @@
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(EventError::TooLong);
         }
-        Ok(events.freeze())
+        Ok(())
+    }
+
+    /// Returns the error that follows the returned events.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EventError`] if there is one.
+    pub fn check(&self) -> Result<(), EventError> {
+        self.error.map_or(Ok(()), Err)
     }
 
     /// Returns whether the buffer holds an incomplete event.
     pub fn is_partial(&self) -> bool {
-        !self.buffer.is_empty()
+        !self.buffer.is_empty() || self.error.is_some()
     }
 
     /// Drops the incomplete event that a broken stream left in the buffer.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.error = None;
+        self.searched = 0;
+        self.line_start = 0;
     }
-}
 
-/// Returns the length of the first event, including the blank line that ends it.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
+    /// Returns the length of the first event, including the blank line that ends it.
+    fn find_event_end(&mut self) -> Option<usize> {
+        for (index, byte) in self.buffer.iter().enumerate().skip(self.searched) {
+            if *byte != b'\n' {
+                continue;
+            }
+            let line = &self.buffer[self.line_start..index];
+            if line.is_empty() || line == b"\r" {
+                return Some(index + 1);
+            }
+            self.line_start = index + 1;
         }
-        line_start = index + 1;
+        self.searched = self.buffer.len();
+        None
     }
-    None
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/dandeliondeal_relay/tests/event_splitter.rs
+++ b/crates/dandeliondeal_relay/tests/event_splitter.rs
@@ -1,5 +1,7 @@
 //! The splitter returns complete events, each once and in order, however the bytes are cut.
 
+use std::time::{Duration, Instant};
+
 use dandeliondeal_relay::{EventError, EventSplitter};
 
 fn event(id: u64) -> String {
@@ -65,3 +67,37 @@
     let error = splitter.push(&vec![b'x'; 70_000]).expect_err("no end");
     assert_eq!(error, EventError::TooLong);
 }
+
+// An engine sends an event without end in chunks of one byte: each chunk was searched together with
+// all bytes before it, so that the event loop stood still for seconds.
+#[test]
+fn byte_by_byte() {
+    let started = Instant::now();
+    let mut splitter = EventSplitter::default();
+    let text = format!("id: 0\ndata: {}\n\n", "x".repeat(60_000));
+    for byte in &text.as_bytes()[..text.len() - 1] {
+        let out = splitter.push(&[*byte]).expect("a short event");
+        assert!(out.is_empty());
+    }
+    assert_eq!(splitter.push(b"\n").expect("the end"), text);
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
+
+// Events that arrive together with an error were lost, but counted as passed on: the stream went on
+// at another engine without them.
+#[test]
+fn events_before_error() {
+    let mut splitter = EventSplitter::starting_after(Some(3));
+    let text = event(4) + &event(6);
+    let out = splitter.push(text.as_bytes()).expect("event 4");
+    assert_eq!(out, event(4));
+    assert_eq!(splitter.last_id(), Some(4));
+    assert!(splitter.is_partial());
+    let gap = EventError::Gap { last: 4, found: 6 };
+    assert_eq!(splitter.check(), Err(gap));
+    splitter.discard_partial();
+    let text = event(5) + &"x".repeat(70_000);
+    let out = splitter.push(text.as_bytes()).expect("event 5");
+    assert_eq!(out, event(5));
+    assert_eq!(splitter.push(b""), Err(EventError::TooLong));
+}
