Attempts of a repeatable plain request overlap

What callers saw: a repeatable request whose endpoint fell silent for a second got 502, 504 or the failure of another endpoint, though the silent endpoint would have answered in time.

Cause: the first attempt was closed after 45% of its time, before it was known whether a second one is possible. If the second endpoint rejected the request, accepted no connection, failed or was silent as well, or if the repeat budget or the list of endpoints was empty, nothing was left to wait for.

Change: after the same share of the time another attempt is started beside the open one. The first usable response ends the race and the other attempts are dropped, which closes their connections; a failure response is used only if no attempt is open. A rejection changes the lifecycle only if no other attempt is open, so "not run" is stated only if every attempt was rejected or never sent. An attempt lasts until the deadline, computed when it is sent; before, the time to connect was added to it. A repeat that was taken from the budget for an endpoint that accepts no connection is kept for the next one.

A cancelled attempt that is overdue still counts as unanswered for the endpoint's health.

--- a/crates/dandeliondeal_relay/src/call_guard.rs
+++ b/crates/dandeliondeal_relay/src/call_guard.rs
@@ -10,7 +10,8 @@
 
 /// Registers a call as in progress at its endpoints until it is dropped.
 ///
-/// A guard that is dropped without [`CallGuard::end`] records the call as cancelled.
+/// A guard that is dropped without [`CallGuard::end`] records the call as cancelled, unless
+/// [`CallGuard::set_drop_result`] set another result.
 #[derive(Debug)]
 pub struct CallGuard<Time, Dialect>
 where
@@ -51,6 +52,11 @@
         )
     }
 
+    /// Sets the result that is recorded if the guard is dropped without [`CallGuard::end`].
+    pub fn set_drop_result(&mut self, result: CallResult) {
+        self.result = result;
+    }
+
     /// Ends the call with the given result.
     pub fn end(mut self, result: CallResult) {
         self.result = result;
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -1,14 +1,18 @@
 //! Relays a request to an endpoint of a plain service and returns its complete response.
 
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use actix_http::Response;
 use actix_http::StatusCode;
+use actix_rt::time::{sleep, timeout};
 use bytes::Bytes;
 use dandeliondeal_balance::{CallResult, FailureSignal};
 use dandeliondeal_http::{ConnectionError, EndpointConnection, ResponseHead};
 use dandeliondeal_route::RepeatClass;
 use dandeliondeal_types::{Clock, EndpointId, EndpointRecord};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 
 use crate::call_guard::CallGuard;
 use crate::dialect::{AttemptFacts, FleetDialect, RequestDialect};
@@ -18,20 +22,18 @@
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
-use crate::relay_lifecycle::LifecycleEvent;
+use crate::relay_lifecycle::{LifecycleEvent, RelayLifecycle};
 use crate::relay_outcome::RelayOutcome;
 use crate::request_intake::RelayRequest;
 
 /// Maximum number of endpoints that are tried when no connection can be made; nothing is sent to
 /// them.
 const MAX_CONNECT_ATTEMPTS: usize = 4;
-/// Share of the remaining time that a first attempt may take if a second one may follow.
-const FIRST_ATTEMPT_SHARE: f64 = 0.45;
+/// Share of the remaining time after which another attempt is started beside an unanswered one.
+const ATTEMPT_SHARE: f64 = 0.45;
 
 /// Result of one attempt.
 enum AttemptResult {
-    /// No connection was made.
-    NotConnected(ConnectionError),
     /// The endpoint stated that it did not execute the request.
     NotRun,
     /// A complete response was received; successful ones are signed.
@@ -40,6 +42,16 @@
     Lost(Option<ConnectionError>),
 }
 
+/// How the attempts of a request end.
+enum RaceEnd {
+    /// The caller gets an endpoint's response.
+    Answered(Response<RelayBody>),
+    /// The deadline passed.
+    TimedOut,
+    /// No further attempt can be made.
+    Unanswered(RefusalCause),
+}
+
 /// Relays one request to a plain service.
 pub async fn relay_request<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
@@ -49,83 +61,213 @@
     Time: Clock,
     Dialect: RequestDialect + FleetDialect,
 {
-    let is_repeatable = request.route_match.route.repeat_class == RepeatClass::Safe;
-    let mut tried: Vec<EndpointId> = Vec::new();
-    let mut sent_attempts = 0;
-    let mut failed_connections = 0;
-    let mut last_failure: Option<Response<RelayBody>> = None;
-    loop {
-        let time_left = request.time_left(context.now());
-        if time_left.is_zero() {
-            return request.end_timed_out(last_failure);
+    let mut race = AttemptRace::new(context, request);
+    let end = race.run().await;
+    let (lifecycle, last_failure) = (race.lifecycle, race.last_failure);
+    request.lifecycle = lifecycle;
+    match end {
+        RaceEnd::Answered(response) => {
+            request.lifecycle.apply(LifecycleEvent::Complete);
+            RelayOutcome::Answered(response)
         }
-        let Some(endpoint) = select_endpoint(context, request, is_repeatable, &tried) else {
-            return request.end_unanswered(RefusalCause::NoEndpoint, last_failure);
-        };
-        if sent_attempts > 0 && !context.acquire_repeat(&request.service, "answer") {
-            return request.end_unanswered(RefusalCause::Overloaded, last_failure);
+        RaceEnd::TimedOut => request.end_timed_out(last_failure),
+        RaceEnd::Unanswered(cause) => request.end_unanswered(cause, last_failure),
+    }
+}
+
+/// Attempts of one request, which may overlap if the request may be repeated.
+///
+/// A silent endpoint may still answer, so an attempt is not ended when another one starts. The
+/// first usable response ends the race; dropping the other attempts cancels them.
+struct AttemptRace<'relay, Time, Dialect> {
+    context: &'relay RelayContext<Time, Dialect>,
+    request: &'relay RelayRequest,
+    lifecycle: RelayLifecycle,
+    is_repeatable: bool,
+    tried: Vec<EndpointId>,
+    sent_attempts: u32,
+    failed_connections: usize,
+    /// Whether a repeat was taken from the budget but not sent yet.
+    holds_repeat: bool,
+    /// Latest failure response of an endpoint; used if no attempt succeeds.
+    last_failure: Option<Response<RelayBody>>,
+}
+
+impl<'relay, Time, Dialect> AttemptRace<'relay, Time, Dialect>
+where
+    Time: Clock,
+    Dialect: RequestDialect + FleetDialect,
+{
+    fn new(context: &'relay RelayContext<Time, Dialect>, request: &'relay RelayRequest) -> Self {
+        Self {
+            context,
+            request,
+            lifecycle: request.lifecycle.clone(),
+            is_repeatable: request.route_match.route.repeat_class == RepeatClass::Safe,
+            tried: Vec::new(),
+            sent_attempts: 0,
+            failed_connections: 0,
+            holds_repeat: false,
+            last_failure: None,
         }
-        let may_repeat = is_repeatable && sent_attempts + 1 < request.route_match.route.attempts;
-        let limit = if may_repeat {
-            time_left.mul_f64(FIRST_ATTEMPT_SHARE)
-        } else {
-            time_left
-        };
-        let result = run_attempt(context, request, &endpoint, limit).await;
-        tried.push(EndpointId::clone(&endpoint.id));
-        match result {
-            AttemptResult::NotConnected(error) => {
-                tracing::info!(
-                    request = %request.facts.request,
-                    endpoint = %endpoint.id,
-                    error = %error,
-                    "connection failed"
-                );
-                failed_connections += 1;
-                if failed_connections >= MAX_CONNECT_ATTEMPTS {
-                    return request.end_unanswered(RefusalCause::NoEndpoint, last_failure);
+    }
+
+    /// Makes attempts until one has a usable response, or none is open and no other can be made.
+    async fn run(&mut self) -> RaceEnd {
+        let (context, request) = (self.context, self.request);
+        let mut connecting = FuturesUnordered::new();
+        let mut open_attempts = FuturesUnordered::new();
+        let mut end = RaceEnd::TimedOut;
+        let mut next_attempt = Some(context.now());
+        loop {
+            // Only one connection is opened at a time.
+            let due = next_attempt.filter(|_| connecting.is_empty());
+            let delay = due.map(|due| due.saturating_duration_since(context.now()));
+            if delay.is_some_and(|delay| delay.is_zero()) {
+                next_attempt = None;
+                match self.next_endpoint() {
+                    Ok(endpoint) => connecting.push(connect_endpoint(context, request, endpoint)),
+                    Err(cause) => {
+                        self.log_no_attempt(&cause, open_attempts.len());
+                        end = cause;
+                    }
                 }
                 continue;
             }
+            tokio::select! {
+                Some((endpoint, result)) = open_attempts.next() => {
+                    let is_last = open_attempts.is_empty();
+                    if let Some(response) = self.record_result(&endpoint, result, is_last) {
+                        return RaceEnd::Answered(response);
+                    }
+                    next_attempt = Some(context.now());
+                }
+                Some((endpoint, opened)) = connecting.next() => match opened {
+                    Ok(_) if self.is_late() => next_attempt = Some(context.now()),
+                    Ok(connection) => {
+                        let overdue_time = self.record_offer();
+                        next_attempt = overdue_time.map(|time| context.now() + time);
+                        let attempt =
+                            run_attempt(context, request, endpoint, connection, overdue_time);
+                        open_attempts.push(attempt);
+                    }
+                    Err(error) => {
+                        self.record_failed_connection(&endpoint, &error);
+                        next_attempt = Some(context.now());
+                    }
+                },
+                () = sleep(delay.unwrap_or_default()), if delay.is_some() => {}
+                else => return end,
+            }
+        }
+    }
+
+    /// Returns the endpoint of the next attempt, or how the race ends if none is open.
+    fn next_endpoint(&mut self) -> Result<EndpointRecord, RaceEnd> {
+        if self.is_late() {
+            return Err(RaceEnd::TimedOut);
+        }
+        let may_repeat = self.is_repeatable || self.lifecycle.is_proven_not_run();
+        if self.sent_attempts > 0 && !(may_repeat && self.has_attempts_left()) {
+            return Err(RaceEnd::Unanswered(RefusalCause::LostAnswer));
+        }
+        let endpoint = (self.failed_connections < MAX_CONNECT_ATTEMPTS)
+            .then(|| select_endpoint(self.context, self.request, self.is_repeatable, &self.tried))
+            .flatten()
+            .ok_or(RaceEnd::Unanswered(RefusalCause::NoEndpoint))?;
+        if self.sent_attempts > 0 && !self.holds_repeat {
+            self.holds_repeat = self.context.acquire_repeat(&self.request.service, "answer");
+            if !self.holds_repeat {
+                return Err(RaceEnd::Unanswered(RefusalCause::Overloaded));
+            }
+        }
+        self.tried.push(EndpointId::clone(&endpoint.id));
+        Ok(endpoint)
+    }
+
+    fn is_late(&self) -> bool {
+        self.request.time_left(self.context.now()).is_zero()
+    }
+
+    fn has_attempts_left(&self) -> bool {
+        self.sent_attempts < self.request.route_match.route.attempts
+    }
+
+    /// Records that the request is sent to an endpoint.
+    ///
+    /// Returns the time after which another attempt is started beside this one.
+    fn record_offer(&mut self) -> Option<Duration> {
+        self.lifecycle.apply(LifecycleEvent::Offer);
+        self.sent_attempts += 1;
+        self.holds_repeat = false;
+        let time_left = self.request.time_left(self.context.now());
+        (self.is_repeatable && self.has_attempts_left()).then(|| time_left.mul_f64(ATTEMPT_SHARE))
+    }
+
+    fn record_failed_connection(&mut self, endpoint: &EndpointRecord, error: &ConnectionError) {
+        tracing::info!(
+            request = %self.request.facts.request,
+            endpoint = %endpoint.id,
+            error = %error,
+            "connection failed"
+        );
+        self.failed_connections += 1;
+    }
+
+    /// Records the result of an attempt; returns the response if it ends the race.
+    fn record_result(
+        &mut self,
+        endpoint: &EndpointRecord,
+        result: AttemptResult,
+        is_last: bool,
+    ) -> Option<Response<RelayBody>> {
+        let request = &self.request.facts.request;
+        match result {
             AttemptResult::NotRun => {
                 tracing::info!(
-                    request = %request.facts.request,
+                    %request,
                     endpoint = %endpoint.id,
                     "endpoint did not execute the request"
                 );
+                // The rejection proves nothing about the attempts that are still open.
+                if is_last {
+                    self.lifecycle.apply(LifecycleEvent::Reject);
+                }
             }
             AttemptResult::Complete(head, body) => {
-                let is_failure = head.status.is_server_error();
-                let response = build_response(context, &head, body);
-                if !is_failure || !may_repeat {
-                    request.lifecycle.apply(LifecycleEvent::Complete);
-                    return RelayOutcome::Answered(response);
+                self.lifecycle.apply(LifecycleEvent::Start);
+                let response = build_response(self.context, &head, body);
+                if !head.status.is_server_error() || !self.is_repeatable {
+                    return Some(response);
                 }
                 tracing::info!(
-                    request = %request.facts.request,
+                    %request,
                     endpoint = %endpoint.id,
                     status = head.status.as_u16(),
                     "endpoint returned a failure"
                 );
-                last_failure = Some(response);
+                self.last_failure = Some(response);
             }
             AttemptResult::Lost(error) => {
+                self.lifecycle.mark_may_have_run();
                 let error = error.map_or_else(|| "timeout".to_owned(), |error| error.to_string());
-                tracing::info!(
-                    request = %request.facts.request,
-                    endpoint = %endpoint.id,
-                    error,
-                    "response lost"
-                );
+                tracing::info!(%request, endpoint = %endpoint.id, error, "response lost");
             }
         }
-        sent_attempts += 1;
-        if request.time_left(context.now()).is_zero() {
-            return request.end_timed_out(last_failure);
-        }
-        let may_continue = is_repeatable || request.lifecycle.is_proven_not_run();
-        if !may_continue || sent_attempts >= request.route_match.route.attempts {
-            return request.end_unanswered(RefusalCause::LostAnswer, last_failure);
+        None
+    }
+
+    /// Logs why no further attempt is made while others are open.
+    fn log_no_attempt(&self, cause: &RaceEnd, open_attempts: usize) {
+        if let RaceEnd::Unanswered(cause) = cause
+            && open_attempts > 0
+        {
+            tracing::info!(
+                request = %self.request.facts.request,
+                cause = cause.name(),
+                open_attempts,
+                "no further attempt"
+            );
         }
     }
 }
@@ -155,66 +297,73 @@
     })
 }
 
-async fn run_attempt<Time, Dialect>(
+/// Connects to an endpoint; a failure is recorded as a call that the endpoint refused.
+async fn connect_endpoint<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
-    request: &mut RelayRequest,
-    endpoint: &EndpointRecord,
-    limit: Duration,
-) -> AttemptResult
+    request: &RelayRequest,
+    endpoint: EndpointRecord,
+) -> (EndpointRecord, Result<EndpointConnection, ConnectionError>)
 where
     Time: Clock,
-    Dialect: RequestDialect,
 {
     let started = context.now();
     let choice = match request.route_match.route.repeat_class {
         RepeatClass::Safe => ConnectionChoice::Idle,
         _ => ConnectionChoice::New,
     };
+    let limit = request.time_left(started);
     let opened = open_connection(context, &endpoint.id, endpoint.address, choice, limit).await;
-    let mut connection = match opened {
-        Ok(connection) => connection,
-        Err(error) => {
-            record_call(
-                context,
-                endpoint,
-                started,
-                CallResult::Failed(FailureSignal::Refused),
-            );
-            return AttemptResult::NotConnected(error);
+    if opened.is_err() {
+        let refused = CallResult::Failed(FailureSignal::Refused);
+        record_call(context, &endpoint, started, refused);
+    }
+    (endpoint, opened)
+}
+
+/// Sends the request to an endpoint and waits for its response until the deadline.
+///
+/// If the attempt is cancelled later than `overdue_time`, it counts as unanswered: otherwise an
+/// endpoint that never answers would be preferred as long as other endpoints answer in its place.
+async fn run_attempt<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    request: &RelayRequest,
+    endpoint: EndpointRecord,
+    mut connection: EndpointConnection,
+    overdue_time: Option<Duration>,
+) -> (EndpointRecord, AttemptResult)
+where
+    Time: Clock,
+    Dialect: RequestDialect,
+{
+    let no_answer = CallResult::Failed(FailureSignal::NoAnswer);
+    let mut guard = CallGuard::start(context, vec![EndpointId::clone(&endpoint.id)]);
+    let limit = request.time_left(context.now());
+    let response = {
+        let attempt = send_attempt(context, request, &endpoint, &mut connection);
+        let mut response = pin!(timeout(limit, attempt));
+        tokio::select! {
+            biased;
+            response = &mut response => response,
+            () = sleep(overdue_time.unwrap_or_default()), if overdue_time.is_some() => {
+                guard.set_drop_result(no_answer);
+                response.await
+            }
         }
     };
-    let guard = CallGuard::start(context, vec![EndpointId::clone(&endpoint.id)]);
-    request.lifecycle.apply(LifecycleEvent::Offer);
-    let result = match actix_rt::time::timeout(
-        limit,
-        send_attempt(context, request, endpoint, &mut connection),
-    )
-    .await
-    {
+    let result = match response {
         Ok(Ok(result)) => result,
         Ok(Err(error)) => AttemptResult::Lost(Some(error)),
         Err(_elapsed) => AttemptResult::Lost(None),
     };
-    let call_result = match &result {
+    guard.end(match &result {
         AttemptResult::Complete(..) => CallResult::Answered,
         AttemptResult::NotRun => CallResult::Failed(FailureSignal::Busy),
-        AttemptResult::NotConnected(_) => CallResult::Failed(FailureSignal::Refused),
-        AttemptResult::Lost(_) => CallResult::Failed(FailureSignal::NoAnswer),
-    };
-    guard.end(call_result);
-    match &result {
-        AttemptResult::NotRun => {
-            request.lifecycle.apply(LifecycleEvent::Reject);
-        }
-        AttemptResult::Complete(..) => {
-            request.lifecycle.apply(LifecycleEvent::Start);
-        }
-        _ => request.lifecycle.mark_may_have_run(),
-    }
-    if matches!(result, AttemptResult::Complete(..) | AttemptResult::NotRun) {
+        AttemptResult::Lost(_) => no_answer,
+    });
+    if !matches!(result, AttemptResult::Lost(_)) {
         context.pool().borrow_mut().put(&endpoint.id, connection);
     }
-    result
+    (endpoint, result)
 }
 
 async fn send_attempt<Time, Dialect>(
