Plain requests record their attempts

Cause: the log line of a plain request's end had no count of attempts and no endpoint that the request waits for.

Change: each offer and each rejection is recorded in the request's progress. If an attempt ends while another one is open, the request waits on that one. The attempts of a race know the open endpoints, which also decides whether a rejection proves that the request was not run.

--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -85,6 +85,8 @@
     lifecycle: RelayLifecycle,
     is_repeatable: bool,
     tried: Vec<EndpointId>,
+    /// Endpoints that were sent the request and whose attempts have no result.
+    open_endpoints: Vec<EndpointId>,
     sent_attempts: u32,
     failed_connections: usize,
     /// Whether a repeat was taken from the budget but not sent yet.
@@ -105,6 +107,7 @@
             lifecycle: request.lifecycle.clone(),
             is_repeatable: request.route_match.route.repeat_class == RepeatClass::Safe,
             tried: Vec::new(),
+            open_endpoints: Vec::new(),
             sent_attempts: 0,
             failed_connections: 0,
             holds_repeat: false,
@@ -128,7 +131,7 @@
                 match self.next_endpoint() {
                     Ok(endpoint) => connecting.push(connect_endpoint(context, request, endpoint)),
                     Err(cause) => {
-                        self.log_no_attempt(&cause, open_attempts.len());
+                        self.log_no_attempt(&cause);
                         end = cause;
                     }
                 }
@@ -136,8 +139,7 @@
             }
             tokio::select! {
                 Some((endpoint, result)) = open_attempts.next() => {
-                    let is_last = open_attempts.is_empty();
-                    if let Some(response) = self.record_result(&endpoint, result, is_last) {
+                    if let Some(response) = self.record_result(&endpoint, result) {
                         return RaceEnd::Answered(response);
                     }
                     next_attempt = Some(context.now());
@@ -145,7 +147,7 @@
                 Some((endpoint, opened)) = connecting.next() => match opened {
                     Ok(_) if self.is_late() => next_attempt = Some(context.now()),
                     Ok(connection) => {
-                        let overdue_time = self.record_offer();
+                        let overdue_time = self.record_offer(&endpoint);
                         next_attempt = overdue_time.map(|time| context.now() + time);
                         let attempt =
                             run_attempt(context, request, endpoint, connection, overdue_time);
@@ -196,8 +198,10 @@
     /// Records that the request is sent to an endpoint.
     ///
     /// Returns the time after which another attempt is started beside this one.
-    fn record_offer(&mut self) -> Option<Duration> {
+    fn record_offer(&mut self, endpoint: &EndpointRecord) -> Option<Duration> {
         self.lifecycle.apply(LifecycleEvent::Offer);
+        self.request.progress.record_attempt(&endpoint.id);
+        self.open_endpoints.push(EndpointId::clone(&endpoint.id));
         self.sent_attempts += 1;
         self.holds_repeat = false;
         let time_left = self.request.time_left(self.context.now());
@@ -219,9 +223,10 @@
         &mut self,
         endpoint: &EndpointRecord,
         result: AttemptResult,
-        is_last: bool,
     ) -> Option<Response<RelayBody>> {
         let request = &self.request.facts.request;
+        let progress = &self.request.progress;
+        self.open_endpoints.retain(|id| *id != endpoint.id);
         match result {
             AttemptResult::NotRun => {
                 tracing::info!(
@@ -229,8 +234,9 @@
                     endpoint = %endpoint.id,
                     "endpoint did not execute the request"
                 );
+                progress.record_rejection();
                 // The rejection proves nothing about the attempts that are still open.
-                if is_last {
+                if self.open_endpoints.is_empty() {
                     self.lifecycle.apply(LifecycleEvent::Reject);
                 }
             }
@@ -254,18 +260,21 @@
                 tracing::info!(%request, endpoint = %endpoint.id, error, "response lost");
             }
         }
+        if let Some(open_endpoint) = self.open_endpoints.last() {
+            progress.wait_on(open_endpoint);
+        }
         None
     }
 
     /// Logs why no further attempt is made while others are open.
-    fn log_no_attempt(&self, cause: &RaceEnd, open_attempts: usize) {
+    fn log_no_attempt(&self, cause: &RaceEnd) {
         if let RaceEnd::Unanswered(cause) = cause
-            && open_attempts > 0
+            && !self.open_endpoints.is_empty()
         {
             tracing::info!(
                 request = %self.request.facts.request,
                 cause = cause.name(),
-                open_attempts,
+                open_attempts = self.open_endpoints.len(),
                 "no further attempt"
             );
         }
