Closing listener answers the requests that have reached the machine

Callers saw: around a planned stop, a kept connection ended without an answer to a request that the machine had received, later than 200 ms after its last byte. Three ways: - a request that waited in the socket while the process was busy, on a connection that counted as idle; - a request on a connection that was established but not accepted yet; - a request that had been read behind another one on the same connection.

Cause: on the library's shutdown signal its dispatcher closes idle connections without decoding what it reads, and clears the queue of read requests after the current answer. The accept loop ended at the signal and dropped the listening socket with its backlog.

Evidence: tests on sockets, each failed before: unread_request: answer: "" pending_connection: answer: "" queued_request: only the answer to /slow, then the close Ruled out: idle connections, an open request and an open stream passed before and after. The head timeout ends no connection with a whole request (head_timeout.rs passed before and after).

Change: the library's signal is no longer used. A closing listener first accepts the backlog for 20 ms and reads for another 20 ms; then the stream of a connection reads as ended once no request is open and nothing more has arrived. A connection whose answer began before the close is woken when the answer ends. Answers that begin after the close carry Connection: close. Failures to accept and connections over the limit are logged.

Open: a queued request is answered after an answer with Connection: close, as before during the balancer's lag; a strict caller ignores it.

--- a/crates/dandeliondeal_http/src/head_timer.rs
+++ b/crates/dandeliondeal_http/src/head_timer.rs
@@ -1,16 +1,20 @@
-//! A timeout for the head of each request on a connection.
+//! A timeout for the head of each request on a connection, and the end of idle connections.
 //!
 //! The HTTP library applies its head timeout only to the first request of a connection. This
 //! timeout starts with the first byte that arrives while no request is open and ends when the
 //! handler receives the request. A head that begins while an earlier request is open is limited by
 //! the keep-alive timeout instead.
+//!
+//! When the listener closes, the library would discard requests that it has read or that wait in
+//! the socket. Instead, the connection reads as ended once no request is open and nothing more has
+//! arrived.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt::{self, Debug, Formatter};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use actix_http::body::{BodySize, MessageBody};
@@ -18,6 +22,7 @@
 use bytes::Bytes;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
 
 /// Counters of the requests on one connection, shared with the handlers of the requests.
 #[derive(Clone, Debug, Default)]
@@ -29,6 +34,8 @@
     open: Cell<usize>,
     /// Requests started since the connection was opened.
     started: Cell<u64>,
+    /// Task to wake when no request is open any more.
+    waker: RefCell<Option<Waker>>,
 }
 
 impl OpenRequests {
@@ -39,8 +46,18 @@
         OpenRequestGuard(self.clone())
     }
 
+    /// Returns the number of open requests.
+    pub fn count(&self) -> usize {
+        self.0.open.get()
+    }
+
     fn is_empty(&self) -> bool {
-        self.0.open.get() == 0
+        self.count() == 0
+    }
+
+    /// Wakes the current task when the last open request ends.
+    fn wake_when_empty(&self, context: &Context<'_>) {
+        self.0.waker.replace(Some(context.waker().clone()));
     }
 
     fn started(&self) -> u64 {
@@ -54,8 +71,13 @@
 
 impl Drop for OpenRequestGuard {
     fn drop(&mut self) {
-        let count = &self.0.0.open;
-        count.set(count.get().saturating_sub(1));
+        let counts = &self.0.0;
+        counts.open.set(counts.open.get().saturating_sub(1));
+        if counts.open.get() == 0
+            && let Some(waker) = counts.waker.take()
+        {
+            waker.wake();
+        }
     }
 }
 
@@ -101,23 +123,29 @@
     sleep: Pin<Box<Sleep>>,
 }
 
-/// A connection whose reads fail when the head of a request takes too long.
+/// A connection whose reads fail when the head of a request takes too long, and end when it is idle
+/// and the listener closes.
 pub struct TimedStream {
     stream: TcpStream,
     /// Maximum time for the head of a request.
     limit: Duration,
     open_requests: OpenRequests,
     timer: Option<HeadTimer>,
+    closing: Pin<Box<WaitForCancellationFutureOwned>>,
+    is_closing: bool,
 }
 
 impl TimedStream {
-    /// Applies `limit` as the timeout of each request head on `stream`.
-    pub fn new(stream: TcpStream, limit: Duration) -> Self {
+    /// Applies `limit` as the timeout of each request head on `stream`, and ends the connection
+    /// when it is idle after the cancellation of `closing`.
+    pub fn new(stream: TcpStream, limit: Duration, closing: CancellationToken) -> Self {
         Self {
             stream,
             limit,
             open_requests: OpenRequests::default(),
             timer: None,
+            closing: Box::pin(closing.cancelled_owned()),
+            is_closing: false,
         }
     }
 
@@ -134,6 +162,22 @@
             .is_some_and(|timer| timer.sleep.as_mut().poll(context).is_ready())
     }
 
+    /// Returns whether the connection is to be closed now that nothing more has arrived.
+    fn has_ended(&mut self, context: &mut Context<'_>) -> bool {
+        if !self.is_closing {
+            self.is_closing = self.closing.as_mut().poll(context).is_ready();
+        }
+        if !self.is_closing {
+            return false;
+        }
+        if !self.open_requests.is_empty() {
+            self.open_requests.wake_when_empty(context);
+            return false;
+        }
+        // A head that has begun is still read; its timeout limits it.
+        self.timer.is_none()
+    }
+
     fn start_timer(&mut self, context: &mut Context<'_>) {
         if self.open_requests.is_empty() && self.timer.is_none() {
             let mut timer = HeadTimer {
@@ -172,6 +216,9 @@
         let result = Pin::new(&mut this.stream).poll_read(context, buffer);
         if buffer.filled().len() > filled_before {
             this.start_timer(context);
+        } else if result.is_pending() && this.has_ended(context) {
+            // A read without bytes is the end of the connection.
+            return Poll::Ready(Ok(()));
         }
         result
     }
--- a/crates/dandeliondeal_http/src/http_listener.rs
+++ b/crates/dandeliondeal_http/src/http_listener.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use actix_http::body::MessageBody;
-use actix_http::{HttpService, Request, Response};
+use actix_http::{ConnectionType, HttpService, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
-use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::head_timer::{GuardedBody, OpenRequests, TimedStream};
 
@@ -40,9 +40,9 @@
 #[derive(Debug)]
 pub struct HttpListener {
     address: SocketAddr,
-    /// Set to `true` when the listener is closed.
-    shutdown: watch::Sender<bool>,
+    closing: CancellationToken,
     open_connections: Rc<Cell<usize>>,
+    _close_on_drop: DropGuard,
 }
 
 impl HttpListener {
@@ -63,19 +63,20 @@
     {
         let socket = TcpListener::bind(address).await?;
         let address = socket.local_addr()?;
-        let (shutdown, shutdown_receiver) = watch::channel(false);
+        let closing = CancellationToken::new();
         let open_connections = Rc::new(Cell::new(0));
         actix_rt::spawn(accept_connections(
             socket,
             settings,
             handler,
-            shutdown_receiver,
+            closing.clone(),
             Rc::clone(&open_connections),
         ));
         Ok(Self {
             address,
-            shutdown,
+            closing: closing.clone(),
             open_connections,
+            _close_on_drop: closing.drop_guard(),
         })
     }
 
@@ -89,9 +90,12 @@
         self.open_connections.get()
     }
 
-    /// Stops accepting and closes each connection after the response to its open request.
+    /// Stops accepting and closes each connection once it is idle.
+    ///
+    /// Requests that have reached this machine are still answered, also those that have not been
+    /// read yet and those on connections that have not been accepted yet.
     pub fn close(&self) {
-        self.shutdown.send_replace(true);
+        self.closing.cancel();
     }
 }
 
@@ -99,14 +103,15 @@
     socket: TcpListener,
     settings: ListenerSettings,
     handler: Handler,
-    shutdown: watch::Receiver<bool>,
+    closing: CancellationToken,
     open_connections: Rc<Cell<usize>>,
 ) where
     Handler: Fn(Request) -> ResponseFuture + Clone + 'static,
     ResponseFuture: Future<Output = Response<Body>> + 'static,
     Body: MessageBody + Unpin + 'static,
 {
-    let shutdown_signal = shutdown.clone();
+    let is_closing = closing.clone();
+    let end_of_idle = CancellationToken::new();
     let factory = HttpService::build()
         .client_request_timeout(settings.head_timeout)
         .client_disconnect_timeout(settings.head_timeout)
@@ -115,13 +120,17 @@
         .on_connect_ext(|stream: &TimedStream, data| {
             data.insert(stream.open_requests().clone());
         })
-        .graceful_shutdown_signal(move || wait_for_shutdown(shutdown_signal.clone()))
         .h1(fn_service(move |request: Request| {
             let open_requests = request.conn_data::<OpenRequests>().cloned();
             let guard = open_requests.unwrap_or_default().start_request();
             let response = handler(request);
+            let is_closing = is_closing.clone();
             async move {
-                let response = response.await;
+                let mut response = response.await;
+                if is_closing.is_cancelled() {
+                    let head = response.head_mut();
+                    head.set_connection_type(ConnectionType::Close);
+                }
                 Ok::<_, Infallible>(response.map_body(|_, body| GuardedBody::new(body, guard)))
             }
         }));
@@ -129,30 +138,60 @@
         return;
     };
     let service = Rc::new(service);
-    loop {
-        let accepted = tokio::select! {
-            () = wait_for_shutdown(shutdown.clone()) => break,
-            accepted = socket.accept() => accepted,
-        };
-        let Ok((stream, peer)) = accepted else {
-            // The process has probably run out of file descriptors; wait for connections to end.
-            actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
+    let start_connection = |stream: TcpStream, peer: SocketAddr| {
         if open_connections.get() >= settings.max_connections {
-            continue;
+            tracing::warn!(caller = %peer, "connection closed: too many are open");
+            return;
         }
         // TCP_NODELAY only reduces latency, so a failure to set it is ignored.
         drop(stream.set_nodelay(true));
-        let stream = TimedStream::new(stream, settings.head_timeout);
+        let stream = TimedStream::new(stream, settings.head_timeout, end_of_idle.clone());
         spawn_connection(
             Rc::clone(&service),
             (stream, Some(peer)),
             Rc::clone(&open_connections),
         );
+    };
+    loop {
+        let accepted = tokio::select! {
+            () = closing.cancelled() => break,
+            accepted = socket.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, peer)) => start_connection(stream, peer),
+            Err(error) => {
+                // The process has probably run out of file descriptors; wait for connections to
+                // end.
+                tracing::warn!(%error, "connection cannot be accepted");
+                actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
     }
+    // Connections that the system has established already may carry a request.
+    let mut last_accept = std::pin::pin!(actix_rt::time::sleep(CLOSE_DELAY));
+    loop {
+        let accepted = tokio::select! {
+            () = &mut last_accept => break,
+            accepted = socket.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, peer)) => start_connection(stream, peer),
+            Err(error) => {
+                tracing::warn!(%error, "connection cannot be accepted");
+                break;
+            }
+        }
+    }
+    drop(socket);
+    actix_rt::time::sleep(CLOSE_DELAY).await;
+    end_of_idle.cancel();
 }
 
+/// Time in which a closing listener still accepts connections, and then the time in which it reads
+/// requests on idle connections.
+///
+/// What arrived while the process was busy is known only after the next turn of the event loop.
+const CLOSE_DELAY: Duration = Duration::from_millis(20);
 /// Delay before accepting again after an error.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -174,8 +213,3 @@
         open_connections.set(open_connections.get().saturating_sub(1));
     });
 }
-
-async fn wait_for_shutdown(mut shutdown: watch::Receiver<bool>) {
-    // An error means that the listener and its sender were dropped, which is also a shutdown.
-    drop(shutdown.wait_for(|is_shut_down| *is_shut_down).await);
-}
