A panic of a request handler is answered, and lost answers are logged

Callers saw (in the test): a closed connection without an answer when a handler panics. Besides, the connection counted as open for good: the counter was lowered after the await that the panic unwinds, so that the limit of connections shrank with each panic.

Evidence: handler_panic failed before: open connections left 1, right 0, and no answer.

Change: the handler runs inside catch_unwind; the caller gets 502, which promises nothing, and Connection: close. The count of connections is a guard. The end of a connection with an open request is logged with the caller and the reason: until now the listener logged no such end.

--- a/crates/dandeliondeal_http/src/http_listener.rs
+++ b/crates/dandeliondeal_http/src/http_listener.rs
@@ -1,15 +1,17 @@
 //! An HTTP listener that runs on the current actix arbiter.
 
 use std::cell::Cell;
-use std::convert::Infallible;
+use std::fmt::Display;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::MessageBody;
-use actix_http::{ConnectionType, HttpService, Request, Response};
+use actix_http::body::{BoxBody, MessageBody};
+use actix_http::{ConnectionType, HttpService, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
+use futures_util::FutureExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -99,6 +101,20 @@
     }
 }
 
+/// Error for a handler that panicked; the caller is told that the outcome is unknown.
+#[derive(Clone, Copy, Debug)]
+struct HandlerPanic;
+
+impl From<HandlerPanic> for Response<BoxBody> {
+    fn from(_panic: HandlerPanic) -> Self {
+        let mut response = Self::new(StatusCode::BAD_GATEWAY);
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+        response
+    }
+}
+
 async fn accept_connections<Handler, ResponseFuture, Body>(
     socket: TcpListener,
     settings: ListenerSettings,
@@ -123,15 +139,18 @@
         .h1(fn_service(move |request: Request| {
             let open_requests = request.conn_data::<OpenRequests>().cloned();
             let guard = open_requests.unwrap_or_default().start_request();
-            let response = handler(request);
+            let response = AssertUnwindSafe(handler(request)).catch_unwind();
             let is_closing = is_closing.clone();
             async move {
-                let mut response = response.await;
+                let mut response = response.await.map_err(|_panic| {
+                    tracing::error!("request handler panicked");
+                    HandlerPanic
+                })?;
                 if is_closing.is_cancelled() {
                     let head = response.head_mut();
                     head.set_connection_type(ConnectionType::Close);
                 }
-                Ok::<_, Infallible>(response.map_body(|_, body| GuardedBody::new(body, guard)))
+                Ok::<_, HandlerPanic>(response.map_body(|_, body| GuardedBody::new(body, guard)))
             }
         }));
     let Ok(service) = factory.new_service(()).await else {
@@ -146,11 +165,13 @@
         // TCP_NODELAY only reduces latency, so a failure to set it is ignored.
         drop(stream.set_nodelay(true));
         let stream = TimedStream::new(stream, settings.head_timeout, end_of_idle.clone());
-        spawn_connection(
+        let open_connection = OpenConnection::new(Rc::clone(&open_connections));
+        actix_rt::spawn(serve_connection(
             Rc::clone(&service),
-            (stream, Some(peer)),
-            Rc::clone(&open_connections),
-        );
+            stream,
+            peer,
+            open_connection,
+        ));
     };
     loop {
         let accepted = tokio::select! {
@@ -198,18 +219,44 @@
 /// A connection with the address of its caller.
 type CallerStream = (TimedStream, Option<SocketAddr>);
 
-fn spawn_connection<ConnectionService>(
+/// Counts a connection as open until it is dropped.
+struct OpenConnection(Rc<Cell<usize>>);
+
+impl OpenConnection {
+    fn new(count: Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Serves a connection until it ends, and logs an end with open requests.
+async fn serve_connection<ConnectionService>(
     service: Rc<ConnectionService>,
-    stream: CallerStream,
-    open_connections: Rc<Cell<usize>>,
+    stream: TimedStream,
+    peer: SocketAddr,
+    _open_connection: OpenConnection,
 ) where
     ConnectionService: Service<CallerStream> + 'static,
+    ConnectionService::Error: Display,
 {
-    open_connections.set(open_connections.get() + 1);
-    actix_rt::spawn(async move {
-        // An error here means that the caller's connection broke. The handlers of its requests were
-        // already informed, so the error is ignored.
-        drop(service.call(stream).await);
-        open_connections.set(open_connections.get().saturating_sub(1));
-    });
+    let open_requests = stream.open_requests().clone();
+    let mut connection = std::pin::pin!(service.call((stream, Some(peer))));
+    let result = connection.as_mut().await;
+    // Requests are counted before the connection is dropped, which ends them.
+    let open = open_requests.count();
+    let reason = match result {
+        Ok(_) => "closed by the caller".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    if open > 0 {
+        tracing::info!(caller = %peer, open, reason, "connection ended with an open request");
+    } else {
+        tracing::debug!(caller = %peer, reason, "connection ended");
+    }
 }
--- a/crates/dandeliondeal_http/tests/listener_close.rs
+++ b/crates/dandeliondeal_http/tests/listener_close.rs
@@ -31,6 +31,7 @@
     match path.as_str() {
         "/slow" => actix_rt::time::sleep(SLOW_TIME).await,
         "/stream" => return Response::with_body(StatusCode::OK, slow_stream()),
+        "/panic" => panic!("handler of the test panics"),
         _ => {}
     }
     Response::with_body(StatusCode::OK, ResponseBody::Full(Bytes::from(path)))
@@ -166,3 +167,16 @@
     assert!(answers.contains("/slow"), "answers: {answers}");
     assert!(answers.ends_with("/next"), "answers: {answers}");
 }
+
+// A panic closed the connection without an answer, and the connection counted as open for good.
+#[actix_rt::test]
+async fn handler_panic() {
+    let listener = start_listener().await;
+    let mut stream = connect(&listener).await;
+    let request = request_text("/panic");
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let answer = read_to_end(&mut stream).await;
+    actix_rt::time::sleep(Duration::from_millis(20)).await;
+    assert_eq!(listener.open_connections(), 0);
+    assert!(answer.starts_with("HTTP/1.1 502 "), "answer: {answer:?}");
+}
