A stream is complete only if its end was stated

Callers would see: a stream that ends early and looks complete, when the task that forwards its events ends without a word, such as by a panic. Cause: the body ended as complete when the sender was dropped. Evidence: dropped_sender failed before: left None, right Some(Err(())). No such panic is known from a log of the incident. Change: the queue carries StreamPart::Events or StreamPart::End; a sender that is dropped without End is an incomplete response, which closes the connection. A stream is logged as answered once its end is in the queue, and as caller-left if the caller has gone by then. Result: relay_body passes.

--- a/crates/dandeliondeal_relay/src/relay_body.rs
+++ b/crates/dandeliondeal_relay/src/relay_body.rs
@@ -14,13 +14,25 @@
 #[display("the response ended before it was complete")]
 pub struct IncompleteResponse;
 
+/// Part of a stream to a caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StreamPart {
+    /// Next events.
+    Events(Bytes),
+    /// End of a complete stream.
+    End,
+}
+
 /// Body of a response to a caller.
 #[derive(Debug)]
 pub enum RelayBody {
     /// Complete body.
     Complete(Bytes),
-    /// Chunks sent as they arrive; an error closes the connection.
-    Stream(mpsc::Receiver<Result<Bytes, IncompleteResponse>>),
+    /// Events sent as they arrive.
+    ///
+    /// If the sender is dropped before [`StreamPart::End`], the response is incomplete and the
+    /// connection is closed.
+    Stream(mpsc::Receiver<StreamPart>),
     /// Closes the connection at once.
     Cut,
 }
@@ -42,7 +54,11 @@
         match self.get_mut() {
             Self::Complete(content) if content.is_empty() => Poll::Ready(None),
             Self::Complete(content) => Poll::Ready(Some(Ok(std::mem::take(content)))),
-            Self::Stream(chunks) => chunks.poll_recv(context),
+            Self::Stream(parts) => parts.poll_recv(context).map(|part| match part {
+                Some(StreamPart::Events(events)) => Some(Ok(events)),
+                Some(StreamPart::End) => None,
+                None => Some(Err(IncompleteResponse)),
+            }),
             Self::Cut => Poll::Ready(Some(Err(IncompleteResponse))),
         }
     }
--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -12,7 +12,7 @@
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::plain_relay;
 use crate::refusal::{RefusalCause, refusal_response};
-use crate::relay_body::{IncompleteResponse, RelayBody};
+use crate::relay_body::{RelayBody, StreamPart};
 use crate::relay_context::RelayContext;
 use crate::relay_outcome::RelayOutcome;
 use crate::request_intake::{RelayRequest, read_request};
@@ -123,7 +123,7 @@
     };
     let (sender, receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     // The queue is empty and open, so this send succeeds.
-    drop(sender.try_send(Ok(first)));
+    drop(sender.try_send(StreamPart::Events(first)));
     actix_rt::spawn(forward_events(relay, record, sender));
     response.set_body(RelayBody::Stream(receiver))
 }
@@ -132,7 +132,7 @@
 async fn forward_events<Time, Dialect>(
     mut relay: StreamRelay<Time, Dialect>,
     mut record: OpenRequest<Time, Dialect>,
-    sender: mpsc::Sender<Result<Bytes, IncompleteResponse>>,
+    sender: mpsc::Sender<StreamPart>,
 ) where
     Time: Clock,
     Dialect: RequestDialect + FleetDialect,
@@ -146,17 +146,18 @@
         record.runs = relay.runs();
         match next {
             Ok(Some(events)) => {
-                if sender.send(Ok(events)).await.is_err() {
+                if sender.send(StreamPart::Events(events)).await.is_err() {
                     return;
                 }
             }
             Ok(None) => {
-                record.record_end("answered", 200);
+                if sender.send(StreamPart::End).await.is_ok() {
+                    record.record_end("answered", 200);
+                }
                 return;
             }
             Err(end) => {
-                // A send error means that the caller has disconnected, which also ends the stream.
-                drop(sender.send(Err(IncompleteResponse)).await);
+                // The sender is dropped without an end, which closes the caller's connection.
                 let cause = match end {
                     StreamEnd::Refused(cause) => cause.name(),
                     StreamEnd::Failure(_) => "engine-failure",
