Planned stop waits until the responses are written

Callers saw (in the test): a response that its caller reads slowly is cut off when the process exits in a planned stop. Cause: the gauge of open requests falls when the handler returns, or when the last event is queued, not when the response has been written. The stop ended 300 ms after the listener's close if the gauge was 0. Evidence: unread_response failed before: "stopped before the response was sent". The fixed 300 ms are gone; the line `stopped` gives the number of connections and requests that remained.

--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -45,8 +45,6 @@
 const BALANCER_LAG: Duration = Duration::from_millis(2_500);
 /// Time before the end of the grace period at which the process exits by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
-/// Time in which a finished response is written to its caller.
-const RESPONSE_WRITE_TIME: Duration = Duration::from_millis(300);
 /// Time between two checks whether open requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// File descriptors reserved for files, the store, peers and endpoints.
@@ -157,7 +155,8 @@
     /// Shuts down gracefully.
     ///
     /// Readiness ends at once, but requests are still served until the load balancer notices. Then
-    /// no new connections are accepted, and open requests may finish within the grace period.
+    /// no new connections are accepted, and open requests may finish within the grace period. A
+    /// response that a caller has not read yet is an open request.
     pub async fn stop(self) {
         let started = self.context.now();
         self.context.request_stop();
@@ -165,17 +164,16 @@
         let limit = grace.saturating_sub(GRACE_MARGIN);
         actix_rt::time::sleep(BALANCER_LAG.min(limit)).await;
         self.callers.close();
-        // Responses that have just been produced are still being written.
-        actix_rt::time::sleep(RESPONSE_WRITE_TIME.min(limit)).await;
         loop {
+            // Connections end only after the listener's task has run.
+            actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
             let elapsed = self.context.now().saturating_duration_since(started);
             let open = self.context.metrics().open_requests.get();
-            // Idle connections of callers need no response; they end with the process.
-            if elapsed >= limit || open <= 0 {
-                tracing::info!(open, elapsed_ms = %elapsed.as_millis(), "stopped");
+            let connections = self.callers.open_connections();
+            if elapsed >= limit || (open <= 0 && connections == 0) {
+                tracing::info!(open, connections, elapsed_ms = %elapsed.as_millis(), "stopped");
                 break;
             }
-            actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         for task in &self.tasks {
             task.abort();
