Closing listener accepts waiting connections before its delay ends

Found by reading, not by a test: if the process is busy during the 20 ms in which the closing listener still accepts, both the delay and a connection are ready, and one was picked at random. Connections now go first; the runtime's budget bounds how many.

--- a/crates/dandeliondeal_http/src/http_listener.rs
+++ b/crates/dandeliondeal_http/src/http_listener.rs
@@ -192,8 +192,9 @@
     let mut last_accept = std::pin::pin!(actix_rt::time::sleep(CLOSE_DELAY));
     loop {
         let accepted = tokio::select! {
-            () = &mut last_accept => break,
+            biased;
             accepted = socket.accept() => accepted,
+            () = &mut last_accept => break,
         };
         match accepted {
             Ok((stream, peer)) => start_connection(stream, peer),
