Requests without a response get a final one before the grace period ends

Callers saw (in the test): requests that were still open at the end of the grace period of a planned stop ended with a closed connection. Cause: the process exits 700 ms before the end of the grace period and drops the connections with their requests. Evidence: final_answers failed before for a safe request, an unsafe one and a stream without a first event: no head of an answer arrived. Change: 300 ms before the exit (7.0 s of 8 s, after the last sixth of the grace period has begun) each request without a response ends as at its deadline: 504, or 503 with a retry delay if it is certain that it did not run. The stop phase is a watch that the handlers wait for beside the relay. Streams that have begun are cut as before and do not look complete (begun_stream, which passed before). The 503 is not covered by a socket test: it takes the path of a deadline that passes before anything was sent.

--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -13,6 +13,7 @@
 use dandeliondeal_types::{Clock, ServiceId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use tokio::sync::watch;
 
 use crate::engine_calls::ReportCache;
 use crate::engine_check::EngineChecks;
@@ -30,6 +31,17 @@
 /// record of used repeats.
 const USABLE_SLACK_SHARE: f64 = 0.7;
 
+/// Progress of a shutdown.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum StopPhase {
+    /// The process serves requests.
+    Running,
+    /// The process has been asked to stop, and open requests may finish.
+    Draining,
+    /// The grace period ends; requests without a response get a final one.
+    Ending,
+}
+
 /// State shared by all requests of a router; clones share the state.
 #[derive(Debug)]
 pub struct RelayContext<Time, Dialect> {
@@ -55,7 +67,7 @@
     planner: LayoutPlanner,
     instance_count: Cell<usize>,
     peers: RefCell<Rc<Vec<PeerInstance>>>,
-    is_stopping: Cell<bool>,
+    stop_phase: watch::Sender<StopPhase>,
     holds_lease: Cell<bool>,
     lease_holder_seen: Cell<Option<Instant>>,
 }
@@ -103,7 +115,7 @@
             planner: LayoutPlanner::new(LayoutSettings::default()),
             instance_count: Cell::new(0),
             peers: RefCell::default(),
-            is_stopping: Cell::new(false),
+            stop_phase: watch::Sender::new(StopPhase::Running),
             holds_lease: Cell::new(false),
             lease_holder_seen: Cell::new(None),
         };
@@ -234,12 +246,28 @@
 
     /// Returns whether the process has been asked to stop.
     pub fn is_stopping(&self) -> bool {
-        self.shared.is_stopping.get()
+        *self.shared.stop_phase.borrow() >= StopPhase::Draining
     }
 
     /// Records that the process has been asked to stop.
     pub fn request_stop(&self) {
-        self.shared.is_stopping.set(true);
+        self.shared.stop_phase.send_replace(StopPhase::Draining);
+    }
+
+    /// Ends the open requests that have no response yet, because the grace period is over.
+    pub fn request_final_responses(&self) {
+        self.shared.stop_phase.send_replace(StopPhase::Ending);
+    }
+
+    /// Waits until requests without a response have to be ended.
+    pub async fn wait_for_final_responses(&self) {
+        let mut stop_phase = self.shared.stop_phase.subscribe();
+        // The sender lives as long as this context, so the wait does not fail.
+        drop(
+            stop_phase
+                .wait_for(|phase| *phase == StopPhase::Ending)
+                .await,
+        );
     }
 
     /// Returns whether this instance holds the layout lease.
--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -88,7 +88,12 @@
         return serve_stream(relay, record).await;
     }
     let max_delay = request.max_retry_delay(context.now());
-    match plain_relay::relay_request(context, &mut request).await {
+    let outcome = tokio::select! {
+        biased;
+        outcome = plain_relay::relay_request(context, &mut request) => outcome,
+        () = context.wait_for_final_responses() => request.end_timed_out(None),
+    };
+    match outcome {
         RelayOutcome::Answered(response) => record.finish_answered(response),
         RelayOutcome::Refused(cause) => record.finish_refused(cause, max_delay),
     }
@@ -103,7 +108,11 @@
     Dialect: RequestDialect + FleetDialect,
 {
     record.is_stream = true;
-    let first_events = relay.next_events().await;
+    let first_events = tokio::select! {
+        biased;
+        first_events = relay.next_events() => first_events,
+        () = record.context.wait_for_final_responses() => Err(relay.end_timed_out()),
+    };
     let max_delay = relay.request().max_retry_delay(record.context.now());
     record.runs = relay.runs();
     let first_events = match first_events {
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -45,6 +45,9 @@
 const BALANCER_LAG: Duration = Duration::from_millis(2_500);
 /// Time before the end of the grace period at which the process exits by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
+/// Time before the exit at which requests without a response get a final one, in which it is written
+/// to the caller.
+const RESPONSE_WRITE_TIME: Duration = Duration::from_millis(300);
 /// Time between two checks whether open requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// File descriptors reserved for files, the store, peers and endpoints.
@@ -156,7 +159,8 @@
     ///
     /// Readiness ends at once, but requests are still served until the load balancer notices. Then
     /// no new connections are accepted, and open requests may finish within the grace period. A
-    /// response that a caller has not read yet is an open request.
+    /// response that a caller has not read yet is an open request. Shortly before the grace period
+    /// ends, requests without a response get a final one.
     pub async fn stop(self) {
         let started = self.context.now();
         self.context.request_stop();
@@ -174,6 +178,9 @@
                 tracing::info!(open, connections, elapsed_ms = %elapsed.as_millis(), "stopped");
                 break;
             }
+            if elapsed >= limit.saturating_sub(RESPONSE_WRITE_TIME) {
+                self.context.request_final_responses();
+            }
         }
         for task in &self.tasks {
             task.abort();
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -155,13 +155,13 @@
         loop {
             let time_left = self.request.time_left(self.context.now());
             if time_left.is_zero() {
-                return Err(self.timed_out());
+                return Err(self.end_timed_out());
             }
             if self.link.is_none() {
                 self.start_attempts().await?;
             }
             match actix_rt::time::timeout(time_left, self.read_events()).await {
-                Err(_elapsed) => return Err(self.timed_out()),
+                Err(_elapsed) => return Err(self.end_timed_out()),
                 Ok(Ok(Some(events))) if events.is_empty() => {}
                 Ok(Ok(Some(events))) => return Ok(Some(events)),
                 Ok(Ok(None)) => {
@@ -173,7 +173,8 @@
         }
     }
 
-    fn timed_out(&mut self) -> StreamEnd {
+    /// Ends a request whose time is over.
+    pub(crate) fn end_timed_out(&mut self) -> StreamEnd {
         self.refuse(RefusalCause::LateSent)
     }
 
@@ -349,7 +350,7 @@
         loop {
             let time_left = self.request.time_left(self.context.now());
             if time_left.is_zero() {
-                return Err(self.timed_out());
+                return Err(self.end_timed_out());
             }
             let Some(chain) = self.select_chain(None) else {
                 return Err(self.refuse(RefusalCause::NoEndpoint));
@@ -442,7 +443,7 @@
         let (head, facts) = match response {
             Err(_elapsed) => {
                 self.request.lifecycle.mark_may_have_run();
-                return Err(self.timed_out());
+                return Err(self.end_timed_out());
             }
             Ok(Err(cause)) => {
                 self.link = Some(link);
