--- a/crates/dandeliondeal_http/src/http_listener.rs
+++ b/crates/dandeliondeal_http/src/http_listener.rs
@@ -1,17 +1,19 @@
 //! An HTTP listener that runs on the current actix arbiter.
 
 use std::cell::Cell;
-use std::convert::Infallible;
+use std::fmt::Display;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::MessageBody;
-use actix_http::{HttpService, Request, Response};
+use actix_http::body::{BoxBody, MessageBody};
+use actix_http::{ConnectionType, HttpService, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
-use tokio::net::TcpListener;
-use tokio::sync::watch;
+use futures_util::FutureExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::head_timer::{GuardedBody, OpenRequests, TimedStream};
 
@@ -40,9 +42,9 @@
 #[derive(Debug)]
 pub struct HttpListener {
     address: SocketAddr,
-    /// Set to `true` when the listener is closed.
-    shutdown: watch::Sender<bool>,
+    closing: CancellationToken,
     open_connections: Rc<Cell<usize>>,
+    _close_on_drop: DropGuard,
 }
 
 impl HttpListener {
@@ -63,19 +65,20 @@
     {
         let socket = TcpListener::bind(address).await?;
         let address = socket.local_addr()?;
-        let (shutdown, shutdown_receiver) = watch::channel(false);
+        let closing = CancellationToken::new();
         let open_connections = Rc::new(Cell::new(0));
         actix_rt::spawn(accept_connections(
             socket,
             settings,
             handler,
-            shutdown_receiver,
+            closing.clone(),
             Rc::clone(&open_connections),
         ));
         Ok(Self {
             address,
-            shutdown,
+            closing: closing.clone(),
             open_connections,
+            _close_on_drop: closing.drop_guard(),
         })
     }
 
@@ -89,9 +92,26 @@
         self.open_connections.get()
     }
 
-    /// Stops accepting and closes each connection after the response to its open request.
+    /// Stops accepting and closes each connection once it is idle.
+    ///
+    /// Requests that have reached this machine are still answered, also those that have not been
+    /// read yet and those on connections that have not been accepted yet.
     pub fn close(&self) {
-        self.shutdown.send_replace(true);
+        self.closing.cancel();
+    }
+}
+
+/// Error for a handler that panicked; the caller is told that the outcome is unknown.
+#[derive(Clone, Copy, Debug)]
+struct HandlerPanic;
+
+impl From<HandlerPanic> for Response<BoxBody> {
+    fn from(_panic: HandlerPanic) -> Self {
+        let mut response = Self::new(StatusCode::BAD_GATEWAY);
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+        response
     }
 }
 
@@ -99,14 +119,15 @@
     socket: TcpListener,
     settings: ListenerSettings,
     handler: Handler,
-    shutdown: watch::Receiver<bool>,
+    closing: CancellationToken,
     open_connections: Rc<Cell<usize>>,
 ) where
     Handler: Fn(Request) -> ResponseFuture + Clone + 'static,
     ResponseFuture: Future<Output = Response<Body>> + 'static,
     Body: MessageBody + Unpin + 'static,
 {
-    let shutdown_signal = shutdown.clone();
+    let is_closing = closing.clone();
+    let end_of_idle = CancellationToken::new();
     let factory = HttpService::build()
         .client_request_timeout(settings.head_timeout)
         .client_disconnect_timeout(settings.head_timeout)
@@ -115,67 +136,128 @@
         .on_connect_ext(|stream: &TimedStream, data| {
             data.insert(stream.open_requests().clone());
         })
-        .graceful_shutdown_signal(move || wait_for_shutdown(shutdown_signal.clone()))
         .h1(fn_service(move |request: Request| {
             let open_requests = request.conn_data::<OpenRequests>().cloned();
             let guard = open_requests.unwrap_or_default().start_request();
-            let response = handler(request);
+            let response = AssertUnwindSafe(handler(request)).catch_unwind();
+            let is_closing = is_closing.clone();
             async move {
-                let response = response.await;
-                Ok::<_, Infallible>(response.map_body(|_, body| GuardedBody::new(body, guard)))
+                let mut response = response.await.map_err(|_panic| {
+                    tracing::error!("request handler panicked");
+                    HandlerPanic
+                })?;
+                if is_closing.is_cancelled() {
+                    let head = response.head_mut();
+                    head.set_connection_type(ConnectionType::Close);
+                }
+                Ok::<_, HandlerPanic>(response.map_body(|_, body| GuardedBody::new(body, guard)))
             }
         }));
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
     let service = Rc::new(service);
+    let start_connection = |stream: TcpStream, peer: SocketAddr| {
+        if open_connections.get() >= settings.max_connections {
+            tracing::warn!(caller = %peer, "connection closed: too many are open");
+            return;
+        }
+        // TCP_NODELAY only reduces latency, so a failure to set it is ignored.
+        drop(stream.set_nodelay(true));
+        let stream = TimedStream::new(stream, settings.head_timeout, end_of_idle.clone());
+        let open_connection = OpenConnection::new(Rc::clone(&open_connections));
+        actix_rt::spawn(serve_connection(
+            Rc::clone(&service),
+            stream,
+            peer,
+            open_connection,
+        ));
+    };
     loop {
         let accepted = tokio::select! {
-            () = wait_for_shutdown(shutdown.clone()) => break,
+            () = closing.cancelled() => break,
             accepted = socket.accept() => accepted,
         };
-        let Ok((stream, peer)) = accepted else {
-            // The process has probably run out of file descriptors; wait for connections to end.
-            actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+        match accepted {
+            Ok((stream, peer)) => start_connection(stream, peer),
+            Err(error) => {
+                // The process has probably run out of file descriptors; wait for connections to
+                // end.
+                tracing::warn!(%error, "connection cannot be accepted");
+                actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+    // Connections that the system has established already may carry a request.
+    let mut last_accept = std::pin::pin!(actix_rt::time::sleep(CLOSE_DELAY));
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            accepted = socket.accept() => accepted,
+            () = &mut last_accept => break,
         };
-        if open_connections.get() >= settings.max_connections {
-            continue;
+        match accepted {
+            Ok((stream, peer)) => start_connection(stream, peer),
+            Err(error) => {
+                tracing::warn!(%error, "connection cannot be accepted");
+                break;
+            }
         }
-        // TCP_NODELAY only reduces latency, so a failure to set it is ignored.
-        drop(stream.set_nodelay(true));
-        let stream = TimedStream::new(stream, settings.head_timeout);
-        spawn_connection(
-            Rc::clone(&service),
-            (stream, Some(peer)),
-            Rc::clone(&open_connections),
-        );
     }
+    drop(socket);
+    actix_rt::time::sleep(CLOSE_DELAY).await;
+    end_of_idle.cancel();
 }
 
+/// Time in which a closing listener still accepts connections, and then the time in which it reads
+/// requests on idle connections.
+///
+/// What arrived while the process was busy is known only after the next turn of the event loop.
+const CLOSE_DELAY: Duration = Duration::from_millis(20);
 /// Delay before accepting again after an error.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// A connection with the address of its caller.
 type CallerStream = (TimedStream, Option<SocketAddr>);
 
-fn spawn_connection<ConnectionService>(
+/// Counts a connection as open until it is dropped.
+struct OpenConnection(Rc<Cell<usize>>);
+
+impl OpenConnection {
+    fn new(count: Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Serves a connection until it ends, and logs an end with open requests.
+async fn serve_connection<ConnectionService>(
     service: Rc<ConnectionService>,
-    stream: CallerStream,
-    open_connections: Rc<Cell<usize>>,
+    stream: TimedStream,
+    peer: SocketAddr,
+    _open_connection: OpenConnection,
 ) where
     ConnectionService: Service<CallerStream> + 'static,
+    ConnectionService::Error: Display,
 {
-    open_connections.set(open_connections.get() + 1);
-    actix_rt::spawn(async move {
-        // An error here means that the caller's connection broke. The handlers of its requests were
-        // already informed, so the error is ignored.
-        drop(service.call(stream).await);
-        open_connections.set(open_connections.get().saturating_sub(1));
-    });
-}
-
-async fn wait_for_shutdown(mut shutdown: watch::Receiver<bool>) {
-    // An error means that the listener and its sender were dropped, which is also a shutdown.
-    drop(shutdown.wait_for(|is_shut_down| *is_shut_down).await);
+    let open_requests = stream.open_requests().clone();
+    let mut connection = std::pin::pin!(service.call((stream, Some(peer))));
+    let result = connection.as_mut().await;
+    // Requests are counted before the connection is dropped, which ends them.
+    let open = open_requests.count();
+    let reason = match result {
+        Ok(_) => "closed by the caller".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    if open > 0 {
+        tracing::info!(caller = %peer, open, reason, "connection ended with an open request");
+    } else {
+        tracing::debug!(caller = %peer, reason, "connection ended");
+    }
 }
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -121,6 +121,7 @@
         let mut connecting = FuturesUnordered::new();
         let mut open_attempts = FuturesUnordered::new();
         let mut end = RaceEnd::TimedOut;
+        let mut final_responses = pin!(context.wait_for_final_responses());
         let mut next_attempt = Some(context.now());
         loop {
             // Only one connection is opened at a time.
@@ -159,6 +160,9 @@
                     }
                 },
                 () = sleep(delay.unwrap_or_default()), if delay.is_some() => {}
+                () = &mut final_responses, if !open_attempts.is_empty() || !connecting.is_empty() => {
+                    return RaceEnd::TimedOut;
+                }
                 else => return end,
             }
         }
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -135,7 +135,7 @@
             }
             let step = actix_rt::time::timeout(time_left, self.next_step());
             let Ok(step) = step.await else {
-                return Err(self.timed_out());
+                return Err(self.end_timed_out());
             };
             let step = match step {
                 RelayStep::Silent(cause) => {
@@ -143,7 +143,7 @@
                     match reaction.await {
                         Ok(Some(step)) => RelayStep::Current(step),
                         Ok(None) => continue,
-                        Err(_elapsed) => return Err(self.timed_out()),
+                        Err(_elapsed) => return Err(self.end_timed_out()),
                     }
                 }
                 step => step,
@@ -169,12 +169,13 @@
     fn time_left(&mut self) -> Result<Duration, StreamEnd> {
         let time_left = self.request.time_left(self.context.now());
         if time_left.is_zero() {
-            return Err(self.timed_out());
+            return Err(self.end_timed_out());
         }
         Ok(time_left)
     }
 
-    pub(crate) fn timed_out(&mut self) -> StreamEnd {
+    /// Ends a request whose time is over.
+    pub(crate) fn end_timed_out(&mut self) -> StreamEnd {
         self.refuse(RefusalCause::LateSent)
     }
 
