--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -254,9 +254,10 @@
         self.shared.stop_phase.send_replace(StopPhase::Draining);
     }
 
-    /// Ends the open requests that have no response yet, because the grace period is over.
-    pub fn request_final_responses(&self) {
-        self.shared.stop_phase.send_replace(StopPhase::Ending);
+    /// Ends the open requests that have no response yet, because the grace period is over; returns
+    /// `false` if that was requested before.
+    pub fn request_final_responses(&self) -> bool {
+        self.shared.stop_phase.send_replace(StopPhase::Ending) != StopPhase::Ending
     }
 
     /// Waits until requests without a response have to be ended.
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -178,8 +178,9 @@
                 tracing::info!(open, connections, elapsed_ms = %elapsed.as_millis(), "stopped");
                 break;
             }
-            if elapsed >= limit.saturating_sub(RESPONSE_WRITE_TIME) {
-                self.context.request_final_responses();
+            let is_ending = elapsed >= limit.saturating_sub(RESPONSE_WRITE_TIME);
+            if is_ending && self.context.request_final_responses() {
+                tracing::info!(open, connections, "requests without a response are ended");
             }
         }
         for task in &self.tasks {
