Hold back events without an id

Callers: a stream whose engine sends events without ids, or blank lines, without end delivers them as a success until the stream's time is over; they are no answer in the protocol. Cause: `EventSplitter` passed on each event without an id, and the relay took it for progress, so that neither the watch on a silent chain nor the break of the stream applied. Evidence: tests `unnumbered_events` ("assertion failed: out.is_empty()") and `unnumbered_before_repeated` failed before. Change: events without an id wait for the next event that has one, and go with it; those after the last event go with the regular end of the stream. More than 64 KiB of them breaks the run with that cause. A slow flow of them is no progress, so that a silent chain is noticed and replaced. After: the tests of the file pass.

--- a/crates/dandeliondeal_relay/src/event_splitter.rs
+++ b/crates/dandeliondeal_relay/src/event_splitter.rs
@@ -12,6 +12,9 @@
     /// An event is too long.
     #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
     TooLong,
+    /// There are too many events without an id.
+    #[display("more than {MAX_EVENT_BYTES} bytes of events have no id")]
+    Unnumbered,
     /// Event ids are not consecutive, so an event is missing.
     #[display("event {found} follows event {last}")]
     Gap {
@@ -26,6 +29,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Length of the complete events without an id at the start of the buffer.
+    unnumbered: usize,
     /// Position in the buffer up to which no event ends.
     searched: usize,
     /// Start of the line that contains this position.
@@ -51,12 +56,13 @@
 
     /// Adds received bytes and returns the events that they complete.
     ///
-    /// Events with an id up to the last one are dropped, because a restarted run repeats them. An
+    /// Events with an id up to the last one are dropped, because a restarted run repeats them. Events
+    /// without an id are returned with the next event that has one, because they are no progress. An
     /// error after complete events is returned by the next call of this method or [`Self::check`].
     ///
     /// # Errors
     ///
-    /// Returns [`EventError`] if an event is missing or too long.
+    /// Returns [`EventError`] if an event is missing or too long, or if no new event comes.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
         self.check()?;
         self.buffer.extend_from_slice(bytes);
@@ -71,13 +77,16 @@
     /// Moves complete events from the buffer to `events`.
     fn split_events(&mut self, events: &mut BytesMut) -> Result<(), EventError> {
         while let Some(end) = self.find_event_end() {
+            let Some(id) = event_id(&self.buffer[self.unnumbered..end]) else {
+                self.unnumbered = end;
+                self.searched = end;
+                self.line_start = end;
+                continue;
+            };
             let event = self.buffer.split_to(end);
+            self.unnumbered = 0;
             self.searched = 0;
             self.line_start = 0;
-            let Some(id) = event_id(&event) else {
-                events.extend_from_slice(&event);
-                continue;
-            };
             match self.last_id {
                 Some(last) if id <= last => {}
                 Some(last) if id != last + 1 => return Err(EventError::Gap { last, found: id }),
@@ -87,10 +96,11 @@
                 }
             }
         }
-        if self.buffer.len() > MAX_EVENT_BYTES {
-            return Err(EventError::TooLong);
+        match self.buffer.len() {
+            0..=MAX_EVENT_BYTES => Ok(()),
+            _ if self.unnumbered > 0 => Err(EventError::Unnumbered),
+            _ => Err(EventError::TooLong),
         }
-        Ok(())
     }
 
     /// Returns the error that follows the returned events.
@@ -104,13 +114,21 @@
 
     /// Returns whether the buffer holds an incomplete event.
     pub fn is_partial(&self) -> bool {
-        !self.buffer.is_empty() || self.error.is_some()
+        self.buffer.len() > self.unnumbered || self.error.is_some()
+    }
+
+    /// Returns the events without an id that follow the last event of a complete stream.
+    pub fn take_rest(&mut self) -> Bytes {
+        let rest = self.buffer.split_to(self.unnumbered).freeze();
+        self.discard_partial();
+        rest
     }
 
     /// Drops the incomplete event that a broken stream left in the buffer.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
         self.error = None;
+        self.unnumbered = 0;
         self.searched = 0;
         self.line_start = 0;
     }
--- a/crates/dandeliondeal_relay/src/stream_run.rs
+++ b/crates/dandeliondeal_relay/src/stream_run.rs
@@ -50,6 +50,8 @@
     /// Headers for the caller.
     headers: HeaderMap,
     splitter: EventSplitter,
+    /// Whether the response has ended regularly.
+    is_ended: bool,
 }
 
 impl<Time, Dialect> StreamRun<Time, Dialect>
@@ -82,6 +84,7 @@
             exchange: Some(exchange),
             headers: HeaderMap::new(),
             splitter: EventSplitter::starting_after(last_event),
+            is_ended: false,
         })
     }
 
@@ -123,6 +126,9 @@
     }
 
     async fn read_events(&mut self) -> Result<RunStep, ConnectionError> {
+        if self.is_ended {
+            return Ok(RunStep::Complete);
+        }
         let earlier_error = self.splitter.check();
         earlier_error.map_err(|error| ConnectionError::after_write(&error))?;
         loop {
@@ -131,7 +137,13 @@
                     let problem = "the stream ended within an event";
                     return Err(ConnectionError::after_write(problem));
                 }
-                return Ok(RunStep::Complete);
+                self.is_ended = true;
+                let rest = self.splitter.take_rest();
+                if rest.is_empty() {
+                    return Ok(RunStep::Complete);
+                }
+                self.record_answer();
+                return Ok(RunStep::Events(rest));
             };
             let events = self.splitter.push(&chunk);
             let events = events.map_err(|error| ConnectionError::after_write(&error))?;
--- a/crates/dandeliondeal_relay/tests/event_splitter.rs
+++ b/crates/dandeliondeal_relay/tests/event_splitter.rs
@@ -101,3 +101,30 @@
     assert_eq!(out, event(5));
     assert_eq!(splitter.push(b""), Err(EventError::TooLong));
 }
+
+// An engine sends events without ids without end: each was passed on and counted as progress, so
+// that the caller got bytes that are no answer until the stream's time was over.
+#[test]
+fn unnumbered_events() {
+    let mut splitter = EventSplitter::starting_after(Some(3));
+    let unnumbered = "data: x\n\n: comment\n\n\n";
+    let out = splitter.push(unnumbered.as_bytes()).expect("few bytes");
+    assert!(out.is_empty());
+    assert!(!splitter.is_partial());
+    let text = event(4) + unnumbered;
+    let out = splitter.push(text.as_bytes()).expect("in order");
+    assert_eq!(out, unnumbered.to_owned() + &event(4));
+    assert_eq!(splitter.take_rest(), unnumbered);
+    let endless = unnumbered.repeat(10_000);
+    assert_eq!(
+        splitter.push(endless.as_bytes()),
+        Err(EventError::Unnumbered)
+    );
+}
+
+#[test]
+fn unnumbered_before_repeated() {
+    let mut splitter = EventSplitter::starting_after(Some(3));
+    let text = "data: x\n\n".to_owned() + &event(3) + &event(4);
+    assert_eq!(splitter.push(text.as_bytes()).expect("in order"), event(4));
+}
