Bound the events that a run repeats

Callers: a stream whose engine repeats old events without end waits until its time is over, while the router uses a processor to drop them. Cause: `EventSplitter` drops repeated events without a limit. Evidence: test `endless_repeats` failed before: after 2.6 MB the splitter returned "Ok(b"")". Change: `MAX_REPEATED_BYTES` (1 MiB) between two new events, after which the run is broken with that cause. After: the tests of the file pass.

--- a/crates/dandeliondeal_relay/src/event_splitter.rs
+++ b/crates/dandeliondeal_relay/src/event_splitter.rs
@@ -5,6 +5,8 @@
 
 /// Maximum size of a buffered event in bytes; an engine's event holds only a few tokens.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
+/// Maximum size in bytes of repeated events before a new one; a restarted run may repeat thousands.
+const MAX_REPEATED_BYTES: usize = 1024 * 1024;
 
 /// Error that ends the delivery of a stream.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
@@ -15,6 +17,9 @@
     /// There are too many events without an id.
     #[display("more than {MAX_EVENT_BYTES} bytes of events have no id")]
     Unnumbered,
+    /// Events up to the last one are repeated too often.
+    #[display("more than {MAX_REPEATED_BYTES} bytes of events are repeated")]
+    Repeats,
     /// Event ids are not consecutive, so an event is missing.
     #[display("event {found} follows event {last}")]
     Gap {
@@ -35,6 +40,8 @@
     searched: usize,
     /// Start of the line that contains this position.
     line_start: usize,
+    /// Size of the events that were dropped since the last new one, in bytes.
+    repeated_bytes: usize,
     last_id: Option<u64>,
     /// Error after the events that were returned.
     error: Option<EventError>,
@@ -88,10 +95,16 @@
             self.searched = 0;
             self.line_start = 0;
             match self.last_id {
-                Some(last) if id <= last => {}
+                Some(last) if id <= last => {
+                    self.repeated_bytes += event.len();
+                    if self.repeated_bytes > MAX_REPEATED_BYTES {
+                        return Err(EventError::Repeats);
+                    }
+                }
                 Some(last) if id != last + 1 => return Err(EventError::Gap { last, found: id }),
                 _ => {
                     self.last_id = Some(id);
+                    self.repeated_bytes = 0;
                     events.extend_from_slice(&event);
                 }
             }
--- a/crates/dandeliondeal_relay/tests/event_splitter.rs
+++ b/crates/dandeliondeal_relay/tests/event_splitter.rs
@@ -128,3 +128,15 @@
     let text = "data: x\n\n".to_owned() + &event(3) + &event(4);
     assert_eq!(splitter.push(text.as_bytes()).expect("in order"), event(4));
 }
+
+// An engine repeats an event without end.
+#[test]
+fn endless_repeats() {
+    let mut splitter = EventSplitter::starting_after(Some(3));
+    let repeats = event(3).repeat(1_000);
+    let results: Vec<_> = (0..100)
+        .map(|_| splitter.push(repeats.as_bytes()))
+        .collect();
+    assert!(results[0].as_ref().is_ok_and(bytes::Bytes::is_empty));
+    assert_eq!(results[99], Err(EventError::Repeats));
+}
