Use another engine after an invalid answer midway

Callers: a stream that may be resumed ends midway, although another engine could complete it, if its engine sends bytes that are no answer after the first event. Cause: an engine counts as at fault only if its run breaks before the first event. The second and last run could go to the same engine, which sends the same bytes again. Change: `ConnectionError` says whether the endpoint sent an invalid answer, and moves to a file of its own. A run that ends with such an error counts against its first engine, and the request doesn't use that engine again. A connection that ends or is reset midway counts as before, since its cause may be another engine of the chain. Tests: endpoints that send bytes without end or in small pieces, in heads, framing, bodies, events, reports, replies to orders and after a complete answer, over sockets, for repeatable and unrepeatable requests and streams. Each answer ends within the route's timeout, unrepeatable requests are sent once, connections are closed, and a request to a healthy endpoint beside takes less than 500 ms.

--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_http::body::BodySize;
@@ -12,11 +11,12 @@
 use actix_rt::time::timeout;
 use bytes::{Buf, Bytes, BytesMut};
 use dandeliondeal_types::Clock;
-use derive_more::{Display, Error};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::connection_error::ConnectionError;
+
 /// Maximum size in bytes of a buffered head or chunk; a longer one breaks the connection.
 ///
 /// A quarter of a megabyte is far above any response head and bounds memory per connection.
@@ -28,43 +28,6 @@
 /// Usual maximum size in bytes of the framing of one chunk.
 const USUAL_FRAMING_BYTES: usize = 256;
 
-/// An error on a connection to an endpoint.
-#[derive(Clone, Debug, Display, Error)]
-#[display("{message}")]
-pub struct ConnectionError {
-    is_written: bool,
-    message: Arc<str>,
-}
-
-impl ConnectionError {
-    /// Creates an error that occurred before any byte of the request was written.
-    pub fn before_write<Reason>(reason: &Reason) -> Self
-    where
-        Reason: std::fmt::Display + ?Sized,
-    {
-        Self {
-            is_written: false,
-            message: reason.to_string().into(),
-        }
-    }
-
-    /// Creates an error that occurred when the request may have reached the endpoint.
-    pub fn after_write<Reason>(reason: &Reason) -> Self
-    where
-        Reason: std::fmt::Display + ?Sized,
-    {
-        Self {
-            is_written: true,
-            message: reason.to_string().into(),
-        }
-    }
-
-    /// Returns whether it is certain that no byte of the request was written.
-    pub fn is_before_write(&self) -> bool {
-        !self.is_written
-    }
-}
-
 /// A request to send to an endpoint.
 #[derive(Clone, Debug)]
 pub struct OutboundRequest {
@@ -285,7 +248,7 @@
                     Ok(None) => {}
                     Err(error) => {
                         self.state = ReadState::Broken;
-                        return Err(ConnectionError::after_write(&error));
+                        return Err(ConnectionError::invalid_answer(&error));
                     }
                 }
             }
@@ -313,7 +276,7 @@
             MessageType::None if is_bodiless => BodyFraming::Empty,
             // The codec skips bodies with other transfer encodings or after a switch of protocols.
             MessageType::None if is_delimited => {
-                return Err(ConnectionError::after_write(
+                return Err(ConnectionError::invalid_answer(
                     "the answer's body has an unknown framing",
                 ));
             }
@@ -365,7 +328,7 @@
                         Ok(None) => self.count_framing(buffered_bytes - self.buffer.len())?,
                         Err(error) => {
                             self.state = ReadState::Broken;
-                            return Err(ConnectionError::after_write(&error));
+                            return Err(ConnectionError::invalid_answer(&error));
                         }
                     }
                 }
@@ -393,7 +356,7 @@
         }
         self.state = ReadState::Broken;
         let text = format!("more than {MAX_EXTRA_FRAMING_BYTES} bytes of framing between chunks");
-        Err(ConnectionError::after_write(&text))
+        Err(ConnectionError::invalid_answer(&text))
     }
 
     /// Reads the complete body, of at most `limit` bytes.
@@ -406,7 +369,7 @@
         while let Some(chunk) = self.read_chunk().await? {
             if body.len() + chunk.len() > limit {
                 let text = format!("answer longer than {limit} bytes");
-                return Err(ConnectionError::after_write(&text));
+                return Err(ConnectionError::invalid_answer(&text));
             }
             body.extend_from_slice(&chunk);
         }
@@ -424,7 +387,7 @@
     async fn fill_buffer(&mut self) -> Result<usize, ConnectionError> {
         if self.buffer.len() >= MAX_BUFFERED_BYTES {
             self.state = ReadState::Broken;
-            return Err(ConnectionError::after_write(
+            return Err(ConnectionError::invalid_answer(
                 "an answer's head or chunk is too long",
             ));
         }
@@ -480,13 +443,13 @@
 /// panic at the next head.
 fn check_interim_head(codec: &ClientCodec, count: usize) -> Result<(), ConnectionError> {
     if !matches!(codec.message_type(), MessageType::None) {
-        return Err(ConnectionError::after_write(
+        return Err(ConnectionError::invalid_answer(
             "an interim head announces a body",
         ));
     }
     if count > MAX_INTERIM_HEADS {
         let text = format!("more than {MAX_INTERIM_HEADS} interim heads");
-        return Err(ConnectionError::after_write(&text));
+        return Err(ConnectionError::invalid_answer(&text));
     }
     Ok(())
 }
--- a/crates/dandeliondeal_http/src/lib.rs
+++ b/crates/dandeliondeal_http/src/lib.rs
@@ -5,18 +5,19 @@
 //! client libraries hide: whether any byte was written, how a body ended, and whether bytes were
 //! left over. [`ConnectionPool`] stores idle connections for reuse.
 
+pub mod connection_error;
 pub mod connection_pool;
 pub mod endpoint_connection;
 pub mod head_timer;
 pub mod http_listener;
 pub mod response_body;
 
+#[doc(inline)]
+pub use connection_error::ConnectionError;
 #[doc(inline)]
 pub use connection_pool::{ConnectionPool, PoolSettings};
 #[doc(inline)]
-pub use endpoint_connection::{
-    BodyFraming, ConnectionError, EndpointConnection, OutboundRequest, ResponseHead,
-};
+pub use endpoint_connection::{BodyFraming, EndpointConnection, OutboundRequest, ResponseHead};
 #[doc(inline)]
 pub use http_listener::{HttpListener, ListenerSettings};
 #[doc(inline)]
--- a/crates/dandeliondeal_http/tests/support/raw_endpoint.rs
+++ b/crates/dandeliondeal_http/tests/support/raw_endpoint.rs
@@ -16,7 +16,7 @@
     pub start: Vec<u8>,
     /// Sent again and again until the peer closes the connection, unless it is empty.
     pub repeat: Vec<u8>,
-    /// Pause before each repetition; without it, many repetitions are sent at once.
+    /// Pause after each repetition; without it, many repetitions are sent at once.
     pub pause: Duration,
 }
 
@@ -50,8 +50,7 @@
 #[derive(Default)]
 struct RawState {
     requests: Mutex<Vec<String>>,
-    open_connections: AtomicUsize,
-    sent_bytes: AtomicUsize,
+    endless_answers: AtomicUsize,
 }
 
 /// Endpoint on loopback; clones share its state.
@@ -77,9 +76,7 @@
                 let state = Arc::clone(&shared_state);
                 let answer = Arc::clone(&answer);
                 std::thread::spawn(move || {
-                    state.open_connections.fetch_add(1, Ordering::Relaxed);
                     serve_connection(&state, stream, &*answer);
-                    state.open_connections.fetch_sub(1, Ordering::Relaxed);
                 });
             }
         });
@@ -95,13 +92,9 @@
         self.state.requests.lock().expect("the requests").clone()
     }
 
-    pub fn open_connections(&self) -> usize {
-        self.state.open_connections.load(Ordering::Relaxed)
-    }
-
-    /// Returns the number of bytes that the sockets took.
-    pub fn sent_bytes(&self) -> usize {
-        self.state.sent_bytes.load(Ordering::Relaxed)
+    /// Returns the number of answers that are being repeated, as their connections are open.
+    pub fn endless_answers(&self) -> usize {
+        self.state.endless_answers.load(Ordering::Relaxed)
     }
 }
 
@@ -117,7 +110,13 @@
             .expect("the requests")
             .push(head.clone());
         let answer = answer(&head);
-        if send_answer(state, &mut stream, &answer).is_err() {
+        if stream.write_all(&answer.start).is_err() {
+            return;
+        }
+        if !answer.repeat.is_empty() {
+            state.endless_answers.fetch_add(1, Ordering::Relaxed);
+            repeat_answer(&mut stream, &answer);
+            state.endless_answers.fetch_sub(1, Ordering::Relaxed);
             return;
         }
     }
@@ -144,25 +143,16 @@
 /// Number of bytes that are sent at once by an answer without a pause.
 const BATCH_BYTES: usize = 64 * 1024;
 
-fn send_answer(
-    state: &RawState,
-    stream: &mut TcpStream,
-    answer: &RawAnswer,
-) -> std::io::Result<()> {
-    stream.write_all(&answer.start)?;
-    if answer.repeat.is_empty() {
-        return Ok(());
-    }
+/// Repeats an answer until the peer closes the connection.
+fn repeat_answer(stream: &mut TcpStream, answer: &RawAnswer) {
     let batch = if answer.pause.is_zero() {
         let count = BATCH_BYTES.div_ceil(answer.repeat.len());
         answer.repeat.repeat(count)
     } else {
         answer.repeat.clone()
     };
-    loop {
+    while stream.write_all(&batch).is_ok() {
         std::thread::sleep(answer.pause);
-        stream.write_all(&batch)?;
-        state.sent_bytes.fetch_add(batch.len(), Ordering::Relaxed);
     }
 }
 
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -265,8 +265,10 @@
     pub(crate) fn leave_chain(&mut self, error: &ConnectionError) -> Result<(), StreamEnd> {
         self.request.lifecycle.mark_may_have_run();
         let chain = self.describe_chain();
-        if let Some(run) = self.current.take() {
-            self.record_break(&run);
+        match self.current.take() {
+            Some(run) if error.is_invalid_answer() => self.record_failure(&run),
+            Some(run) => self.record_break(&run),
+            None => {}
         }
         self.current = self.replacement.take();
         let is_resumed = self.current.is_some() || self.acquire_resume();
@@ -293,9 +295,13 @@
 
     /// Counts a run without events against its first engine, and excludes the engine.
     pub(crate) fn record_break(&mut self, run: &StreamRun<Time, Dialect>) {
-        if run.has_events() {
-            return;
+        if !run.has_events() {
+            self.record_failure(run);
         }
+    }
+
+    /// Counts a run against its first engine, and excludes the engine.
+    fn record_failure(&mut self, run: &StreamRun<Time, Dialect>) {
         let first = EndpointId::clone(run.first_engine());
         let now = self.context.now();
         self.context.first_engines().record(&first, false, now);
--- a/crates/dandeliondeal_relay/src/stream_run.rs
+++ b/crates/dandeliondeal_relay/src/stream_run.rs
@@ -130,7 +130,7 @@
             return Ok(RunStep::Complete);
         }
         let earlier_error = self.splitter.check();
-        earlier_error.map_err(|error| ConnectionError::after_write(&error))?;
+        earlier_error.map_err(|error| ConnectionError::invalid_answer(&error))?;
         loop {
             let Some(chunk) = self.connection.read_chunk().await? else {
                 if self.splitter.is_partial() {
@@ -146,7 +146,7 @@
                 return Ok(RunStep::Events(rest));
             };
             let events = self.splitter.push(&chunk);
-            let events = events.map_err(|error| ConnectionError::after_write(&error))?;
+            let events = events.map_err(|error| ConnectionError::invalid_answer(&error))?;
             if !events.is_empty() {
                 self.record_answer();
                 return Ok(RunStep::Events(events));
