Treat an interim answer of the platform as a lost one

Callers: none directly; a call to the platform's store may return the object of another call. Cause: the HTTP library returns an interim (1xx) head as the answer and puts the connection back. The final answer, if it comes after the next call was sent, is taken for that call's answer. Evidence: test `interim_head` failed before: a read of "second" returned Ok with name "second" and body "first". Test `calls_end` failed with "interim heads: a connection stays open". Change: an interim answer is a lost one, after which the client opens new connections, as after any lost answer. After: both pass.

--- a/crates/dandeliondeal_http/tests/support/raw_endpoint.rs
+++ b/crates/dandeliondeal_http/tests/support/raw_endpoint.rs
@@ -16,7 +16,7 @@
     pub start: Vec<u8>,
     /// Sent again and again until the peer closes the connection, unless it is empty.
     pub repeat: Vec<u8>,
-    /// Pause after each repetition; without it, many repetitions are sent at once.
+    /// Pause before each repetition; without it, many repetitions are sent at once.
     pub pause: Duration,
 }
 
@@ -151,8 +151,11 @@
     } else {
         answer.repeat.clone()
     };
-    while stream.write_all(&batch).is_ok() {
+    loop {
         std::thread::sleep(answer.pause);
+        if stream.write_all(&batch).is_err() {
+            return;
+        }
     }
 }
 
--- a/crates/dandeliondeal_store/src/platform_client.rs
+++ b/crates/dandeliondeal_store/src/platform_client.rs
@@ -233,6 +233,11 @@
             SendFailure::NotSent => StoreError::unavailable(name, &error),
             SendFailure::AnswerLost => StoreError::response_lost(name, &error),
         })?;
+        if answer.status().is_informational() {
+            // The HTTP library returns an interim head as the answer; the final one may follow.
+            let reason = format!("interim answer {}", answer.status());
+            return Err(StoreError::response_lost(name, &reason));
+        }
         let body_future = answer.body().limit(settings.answer_limit);
         let body = actix_rt::time::timeout(timeout, body_future)
             .await
