--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -45,7 +45,8 @@
 const BALANCER_LAG: Duration = Duration::from_millis(2_500);
 /// Time before the end of the grace period at which the process exits by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
-/// Time in which a finished response is written to its caller.
+/// Time before the exit at which requests without a response get a final one, in which it is written
+/// to the caller.
 const RESPONSE_WRITE_TIME: Duration = Duration::from_millis(300);
 /// Time between two checks whether open requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -157,7 +158,9 @@
     /// Shuts down gracefully.
     ///
     /// Readiness ends at once, but requests are still served until the load balancer notices. Then
-    /// no new connections are accepted, and open requests may finish within the grace period.
+    /// no new connections are accepted, and open requests may finish within the grace period. A
+    /// response that a caller has not read yet is an open request. Shortly before the grace period
+    /// ends, requests without a response get a final one.
     pub async fn stop(self) {
         let started = self.context.now();
         self.context.request_stop();
@@ -165,17 +168,20 @@
         let limit = grace.saturating_sub(GRACE_MARGIN);
         actix_rt::time::sleep(BALANCER_LAG.min(limit)).await;
         self.callers.close();
-        // Responses that have just been produced are still being written.
-        actix_rt::time::sleep(RESPONSE_WRITE_TIME.min(limit)).await;
         loop {
+            // Connections end only after the listener's task has run.
+            actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
             let elapsed = self.context.now().saturating_duration_since(started);
             let open = self.context.metrics().open_requests.get();
-            // Idle connections of callers need no response; they end with the process.
-            if elapsed >= limit || open <= 0 {
-                tracing::info!(open, elapsed_ms = %elapsed.as_millis(), "stopped");
+            let connections = self.callers.open_connections();
+            if elapsed >= limit || (open <= 0 && connections == 0) {
+                tracing::info!(open, connections, elapsed_ms = %elapsed.as_millis(), "stopped");
                 break;
             }
-            actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
+            let is_ending = elapsed >= limit.saturating_sub(RESPONSE_WRITE_TIME);
+            if is_ending && self.context.request_final_responses() {
+                tracing::info!(open, connections, "requests without a response are ended");
+            }
         }
         for task in &self.tasks {
             task.abort();
--- a/crates/dandeliondeal_relay/src/stream_rejection.rs
+++ b/crates/dandeliondeal_relay/src/stream_rejection.rs
@@ -117,7 +117,7 @@
         let body = match actix_rt::time::timeout(time_left, body).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => return self.leave_chain(&error),
-            Err(_elapsed) => return Err(self.timed_out()),
+            Err(_elapsed) => return Err(self.end_timed_out()),
         };
         let now = self.context.now();
         let first_engines = self.context.first_engines();
