Every run of a stream is watched, moved and replaced by itself

- late_stall_report, refused_move: a run taken for mute, or a replacement that became the current run, was never moved, as one flag of the relay said that a move had been refused.
- silent_pair (regression), third_run: with two silent runs nobody watched, so that neither was moved and a third run that the route allows was not started: 504.
- denied_replacement (regression): connections to other engines were opened before the repeat budget was asked, 3 in 2 s for one stream.
- empty_replacement: a replacement that stated the end of the stream without an event ended it after event 2 of 6 as complete.
- slow_order: events of the run waited for the reply to a move order, 422 ms.

Change: the runs of a stream are a list. Each has its own watch, its own move order, which is awaited beside its events, and its own mark for a refused move. A connection for another run is opened beside them, after the budget was charged; a repeat that was not sent is kept for the next attempt. The first run that delivers keeps the stream. A stated end without an event does not count while other runs are open. A run is three parts now: RunSource reads, StreamRun watches, StreamRelay decides.

--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod request_intake;
 pub mod request_progress;
 pub mod router_server;
+mod run_source;
 pub mod shared_store;
 pub mod store_watch;
 mod stream_rejection;
--- /dev/null
+++ b/crates/dandeliondeal_relay/src/run_source.rs
@@ -0,0 +1,185 @@
+//! Reads the response of one run of a stream.
+
+use actix_http::header::HeaderMap;
+use bytes::Bytes;
+use dandeliondeal_balance::CallResult;
+use dandeliondeal_http::{ConnectionError, EndpointConnection, OutboundRequest, ResponseHead};
+use dandeliondeal_layout::EngineChain;
+use dandeliondeal_types::{Clock, EndpointId};
+
+use crate::call_guard::CallGuard;
+use crate::dialect::{FleetDialect, RequestDialect, ResponseFacts};
+use crate::endpoint_exchange::PendingExchange;
+use crate::event_splitter::EventSplitter;
+use crate::relay_context::RelayContext;
+
+/// Progress of a response.
+#[derive(Debug)]
+pub(crate) enum SourceStep {
+    /// The chain started to answer.
+    Started,
+    /// Complete events were received.
+    Events(Bytes),
+    /// The last event was received before this step.
+    Complete,
+    /// The chain stated that it did not execute the request.
+    Rejected(ResponseHead, ResponseFacts),
+    /// The chain answered with a failure, whose body has not been read.
+    Failed(ResponseHead),
+    /// The connection or the response is broken.
+    Broken(ConnectionError),
+}
+
+/// Connection to the first engine of a run, with the state of the response on it.
+#[derive(Debug)]
+pub(crate) struct RunSource<Time, Dialect>
+where
+    Time: Clock,
+{
+    context: RelayContext<Time, Dialect>,
+    pub(crate) connection: EndpointConnection,
+    first_engine: EndpointId,
+    /// Call record of the attempt, until the chain delivers its first event.
+    attempt: Option<CallGuard<Time, Dialect>>,
+    /// Wait for the headers of the response; `None` once they were received.
+    exchange: Option<PendingExchange>,
+    /// Headers for the caller.
+    headers: HeaderMap,
+    splitter: EventSplitter,
+    /// Whether the response has ended regularly.
+    is_ended: bool,
+}
+
+impl<Time, Dialect> RunSource<Time, Dialect>
+where
+    Time: Clock,
+    Dialect: RequestDialect + FleetDialect,
+{
+    /// Queues the request of a run that continues after the event `last_event`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectionError`] if the request cannot be encoded; nothing was sent.
+    pub(crate) fn start(
+        context: &RelayContext<Time, Dialect>,
+        mut connection: EndpointConnection,
+        chain: &EngineChain,
+        request: (&OutboundRequest, &str),
+        last_event: Option<u64>,
+    ) -> Result<Self, ConnectionError> {
+        let (outbound, id) = request;
+        let exchange = PendingExchange::start(&mut connection, outbound, id)?;
+        let attempt = CallGuard::start_chain(context, chain);
+        Ok(Self {
+            context: context.clone(),
+            connection,
+            first_engine: EndpointId::clone(&chain.hops[0].id),
+            attempt: Some(attempt),
+            exchange: Some(exchange),
+            headers: HeaderMap::new(),
+            splitter: EventSplitter::starting_after(last_event),
+            is_ended: false,
+        })
+    }
+
+    /// Waits for the next step. Cancel safe: a later call continues.
+    pub(crate) async fn next_step(&mut self) -> SourceStep {
+        let step = match self.exchange {
+            Some(_) => self.read_head().await,
+            None => self.read_events().await,
+        };
+        step.unwrap_or_else(SourceStep::Broken)
+    }
+
+    async fn read_head(&mut self) -> Result<SourceStep, ConnectionError> {
+        let Some(exchange) = &mut self.exchange else {
+            return Ok(SourceStep::Started);
+        };
+        let dialect = self.context.dialect();
+        let response = exchange.read_response(dialect, &mut self.connection);
+        let (head, facts) = response.await?;
+        self.exchange = None;
+        if let Some(load) = facts.load {
+            let now = self.context.now();
+            let tracker = self.context.tracker();
+            tracker.set_running(self.first_engine(), load.running, now);
+        }
+        if facts.is_not_run && !head.status.is_success() {
+            return Ok(SourceStep::Rejected(head, facts));
+        }
+        if !head.status.is_success() {
+            return Ok(SourceStep::Failed(head));
+        }
+        if !facts.is_signed || facts.is_encoded || facts.request.is_none() {
+            return Err(ConnectionError::after_write(
+                "response lacks the engine's signature",
+            ));
+        }
+        self.headers = dialect.forwarded_headers(&head.headers);
+        Ok(SourceStep::Started)
+    }
+
+    async fn read_events(&mut self) -> Result<SourceStep, ConnectionError> {
+        if self.is_ended {
+            return Ok(SourceStep::Complete);
+        }
+        let earlier_error = self.splitter.check();
+        earlier_error.map_err(|error| ConnectionError::invalid_answer(&error))?;
+        loop {
+            let Some(chunk) = self.connection.read_chunk().await? else {
+                if self.splitter.is_partial() {
+                    let problem = "the stream ended within an event";
+                    return Err(ConnectionError::after_write(problem));
+                }
+                self.is_ended = true;
+                let rest = self.splitter.take_rest();
+                if rest.is_empty() {
+                    return Ok(SourceStep::Complete);
+                }
+                self.record_answer();
+                return Ok(SourceStep::Events(rest));
+            };
+            let events = self.splitter.push(&chunk);
+            let events = events.map_err(|error| ConnectionError::invalid_answer(&error))?;
+            if !events.is_empty() {
+                self.record_answer();
+                return Ok(SourceStep::Events(events));
+            }
+        }
+    }
+
+    /// Records the first event of the run.
+    fn record_answer(&mut self) {
+        if let Some(guard) = self.attempt.take() {
+            guard.end(CallResult::Answered);
+            let now = self.context.now();
+            let first_engines = self.context.first_engines();
+            first_engines.record(self.first_engine(), true, now);
+        }
+    }
+}
+
+impl<Time, Dialect> RunSource<Time, Dialect>
+where
+    Time: Clock,
+{
+    /// Returns the engine that received the request.
+    pub(crate) fn first_engine(&self) -> &EndpointId {
+        &self.first_engine
+    }
+
+    /// Returns whether the run has delivered an event.
+    pub(crate) fn has_events(&self) -> bool {
+        self.attempt.is_none()
+    }
+
+    /// Returns the id of the last event that was received.
+    pub(crate) fn last_event(&self) -> Option<u64> {
+        self.splitter.last_id()
+    }
+
+    /// Returns the headers of the response that are passed to the caller.
+    pub(crate) fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+}
--- a/crates/dandeliondeal_relay/src/stream_rejection.rs
+++ b/crates/dandeliondeal_relay/src/stream_rejection.rs
@@ -21,22 +21,17 @@
     Time: Clock,
     Dialect: RequestDialect + FleetDialect,
 {
-    /// Handles the rejection of the current run; returns an error if the request is refused.
+    /// Handles the rejection of a run; returns an error if the request is refused.
     pub(crate) fn handle_rejection(
         &mut self,
+        index: usize,
         head: &ResponseHead,
         facts: &ResponseFacts,
     ) -> Result<(), StreamEnd> {
-        let rejected = self.current.take();
-        self.current = self.replacement.take();
-        let may_repeat = self.current.is_some()
-            || (self.attempts < MAX_ATTEMPTS
-                && self
-                    .context
-                    .acquire_repeat(&self.request.service, "rejected"));
-        if let Some(run) = rejected {
-            self.record_rejection(&run, head, facts, may_repeat);
-        }
+        let run = self.runs.remove(index);
+        let may_repeat = self.has_other_run()
+            || (self.attempts < MAX_ATTEMPTS && self.acquire_repeat("rejected"));
+        self.record_rejection(&run, head, facts, may_repeat);
         if may_repeat {
             Ok(())
         } else {
@@ -45,17 +40,17 @@
     }
 
     /// Records that a run was rejected, and excludes the engine at fault.
-    pub(crate) fn record_rejection(
+    fn record_rejection(
         &mut self,
         run: &StreamRun<Time, Dialect>,
         head: &ResponseHead,
         facts: &ResponseFacts,
         is_repeated: bool,
     ) {
-        self.runs -= 1;
+        self.run_count -= 1;
         self.request.progress.record_rejection();
         // Another run that is open or ended otherwise may have executed the request.
-        if self.runs == 0 {
+        if self.run_count == 0 {
             self.request.lifecycle.apply(LifecycleEvent::Reject);
         }
         self.record_wait();
@@ -81,7 +76,7 @@
         facts: &ResponseFacts,
     ) -> EndpointId {
         let now = self.context.now();
-        let hops = &run.chain.hops;
+        let hops = &run.chain().hops;
         let named = facts
             .faulty_engine
             .and_then(|address| hops.iter().find(|hop| hop.address == address));
@@ -104,19 +99,26 @@
         Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
     }
 
-    /// Handles a failure response of the current run; returns an error if it ends the request.
-    pub(crate) async fn handle_failure(&mut self, head: &ResponseHead) -> Result<(), StreamEnd> {
+    /// Handles a failure response of a run; returns an error if it ends the request.
+    pub(crate) async fn handle_failure(
+        &mut self,
+        index: usize,
+        head: &ResponseHead,
+    ) -> Result<(), StreamEnd> {
         // Once the response to the caller has begun, the failure cannot be passed on.
-        let is_passed_on = self.response_headers.is_none() && self.replacement.is_none();
-        let Some(run) = self.current.as_mut().filter(|_| is_passed_on) else {
+        let is_passed_on = self.response_headers.is_none()
+            && self.runs.len() == 1
+            && self.pending_connection.is_none();
+        if !is_passed_on {
             let error = ConnectionError::after_write(&format!("status {}", head.status));
-            return self.leave_chain(&error);
-        };
+            return self.leave_run(index, &error);
+        }
         let time_left = self.request.time_left(self.context.now());
-        let body = run.connection.read_body(MAX_RESPONSE_BYTES);
+        let run = &mut self.runs[index];
+        let body = run.connection().read_body(MAX_RESPONSE_BYTES);
         let body = match actix_rt::time::timeout(time_left, body).await {
             Ok(Ok(body)) => body,
-            Ok(Err(error)) => return self.leave_chain(&error),
+            Ok(Err(error)) => return self.leave_run(index, &error),
             Err(_elapsed) => return Err(self.end_timed_out()),
         };
         let now = self.context.now();
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -1,11 +1,11 @@
 //! Relays an event stream from a chain of engines, and moves it to another chain after a failure.
 //!
-//! At most two runs of a request are open: the current one, and a replacement that is started when
-//! the current one is silent. Whichever delivers the next event first continues the stream, and the
-//! other one is cancelled. A silent run is never given up for a replacement that may still fail.
+//! Another run is started beside a silent one. Whichever run delivers the next event first continues
+//! the stream, and the others are cancelled. A silent run is never given up for one that may still
+//! fail.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::Response;
 use actix_http::header::HeaderMap;
@@ -13,9 +13,10 @@
 use dandeliondeal_http::{ConnectionError, EndpointConnection};
 use dandeliondeal_layout::{EngineChain, EngineProfile};
 use dandeliondeal_types::{Clock, EndpointId};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 
 use crate::chain_selection::{ChainConstraints, ChainDemand, select_chain};
-use crate::chain_watch::{SilenceCause, watch_chain};
 use crate::dialect::{AttemptFacts, FleetDialect, RequestDialect};
 use crate::endpoint_exchange::{ConnectionChoice, build_attempt, open_connection};
 use crate::refusal::RefusalCause;
@@ -23,6 +24,8 @@
 use crate::relay_context::RelayContext;
 use crate::relay_lifecycle::LifecycleEvent;
 use crate::request_intake::RelayRequest;
+use crate::run_source::SourceStep;
+use crate::stream_replacement::PendingConnection;
 use crate::stream_run::{RunStep, StreamRun};
 
 /// Maximum number of failed connections to first engines: none is an attempt, as nothing was sent.
@@ -38,10 +41,11 @@
 }
 
 /// What a stream waited for.
-pub(crate) enum RelayStep {
-    Current(RunStep),
-    Replacement(RunStep),
-    Silent(SilenceCause),
+enum RelayStep {
+    /// Step of the run with this index.
+    Run(usize, RunStep),
+    /// The connection for another run was opened, or could not be.
+    Opened(Result<EndpointConnection, ConnectionError>),
 }
 
 /// Relayed stream.
@@ -54,10 +58,10 @@
     pub(crate) request: RelayRequest,
     profile: Arc<EngineProfile>,
     pub(crate) demand: ChainDemand,
-    /// Run that delivers the events.
-    pub(crate) current: Option<StreamRun<Time, Dialect>>,
-    /// Run that continues the stream if it delivers the next event before the current run does.
-    pub(crate) replacement: Option<StreamRun<Time, Dialect>>,
+    /// Open runs; the first one delivered the last event, if any did.
+    pub(crate) runs: Vec<StreamRun<Time, Dialect>>,
+    /// Connection that is opened for another run beside silent ones.
+    pub(crate) pending_connection: Option<PendingConnection>,
     /// Headers of the run that delivered the first event.
     pub(crate) response_headers: Option<HeaderMap>,
     /// Engines that this request must not use again.
@@ -65,13 +69,11 @@
     /// Number of attempts that were sent, including rejected ones.
     pub(crate) attempts: u32,
     /// Number of attempts that were sent, without those that were rejected.
-    pub(crate) runs: u32,
+    pub(crate) run_count: u32,
+    /// Whether a repeat was charged to the budget for an attempt that is not sent yet.
+    holds_repeat: bool,
     /// Id of the last event that was passed on.
     pub(crate) last_event: Option<u64>,
-    /// Whether the current run cannot be moved to another chain while it is silent.
-    pub(crate) is_move_refused: bool,
-    /// Time from which the silence of the current run is measured.
-    pub(crate) silent_since: Instant,
 }
 
 impl<Time, Dialect> StreamRelay<Time, Dialect>
@@ -87,21 +89,19 @@
     ) -> Self {
         let demand = ChainDemand::new(&request.facts, &profile);
         let last_event = request.facts.last_event;
-        let silent_since = context.now();
         Self {
             context,
             request,
             profile,
             demand,
-            current: None,
-            replacement: None,
+            runs: Vec::new(),
+            pending_connection: None,
             response_headers: None,
             excluded: Vec::new(),
             attempts: 0,
-            runs: 0,
+            run_count: 0,
+            holds_repeat: false,
             last_event,
-            is_move_refused: false,
-            silent_since,
         }
     }
 
@@ -110,10 +110,10 @@
         &self.request
     }
 
-    /// Returns the engines and layers of the current chain, for logs.
+    /// Returns the engines and layers of the leading run's chain, for logs.
     pub fn describe_chain(&self) -> String {
-        let current = self.current.as_ref();
-        current.map(StreamRun::describe_chain).unwrap_or_default()
+        let leading = self.runs.first();
+        leading.map(StreamRun::describe_chain).unwrap_or_default()
     }
 
     /// Returns the response headers of the run that delivered the first event.
@@ -129,39 +129,25 @@
     pub async fn next_events(&mut self) -> Result<Option<Bytes>, StreamEnd> {
         loop {
             let time_left = self.time_left()?;
-            if self.current.is_none() {
+            if self.runs.is_empty() && self.pending_connection.is_none() {
                 let run = self.start_run().await?;
-                self.current = Some(run);
+                self.runs.push(run);
             }
             let step = actix_rt::time::timeout(time_left, self.next_step());
-            let Ok(step) = step.await else {
-                return Err(self.end_timed_out());
-            };
-            let step = match step {
-                RelayStep::Silent(cause) => {
-                    let reaction = actix_rt::time::timeout(time_left, self.handle_silence(cause));
-                    match reaction.await {
-                        Ok(Some(step)) => RelayStep::Current(step),
-                        Ok(None) => continue,
-                        Err(_elapsed) => return Err(self.end_timed_out()),
-                    }
+            match step.await {
+                Err(_elapsed) => return Err(self.end_timed_out()),
+                Ok(RelayStep::Opened(opened)) => self.add_run(opened),
+                Ok(RelayStep::Run(index, RunStep::Silent(cause))) => {
+                    self.handle_silence(index, cause);
                 }
-                step => step,
-            };
-            match step {
-                RelayStep::Replacement(step @ (RunStep::Events(_) | RunStep::Complete)) => {
-                    self.take_over();
-                    if let Some(end) = self.handle_step(step).await? {
-                        return Ok(end);
-                    }
+                Ok(RelayStep::Run(index, RunStep::MoveEnded(cause, chain))) => {
+                    self.handle_move(index, &cause, chain);
                 }
-                RelayStep::Replacement(step) => self.handle_replacement(&step),
-                RelayStep::Current(step) => {
-                    if let Some(end) = self.handle_step(step).await? {
-                        return Ok(end);
+                Ok(RelayStep::Run(index, RunStep::Response(step))) => {
+                    if let Some(events) = self.handle_response(index, step).await? {
+                        return Ok(events);
                     }
                 }
-                RelayStep::Silent(_) => {}
             }
         }
     }
@@ -180,64 +166,69 @@
     }
 
     pub(crate) fn refuse(&mut self, cause: RefusalCause) -> StreamEnd {
-        self.current = None;
-        self.replacement = None;
+        self.runs.clear();
+        self.pending_connection = None;
         match self.request.end_unanswered(cause, None) {
             crate::relay_outcome::RelayOutcome::Refused(cause) => StreamEnd::Refused(cause),
             crate::relay_outcome::RelayOutcome::Answered(response) => StreamEnd::Failure(response),
         }
     }
 
-    /// Waits for the next step of the runs, or until the current one is silent.
+    /// Waits for the next step of the runs or for a connection that is being opened.
     async fn next_step(&mut self) -> RelayStep {
-        let Some(current) = &mut self.current else {
-            let error = ConnectionError::before_write("no chain");
-            return RelayStep::Current(RunStep::Broken(error));
-        };
-        let chain = std::rc::Rc::clone(&current.chain);
-        let id = &self.request.facts.request;
-        let watch = watch_chain(&self.context, &chain, id, self.silent_since);
-        let is_watched = self.replacement.is_none();
-        let replacement_step = async {
-            match &mut self.replacement {
-                Some(replacement) => replacement.next_step().await,
-                None => std::future::pending().await,
+        let Self {
+            runs,
+            pending_connection,
+            ..
+        } = self;
+        // An opened connection goes first, so that it is not left open without use.
+        if let Some(pending) = pending_connection {
+            tokio::select! {
+                biased;
+                opened = pending.wait() => RelayStep::Opened(opened),
+                step = next_run_step(runs) => step,
             }
-        };
-        tokio::select! {
-            biased;
-            step = current.next_step() => RelayStep::Current(step),
-            step = replacement_step => RelayStep::Replacement(step),
-            cause = watch, if is_watched => RelayStep::Silent(cause),
+        } else {
+            next_run_step(runs).await
         }
     }
 
-    /// Handles a step of the current run; returns events, or `None` within for the end of the
-    /// stream, if the caller has to be told.
-    async fn handle_step(&mut self, step: RunStep) -> Result<Option<Option<Bytes>>, StreamEnd> {
+    /// Handles a step of a response; returns the result of [`Self::next_events`] if there is one.
+    async fn handle_response(
+        &mut self,
+        index: usize,
+        step: SourceStep,
+    ) -> Result<Option<Option<Bytes>>, StreamEnd> {
         match step {
-            RunStep::Started => {}
-            RunStep::Events(events) => {
+            SourceStep::Started => {}
+            SourceStep::Events(events) => {
+                self.keep_run(index);
                 self.record_events();
                 return Ok(Some(Some(events)));
             }
-            RunStep::Complete => {
+            SourceStep::Complete if self.runs.len() > 1 && !self.runs[index].has_events() => {
+                // Another run may have what this one lacks.
+                let error = ConnectionError::after_write("the stream ended without an event");
+                self.leave_run(index, &error)?;
+            }
+            SourceStep::Complete => {
+                self.keep_run(index);
                 self.finish();
                 return Ok(Some(None));
             }
-            RunStep::Rejected(head, facts) => self.handle_rejection(&head, &facts)?,
-            RunStep::Failed(head) => self.handle_failure(&head).await?,
-            RunStep::Broken(error) => self.leave_chain(&error)?,
+            SourceStep::Rejected(head, facts) => self.handle_rejection(index, &head, &facts)?,
+            SourceStep::Failed(head) => self.handle_failure(index, &head).await?,
+            SourceStep::Broken(error) => self.leave_run(index, &error)?,
         }
         Ok(None)
     }
 
     fn record_events(&mut self) {
-        self.cancel_replacement("the current run continued");
-        self.silent_since = self.context.now();
-        self.is_move_refused = false;
         self.begin_response();
-        self.last_event = self.current.as_ref().and_then(StreamRun::last_event);
+        if let Some(run) = self.runs.first_mut() {
+            run.record_events();
+            self.last_event = run.last_event();
+        }
         self.request.progress.record_event(self.last_event);
         self.request.lifecycle.apply(LifecycleEvent::Start);
     }
@@ -245,40 +236,44 @@
     /// Keeps the headers of the run that begins the response to the caller.
     fn begin_response(&mut self) {
         if self.response_headers.is_none()
-            && let Some(current) = &self.current
+            && let Some(run) = self.runs.first()
         {
-            self.response_headers = Some(current.headers().clone());
+            self.response_headers = Some(run.headers().clone());
         }
     }
 
     fn finish(&mut self) {
-        self.cancel_replacement("the stream is complete");
         self.begin_response();
         self.request.lifecycle.apply(LifecycleEvent::Complete);
-        if let Some(run) = self.current.take() {
+        if let Some(run) = self.runs.pop() {
             let id = EndpointId::clone(run.first_engine());
-            self.context.pool().borrow_mut().put(&id, run.connection);
+            let connection = run.into_connection();
+            self.context.pool().borrow_mut().put(&id, connection);
         }
     }
 
-    /// Gives up the current run, whose connection or response is broken; returns an error if the
-    /// stream must not continue on another chain.
-    pub(crate) fn leave_chain(&mut self, error: &ConnectionError) -> Result<(), StreamEnd> {
+    /// Gives up a run whose connection or response is broken; returns an error if the stream must
+    /// not continue on another chain.
+    pub(crate) fn leave_run(
+        &mut self,
+        index: usize,
+        error: &ConnectionError,
+    ) -> Result<(), StreamEnd> {
         self.request.lifecycle.mark_may_have_run();
-        let chain = self.describe_chain();
-        match self.current.take() {
-            Some(run) if error.is_invalid_answer() => self.record_failure(&run),
-            Some(run) => self.record_break(&run),
-            None => {}
+        let run = self.runs.remove(index);
+        let chain = run.describe_chain();
+        if error.is_invalid_answer() {
+            self.record_failure(&run);
+        } else {
+            self.record_break(&run);
         }
-        self.current = self.replacement.take();
-        let is_resumed = self.current.is_some() || self.acquire_resume();
+        drop(run);
+        let is_resumed = self.has_other_run() || self.acquire_resume("broken-stream");
         tracing::info!(
             request = %self.request.facts.request, cause = %error, chain,
-            last_event = self.last_event, resumed = is_resumed,
+            last_event = self.last_event, open_runs = self.runs.len(), resumed = is_resumed,
             "stream broke"
         );
-        self.silent_since = self.context.now();
         self.record_wait();
         if is_resumed {
             Ok(())
@@ -287,10 +282,15 @@
         }
     }
 
+    /// Returns whether a run is open or about to start.
+    pub(crate) fn has_other_run(&self) -> bool {
+        !self.runs.is_empty() || self.pending_connection.is_some()
+    }
+
     /// Records the engine that the request waits for, for logs.
     pub(crate) fn record_wait(&self) {
-        if let Some(current) = &self.current {
-            self.request.progress.wait_on(current.first_engine());
+        if let Some(run) = self.runs.first() {
+            self.request.progress.wait_on(run.first_engine());
         }
     }
 
@@ -310,15 +310,21 @@
     }
 
     /// Charges the repeat budget for another run; returns `false` if it or the route forbids one.
-    pub(crate) fn acquire_resume(&self) -> bool {
+    pub(crate) fn acquire_resume(&mut self, cause: &str) -> bool {
+        self.may_run_again() && self.acquire_repeat(cause)
+    }
+
+    /// Charges the repeat budget for an attempt, unless one that was charged is not sent yet.
+    pub(crate) fn acquire_repeat(&mut self, cause: &str) -> bool {
         let service = &self.request.service;
-        self.may_run_again() && self.context.acquire_repeat(service, "broken-stream")
+        self.holds_repeat = self.holds_repeat || self.context.acquire_repeat(service, cause);
+        self.holds_repeat
     }
 
     /// Returns whether the route allows another run.
     pub(crate) fn may_run_again(&self) -> bool {
         let route = &self.request.route_match.route;
-        route.repeat_class.is_repeatable() && self.runs < route.attempts
+        route.repeat_class.is_repeatable() && self.run_count < route.attempts
     }
 
     /// Sends the request to the first chain to which a connection can be made.
@@ -350,7 +356,7 @@
     /// Returns the kind of connection for the next run.
     pub(crate) fn connection_choice(&self) -> ConnectionChoice {
         // A repeated run must not fail because an idle connection was closed without notice.
-        match self.runs {
+        match self.run_count {
             0 => ConnectionChoice::Idle,
             _ => ConnectionChoice::New,
         }
@@ -396,10 +402,10 @@
             self.last_event,
         )?;
         self.attempts += 1;
-        self.runs += 1;
+        self.run_count += 1;
+        self.holds_repeat = false;
         self.request.progress.record_attempt(run.first_engine());
         self.request.lifecycle.apply(LifecycleEvent::Offer);
-        self.silent_since = self.context.now();
         Ok(run)
     }
 }
@@ -422,3 +428,22 @@
         )
     }
 }
+
+/// Waits for the next step of any run.
+async fn next_run_step<Time, Dialect>(runs: &mut [StreamRun<Time, Dialect>]) -> RelayStep
+where
+    Time: Clock,
+    Dialect: RequestDialect + FleetDialect,
+{
+    if let [run] = runs {
+        return RelayStep::Run(0, run.next_step().await);
+    }
+    let steps = runs.iter_mut().enumerate();
+    let steps =
+        steps.map(|(index, run)| async move { RelayStep::Run(index, run.next_step().await) });
+    let mut steps: FuturesUnordered<_> = steps.collect();
+    match steps.next().await {
+        Some(step) => step,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/dandeliondeal_relay/src/stream_replacement.rs
+++ b/crates/dandeliondeal_relay/src/stream_replacement.rs
@@ -1,9 +1,11 @@
-//! Starts and ends the replacement of a silent run.
+//! Starts other runs beside silent ones, and ends the runs that are not needed.
 
 use std::time::Duration;
 
+use dandeliondeal_http::{ConnectionError, EndpointConnection};
 use dandeliondeal_layout::EngineChain;
 use dandeliondeal_types::{Clock, EndpointId};
+use tokio::task::JoinHandle;
 
 use crate::chain_watch::SilenceCause;
 use crate::dialect::{FleetDialect, OrderReply, RequestDialect};
@@ -11,176 +13,184 @@
 use crate::engine_calls::send_order;
 use crate::stream_rejection::MAX_ATTEMPTS;
 use crate::stream_relay::StreamRelay;
-use crate::stream_run::RunStep;
+use crate::stream_run::{MoveOrder, StreamRun};
 
-/// Time until another replacement of a silent run is tried after one could not be started.
-const REPLACEMENT_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Time until a silent run is looked at again after another run or a move was tried.
+const SILENCE_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Connection that is opened for another run.
+#[derive(Debug)]
+pub(crate) struct PendingConnection {
+    chain: EngineChain,
+    connection: JoinHandle<Result<EndpointConnection, ConnectionError>>,
+}
+
+impl PendingConnection {
+    /// Waits until the connection is open or has failed. Cancel safe.
+    pub(crate) async fn wait(&mut self) -> Result<EndpointConnection, ConnectionError> {
+        let result = (&mut self.connection).await;
+        result.unwrap_or_else(|error| Err(ConnectionError::before_write(&error)))
+    }
+}
 
 impl<Time, Dialect> StreamRelay<Time, Dialect>
 where
     Time: Clock,
     Dialect: RequestDialect + FleetDialect,
 {
-    /// Moves the silent current run to another chain, or starts a replacement beside it.
-    ///
-    /// Returns a step of the current run that was made meanwhile.
-    pub(crate) async fn handle_silence(&mut self, cause: SilenceCause) -> Option<RunStep> {
+    /// Moves a silent run to another chain, or starts another run beside it.
+    pub(crate) fn handle_silence(&mut self, index: usize, cause: SilenceCause) {
+        let retry_at = self.context.now() + SILENCE_RETRY_DELAY;
+        self.runs[index].set_silent_since(retry_at);
         if let SilenceCause::Unresponsive(engine) = &cause
-            && !self.is_move_refused
-            && self.move_run(engine).await
+            && self.runs[index].may_move()
         {
-            return None;
-        }
-        self.is_move_refused = true;
-        if !self.excluded.contains(cause.engine()) {
-            self.excluded.push(EndpointId::clone(cause.engine()));
+            if let Some(next_chain) = self.select_move(&self.runs[index], engine) {
+                self.order_move(index, cause, next_chain);
+                return;
+            }
+            self.runs[index].refuse_moves();
         }
-        let step = self.start_replacement(&cause).await;
-        if self.replacement.is_none() {
-            self.silent_since = self.context.now() + REPLACEMENT_RETRY_DELAY;
+        self.start_replacement(&cause);
+    }
+
+    /// Handles the end of an order to move a run.
+    pub(crate) fn handle_move(
+        &mut self,
+        index: usize,
+        cause: &SilenceCause,
+        chain: Option<EngineChain>,
+    ) {
+        let run = &mut self.runs[index];
+        if let Some(chain) = chain {
+            let tokens = self.demand.tokens();
+            let reservation = self.context.tracker().reserve(&chain, tokens);
+            run.set_chain(chain, reservation);
+        } else {
+            run.refuse_moves();
+            self.start_replacement(cause);
         }
-        step
     }
 
-    /// Starts a run on another chain beside the silent one, if the route, the repeat budget and the
-    /// engines' capacity allow it.
-    async fn start_replacement(&mut self, cause: &SilenceCause) -> Option<RunStep> {
+    /// Opens a connection for another run beside the silent ones, if the route, the repeat budget
+    /// and the engines' capacity allow it.
+    fn start_replacement(&mut self, cause: &SilenceCause) {
+        // A mute engine may still move its own run, so that it is not excluded for good.
+        if let SilenceCause::Unresponsive(engine) = cause
+            && !self.excluded.contains(engine)
+        {
+            self.excluded.push(EndpointId::clone(engine));
+        }
+        if self.pending_connection.is_some() {
+            return;
+        }
         if !self.may_run_again() || self.attempts >= MAX_ATTEMPTS {
             self.log_unreplaced(cause, "no further run is allowed");
-            return None;
+            return;
         }
-        let first = self.current.as_ref()?.first_engine().clone();
-        // Both runs have the same id, by which an engine tells the requests that it received apart.
-        self.excluded.push(first);
+        // Runs have the same id, by which an engine tells the requests that it received apart.
+        let excluded_count = self.excluded.len();
+        let open_engines = self.runs.iter().map(StreamRun::first_engine).cloned();
+        self.excluded.extend(open_engines);
         let chain = self.select_chain(None);
-        self.excluded.pop();
+        self.excluded.truncate(excluded_count);
         let Some(chain) = chain else {
             self.log_unreplaced(cause, "no other chain has room");
-            return None;
+            return;
         };
+        if !self.acquire_resume("silent-stream") {
+            self.log_unreplaced(cause, "the repeat budget is used up");
+            return;
+        }
+        let context = self.context.clone();
         let hop = chain.hops[0].clone();
         let choice = self.connection_choice();
         let limit = self.request.time_left(self.context.now());
-        let current = self.current.as_mut()?;
-        let opened = open_connection(&self.context, &hop.id, hop.address, choice, limit);
-        let opened = tokio::select! {
-            biased;
-            step = current.next_step() => return Some(step),
-            opened = opened => opened,
-        };
-        let connection = match opened {
-            Ok(connection) => connection,
-            Err(error) => {
-                self.record_connect_failure(&hop.id, &error);
-                return None;
-            }
-        };
-        if !self.acquire_resume() {
-            self.log_unreplaced(cause, "the repeat budget is used up");
-            return None;
-        }
-        match self.send_request(connection, chain) {
-            Ok(run) => {
-                tracing::info!(
-                    request = %self.request.facts.request, %cause, chain = run.describe_chain(),
-                    last_event = self.last_event, "replacement run started"
-                );
-                self.replacement = Some(run);
-            }
-            Err(error) => self.record_connect_failure(&hop.id, &error),
-        }
-        None
+        let connection = actix_rt::spawn(async move {
+            open_connection(&context, &hop.id, hop.address, choice, limit).await
+        });
+        tracing::info!(
+            request = %self.request.facts.request, %cause, engine = %chain.hops[0].id,
+            last_event = self.last_event, "replacement run started"
+        );
+        self.pending_connection = Some(PendingConnection { chain, connection });
     }
 
     fn log_unreplaced(&self, cause: &SilenceCause, reason: &str) {
         tracing::info!(
             request = %self.request.facts.request, chain = self.describe_chain(), %cause, reason,
-            "stalled stream stays on its chain"
+            open_runs = self.runs.len(), "stalled stream stays on its chain"
         );
     }
 
-    /// Makes the replacement the current run, because it delivered the next event first.
-    pub(crate) fn take_over(&mut self) {
-        self.request.lifecycle.mark_may_have_run();
-        let chain = self.describe_chain();
-        let replaced = self.current.take();
-        self.current = self.replacement.take();
-        tracing::info!(
-            request = %self.request.facts.request, replaced = chain,
-            chain = self.describe_chain(), "replacement run took over"
-        );
-        if let Some(run) = replaced {
-            self.record_break(&run);
+    /// Starts a run over the connection that was opened for it.
+    pub(crate) fn add_run(&mut self, opened: Result<EndpointConnection, ConnectionError>) {
+        let Some(pending) = self.pending_connection.take() else {
+            return;
+        };
+        let engine = EndpointId::clone(&pending.chain.hops[0].id);
+        let run = opened.and_then(|connection| self.send_request(connection, pending.chain));
+        match run {
+            Ok(run) => self.runs.push(run),
+            // If no run is open, the next one starts with the repeat that is still held.
+            Err(error) => self.record_connect_failure(&engine, &error),
         }
-        self.record_wait();
     }
 
-    /// Cancels the replacement, if there is one.
-    pub(crate) fn cancel_replacement(&mut self, reason: &str) {
-        if let Some(run) = self.replacement.take() {
-            self.request.lifecycle.mark_may_have_run();
-            tracing::info!(
-                request = %self.request.facts.request, chain = run.describe_chain(), reason,
-                "replacement run cancelled"
-            );
+    /// Keeps only the run that delivered the next event or the end of the stream.
+    pub(crate) fn keep_run(&mut self, index: usize) {
+        self.pending_connection = None;
+        if self.runs.len() == 1 {
+            return;
         }
-    }
-
-    /// Handles a step of the replacement that delivers no event; the current run goes on.
-    pub(crate) fn handle_replacement(&mut self, step: &RunStep) {
-        let reason = match step {
-            RunStep::Started | RunStep::Events(_) | RunStep::Complete => return,
-            RunStep::Rejected(head, facts) => {
-                if let Some(run) = self.replacement.take() {
-                    self.record_rejection(&run, head, facts, false);
-                }
-                return;
+        self.request.lifecycle.mark_may_have_run();
+        let kept = self.runs.swap_remove(index);
+        let cancelled = std::mem::replace(&mut self.runs, vec![kept]);
+        let id = &self.request.facts.request;
+        if index == 0 {
+            tracing::info!(request = %id, "replacement run cancelled");
+        } else {
+            tracing::info!(request = %id, chain = self.describe_chain(), "replacement run took over");
+            for run in &cancelled {
+                self.record_break(run);
             }
-            RunStep::Failed(head) => format!("status {}", head.status),
-            RunStep::Broken(error) => error.to_string(),
-        };
-        if let Some(run) = self.replacement.take() {
-            self.record_break(&run);
-            // Puts the run back, so that one place cancels and logs.
-            self.replacement = Some(run);
         }
-        self.cancel_replacement(&reason);
+        self.record_wait();
     }
 
-    /// Moves the current run to a chain without the failed engine; `false` if the move fails.
-    async fn move_run(&mut self, failed: &EndpointId) -> bool {
-        let Some(run) = &self.current else {
-            return false;
-        };
-        let chain = std::rc::Rc::clone(&run.chain);
-        let Some(chain) = self.order_move(&chain, failed).await else {
-            return false;
-        };
-        let reservation = self.context.tracker().reserve(&chain, self.demand.tokens());
-        self.silent_since = self.context.now();
-        if let Some(run) = &mut self.current {
-            run.set_chain(chain, reservation);
-        }
-        true
+    /// Selects a chain without the failed engine to which a run may be moved.
+    fn select_move(
+        &self,
+        run: &StreamRun<Time, Dialect>,
+        failed: &EndpointId,
+    ) -> Option<EngineChain> {
+        let is_first_failed = run.first_engine() == failed;
+        (!is_first_failed)
+            .then(|| self.select_chain(Some(run.chain())))
+            .flatten()
     }
 
-    /// Orders the first engine of a chain to continue the request without the failed engine.
-    async fn order_move(&self, chain: &EngineChain, failed: &EndpointId) -> Option<EngineChain> {
-        let first = chain.hops.first().filter(|first| first.id != *failed)?;
-        let next_chain = self.select_chain(Some(chain))?;
-        let id = &self.request.facts.request;
-        let order = self.context.dialect().write_move_order(id, &next_chain);
-        let reply = send_order(&self.context, first.address, &order).await;
-        let (text, is_moved) = match &reply {
-            Ok(reply) => (
-                reply.to_string(),
-                matches!(reply, OrderReply::Started | OrderReply::Done),
-            ),
-            Err(error) => (error.to_string(), false),
-        };
-        tracing::info!(
-            request = %id, engine = %first.id, lost = %failed, reply = text, "chain move ordered"
-        );
-        is_moved.then_some(next_chain)
+    /// Orders the first engine of a run to continue the request on another chain.
+    fn order_move(&mut self, index: usize, cause: SilenceCause, next_chain: EngineChain) {
+        let context = self.context.clone();
+        let id = self.request.facts.request.clone();
+        let first = self.runs[index].chain().hops[0].clone();
+        let lost = EndpointId::clone(cause.engine());
+        let reply = actix_rt::spawn(async move {
+            let order = context.dialect().write_move_order(&id, &next_chain);
+            let reply = send_order(&context, first.address, &order).await;
+            let (text, is_moved) = match &reply {
+                Ok(reply) => (
+                    reply.to_string(),
+                    matches!(reply, OrderReply::Started | OrderReply::Done),
+                ),
+                Err(error) => (error.to_string(), false),
+            };
+            tracing::info!(
+                request = %id, engine = %first.id, %lost, reply = text, "chain move ordered"
+            );
+            is_moved.then_some(next_chain)
+        });
+        self.runs[index].set_move_order(MoveOrder { cause, reply });
     }
 }
--- a/crates/dandeliondeal_relay/src/stream_run.rs
+++ b/crates/dandeliondeal_relay/src/stream_run.rs
@@ -1,36 +1,38 @@
 //! One run of a stream on a chain of engines.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use actix_http::header::HeaderMap;
-use bytes::Bytes;
-use dandeliondeal_balance::CallResult;
-use dandeliondeal_http::{ConnectionError, EndpointConnection, OutboundRequest, ResponseHead};
+use dandeliondeal_http::{ConnectionError, EndpointConnection, OutboundRequest};
 use dandeliondeal_layout::EngineChain;
-use dandeliondeal_types::{Clock, EndpointId};
+use dandeliondeal_types::{Clock, EndpointId, RequestId};
+use tokio::task::JoinHandle;
 
-use crate::call_guard::CallGuard;
-use crate::dialect::{FleetDialect, RequestDialect, ResponseFacts};
-use crate::endpoint_exchange::PendingExchange;
-use crate::event_splitter::EventSplitter;
+use crate::chain_watch::{SilenceCause, watch_chain};
+use crate::dialect::{FleetDialect, RequestDialect};
 use crate::load_tracker::LoadReservation;
 use crate::relay_context::RelayContext;
+use crate::run_source::{RunSource, SourceStep};
 
 /// Progress of a run.
 #[derive(Debug)]
 pub(crate) enum RunStep {
-    /// The chain started to answer.
-    Started,
-    /// Complete events were received.
-    Events(Bytes),
-    /// The last event was received before this step.
-    Complete,
-    /// The chain stated that it did not execute the request.
-    Rejected(ResponseHead, ResponseFacts),
-    /// The chain answered with a failure, whose body has not been read.
-    Failed(ResponseHead),
-    /// The connection or the response is broken.
-    Broken(ConnectionError),
+    /// The response went on.
+    Response(SourceStep),
+    /// The chain delivers no events.
+    Silent(SilenceCause),
+    /// The order to continue on another chain has ended; without a chain, it was refused.
+    MoveEnded(SilenceCause, Option<EngineChain>),
+}
+
+/// Order to the first engine to continue a silent run on another chain.
+#[derive(Debug)]
+pub(crate) struct MoveOrder {
+    /// Why the run is moved.
+    pub(crate) cause: SilenceCause,
+    /// Returns the new chain if the engine accepts it.
+    pub(crate) reply: JoinHandle<Option<EngineChain>>,
 }
 
 /// One run of a stream on a chain of engines; dropping it cancels the run.
@@ -40,18 +42,15 @@
     Time: Clock,
 {
     context: RelayContext<Time, Dialect>,
-    pub(crate) connection: EndpointConnection,
-    pub(crate) chain: Rc<EngineChain>,
+    request: RequestId,
+    source: RunSource<Time, Dialect>,
+    chain: Rc<EngineChain>,
     reservation: LoadReservation,
-    /// Call record of the attempt, until the chain delivers its first event.
-    attempt: Option<CallGuard<Time, Dialect>>,
-    /// Wait for the headers of the response; `None` once they were received.
-    exchange: Option<PendingExchange>,
-    /// Headers for the caller.
-    headers: HeaderMap,
-    splitter: EventSplitter,
-    /// Whether the response has ended regularly.
-    is_ended: bool,
+    /// Time from which the silence of the chain is measured.
+    silent_since: Instant,
+    move_order: Option<MoveOrder>,
+    /// Whether the run could not be moved since its last event.
+    is_move_refused: bool,
 }
 
 impl<Time, Dialect> StreamRun<Time, Dialect>
@@ -66,101 +65,48 @@
     /// Returns [`ConnectionError`] if the request cannot be encoded; nothing was sent.
     pub(crate) fn start(
         context: &RelayContext<Time, Dialect>,
-        mut connection: EndpointConnection,
+        connection: EndpointConnection,
         chain: EngineChain,
         reservation: LoadReservation,
-        request: (&OutboundRequest, &str),
+        request: (&OutboundRequest, &RequestId),
         last_event: Option<u64>,
     ) -> Result<Self, ConnectionError> {
         let (outbound, id) = request;
-        let exchange = PendingExchange::start(&mut connection, outbound, id)?;
-        let attempt = CallGuard::start_chain(context, &chain);
+        let source = RunSource::start(context, connection, &chain, (outbound, id), last_event)?;
         Ok(Self {
             context: context.clone(),
-            connection,
+            request: RequestId::clone(id),
+            source,
             chain: Rc::new(chain),
             reservation,
-            attempt: Some(attempt),
-            exchange: Some(exchange),
-            headers: HeaderMap::new(),
-            splitter: EventSplitter::starting_after(last_event),
-            is_ended: false,
+            silent_since: context.now(),
+            move_order: None,
+            is_move_refused: false,
         })
     }
 
     /// Waits for the next step. Cancel safe: a later call continues.
     pub(crate) async fn next_step(&mut self) -> RunStep {
-        let step = match self.exchange {
-            Some(_) => self.read_head().await,
-            None => self.read_events().await,
+        let chain = Rc::clone(&self.chain);
+        let watch = watch_chain(&self.context, &chain, &self.request, self.silent_since);
+        let is_watched = self.move_order.is_none();
+        let move_order = &mut self.move_order;
+        let moved = async {
+            match move_order {
+                // The task fails only if it panics, which leaves the run where it was.
+                Some(order) => (&mut order.reply).await.ok().flatten(),
+                None => std::future::pending().await,
+            }
         };
-        step.unwrap_or_else(RunStep::Broken)
-    }
-
-    async fn read_head(&mut self) -> Result<RunStep, ConnectionError> {
-        let Some(exchange) = &mut self.exchange else {
-            return Ok(RunStep::Started);
+        let moved = tokio::select! {
+            biased;
+            step = self.source.next_step() => return RunStep::Response(step),
+            cause = watch, if is_watched => return RunStep::Silent(cause),
+            chain = moved => chain,
         };
-        let dialect = self.context.dialect();
-        let response = exchange.read_response(dialect, &mut self.connection);
-        let (head, facts) = response.await?;
-        self.exchange = None;
-        if let Some(load) = facts.load {
-            let now = self.context.now();
-            let tracker = self.context.tracker();
-            tracker.set_running(self.first_engine(), load.running, now);
-        }
-        if facts.is_not_run && !head.status.is_success() {
-            return Ok(RunStep::Rejected(head, facts));
-        }
-        if !head.status.is_success() {
-            return Ok(RunStep::Failed(head));
-        }
-        if !facts.is_signed || facts.is_encoded || facts.request.is_none() {
-            return Err(ConnectionError::after_write(
-                "response lacks the engine's signature",
-            ));
-        }
-        self.headers = dialect.forwarded_headers(&head.headers);
-        Ok(RunStep::Started)
-    }
-
-    async fn read_events(&mut self) -> Result<RunStep, ConnectionError> {
-        if self.is_ended {
-            return Ok(RunStep::Complete);
-        }
-        let earlier_error = self.splitter.check();
-        earlier_error.map_err(|error| ConnectionError::invalid_answer(&error))?;
-        loop {
-            let Some(chunk) = self.connection.read_chunk().await? else {
-                if self.splitter.is_partial() {
-                    let problem = "the stream ended within an event";
-                    return Err(ConnectionError::after_write(problem));
-                }
-                self.is_ended = true;
-                let rest = self.splitter.take_rest();
-                if rest.is_empty() {
-                    return Ok(RunStep::Complete);
-                }
-                self.record_answer();
-                return Ok(RunStep::Events(rest));
-            };
-            let events = self.splitter.push(&chunk);
-            let events = events.map_err(|error| ConnectionError::invalid_answer(&error))?;
-            if !events.is_empty() {
-                self.record_answer();
-                return Ok(RunStep::Events(events));
-            }
-        }
-    }
-
-    /// Records the first event of the run.
-    fn record_answer(&mut self) {
-        if let Some(guard) = self.attempt.take() {
-            guard.end(CallResult::Answered);
-            let now = self.context.now();
-            let first_engines = self.context.first_engines();
-            first_engines.record(self.first_engine(), true, now);
+        match self.move_order.take() {
+            Some(order) => RunStep::MoveEnded(order.cause, moved),
+            None => RunStep::Response(SourceStep::Started),
         }
     }
 }
@@ -169,30 +115,72 @@
 where
     Time: Clock,
 {
+    /// Returns the chain that runs the request.
+    pub(crate) fn chain(&self) -> &EngineChain {
+        &self.chain
+    }
+
     /// Returns the engine that received the request.
     pub(crate) fn first_engine(&self) -> &EndpointId {
-        &self.chain.hops[0].id
+        self.source.first_engine()
     }
 
     /// Returns whether the run has delivered an event.
     pub(crate) fn has_events(&self) -> bool {
-        self.attempt.is_none()
+        self.source.has_events()
     }
 
     /// Returns the id of the last event that was received.
     pub(crate) fn last_event(&self) -> Option<u64> {
-        self.splitter.last_id()
+        self.source.last_event()
     }
 
     /// Returns the headers of the response that are passed to the caller.
     pub(crate) fn headers(&self) -> &HeaderMap {
-        &self.headers
+        self.source.headers()
+    }
+
+    /// Returns the connection to the first engine.
+    pub(crate) fn connection(&mut self) -> &mut EndpointConnection {
+        &mut self.source.connection
+    }
+
+    /// Ends the run and returns its connection.
+    pub(crate) fn into_connection(self) -> EndpointConnection {
+        self.source.connection
+    }
+
+    /// Measures the silence of the chain from `since`.
+    pub(crate) fn set_silent_since(&mut self, since: Instant) {
+        self.silent_since = since;
+    }
+
+    /// Records that the chain has delivered events.
+    pub(crate) fn record_events(&mut self) {
+        self.silent_since = self.context.now();
+        self.is_move_refused = false;
+    }
+
+    /// Returns whether the run may be moved to another chain now.
+    pub(crate) fn may_move(&self) -> bool {
+        !self.is_move_refused && self.move_order.is_none()
+    }
+
+    /// Waits for the reply to an order to continue on another chain.
+    pub(crate) fn set_move_order(&mut self, order: MoveOrder) {
+        self.move_order = Some(order);
+    }
+
+    /// Records that the run cannot be moved while its chain is silent.
+    pub(crate) fn refuse_moves(&mut self) {
+        self.is_move_refused = true;
     }
 
     /// Records that the run continues on another chain with the same first engine.
     pub(crate) fn set_chain(&mut self, chain: EngineChain, reservation: LoadReservation) {
         self.chain = Rc::new(chain);
         self.reservation = reservation;
+        self.silent_since = self.context.now();
     }
 
     /// Returns the engines and layers of the chain, for logs.
