A stream whose caller does not read ends at its deadline

What was seen: one second after the route's timeout the engine still worked on a stream whose caller had stopped reading, and would have until the caller left.

Cause: events wait for room in the queue to the caller without a limit. Same class as the mute engine: a wait that nothing ends.

Change: the wait lies within the request's deadline, as every other one.

Evidence: replacement_races::unread_stream failed before (left 1, right 0) and passes.

--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -143,12 +143,21 @@
             () = sender.closed() => return,
             next = relay.next_events() => next,
         };
-        match next {
+        let next = match next {
             Ok(Some(events)) => {
-                if sender.send(StreamPart::Events(events)).await.is_err() {
-                    return;
+                let time_left = relay.request().time_left(record.context.now());
+                let send = sender.send(StreamPart::Events(events));
+                match actix_rt::time::timeout(time_left, send).await {
+                    Ok(Ok(())) => continue,
+                    Ok(Err(_closed)) => return,
+                    // The caller does not read.
+                    Err(_elapsed) => Err(relay.end_timed_out()),
                 }
             }
+            end => end,
+        };
+        match next {
+            Ok(Some(_)) => {}
             Ok(None) => {
                 if sender.send(StreamPart::End).await.is_ok() {
                     record.record_end("answered", 200);
