Streams that must not be repeated use new connections

Cause: an engine may close an idle connection just as a request is sent on it. A stream that must not run twice would be lost; plain requests of that kind use a new connection for this reason, streams looked at the number of runs only. After a rejection a repeated stream took an idle one as well.

Evidence: replacement_races::unrepeatable_connection failed before (left 8, right 9) and passes; with it replacement_races 15 of 15.

--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -355,10 +355,13 @@
 
     /// Returns the kind of connection for the next run.
     pub(crate) fn connection_choice(&self) -> ConnectionChoice {
-        // A repeated run must not fail because an idle connection was closed without notice.
-        match self.run_count {
-            0 => ConnectionChoice::Idle,
-            _ => ConnectionChoice::New,
+        // A repeated run must not fail because an idle connection was closed without notice, and
+        // one that must not be repeated would be lost by it.
+        let is_repeatable = self.request.route_match.route.repeat_class.is_repeatable();
+        if is_repeatable && self.attempts == 0 {
+            ConnectionChoice::Idle
+        } else {
+            ConnectionChoice::New
         }
     }
 
