Write the rest of a request after bytes arrive meanwhile

What callers would see: no answer until the deadline, if an endpoint sends an interim head, or a late response to an earlier request, while the body of the request is still being written.

Cause: any byte that arrived stopped the write for good, as if the response had begun; the endpoint then waited for the rest of the request, and the router for an answer to it. Class: a wait that nothing ends.

Change: the rest stays queued, and the wait for the head of the response goes on writing it. Once a response has begun nothing more is written, and the connection is not reused, as before.

--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -191,7 +191,7 @@
         Ok(())
     }
 
-    /// Writes the rest of the queued request. Cancel safe.
+    /// Writes the rest of the queued request, or until bytes arrive. Cancel safe.
     async fn write_queued(&mut self) -> Result<(), ConnectionError> {
         if self.unwritten.is_empty() {
             return Ok(());
@@ -206,9 +206,8 @@
                     Err(error) => return Err(ConnectionError::after_write(&error)),
                 },
                 read = reader.read_buf(&mut self.buffer) => {
-                    // The response or the end of the connection arrived before the request was
-                    // written completely.
-                    self.unwritten.clear();
+                    // An interim head, the response or the end of the connection arrived before the
+                    // request was written completely.
                     return match read {
                         Ok(count) if count > 0 => Ok(()),
                         Ok(_) => Err(ConnectionError::after_write("connection closed while writing")),
@@ -227,7 +226,6 @@
     ///
     /// Returns an error if the connection ended or the data is not a valid response.
     pub async fn read_head(&mut self) -> Result<ResponseHead, ConnectionError> {
-        self.write_queued().await?;
         let head = loop {
             let ReadState::Head(codec) = &mut self.state else {
                 return Err(ConnectionError::after_write(
@@ -252,6 +250,10 @@
                     }
                 }
             }
+            if !self.unwritten.is_empty() {
+                self.write_queued().await?;
+                continue;
+            }
             if self.fill_buffer().await? == 0 {
                 self.state = ReadState::Broken;
                 return Err(ConnectionError::after_write(
--- a/crates/dandeliondeal_http/tests/cancelled_read.rs
+++ b/crates/dandeliondeal_http/tests/cancelled_read.rs
@@ -69,3 +69,43 @@
     assert!(connection.is_reusable());
     drop(endpoint.await.expect("the endpoint's task"));
 }
+
+// Guards against a request that stays incomplete because bytes arrive while it is written.
+#[actix_rt::test]
+async fn interim_during_write() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    // Larger than the socket buffers, so that the request is written in parts.
+    let body = Bytes::from(vec![b'x'; 8 * 1024 * 1024]);
+    let expected_bytes = body.len();
+    let endpoint = actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+        stream.write_all(interim.as_bytes()).await.expect("sent");
+        let mut received = 0;
+        let mut buffer = vec![0; 64 * 1024];
+        while received < expected_bytes {
+            received += stream.read(&mut buffer).await.expect("the request");
+        }
+        let answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+        stream.write_all(answer.as_bytes()).await.expect("sent");
+        stream
+    });
+    let request = OutboundRequest {
+        method: Method::POST,
+        uri: Uri::from_static("/x"),
+        headers: HeaderMap::new(),
+        body,
+    };
+    let limit = Duration::from_secs(1);
+    let mut connection = EndpointConnection::connect(address, limit, Instant::now())
+        .await
+        .expect("a connection");
+    let exchange = async {
+        connection.send(&request).await.expect("sent");
+        connection.read_head().await.expect("a head")
+    };
+    let head = actix_rt::time::timeout(Duration::from_secs(2), exchange).await;
+    assert_eq!(head.expect("an answer").status, StatusCode::OK);
+    drop(endpoint.await.expect("the endpoint's task"));
+}
