A rejection counts once its head has arrived

What callers saw: 504 at the deadline, an unknown outcome, for a request that its endpoint had rejected as not run, if the body of the rejection did not arrive.

Cause: the statement in the head was used only after the whole body had been read. Streams were not affected.

Change: the body of a rejection is waited for 20 ms, only so that the connection can be reused.

Evidence: silent_endpoint::withheld_rejection failed before (left 504, right 503) and passes; silent_endpoint 14, plain_relay 11, endless_bytes 15.

--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -32,6 +32,9 @@
 /// Share of the remaining time after which another attempt is started beside an unanswered one.
 const ATTEMPT_SHARE: f64 = 0.45;
 
+/// Maximum wait for the body of a rejection, which usually arrives with its head.
+const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// Result of one attempt.
 enum AttemptResult {
     /// The endpoint stated that it did not execute the request.
@@ -400,10 +403,15 @@
     let outbound = build_attempt(context, request, &facts);
     let id = &request.facts.request;
     let (head, facts) = exchange(context.dialect(), connection, &outbound, id).await?;
-    let body = connection.read_body(MAX_RESPONSE_BYTES).await?;
     if facts.is_not_run && !head.status.is_success() {
+        // The head states all that matters; the body only decides whether the connection is reusable.
+        let body = connection.read_body(MAX_RESPONSE_BYTES);
+        if timeout(REJECTION_BODY_TIMEOUT, body).await.is_err() {
+            tracing::debug!(request = %id, "body of a rejection did not arrive");
+        }
         return Ok(AttemptResult::NotRun);
     }
+    let body = connection.read_body(MAX_RESPONSE_BYTES).await?;
     let is_verified = facts.is_signed && !facts.is_encoded && facts.request.is_some();
     if head.status.is_success() && !is_verified {
         return Err(ConnectionError::after_write(
