A caller that leaves during a stop is not logged as cut by it

Cause: a request that was dropped while the process was stopping was logged as `cut-by-stop`, also if its caller had left.

Change: `cut-by-stop` is a request that is open when the process exits.

Evidence: planned_stop::caller_leaves failed before (left (0, 1), right (1, 0)) and passes.

--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -40,6 +40,8 @@
     Draining,
     /// The grace period ends; requests without a response get a final one.
     Ending,
+    /// The process exits; requests that are still open are cut off.
+    Stopped,
 }
 
 /// State shared by all requests of a router; clones share the state.
@@ -260,13 +262,23 @@
         self.shared.stop_phase.send_replace(StopPhase::Ending) != StopPhase::Ending
     }
 
+    /// Records that the process exits, which cuts off requests that are still open.
+    pub fn record_exit(&self) {
+        self.shared.stop_phase.send_replace(StopPhase::Stopped);
+    }
+
+    /// Returns whether the process exits.
+    pub fn is_exiting(&self) -> bool {
+        *self.shared.stop_phase.borrow() == StopPhase::Stopped
+    }
+
     /// Waits until requests without a response have to be ended.
     pub async fn wait_for_final_responses(&self) {
         let mut stop_phase = self.shared.stop_phase.subscribe();
         // The sender lives as long as this context, so the wait does not fail.
         drop(
             stop_phase
-                .wait_for(|phase| *phase == StopPhase::Ending)
+                .wait_for(|phase| *phase >= StopPhase::Ending)
                 .await,
         );
     }
--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -324,8 +324,7 @@
 {
     fn drop(&mut self) {
         if !self.is_ended {
-            // After the grace period of a shutdown, remaining requests are cut off.
-            let outcome = if self.context.is_stopping() {
+            let outcome = if self.context.is_exiting() {
                 "cut-by-stop"
             } else {
                 "caller-left"
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -175,6 +175,7 @@
             let open = self.context.metrics().open_requests.get();
             let connections = self.callers.open_connections();
             if elapsed >= limit || (open <= 0 && connections == 0) {
+                self.context.record_exit();
                 tracing::info!(open, connections, elapsed_ms = %elapsed.as_millis(), "stopped");
                 break;
             }
