A short grace period is used up to its last sixth

What callers would see: with a grace period under 4.2 s, a stop cuts requests off before the last sixth of the period, though they were sent in time.

Cause: the process exits a fixed 0.7 s before the end of the period. The users' deployments have 8 s, for which nothing changes.

Change: the margin is at most an eighth of the period.

--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -45,6 +45,9 @@
 const BALANCER_LAG: Duration = Duration::from_millis(2_500);
 /// Time before the end of the grace period at which the process exits by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
+/// Part of a short grace period that this margin may take, as a divisor; requests that are open before
+/// the last sixth of the period must not be cut off.
+const GRACE_MARGIN_DIVISOR: u32 = 8;
 /// Time before the exit at which requests without a response get a final one, in which it is written
 /// to the caller.
 const RESPONSE_WRITE_TIME: Duration = Duration::from_millis(300);
@@ -165,7 +168,7 @@
         let started = self.context.now();
         self.context.request_stop();
         let grace = self.context.settings().allowances.grace;
-        let limit = grace.saturating_sub(GRACE_MARGIN);
+        let limit = grace.saturating_sub(GRACE_MARGIN.min(grace / GRACE_MARGIN_DIVISOR));
         actix_rt::time::sleep(BALANCER_LAG.min(limit)).await;
         self.callers.close();
         loop {
