--- a/crates/dandeliondeal_relay/src/dialect.rs
+++ b/crates/dandeliondeal_relay/src/dialect.rs
@@ -14,7 +14,7 @@
 use dandeliondeal_layout::EngineChain;
 use dandeliondeal_route::RouteConfig;
 use dandeliondeal_types::{
-    EndpointId, EndpointRecord, FencingNumber, LayerRange, OrganisationId, RequestId,
+    EndpointId, EndpointRecord, FencingNumber, LayerRange, OrganisationId, PromptPartId, RequestId,
 };
 use derive_more::{Display, Error};
 
@@ -35,6 +35,10 @@
     pub max_output_tokens: u32,
     /// Caller's estimate of the number of output tokens; right at the median, but often far off.
     pub output_tokens_hint: Option<u32>,
+    /// Parts of the prompt that other requests may share, in order; the adapter limits their number.
+    pub shared_parts: Vec<PromptPartId>,
+    /// Part of the prompt that belongs to this request or its session.
+    pub own_part: Option<PromptPartId>,
 }
 
 /// Values that an attempt at an endpoint adds to the caller's request.
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -24,6 +24,8 @@
     pub budget_denials: IntCounter,
     /// Number of checks of streams without events, by what was found.
     pub silences: IntCounterVec,
+    /// Number of runs of streams that broke, by how far the response had come.
+    pub stream_breaks: IntCounterVec,
     /// Number of failed calls to the platform's store, by kind.
     pub store_failures: IntCounterVec,
     /// Number of orders to engines by reply.
@@ -64,6 +66,11 @@
             "Checks of streams without events, by what was found.",
             &["finding"],
         )?;
+        let stream_breaks = counters(
+            "dandeliondeal_stream_breaks_total",
+            "Runs of streams that broke, by how far the response had come.",
+            &["stage"],
+        )?;
         let store_failures = counters(
             "dandeliondeal_store_failures_total",
             "Calls to the platform's store that failed, by kind.",
@@ -105,6 +112,7 @@
             repeats,
             budget_denials,
             silences,
+            stream_breaks,
             store_failures,
             orders,
             config_version,
--- a/crates/dandeliondeal_relay/src/run_source.rs
+++ b/crates/dandeliondeal_relay/src/run_source.rs
@@ -173,6 +173,11 @@
         self.attempt.is_none()
     }
 
+    /// Returns whether the head of the response was received.
+    pub(crate) fn has_head(&self) -> bool {
+        self.exchange.is_none()
+    }
+
     /// Returns the id of the last event that was received.
     pub(crate) fn last_event(&self) -> Option<u64> {
         self.splitter.last_id()
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -262,6 +262,7 @@
         self.request.lifecycle.mark_may_have_run();
         let run = self.runs.remove(index);
         let chain = run.describe_chain();
+        let stage = run.stage();
         if error.is_invalid_answer() {
             self.record_failure(&run);
         } else {
@@ -269,8 +270,11 @@
         }
         drop(run);
         let is_resumed = self.has_other_run() || self.acquire_resume("broken-stream");
+        let breaks = &self.context.metrics().stream_breaks;
+        breaks.with_label_values(&[&stage.to_string()]).inc();
+        let parts = self.request.facts.shared_parts.join(",");
         tracing::info!(
-            request = %self.request.facts.request, cause = %error, chain,
+            request = %self.request.facts.request, cause = %error, chain, %stage, parts,
             last_event = self.last_event, open_runs = self.runs.len(), resumed = is_resumed,
             "stream broke"
         );
--- a/crates/dandeliondeal_relay/src/stream_run.rs
+++ b/crates/dandeliondeal_relay/src/stream_run.rs
@@ -7,6 +7,7 @@
 use dandeliondeal_http::{ConnectionError, EndpointConnection, OutboundRequest};
 use dandeliondeal_layout::EngineChain;
 use dandeliondeal_types::{Clock, EndpointId, RequestId};
+use derive_more::Display;
 use tokio::task::JoinHandle;
 
 use crate::chain_watch::{SilenceCause, watch_chain};
@@ -15,6 +16,20 @@
 use crate::relay_context::RelayContext;
 use crate::run_source::{RunSource, SourceStep};
 
+/// How far the response of a run has come.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(crate) enum ResponseStage {
+    /// The engine has not begun a response.
+    #[display("waiting")]
+    Waiting,
+    /// The engine has sent the head of the response, but no event.
+    #[display("head")]
+    Head,
+    /// The engine has sent events.
+    #[display("events")]
+    Events,
+}
+
 /// Progress of a run.
 #[derive(Debug)]
 pub(crate) enum RunStep {
@@ -130,6 +145,15 @@
         self.source.has_events()
     }
 
+    /// Returns how far the response has come.
+    pub(crate) fn stage(&self) -> ResponseStage {
+        match (self.source.has_events(), self.source.has_head()) {
+            (true, _) => ResponseStage::Events,
+            (false, true) => ResponseStage::Head,
+            (false, false) => ResponseStage::Waiting,
+        }
+    }
+
     /// Returns the id of the last event that was received.
     pub(crate) fn last_event(&self) -> Option<u64> {
         self.source.last_event()
--- a/crates/dandeliondeal_types/src/id.rs
+++ b/crates/dandeliondeal_types/src/id.rs
@@ -28,6 +28,8 @@
 pub type PipelineId = Arc<str>;
 /// Index of a token in the sequence of prompt and answer, from 0.
 pub type Position = u64;
+/// Id of a part of a prompt that several requests may share, for example a system prompt.
+pub type PromptPartId = Arc<str>;
 /// Name of a region.
 pub type Region = Arc<str>;
 /// Id of a request, unique across instances.
