--- /dev/null
+++ b/crates/dandeliondeal_quarantine/src/crash_evidence.rs
@@ -0,0 +1,106 @@
+//! What is known of the crashes and answers under one part of a prompt.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use dandeliondeal_types::{PromptPartId, ServiceId};
+use serde::{Deserialize, Serialize};
+
+/// Id of an engine's process; a restarted engine has a new one.
+pub type ProcessId = Arc<str>;
+
+/// Part of the prompts that a service receives.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct PartKey {
+    /// Service whose engines run the prompts.
+    pub service: ServiceId,
+    /// Part of the prompts.
+    pub part: PromptPartId,
+}
+
+impl PartKey {
+    /// Creates the key of a part.
+    pub fn new(service: &ServiceId, part: &PromptPartId) -> Self {
+        Self {
+            service: ServiceId::clone(service),
+            part: PromptPartId::clone(part),
+        }
+    }
+}
+
+/// End of an engine's process while it held a request that it had not answered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ProcessEnd {
+    /// Process that ended.
+    pub process: ProcessId,
+    /// Time of the end.
+    pub at: Instant,
+    /// Hash of the prompt's own part, which tells different requests apart.
+    pub session: u64,
+    /// Whether the process had begun the response to the request.
+    pub has_begun: bool,
+}
+
+/// Evidence about one part.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PartEvidence {
+    /// The part.
+    pub key: PartKey,
+    /// Ends of processes under this part since the last answer under it.
+    pub ends: Vec<ProcessEnd>,
+    /// Whether an answer under this part is known.
+    pub is_proven: bool,
+    /// Number of answers to prompts of the service without this part since the first end.
+    pub other_answers: u32,
+}
+
+/// Limits of the evidence, and how much of it is required.
+#[derive(Clone, Debug)]
+pub struct CrashSettings {
+    /// Number of ended processes from which a part without a known answer is blamed.
+    pub unproven_ends: usize,
+    /// Number of ended processes from which a part that was answered before is blamed.
+    pub proven_ends: usize,
+    /// Minimum time between the first and the last end of a part that was answered before.
+    ///
+    /// Processes that end together have a common cause other than a prompt.
+    pub proven_span: Duration,
+    /// Minimum number of answers to other prompts while there was none under a part that was
+    /// answered before.
+    pub proven_other_answers: u32,
+    /// Minimum number of different requests under which processes ended, below `proven_ends` ends.
+    pub min_sessions: usize,
+    /// Time until the first end of a part counts, in which other instances report their answers.
+    pub settle_time: Duration,
+    /// Time for which an end is kept.
+    pub end_max_age: Duration,
+    /// Maximum number of parts with ends.
+    pub max_parts: usize,
+    /// Maximum number of ends that are kept for a part, the latest ones.
+    pub max_ends: usize,
+    /// Maximum number of parts in a report.
+    pub max_reported_parts: usize,
+    /// Maximum number of verdicts.
+    pub max_verdicts: usize,
+    /// Minimum number of answered parts that are remembered.
+    pub answer_capacity: usize,
+}
+
+impl Default for CrashSettings {
+    fn default() -> Self {
+        Self {
+            unproven_ends: 3,
+            proven_ends: 5,
+            proven_span: Duration::from_secs(1),
+            proven_other_answers: 3,
+            min_sessions: 2,
+            settle_time: Duration::from_millis(500),
+            end_max_age: Duration::from_mins(2),
+            max_parts: 64,
+            max_ends: 8,
+            max_reported_parts: 32,
+            max_verdicts: 64,
+            answer_capacity: 2_048,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dandeliondeal_quarantine/src/crash_report.rs
@@ -0,0 +1,141 @@
+//! Evidence and verdicts as instances report them to one another.
+//!
+//! Times are ages in milliseconds, as the clocks of instances differ.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dandeliondeal_types::PromptPartId;
+use serde::{Deserialize, Serialize};
+
+use crate::crash_evidence::{PartKey, ProcessId};
+
+/// Maximum number of parts and of verdicts that are kept of several reports.
+const MAX_MERGED: usize = 64;
+/// Maximum number of ends that are kept for a part of several reports.
+const MAX_MERGED_ENDS: usize = 16;
+
+/// Reported end of a process.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EndClaim {
+    /// Process that ended.
+    pub process: ProcessId,
+    /// Time since the end, in milliseconds.
+    pub age_ms: u64,
+    /// Hash of the prompt's own part.
+    pub session: u64,
+    /// Whether the process had begun the response to the request.
+    pub has_begun: bool,
+}
+
+/// Reported evidence about one part.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartClaim {
+    /// The part.
+    pub key: PartKey,
+    /// Ends of processes under this part.
+    #[serde(default)]
+    pub ends: Vec<EndClaim>,
+    /// Time since the latest answer that the reporting instance gave under it, in milliseconds.
+    #[serde(default)]
+    pub answered_ms: Option<u64>,
+}
+
+/// Reported verdict.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VerdictClaim {
+    /// Part that is blamed.
+    pub key: PartKey,
+    /// Parts that requests must have as well to be refused.
+    #[serde(default)]
+    pub companions: Vec<PromptPartId>,
+    /// Processes that ended under the part.
+    #[serde(default)]
+    pub processes: Vec<ProcessId>,
+    /// Time since the last of them ended, in milliseconds.
+    pub age_ms: u64,
+    /// Whether the verdict is known to have been stored.
+    #[serde(default)]
+    pub is_stored: bool,
+}
+
+/// Report of an instance, or of several ones.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashReport {
+    /// Evidence by part.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<PartClaim>,
+    /// Verdicts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub verdicts: Vec<VerdictClaim>,
+}
+
+impl CrashReport {
+    /// Returns whether the report holds nothing.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty() && self.verdicts.is_empty()
+    }
+
+    /// Adds another report.
+    pub fn add(&mut self, other: &Self) {
+        for claim in &other.parts {
+            let known = self.parts.iter().position(|known| known.key == claim.key);
+            if let Some(index) = known {
+                self.parts[index].add(claim);
+            } else if self.parts.len() < MAX_MERGED {
+                self.parts.push(claim.clone());
+            }
+        }
+        for claim in &other.verdicts {
+            let known = self
+                .verdicts
+                .iter()
+                .position(|known| known.key == claim.key);
+            if let Some(index) = known {
+                self.verdicts[index].add(claim);
+            } else if self.verdicts.len() < MAX_MERGED {
+                self.verdicts.push(claim.clone());
+            }
+        }
+    }
+
+    /// Adds time that passed since the report was made.
+    pub fn add_age(&mut self, age: Duration) {
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let add = |value: &mut u64| *value = value.saturating_add(age_ms);
+        for claim in &mut self.parts {
+            claim.ends.iter_mut().for_each(|end| add(&mut end.age_ms));
+            claim.answered_ms.iter_mut().for_each(add);
+        }
+        for claim in &mut self.verdicts {
+            add(&mut claim.age_ms);
+        }
+    }
+}
+
+impl PartClaim {
+    fn add(&mut self, other: &Self) {
+        let mut ends: BTreeMap<ProcessId, EndClaim> = BTreeMap::new();
+        for end in self.ends.drain(..).chain(other.ends.iter().cloned()) {
+            let known = ends.entry(ProcessId::clone(&end.process));
+            let known = known.or_insert_with(|| end.clone());
+            // Each hop loses the time on the way, so the highest age is the most exact.
+            known.age_ms = known.age_ms.max(end.age_ms);
+            known.has_begun |= end.has_begun;
+        }
+        self.ends = ends.into_values().collect();
+        self.ends.sort_by_key(|end| end.age_ms);
+        self.ends.truncate(MAX_MERGED_ENDS);
+        let answers = [self.answered_ms, other.answered_ms];
+        self.answered_ms = answers.into_iter().flatten().min();
+    }
+}
+
+impl VerdictClaim {
+    fn add(&mut self, other: &Self) {
+        self.companions
+            .retain(|part| other.companions.contains(part));
+        self.age_ms = self.age_ms.min(other.age_ms);
+        self.is_stored |= other.is_stored;
+    }
+}
--- /dev/null
+++ b/crates/dandeliondeal_quarantine/src/lib.rs
@@ -0,0 +1,26 @@
+//! Finds parts of prompts that crash engines, and decides which requests are refused for it.
+//!
+//! This crate makes decisions and performs no I/O. [`CrashTable`] holds what one instance knows of
+//! crashes and answers; [`CrashReport`] carries it to other instances. [`find_verdicts`] decides
+//! from the merged evidence which parts are to blame.
+//!
+//! All requests that an engine was about to answer when its process ended are suspects. A part is
+//! blamed if several processes ended under it and no answer was given under it since, and only
+//! together with the parts that can't be told apart from it.
+
+pub mod answer_memory;
+pub mod crash_evidence;
+pub mod crash_report;
+pub mod crash_table;
+pub mod crash_verdict;
+
+#[doc(inline)]
+pub use answer_memory::AnswerMemory;
+#[doc(inline)]
+pub use crash_evidence::{CrashSettings, PartEvidence, PartKey, ProcessEnd, ProcessId};
+#[doc(inline)]
+pub use crash_report::{CrashReport, EndClaim, PartClaim, VerdictClaim};
+#[doc(inline)]
+pub use crash_table::{CrashTable, PromptStanding, QuarantineChange, SuspectPrompt};
+#[doc(inline)]
+pub use crash_verdict::{PartVerdict, find_verdicts};
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod chain_selection;
 pub mod chain_watch;
 pub mod change_feed;
+mod crash_watch;
 pub mod dialect;
 pub mod endpoint_exchange;
 pub mod engine_absence;
@@ -26,6 +27,7 @@
 pub mod load_exchange;
 pub mod load_tracker;
 pub mod plain_relay;
+mod quarantine_store;
 pub mod refusal;
 pub mod relay_body;
 pub mod relay_context;
@@ -44,6 +46,7 @@
 pub mod stream_relay;
 mod stream_replacement;
 mod stream_run;
+mod stream_standing;
 
 #[doc(inline)]
 pub use dialect::{
--- a/crates/dandeliondeal_relay/src/load_exchange.rs
+++ b/crates/dandeliondeal_relay/src/load_exchange.rs
@@ -1,5 +1,6 @@
-//! Exchange of state between instances: their load, the engines that they found failed, and the
-//! outcomes of their attempts. Each instance thus receives the total load of every engine.
+//! Exchange of state between instances: their load, the engines that they found failed, the
+//! outcomes of their attempts, and the crashes under prompts. Each instance thus receives the total
+//! load of every engine.
 //!
 //! Each instance reports to one hub in its failure domain, and hubs exchange the totals of their
 //! domains. The reply to a report is the total of all instances. There is no consensus: an instance
@@ -12,9 +13,11 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_peer::{PeerClient, PeerError, PeerHandler};
+use dandeliondeal_quarantine::CrashReport;
 use dandeliondeal_types::{Clock, EndpointId, FailureDomain, InstanceId};
 use serde::{Deserialize, Serialize};
 
+use crate::crash_watch::log_changes;
 use crate::dialect::FleetDialect;
 use crate::engine_check::{CheckCause, check_engine};
 use crate::first_engine_health::AttemptTotals;
@@ -30,6 +33,8 @@
 const EXCHANGE_METHOD: &str = "load-exchange";
 /// Time between two reports; requests last a second or two, so load changes little in between.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Time from the request for an urgent report to the report, in which further news is collected.
+const URGENT_REPORT_DELAY: Duration = Duration::from_millis(20);
 /// Maximum wait for a hub's reply.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum age of a report or total; an older one means that its instance is gone or unreachable.
@@ -51,11 +56,14 @@
     /// Whether an instance holds the layout lease.
     #[serde(default)]
     pub has_lease: bool,
+    /// Crashes of engines under prompts, and what is refused for them.
+    #[serde(default, skip_serializing_if = "CrashReport::is_empty")]
+    pub crashes: CrashReport,
 }
 
 impl LoadSummary {
-    /// Adds another load.
-    pub fn add(&mut self, other: &Self) {
+    /// Adds another load that was reported `age` ago.
+    pub fn add(&mut self, other: &Self, age: Duration) {
         for (engine, load) in &other.engines {
             let total = self.engines.entry(EndpointId::clone(engine)).or_default();
             total.running += load.running;
@@ -68,6 +76,11 @@
             let total = self.offers.entry(EndpointId::clone(engine)).or_default();
             total.add(*counts);
         }
+        if !other.crashes.is_empty() {
+            let mut crashes = other.crashes.clone();
+            crashes.add_age(age);
+            self.crashes.add(&crashes);
+        }
     }
 }
 
@@ -102,8 +115,8 @@
         let is_recent = |at: Instant| now.saturating_duration_since(at) <= REPORT_MAX_AGE;
         self.instances.retain(|_, (at, _)| is_recent(*at));
         let mut total = LoadSummary::default();
-        for (_, load) in self.instances.values() {
-            total.add(load);
+        for (at, load) in self.instances.values() {
+            total.add(load, now.saturating_duration_since(*at));
         }
         total
     }
@@ -113,8 +126,8 @@
         let is_recent = |at: Instant| now.saturating_duration_since(at) <= REPORT_MAX_AGE;
         let mut total = self.domain_total(now);
         self.domains.retain(|_, (at, _)| is_recent(*at));
-        for (_, load) in self.domains.values() {
-            total.add(load);
+        for (at, load) in self.domains.values() {
+            total.add(load, now.saturating_duration_since(*at));
         }
         total
     }
@@ -169,7 +182,12 @@
     pub async fn run(self) {
         loop {
             let pause = self.context.jitter(REPORT_INTERVAL);
-            actix_rt::time::sleep(pause).await;
+            tokio::select! {
+                () = actix_rt::time::sleep(pause) => {}
+                () = self.context.wait_for_report_request() => {
+                    actix_rt::time::sleep(URGENT_REPORT_DELAY).await;
+                }
+            }
             self.send_report().await;
         }
     }
@@ -189,6 +207,7 @@
             .collect();
         local.offers = self.context.first_engines().local_counts(sent_at);
         local.has_lease = self.context.holds_lease();
+        local.crashes = self.context.crashes().borrow().report(sent_at);
         let id = InstanceId::clone(&settings.id);
         let fleet = if hub.id == id {
             self.hub_state
@@ -203,7 +222,11 @@
             };
             self.call_hub(&hub, REPORT_METHOD, &report).await
         };
+        self.context.crashes().borrow_mut().refresh(sent_at);
         if let Some(fleet) = fleet {
+            let now = self.context.now();
+            let crashes = self.context.crashes();
+            crashes.borrow_mut().add_report(&fleet.crashes, now);
             self.context
                 .tracker()
                 .set_fleet_load(&fleet, &local, sent_at);
@@ -214,6 +237,7 @@
             }
             self.check_suspects(&fleet);
         }
+        log_changes(&self.context);
     }
 
     /// Checks the engines that other instances found failed and this one still uses.
--- a/crates/dandeliondeal_relay/src/refusal.rs
+++ b/crates/dandeliondeal_relay/src/refusal.rs
@@ -28,6 +28,8 @@
     NoEndpoint,
     /// The endpoints' capacity or the repeat budget is used up.
     Overloaded,
+    /// A part of the prompt crashes engines.
+    Quarantined,
     /// The endpoint stated that it did not execute the request.
     Rejected,
     /// The deadline passed; the request was not executed.
@@ -45,6 +47,7 @@
             Self::NoConfig
             | Self::NoEndpoint
             | Self::Overloaded
+            | Self::Quarantined
             | Self::Rejected
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -73,6 +76,7 @@
             Self::LostBody => "lost-body",
             Self::NoEndpoint => "no-endpoint",
             Self::Overloaded => "overloaded",
+            Self::Quarantined => "quarantined",
             Self::Rejected => "rejected",
             Self::LateUnsent => "late-unsent",
             Self::LateSent => "late-sent",
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -9,11 +9,12 @@
 use dandeliondeal_config::RouterSettings;
 use dandeliondeal_http::{ConnectionPool, PoolSettings};
 use dandeliondeal_layout::{LayoutPlanner, LayoutSettings};
+use dandeliondeal_quarantine::CrashTable;
 use dandeliondeal_route::{RepeatWindow, RouteTable, WindowSettings};
 use dandeliondeal_types::{Clock, ServiceId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::engine_calls::ReportCache;
 use crate::engine_check::EngineChecks;
@@ -64,6 +65,8 @@
     report_cache: ReportCache,
     engine_checks: EngineChecks,
     first_engines: FirstEngineHealth,
+    crashes: RefCell<CrashTable>,
+    urgent_report: Notify,
     metrics: RelayMetrics,
     lifecycle_table: Arc<LifecycleTable>,
     planner: LayoutPlanner,
@@ -112,6 +115,8 @@
             report_cache: ReportCache::default(),
             engine_checks: EngineChecks::default(),
             first_engines: FirstEngineHealth::default(),
+            crashes: RefCell::default(),
+            urgent_report: Notify::new(),
             metrics: RelayMetrics::new()?,
             lifecycle_table: lifecycle_table()?,
             planner: LayoutPlanner::new(LayoutSettings::default()),
@@ -194,6 +199,21 @@
         &self.shared.first_engines
     }
 
+    /// Returns what is known of crashes under prompts.
+    pub fn crashes(&self) -> &RefCell<CrashTable> {
+        &self.shared.crashes
+    }
+
+    /// Asks for a report to the other instances before the next regular one.
+    pub fn request_report(&self) {
+        self.shared.urgent_report.notify_one();
+    }
+
+    /// Waits until a report is asked for.
+    pub async fn wait_for_report_request(&self) {
+        self.shared.urgent_report.notified().await;
+    }
+
     /// Returns the metrics.
     pub fn metrics(&self) -> &RelayMetrics {
         &self.shared.metrics
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -32,6 +32,8 @@
     pub orders: IntCounterVec,
     /// Version of the active configuration.
     pub config_version: IntGauge,
+    /// Number of parts of prompts that are refused because they crash engines.
+    pub quarantined_parts: IntGauge,
     /// Number of requests in progress.
     pub open_requests: IntGauge,
     /// Number of log lines dropped under load.
@@ -102,6 +104,11 @@
             "Version of the configuration in force.",
         )?;
         registry.register(Box::new(config_version.clone()))?;
+        let quarantined_parts = IntGauge::new(
+            "dandeliondeal_quarantined_parts",
+            "Parts of prompts that are refused because they crash engines.",
+        )?;
+        registry.register(Box::new(quarantined_parts.clone()))?;
         let open_requests =
             IntGauge::new("dandeliondeal_open_requests", "Requests that are open.")?;
         registry.register(Box::new(open_requests.clone()))?;
@@ -116,6 +123,7 @@
             store_failures,
             orders,
             config_version,
+            quarantined_parts,
             open_requests,
             dropped_logs,
         })
--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -11,6 +11,7 @@
 
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::plain_relay;
+use crate::quarantine_store::TRIAL_DELAY;
 use crate::refusal::{RefusalCause, refusal_response};
 use crate::relay_body::{RelayBody, StreamPart};
 use crate::relay_context::RelayContext;
@@ -31,6 +32,10 @@
 /// Other engines have room, and after this time it is known which ones. It is short enough for a
 /// first event within the usual objective of half a second.
 const REJECTED_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Retry delay after a stream that was refused because a part of its prompt crashes engines.
+///
+/// It is not limited by the time that the caller has left: the part is not tried again any sooner.
+const QUARANTINE_RETRY_DELAY: Duration = TRIAL_DELAY;
 /// Retry delay after a refused request to a plain service, in which other requests end.
 const PLAIN_RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -309,9 +314,12 @@
             RefusalCause::Rejected => REJECTED_RETRY_DELAY,
             _ => STREAM_RETRY_DELAY,
         };
-        let retry_delay = cause
-            .states_not_run()
-            .then(|| self.context.jitter(base_delay).min(max_delay));
+        let retry_delay = match cause {
+            RefusalCause::Quarantined => Some(QUARANTINE_RETRY_DELAY),
+            _ => cause
+                .states_not_run()
+                .then(|| self.context.jitter(base_delay).min(max_delay)),
+        };
         let response = refusal_response(self.context.dialect(), &self.request, cause, retry_delay);
         self.record_end(cause.name(), response.status().as_u16());
         response
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -19,6 +19,7 @@
 use crate::instance_registry;
 use crate::layout_controller::LayoutController;
 use crate::load_exchange::LoadExchange;
+use crate::quarantine_store::run_quarantine_store;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
 use crate::relay_error::RelayError;
@@ -237,6 +238,7 @@
             ReadFreshness::Relaxed,
             endpoints,
         )),
+        actix_rt::spawn(run_quarantine_store(context.clone(), status.clone())),
         actix_rt::spawn(instance_registry::run_registry(context.clone(), status)),
         actix_rt::spawn(controller.run()),
         actix_rt::spawn(sweep(context.clone())),
--- a/crates/dandeliondeal_relay/src/stream_rejection.rs
+++ b/crates/dandeliondeal_relay/src/stream_rejection.rs
@@ -111,14 +111,14 @@
             && self.pending_connection.is_none();
         if !is_passed_on {
             let error = ConnectionError::after_write(&format!("status {}", head.status));
-            return self.leave_run(index, &error);
+            return self.leave_run(index, &error).await;
         }
         let time_left = self.request.time_left(self.context.now());
         let run = &mut self.runs[index];
         let body = run.connection().read_body(MAX_RESPONSE_BYTES);
         let body = match actix_rt::time::timeout(time_left, body).await {
             Ok(Ok(body)) => body,
-            Ok(Err(error)) => return self.leave_run(index, &error),
+            Ok(Err(error)) => return self.leave_run(index, &error).await,
             Err(_elapsed) => return Err(self.end_timed_out()),
         };
         let now = self.context.now();
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use dandeliondeal_http::{ConnectionError, EndpointConnection};
 use dandeliondeal_layout::{EngineChain, EngineProfile};
+use dandeliondeal_quarantine::PromptStanding;
 use dandeliondeal_types::{Clock, EndpointId};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -27,6 +28,7 @@
 use crate::run_source::SourceStep;
 use crate::stream_replacement::PendingConnection;
 use crate::stream_run::{RunStep, StreamRun};
+use crate::stream_standing::StreamStanding;
 
 /// Maximum number of failed connections to first engines: none is an attempt, as nothing was sent.
 const MAX_CONNECT_ATTEMPTS: u32 = 4;
@@ -74,6 +76,7 @@
     holds_repeat: bool,
     /// Id of the last event that was passed on.
     pub(crate) last_event: Option<u64>,
+    pub(crate) standing: StreamStanding,
 }
 
 impl<Time, Dialect> StreamRelay<Time, Dialect>
@@ -102,6 +105,7 @@
             run_count: 0,
             holds_repeat: false,
             last_event,
+            standing: StreamStanding::default(),
         }
     }
 
@@ -209,7 +213,7 @@
             SourceStep::Complete if self.runs.len() > 1 && !self.runs[index].has_events() => {
                 // Another run may have what this one lacks.
                 let error = ConnectionError::after_write("the stream ended without an event");
-                self.leave_run(index, &error)?;
+                self.leave_run(index, &error).await?;
             }
             SourceStep::Complete => {
                 self.keep_run(index);
@@ -218,7 +222,7 @@
             }
             SourceStep::Rejected(head, facts) => self.handle_rejection(index, &head, &facts)?,
             SourceStep::Failed(head) => self.handle_failure(index, &head).await?,
-            SourceStep::Broken(error) => self.leave_run(index, &error)?,
+            SourceStep::Broken(error) => self.leave_run(index, &error).await?,
         }
         Ok(None)
     }
@@ -230,6 +234,7 @@
             self.last_event = run.last_event();
         }
         self.request.progress.record_event(self.last_event);
+        self.record_writing();
         self.request.lifecycle.apply(LifecycleEvent::Start);
     }
 
@@ -244,6 +249,7 @@
 
     fn finish(&mut self) {
         self.begin_response();
+        self.record_sound();
         self.request.lifecycle.apply(LifecycleEvent::Complete);
         if let Some(run) = self.runs.pop() {
             let id = EndpointId::clone(run.first_engine());
@@ -254,7 +260,7 @@
 
     /// Gives up a run whose connection or response is broken; returns an error if the stream must
     /// not continue on another chain.
-    pub(crate) fn leave_run(
+    pub(crate) async fn leave_run(
         &mut self,
         index: usize,
         error: &ConnectionError,
@@ -267,6 +273,7 @@
             self.record_failure(&run);
         } else {
             self.record_break(&run);
+            self.record_end(&run).await;
         }
         drop(run);
         let is_resumed = self.has_other_run() || self.acquire_resume("broken-stream");
@@ -328,7 +335,8 @@
     /// Returns whether the route allows another run.
     pub(crate) fn may_run_again(&self) -> bool {
         let route = &self.request.route_match.route;
-        route.repeat_class.is_repeatable() && self.run_count < route.attempts
+        let is_allowed = route.repeat_class.is_repeatable() && self.run_count < route.attempts;
+        is_allowed && self.prompt_standing() == PromptStanding::Sound
     }
 
     /// Sends the request to the first chain to which a connection can be made.
@@ -336,6 +344,9 @@
         let mut failed_connections = 0;
         loop {
             let time_left = self.time_left()?;
+            if !self.is_admitted() {
+                return Err(self.refuse(RefusalCause::Quarantined));
+            }
             let Some(chain) = self.select_chain(None) else {
                 return Err(self.refuse(RefusalCause::NoEndpoint));
             };
