Read the request limits that endpoints state, and count what is sent to them

The limit is read in the adapter (a value that is no number, or negative, counts as none), logged when it begins, and kept with the rates of this instance and of the others in a pure table (EndpointRates), which nothing uses yet for decisions.

--- a/crates/dandeliondeal_limit/src/lib.rs
+++ b/crates/dandeliondeal_limit/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! This crate makes decisions and performs no I/O. [`AdmissionQueue`] shares the capacity of one
 //! instance among organisations. [`GrantOwner`] and [`GrantHolder`] share an organisation's limit
-//! among instances. [`LocalLimit`] applies an instance's share of the limit to single requests.
+//! among instances. [`EndpointRates`] shares limits that endpoints state. [`LocalLimit`] applies an instance's share of the limit to single requests.
 
 pub mod admission_queue;
 pub mod cost_estimate;
 pub mod drain_rate;
+pub mod endpoint_rates;
 pub mod grant_holder;
 pub mod grant_message;
 pub mod grant_owner;
@@ -23,6 +24,10 @@
 #[doc(inline)]
 pub use cost_estimate::CostEstimate;
 #[doc(inline)]
+pub use endpoint_rates::{
+    EndpointRates, RateClaim, RateReport, RateSettings, SenderShare, sender_count,
+};
+#[doc(inline)]
 pub use grant_holder::GrantHolder;
 #[doc(inline)]
 pub use grant_message::{GrantAnswer, GrantRequest, HeldGrant};
--- a/crates/dandeliondeal_relay/src/dialect.rs
+++ b/crates/dandeliondeal_relay/src/dialect.rs
@@ -80,6 +80,9 @@
     pub faulty_engine: Option<SocketAddr>,
     /// Load that the endpoint reports.
     pub load: Option<ReportedLoad>,
+    /// Number of requests a second that the endpoint takes from all instances together; `None` if it
+    /// states none, or a value that is no number or negative.
+    pub request_limit: Option<f64>,
     /// Whether the body has a content encoding, so that it differs from what the endpoint signed.
     pub is_encoded: bool,
 }
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod crash_watch;
 pub mod dialect;
 pub mod endpoint_exchange;
+mod endpoint_limits;
 pub mod engine_absence;
 pub mod engine_calls;
 pub mod engine_check;
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -19,6 +19,7 @@
 use crate::endpoint_exchange::{
     ConnectionChoice, MAX_RESPONSE_BYTES, build_attempt, exchange, open_connection,
 };
+use crate::endpoint_limits::record_limit;
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
@@ -208,6 +209,11 @@
     fn record_offer(&mut self, endpoint: &EndpointRecord) -> Option<Duration> {
         self.lifecycle.apply(LifecycleEvent::Offer);
         self.request.progress.record_attempt(&endpoint.id);
+        let now = self.context.now();
+        self.context
+            .rates()
+            .borrow_mut()
+            .record_request(&endpoint.id, now);
         self.open_endpoints.push(EndpointId::clone(&endpoint.id));
         self.sent_attempts += 1;
         self.holds_repeat = false;
@@ -403,6 +409,7 @@
     let outbound = build_attempt(context, request, &facts);
     let id = &request.facts.request;
     let (head, facts) = exchange(context.dialect(), connection, &outbound, id).await?;
+    record_limit(context, &endpoint.id, facts.request_limit);
     if facts.is_not_run && !head.status.is_success() {
         // The head states all that matters; the body only decides whether the connection is reusable.
         let body = connection.read_body(MAX_RESPONSE_BYTES);
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -9,6 +9,7 @@
 use dandeliondeal_config::RouterSettings;
 use dandeliondeal_http::{ConnectionPool, PoolSettings};
 use dandeliondeal_layout::{LayoutPlanner, LayoutSettings};
+use dandeliondeal_limit::EndpointRates;
 use dandeliondeal_quarantine::CrashTable;
 use dandeliondeal_route::{RepeatWindow, RouteTable, WindowSettings};
 use dandeliondeal_types::{Clock, ServiceId};
@@ -66,6 +67,7 @@
     engine_checks: EngineChecks,
     first_engines: FirstEngineHealth,
     crashes: RefCell<CrashTable>,
+    rates: RefCell<EndpointRates>,
     urgent_report: Notify,
     metrics: RelayMetrics,
     lifecycle_table: Arc<LifecycleTable>,
@@ -116,6 +118,7 @@
             engine_checks: EngineChecks::default(),
             first_engines: FirstEngineHealth::default(),
             crashes: RefCell::default(),
+            rates: RefCell::default(),
             urgent_report: Notify::new(),
             metrics: RelayMetrics::new()?,
             lifecycle_table: lifecycle_table()?,
@@ -204,6 +207,11 @@
         &self.shared.crashes
     }
 
+    /// Returns the request limits that endpoints state.
+    pub fn rates(&self) -> &RefCell<EndpointRates> {
+        &self.shared.rates
+    }
+
     /// Asks for a report to the other instances before the next regular one.
     pub fn request_report(&self) {
         self.shared.urgent_report.notify_one();
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -34,6 +34,8 @@
     pub config_version: IntGauge,
     /// Number of parts of prompts that are refused because they crash engines.
     pub quarantined_parts: IntGauge,
+    /// Number of endpoints that state a request limit.
+    pub limited_endpoints: IntGauge,
     /// Number of requests in progress.
     pub open_requests: IntGauge,
     /// Number of log lines dropped under load.
@@ -109,6 +111,11 @@
             "Parts of prompts that are refused because they crash engines.",
         )?;
         registry.register(Box::new(quarantined_parts.clone()))?;
+        let limited_endpoints = IntGauge::new(
+            "dandeliondeal_limited_endpoints",
+            "Endpoints that state a request limit.",
+        )?;
+        registry.register(Box::new(limited_endpoints.clone()))?;
         let open_requests =
             IntGauge::new("dandeliondeal_open_requests", "Requests that are open.")?;
         registry.register(Box::new(open_requests.clone()))?;
@@ -124,6 +131,7 @@
             orders,
             config_version,
             quarantined_parts,
+            limited_endpoints,
             open_requests,
             dropped_logs,
         })
--- a/crates/dandeliondeal_relay/src/run_source.rs
+++ b/crates/dandeliondeal_relay/src/run_source.rs
@@ -10,6 +10,7 @@
 use crate::call_guard::CallGuard;
 use crate::dialect::{FleetDialect, RequestDialect, ResponseFacts};
 use crate::endpoint_exchange::PendingExchange;
+use crate::endpoint_limits::record_limit;
 use crate::event_splitter::EventSplitter;
 use crate::relay_context::RelayContext;
 
@@ -99,6 +100,7 @@
         let response = exchange.read_response(dialect, &mut self.connection);
         let (head, facts) = response.await?;
         self.exchange = None;
+        record_limit(&self.context, &self.first_engine, facts.request_limit);
         if let Some(load) = facts.load {
             let now = self.context.now();
             let tracker = self.context.tracker();
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -419,6 +419,9 @@
             (&outbound, &self.request.facts.request),
             self.last_event,
         )?;
+        let now = self.context.now();
+        let rates = self.context.rates();
+        rates.borrow_mut().record_request(run.first_engine(), now);
         self.attempts += 1;
         self.run_count += 1;
         self.holds_repeat = false;
