Keep the request limits that endpoints state, over all instances together

Callers saw nothing; an engine that stated 10.2 requests a second got 93 in 4 s (66 allowed), one that stated 5.2 got 55 (36).

Cause: the limit was read nowhere, and instances exchange what runs, not what they send; each could only have kept a limit alone. Class: a bound on the fleet that no instance can check by itself. Ruled out: repeats (4 of 2,915 arrivals).

Change: instances report the limits that endpoints state, with what they send to those endpoints, in the load reports. Each sends at its own recent rate plus an equal part of what the others leave unused, at least a quarter of an equal share; an instance that hears of no other takes an equal share. Where there are more instances than the limit has requests, only some send to the endpoint, so that a pause of all doesn't end in a burst. Chains, and attempts at plain services, avoid endpoints without room; if nothing has room the caller gets 503 at once with the time at which there is room, later for each caller that was told so. A limit ends three seconds after it was last stated, or after three intervals between requests.

Why it works: the rates add up to the limit whatever the demand (tests of 1 to 300 instances, one cut off, one joining).

Before: stated_limit, no_room, changing_fleet and plain_service failed (94 to 136 requests in 4 s, 35 allowed). After: they pass.

--- a/crates/dandeliondeal_limit/src/endpoint_rates.rs
+++ b/crates/dandeliondeal_limit/src/endpoint_rates.rs
@@ -7,9 +7,11 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use dandeliondeal_types::EndpointId;
+use dandeliondeal_types::{EndpointId, ServiceId};
 use serde::{Deserialize, Serialize};
 
+/// Minimum number of callers a second that are told to come back.
+const MIN_RETURN_RATE: f64 = 0.1;
 /// Number of instances that send to an endpoint, for each request a second of its limit.
 const SENDERS_PER_LIMIT: f64 = 1.5;
 /// Number of instances that send to an endpoint with a limit near zero.
@@ -35,6 +37,8 @@
     pub min_share: f64,
     /// Requests that may be sent at once after a pause, as time at the instance's rate; at least one.
     pub burst_time: Duration,
+    /// Maximum time after which callers are told to come back.
+    pub max_return_time: Duration,
     /// Maximum number of endpoints with a limit.
     pub max_endpoints: usize,
 }
@@ -49,6 +53,7 @@
             report_max_age: Duration::from_millis(1_200),
             min_share: 0.25,
             burst_time: Duration::from_millis(250),
+            max_return_time: Duration::from_secs(8),
             max_endpoints: 1_024,
         }
     }
@@ -107,6 +112,8 @@
 pub struct EndpointRates {
     settings: RateSettings,
     endpoints: HashMap<EndpointId, EndpointRate>,
+    /// Time from which a service has room for another caller that was told to come back.
+    next_returns: HashMap<ServiceId, Instant>,
 }
 
 impl Default for EndpointRates {
@@ -134,6 +141,7 @@
         Self {
             settings,
             endpoints: HashMap::new(),
+            next_returns: HashMap::new(),
         }
     }
 
@@ -201,6 +209,33 @@
         full.cloned().collect()
     }
 
+    /// Returns the time until one of a service's endpoints without room has room for another request.
+    ///
+    /// Each call returns a later time, as the room is promised to one caller each.
+    pub fn reserve_return(
+        &mut self,
+        service: &ServiceId,
+        endpoints: &[EndpointId],
+        now: Instant,
+    ) -> Duration {
+        let waits = endpoints
+            .iter()
+            .filter_map(|endpoint| self.wait(endpoint, now));
+        let room_at = now + waits.min().unwrap_or(self.settings.limit_term);
+        let entries = endpoints
+            .iter()
+            .filter_map(|endpoint| self.endpoints.get(endpoint));
+        let rate: f64 = entries.map(|entry| entry.rate(&self.settings, now)).sum();
+        let interval = Duration::from_secs_f64(1.0 / rate.max(MIN_RETURN_RATE));
+        let next = self.next_returns.get(service).copied().unwrap_or(now);
+        let return_at = next.max(room_at);
+        let limit = now + self.settings.max_return_time;
+        self.next_returns.retain(|_, at| *at > now);
+        self.next_returns
+            .insert(ServiceId::clone(service), (return_at + interval).min(limit));
+        return_at.saturating_duration_since(now)
+    }
+
     /// Returns what this instance reports to the others; empty without limits.
     pub fn report(&self, now: Instant) -> RateReport {
         let valid = self
--- a/crates/dandeliondeal_relay/src/chain_selection.rs
+++ b/crates/dandeliondeal_relay/src/chain_selection.rs
@@ -101,6 +101,9 @@
         .failing_engines(probe_draw, now)
         .into_iter();
     excluded.extend(failing.filter(|engine| first_engine.as_ref() != Some(engine)));
+    if first_engine.is_none() {
+        excluded.extend(context.rates().borrow().full_endpoints(now));
+    }
     let mut graph = fleet.chain_graph(service, profile, tracker, instance_count, &excluded, now);
     context.with_rng(|random| graph.scale_costs(|| random.random_range(ENGINE_TIME_FACTORS)));
     let crossing_seconds = profile.crossing_time(demand.prompt_tokens).as_secs_f64();
--- a/crates/dandeliondeal_relay/src/endpoint_limits.rs
+++ b/crates/dandeliondeal_relay/src/endpoint_limits.rs
@@ -1,8 +1,10 @@
 //! Request limits that endpoints state in their responses.
 
-use dandeliondeal_limit::{SenderShare, sender_count};
+use std::time::Duration;
+
+use dandeliondeal_limit::{RateReport, SenderShare, sender_count};
 use dandeliondeal_types::rendezvous::member_rank;
-use dandeliondeal_types::{Clock, EndpointId, InstanceId};
+use dandeliondeal_types::{Clock, EndpointId, InstanceId, ServiceId};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::relay_context::RelayContext;
@@ -27,6 +29,56 @@
     }
 }
 
+/// Sets what all instances send to endpoints with limits; `local` is the part of this instance in it.
+pub(crate) fn set_fleet_rates<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    fleet: &RateReport,
+    local: &RateReport,
+) where
+    Time: Clock,
+{
+    let now = context.now();
+    let share = |endpoint: &EndpointId, limit| sender_share(context, endpoint, limit);
+    let mut rates = context.rates().borrow_mut();
+    rates.set_fleet(fleet, local, share, now);
+}
+
+/// Updates which instances send to endpoints with limits, and removes limits that have ended.
+pub(crate) fn update_shares<Time, Dialect>(context: &RelayContext<Time, Dialect>)
+where
+    Time: Clock,
+{
+    let now = context.now();
+    let share = |endpoint: &EndpointId, limit| sender_share(context, endpoint, limit);
+    let mut rates = context.rates().borrow_mut();
+    rates.set_shares(share, now);
+    count_limits(context, rates.len());
+}
+
+/// Returns the time until an endpoint of a service has room for another request; `None` if no
+/// endpoint is without room because of its limit.
+pub(crate) fn reserve_room<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    service: &ServiceId,
+) -> Option<Duration>
+where
+    Time: Clock,
+{
+    let now = context.now();
+    let mut rates = context.rates().borrow_mut();
+    let full = rates.full_endpoints(now);
+    let fleet = context.fleet().borrow();
+    let is_own = |endpoint: &EndpointId| {
+        let record = fleet.record(endpoint);
+        record.is_some_and(|record| record.service == *service && !record.is_draining)
+    };
+    let full: Vec<EndpointId> = full
+        .into_iter()
+        .filter(|endpoint| is_own(endpoint))
+        .collect();
+    (!full.is_empty()).then(|| rates.reserve_return(service, &full, now))
+}
+
 /// Records the limit that an endpoint states in a response.
 pub(crate) fn record_limit<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
@@ -47,7 +99,7 @@
     count_limits(context, rates.len());
 }
 
-pub(crate) fn count_limits<Time, Dialect>(context: &RelayContext<Time, Dialect>, count: usize)
+fn count_limits<Time, Dialect>(context: &RelayContext<Time, Dialect>, count: usize)
 where
     Time: Clock,
 {
--- a/crates/dandeliondeal_relay/src/load_exchange.rs
+++ b/crates/dandeliondeal_relay/src/load_exchange.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use dandeliondeal_limit::RateReport;
 use dandeliondeal_peer::{PeerClient, PeerError, PeerHandler};
 use dandeliondeal_quarantine::CrashReport;
 use dandeliondeal_types::{Clock, EndpointId, FailureDomain, InstanceId};
@@ -19,6 +20,7 @@
 
 use crate::crash_watch::log_changes;
 use crate::dialect::FleetDialect;
+use crate::endpoint_limits::{set_fleet_rates, update_shares};
 use crate::engine_check::{CheckCause, check_engine};
 use crate::first_engine_health::AttemptTotals;
 use crate::hub_selection::HubSelector;
@@ -59,6 +61,9 @@
     /// Crashes of engines under prompts, and what is refused for them.
     #[serde(default, skip_serializing_if = "CrashReport::is_empty")]
     pub crashes: CrashReport,
+    /// Limits that endpoints state, with the requests a second that instances send to them.
+    #[serde(default, skip_serializing_if = "RateReport::is_empty")]
+    pub rates: RateReport,
 }
 
 impl LoadSummary {
@@ -81,6 +86,13 @@
             crashes.add_age(age);
             self.crashes.add(&crashes);
         }
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        for (endpoint, claim) in &other.rates {
+            let mut claim = *claim;
+            claim.age_ms = claim.age_ms.saturating_add(age_ms);
+            let total = self.rates.entry(EndpointId::clone(endpoint));
+            total.and_modify(|total| total.add(&claim)).or_insert(claim);
+        }
     }
 }
 
@@ -208,6 +220,7 @@
         local.offers = self.context.first_engines().local_counts(sent_at);
         local.has_lease = self.context.holds_lease();
         local.crashes = self.context.crashes().borrow().report(sent_at);
+        local.rates = self.context.rates().borrow().report(sent_at);
         let id = InstanceId::clone(&settings.id);
         let fleet = if hub.id == id {
             self.hub_state
@@ -223,10 +236,12 @@
             self.call_hub(&hub, REPORT_METHOD, &report).await
         };
         self.context.crashes().borrow_mut().refresh(sent_at);
+        update_shares(&self.context);
         if let Some(fleet) = fleet {
             let now = self.context.now();
             let crashes = self.context.crashes();
             crashes.borrow_mut().add_report(&fleet.crashes, now);
+            set_fleet_rates(&self.context, &fleet.rates, &local.rates);
             self.context
                 .tracker()
                 .set_fleet_load(&fleet, &local, sent_at);
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -75,6 +75,10 @@
             RelayOutcome::Answered(response)
         }
         RaceEnd::TimedOut => request.end_timed_out(last_failure),
+        RaceEnd::Unanswered(RefusalCause::NoEndpoint) => {
+            let cause = request.no_endpoint_cause(context);
+            request.end_unanswered(cause, last_failure)
+        }
         RaceEnd::Unanswered(cause) => request.end_unanswered(cause, last_failure),
     }
 }
@@ -181,8 +185,11 @@
         if self.sent_attempts > 0 && !(may_repeat && self.has_attempts_left()) {
             return Err(RaceEnd::Unanswered(RefusalCause::LostAnswer));
         }
+        let mut excluded = self.tried.clone();
+        let now = self.context.now();
+        excluded.extend(self.context.rates().borrow().full_endpoints(now));
         let endpoint = (self.failed_connections < MAX_CONNECT_ATTEMPTS)
-            .then(|| select_endpoint(self.context, self.request, self.is_repeatable, &self.tried))
+            .then(|| select_endpoint(self.context, self.request, self.is_repeatable, &excluded))
             .flatten()
             .ok_or(RaceEnd::Unanswered(RefusalCause::NoEndpoint))?;
         if self.sent_attempts > 0 && !self.holds_repeat {
@@ -298,7 +305,7 @@
     context: &RelayContext<Time, Dialect>,
     request: &RelayRequest,
     is_repeatable: bool,
-    tried: &[EndpointId],
+    excluded: &[EndpointId],
 ) -> Option<EndpointRecord>
 where
     Time: Clock,
@@ -307,13 +314,15 @@
     let fleet = context.fleet().borrow();
     let ranked =
         context.with_rng(|random| fleet.ranked(&request.service, is_repeatable, random, now));
-    let untried = ranked
+    let selected = ranked
         .into_iter()
-        .find(|record| !tried.contains(&record.id));
-    untried.or_else(|| {
+        .find(|record| !excluded.contains(&record.id));
+    selected.or_else(|| {
         // The ranking is a sample of the healthy endpoints; any other endpoint is better than none.
         let mut rest = fleet.records().filter(|record| {
-            record.service == request.service && !record.is_draining && !tried.contains(&record.id)
+            record.service == request.service
+                && !record.is_draining
+                && !excluded.contains(&record.id)
         });
         rest.next().cloned()
     })
--- a/crates/dandeliondeal_relay/src/refusal.rs
+++ b/crates/dandeliondeal_relay/src/refusal.rs
@@ -28,6 +28,8 @@
     NoEndpoint,
     /// The endpoints' capacity or the repeat budget is used up.
     Overloaded,
+    /// The endpoints state request limits, and no other has room.
+    Limited,
     /// A part of the prompt crashes engines.
     Quarantined,
     /// The endpoint stated that it did not execute the request.
@@ -47,6 +49,7 @@
             Self::NoConfig
             | Self::NoEndpoint
             | Self::Overloaded
+            | Self::Limited
             | Self::Quarantined
             | Self::Rejected
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -76,6 +79,7 @@
             Self::LostBody => "lost-body",
             Self::NoEndpoint => "no-endpoint",
             Self::Overloaded => "overloaded",
+            Self::Limited => "limited",
             Self::Quarantined => "quarantined",
             Self::Rejected => "rejected",
             Self::LateUnsent => "late-unsent",
--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -55,7 +55,8 @@
         Err((facts, cause)) => {
             let record = OpenRequest::start(&context, &facts.request, "none", arrived, open);
             let retry_delay = facts.deadline.map(|deadline| deadline.mul_f64(0.3));
-            record.finish_refused(cause, retry_delay.unwrap_or(PLAIN_RETRY_DELAY))
+            let max_delay = retry_delay.unwrap_or(PLAIN_RETRY_DELAY);
+            record.finish_refused(cause, max_delay, None)
         }
         Ok(request) => serve_request(&context, request, open).await,
     };
@@ -92,7 +93,7 @@
     let max_delay = request.max_retry_delay(context.now());
     match plain_relay::relay_request(context, &mut request).await {
         RelayOutcome::Answered(response) => record.finish_answered(response),
-        RelayOutcome::Refused(cause) => record.finish_refused(cause, max_delay),
+        RelayOutcome::Refused(cause) => record.finish_refused(cause, max_delay, request.room_delay),
     }
 }
 
@@ -112,7 +113,10 @@
     };
     let max_delay = relay.request().max_retry_delay(record.context.now());
     let first_events = match first_events {
-        Err(StreamEnd::Refused(cause)) => return record.finish_refused(cause, max_delay),
+        Err(StreamEnd::Refused(cause)) => {
+            let room_delay = relay.request().room_delay;
+            return record.finish_refused(cause, max_delay, room_delay);
+        }
         Err(StreamEnd::Failure(response)) => return record.finish_answered(response),
         Ok(first) => first,
     };
@@ -308,14 +312,21 @@
     Time: Clock,
     Dialect: RequestDialect,
 {
-    fn finish_refused(mut self, cause: RefusalCause, max_delay: Duration) -> Response<RelayBody> {
+    /// Builds the refusal; `room_delay` is the time until endpoints have room, if that is known.
+    fn finish_refused(
+        mut self,
+        cause: RefusalCause,
+        max_delay: Duration,
+        room_delay: Option<Duration>,
+    ) -> Response<RelayBody> {
         let base_delay = match cause {
             _ if !self.is_stream => PLAIN_RETRY_DELAY,
             RefusalCause::Rejected => REJECTED_RETRY_DELAY,
             _ => STREAM_RETRY_DELAY,
         };
-        let retry_delay = match cause {
-            RefusalCause::Quarantined => Some(QUARANTINE_RETRY_DELAY),
+        let retry_delay = match (cause, room_delay) {
+            (RefusalCause::Quarantined, _) => Some(QUARANTINE_RETRY_DELAY),
+            (RefusalCause::Limited, Some(room_delay)) => Some(room_delay.min(max_delay)),
             _ => cause
                 .states_not_run()
                 .then(|| self.context.jitter(base_delay).min(max_delay)),
--- a/crates/dandeliondeal_relay/src/request_intake.rs
+++ b/crates/dandeliondeal_relay/src/request_intake.rs
@@ -12,6 +12,7 @@
 use futures_util::StreamExt;
 
 use crate::dialect::{CallerFacts, RequestDialect};
+use crate::endpoint_limits::reserve_room;
 use crate::refusal::RefusalCause;
 use crate::relay_context::RelayContext;
 use crate::relay_lifecycle::{LifecycleEvent, RelayLifecycle};
@@ -51,6 +52,26 @@
     pub lifecycle: RelayLifecycle,
     /// Progress of the request, for logs.
     pub progress: RequestProgress,
+    /// Time until endpoints have room, if the request is refused for want of it.
+    pub room_delay: Option<Duration>,
+}
+
+impl RelayRequest {
+    /// Returns why no endpoint can take the request.
+    pub(crate) fn no_endpoint_cause<Time, Dialect>(
+        &mut self,
+        context: &RelayContext<Time, Dialect>,
+    ) -> RefusalCause
+    where
+        Time: Clock,
+    {
+        self.room_delay = reserve_room(context, &self.service);
+        if self.room_delay.is_some() {
+            RefusalCause::Limited
+        } else {
+            RefusalCause::NoEndpoint
+        }
+    }
 }
 
 impl RelayRequest {
@@ -131,6 +152,7 @@
         deadline,
         lifecycle,
         progress: RequestProgress::default(),
+        room_delay: None,
     })
 }
 
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -348,7 +348,8 @@
                 return Err(self.refuse(RefusalCause::Quarantined));
             }
             let Some(chain) = self.select_chain(None) else {
-                return Err(self.refuse(RefusalCause::NoEndpoint));
+                let cause = self.request.no_endpoint_cause(&self.context);
+                return Err(self.refuse(cause));
             };
             let hop = chain.hops[0].clone();
             let choice = self.connection_choice();
