An unframed stream that ends without an event is broken off

An engine that ended after the head of such a response and before the first event looked like the end of an empty stream: the caller got a complete, empty answer, and the crash was seen by nobody. The test failed before (an empty body in place of six events). A run that continues after an event may still end without one.

--- a/crates/dandeliondeal_relay/src/run_source.rs
+++ b/crates/dandeliondeal_relay/src/run_source.rs
@@ -3,7 +3,9 @@
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
 use dandeliondeal_balance::CallResult;
-use dandeliondeal_http::{ConnectionError, EndpointConnection, OutboundRequest, ResponseHead};
+use dandeliondeal_http::{
+    BodyFraming, ConnectionError, EndpointConnection, OutboundRequest, ResponseHead,
+};
 use dandeliondeal_layout::EngineChain;
 use dandeliondeal_types::{Clock, EndpointId};
 
@@ -49,6 +51,10 @@
     splitter: EventSplitter,
     /// Whether the response has ended regularly.
     is_ended: bool,
+    /// Whether the response has at least one event; a run that continues may have none left.
+    must_have_events: bool,
+    /// Whether the response ends with its connection.
+    is_unframed: bool,
 }
 
 impl<Time, Dialect> RunSource<Time, Dialect>
@@ -80,6 +86,8 @@
             headers: HeaderMap::new(),
             splitter: EventSplitter::starting_after(last_event),
             is_ended: false,
+            must_have_events: last_event.is_none(),
+            is_unframed: false,
         })
     }
 
@@ -117,6 +125,7 @@
                 "response lacks the engine's signature",
             ));
         }
+        self.is_unframed = head.framing == BodyFraming::UntilClose;
         self.headers = dialect.forwarded_headers(&head.headers);
         Ok(SourceStep::Started)
     }
@@ -136,6 +145,10 @@
                 self.is_ended = true;
                 let rest = self.splitter.take_rest();
                 if rest.is_empty() {
+                    if self.is_unframed && self.must_have_events && !self.has_events() {
+                        let problem = "the connection closed before the first event";
+                        return Err(ConnectionError::after_write(problem));
+                    }
                     return Ok(SourceStep::Complete);
                 }
                 self.record_answer();
