--- a/crates/dandeliondeal_limit/src/lib.rs
+++ b/crates/dandeliondeal_limit/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! This crate makes decisions and performs no I/O. [`AdmissionQueue`] shares the capacity of one
 //! instance among organisations. [`GrantOwner`] and [`GrantHolder`] share an organisation's limit
-//! among instances. [`EndpointRates`] shares limits that endpoints state. [`LocalLimit`] applies an instance's share of the limit to single requests.
+//! among instances. [`EndpointRates`] shares limits that endpoints state. [`LocalLimit`] applies an
+//! instance's share of the limit to single requests.
 
 pub mod admission_queue;
 pub mod cost_estimate;
