Log the fingerprint of a plain request with each lost response

A line `response lost` did not say what the request has in common with others, so that copies of one request could not be told from requests that happened to be there. The fingerprint covers method, host, path with query, organisation and body; ids and deadlines are left out. No decision uses it yet.

--- a/crates/dandeliondeal_quarantine/src/lib.rs
+++ b/crates/dandeliondeal_quarantine/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod crash_report;
 pub mod crash_table;
 pub mod crash_verdict;
+pub mod request_fingerprint;
 
 #[doc(inline)]
 pub use answer_memory::AnswerMemory;
@@ -24,3 +25,5 @@
 pub use crash_table::{CrashTable, PromptStanding, QuarantineChange, SuspectPrompt};
 #[doc(inline)]
 pub use crash_verdict::{PartVerdict, find_verdicts};
+#[doc(inline)]
+pub use request_fingerprint::{RequestIdentity, is_fingerprint};
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -277,7 +277,10 @@
             AttemptResult::Lost(error) => {
                 self.lifecycle.mark_may_have_run();
                 let error = error.map_or_else(|| "timeout".to_owned(), |error| error.to_string());
-                tracing::info!(%request, endpoint = %endpoint.id, error, "response lost");
+                tracing::info!(
+                    %request, endpoint = %endpoint.id, error,
+                    fingerprint = &*self.request.fingerprint, "response lost"
+                );
             }
         }
         if let Some(open_endpoint) = self.open_endpoints.last() {
--- a/crates/dandeliondeal_relay/src/request_intake.rs
+++ b/crates/dandeliondeal_relay/src/request_intake.rs
@@ -7,8 +7,9 @@
 use actix_http::{HttpMessage, Method, Request, Uri};
 use bytes::{Bytes, BytesMut};
 use dandeliondeal_layout::EngineProfile;
+use dandeliondeal_quarantine::RequestIdentity;
 use dandeliondeal_route::{MatchError, RouteMatch};
-use dandeliondeal_types::{Clock, ServiceId};
+use dandeliondeal_types::{Clock, FeatureId, ServiceId};
 use futures_util::StreamExt;
 
 use crate::dialect::{CallerFacts, RequestDialect};
@@ -38,6 +39,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Fingerprint that copies of this request have in common.
+    pub fingerprint: FeatureId,
     /// Route and organisation from the configuration.
     pub route_match: RouteMatch,
     /// Service that runs the request.
@@ -136,6 +139,14 @@
         Err(_elapsed) => return Err((facts, RefusalCause::LostBody)),
     };
     let method = request.method().clone();
+    let identity = RequestIdentity {
+        method: method.as_str(),
+        host,
+        path: uri.path_and_query().map_or("", |path| path.as_str()),
+        organisation: route_match.organisation.as_ref(),
+        body: &body,
+    };
+    let fingerprint = identity.fingerprint();
     let headers = std::mem::take(&mut request.head_mut().headers);
     let mut lifecycle = RelayLifecycle::new(context.lifecycle_table().clone());
     lifecycle.apply(LifecycleEvent::Admit);
@@ -145,6 +156,7 @@
         uri,
         headers,
         body,
+        fingerprint,
         route_match,
         service,
         engine_profile,
--- a/crates/dandeliondeal_types/src/id.rs
+++ b/crates/dandeliondeal_types/src/id.rs
@@ -6,6 +6,9 @@
 pub type AcceleratorKind = Arc<str>;
 /// Id of an endpoint, which is a model engine or a replica of a plain service.
 pub type EndpointId = Arc<str>;
+/// Id of something that requests have in common: a part of their prompts, or the fingerprint of
+/// copies of one request.
+pub type FeatureId = Arc<str>;
 /// Name of a failure domain, for example `didube`.
 pub type FailureDomain = Arc<str>;
 /// Version of a lease object; orders that carry an older version are refused.
