Rename the parts of the crash evidence to features of requests

Preparation for evidence on whole requests: what the table counts is not only a part of a prompt. Names only; the stored and reported fields stay.

--- a/crates/dandeliondeal_quarantine/src/answer_memory.rs
+++ b/crates/dandeliondeal_quarantine/src/answer_memory.rs
@@ -5,11 +5,11 @@
 
 use dandeliondeal_types::ServiceId;
 
-use crate::crash_evidence::PartKey;
+use crate::crash_evidence::FeatureKey;
 
 /// Answers under one part.
 #[derive(Clone, Copy, Debug)]
-struct PartAnswers {
+struct FeatureAnswers {
     latest: Instant,
     count: u64,
 }
@@ -18,8 +18,8 @@
 #[derive(Clone, Debug)]
 pub struct AnswerMemory {
     capacity: usize,
-    newer: HashMap<PartKey, PartAnswers>,
-    older: HashMap<PartKey, PartAnswers>,
+    newer: HashMap<FeatureKey, FeatureAnswers>,
+    older: HashMap<FeatureKey, FeatureAnswers>,
     /// Number of answers by service; the configuration bounds the number of services.
     totals: HashMap<ServiceId, u64>,
 }
@@ -41,21 +41,21 @@
     }
 
     /// Records that an answer was given under a part.
-    pub fn record_part(&mut self, key: PartKey, at: Instant) {
+    pub fn record_part(&mut self, key: FeatureKey, at: Instant) {
         let count = self.count(&key) + 1;
         if self.newer.len() >= self.capacity && !self.newer.contains_key(&key) {
             self.older = std::mem::take(&mut self.newer);
         }
-        self.newer.insert(key, PartAnswers { latest: at, count });
+        self.newer.insert(key, FeatureAnswers { latest: at, count });
     }
 
     /// Returns the time of the latest known answer under a part.
-    pub fn latest(&self, key: &PartKey) -> Option<Instant> {
+    pub fn latest(&self, key: &FeatureKey) -> Option<Instant> {
         self.find(key).map(|answers| answers.latest)
     }
 
     /// Returns the share of the service's answers that were given under a part, from 0 to 1.
-    pub fn share(&self, key: &PartKey) -> f64 {
+    pub fn share(&self, key: &FeatureKey) -> f64 {
         let total = self.totals.get(&key.service).copied().unwrap_or(0);
         self.count(key) as f64 / total.max(1) as f64
     }
@@ -70,11 +70,11 @@
         self.len() == 0
     }
 
-    fn count(&self, key: &PartKey) -> u64 {
+    fn count(&self, key: &FeatureKey) -> u64 {
         self.find(key).map_or(0, |answers| answers.count)
     }
 
-    fn find(&self, key: &PartKey) -> Option<&PartAnswers> {
+    fn find(&self, key: &FeatureKey) -> Option<&FeatureAnswers> {
         self.newer.get(key).or_else(|| self.older.get(key))
     }
 }
--- a/crates/dandeliondeal_quarantine/src/crash_evidence.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_evidence.rs
@@ -1,41 +1,42 @@
-//! What is known of the crashes and answers under one part of a prompt.
+//! What is known of the crashes and answers under one feature of requests.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use dandeliondeal_types::{PromptPartId, ServiceId};
+use dandeliondeal_types::{FeatureId, ServiceId};
 use serde::{Deserialize, Serialize};
 
-/// Id of an engine's process; a restarted engine has a new one.
+/// Id of an endpoint's process; a restarted endpoint has a new one.
 pub type ProcessId = Arc<str>;
 
-/// Part of the prompts that a service receives.
+/// Feature of the requests that a service receives.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct PartKey {
-    /// Service whose engines run the prompts.
+pub struct FeatureKey {
+    /// Service whose endpoints run the requests.
     pub service: ServiceId,
-    /// Part of the prompts.
-    pub part: PromptPartId,
+    /// Part of the prompts, or fingerprint of the requests.
+    #[serde(rename = "part")]
+    pub feature: FeatureId,
 }
 
-impl PartKey {
-    /// Creates the key of a part.
-    pub fn new(service: &ServiceId, part: &PromptPartId) -> Self {
+impl FeatureKey {
+    /// Creates the key of a feature.
+    pub fn new(service: &ServiceId, feature: &FeatureId) -> Self {
         Self {
             service: ServiceId::clone(service),
-            part: PromptPartId::clone(part),
+            feature: FeatureId::clone(feature),
         }
     }
 }
 
-/// End of an engine's process while it held a request that it had not answered.
+/// End of an endpoint's process while it held a request that it had not answered.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ProcessEnd {
     /// Process that ended.
     pub process: ProcessId,
     /// Time of the end.
     pub at: Instant,
-    /// Hash of the prompt's own part, which tells different requests apart.
+    /// Hash that tells different requests apart.
     pub session: u64,
     /// Whether the process had begun the response to the request.
     pub has_begun: bool,
@@ -43,9 +44,9 @@
 
 /// Evidence about one part.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct PartEvidence {
+pub struct FeatureEvidence {
     /// The part.
-    pub key: PartKey,
+    pub key: FeatureKey,
     /// Ends of processes under this part since the last answer under it.
     pub ends: Vec<ProcessEnd>,
     /// Whether an answer under this part is known.
@@ -86,11 +87,11 @@
     /// Time for which an end is kept.
     pub end_max_age: Duration,
     /// Maximum number of parts with ends.
-    pub max_parts: usize,
+    pub max_features: usize,
     /// Maximum number of ends that are kept for a part, the latest ones.
     pub max_ends: usize,
     /// Maximum number of parts in a report.
-    pub max_reported_parts: usize,
+    pub max_reported_features: usize,
     /// Maximum number of verdicts.
     pub max_verdicts: usize,
     /// Minimum number of answered parts that are remembered.
@@ -110,9 +111,9 @@
             min_sessions: 2,
             settle_time: Duration::from_millis(500),
             end_max_age: Duration::from_mins(2),
-            max_parts: 64,
+            max_features: 64,
             max_ends: 8,
-            max_reported_parts: 32,
+            max_reported_features: 32,
             max_verdicts: 64,
             answer_capacity: 2_048,
         }
--- a/crates/dandeliondeal_quarantine/src/crash_report.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_report.rs
@@ -5,10 +5,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dandeliondeal_types::PromptPartId;
+use dandeliondeal_types::FeatureId;
 use serde::{Deserialize, Serialize};
 
-use crate::crash_evidence::{PartKey, ProcessId};
+use crate::crash_evidence::{FeatureKey, ProcessId};
 
 /// Maximum number of parts and of verdicts that are kept of several reports.
 const MAX_MERGED: usize = 64;
@@ -30,9 +30,9 @@
 
 /// Reported evidence about one part.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PartClaim {
+pub struct FeatureClaim {
     /// The part.
-    pub key: PartKey,
+    pub key: FeatureKey,
     /// Ends of processes under this part.
     #[serde(default)]
     pub ends: Vec<EndClaim>,
@@ -45,10 +45,10 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct VerdictClaim {
     /// Part that is blamed.
-    pub key: PartKey,
+    pub key: FeatureKey,
     /// Parts that requests must have as well to be refused.
     #[serde(default)]
-    pub companions: Vec<PromptPartId>,
+    pub companions: Vec<FeatureId>,
     /// Processes that ended under the part.
     #[serde(default)]
     pub processes: Vec<ProcessId>,
@@ -64,7 +64,7 @@
 pub struct CrashReport {
     /// Evidence by part.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub parts: Vec<PartClaim>,
+    pub parts: Vec<FeatureClaim>,
     /// Verdicts.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub verdicts: Vec<VerdictClaim>,
@@ -113,7 +113,7 @@
     }
 }
 
-impl PartClaim {
+impl FeatureClaim {
     fn add(&mut self, other: &Self) {
         let mut ends: BTreeMap<ProcessId, EndClaim> = BTreeMap::new();
         for end in self.ends.drain(..).chain(other.ends.iter().cloned()) {
--- a/crates/dandeliondeal_quarantine/src/crash_table.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_table.rs
@@ -3,16 +3,16 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use dandeliondeal_types::{PromptPartId, ServiceId};
+use dandeliondeal_types::{FeatureId, ServiceId};
 
 use crate::answer_memory::AnswerMemory;
-use crate::crash_evidence::{CrashSettings, PartEvidence, PartKey, ProcessEnd, ProcessId};
-use crate::crash_report::{CrashReport, EndClaim, PartClaim, VerdictClaim};
-use crate::crash_verdict::{PartVerdict, find_explained, find_verdicts};
+use crate::crash_evidence::{CrashSettings, FeatureEvidence, FeatureKey, ProcessEnd, ProcessId};
+use crate::crash_report::{CrashReport, EndClaim, FeatureClaim, VerdictClaim};
+use crate::crash_verdict::{FeatureVerdict, find_explained, find_verdicts};
 
 /// How a prompt is treated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum PromptStanding {
+pub enum RequestStanding {
     /// Nothing is known against it.
     Sound,
     /// A process ended under a part of it that was never answered: it must not run twice.
@@ -23,14 +23,14 @@
 
 /// Request that a process held when it ended.
 #[derive(Clone, Copy, Debug)]
-pub struct SuspectPrompt<'request> {
+pub struct SuspectRequest<'request> {
     /// Service that runs the request.
     pub service: &'request ServiceId,
-    /// Shared parts of the prompt.
-    pub parts: &'request [PromptPartId],
-    /// Hash of the prompt's own part.
+    /// What the request may have in common with others.
+    pub features: &'request [FeatureId],
+    /// Hash that tells different requests apart.
     pub session: u64,
-    /// Whether the process had begun the response.
+    /// Whether the process had begun to answer the request, as far as is known.
     pub has_begun: bool,
 }
 
@@ -38,20 +38,20 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum QuarantineChange {
     /// Requests are refused from now on, or other ones than before.
-    Added(PartVerdict),
+    Added(FeatureVerdict),
     /// Requests with this part are served again.
-    Lifted(PartKey),
+    Lifted(FeatureKey),
 }
 
 #[derive(Clone, Debug, Default)]
-struct PartEntry {
+struct FeatureEntry {
     ends: Vec<ProcessEnd>,
     /// Latest answer under the part that is known, of any instance.
     answered: Option<Instant>,
     other_answers: u32,
 }
 
-impl PartEntry {
+impl FeatureEntry {
     /// Returns the ends since the last answer.
     fn counted_ends(&self) -> impl Iterator<Item = &ProcessEnd> {
         let answered = self.answered;
@@ -68,14 +68,14 @@
 pub struct CrashTable {
     settings: CrashSettings,
     answers: AnswerMemory,
-    entries: HashMap<PartKey, PartEntry>,
-    verdicts: HashMap<PartKey, PartVerdict>,
+    entries: HashMap<FeatureKey, FeatureEntry>,
+    verdicts: HashMap<FeatureKey, FeatureVerdict>,
     /// Parts whose next request is admitted to find out whether they still crash engines.
-    trials: HashSet<PartKey>,
+    trials: HashSet<FeatureKey>,
     /// Parts that were served again, with the time until which older verdicts are void.
-    lifted: HashMap<PartKey, Instant>,
+    lifted: HashMap<FeatureKey, Instant>,
     /// Parts with ends or a verdict in the latest report of the fleet.
-    reported: HashSet<PartKey>,
+    reported: HashSet<FeatureKey>,
     changes: Vec<QuarantineChange>,
 }
 
@@ -101,24 +101,25 @@
     }
 
     /// Records the end of a process that held a request it had not answered.
-    pub fn record_end(&mut self, process: &ProcessId, prompt: SuspectPrompt<'_>, now: Instant) {
-        for part in prompt.parts {
+    pub fn record_end(&mut self, process: &ProcessId, request: SuspectRequest<'_>, now: Instant) {
+        for part in request.features {
             let end = ProcessEnd {
                 process: ProcessId::clone(process),
                 at: now,
-                session: prompt.session,
-                has_begun: prompt.has_begun,
+                session: request.session,
+                has_begun: request.has_begun,
             };
-            self.add_end(PartKey::new(prompt.service, part), end, now);
+            self.add_end(FeatureKey::new(request.service, part), end, now);
         }
         self.update(now);
     }
 
     /// Records that a request with these shared parts was answered.
-    pub fn record_answer(&mut self, service: &ServiceId, parts: &[PromptPartId], now: Instant) {
+    pub fn record_answer(&mut self, service: &ServiceId, parts: &[FeatureId], now: Instant) {
         self.answers.record_answer(service);
         for part in parts {
-            self.answers.record_part(PartKey::new(service, part), now);
+            self.answers
+                .record_part(FeatureKey::new(service, part), now);
         }
         if self.entries.is_empty() && self.verdicts.is_empty() {
             return;
@@ -127,7 +128,7 @@
             if key.service != *service {
                 continue;
             }
-            if parts.contains(&key.part) {
+            if parts.contains(&key.feature) {
                 entry.answered = Some(now);
                 entry.other_answers = 0;
             } else {
@@ -138,26 +139,26 @@
     }
 
     /// Returns how a prompt is treated.
-    pub fn standing(&self, service: &ServiceId, parts: &[PromptPartId]) -> PromptStanding {
+    pub fn standing(&self, service: &ServiceId, parts: &[FeatureId]) -> RequestStanding {
         if self.find_verdict(service, parts).is_some() {
-            return PromptStanding::Quarantined;
+            return RequestStanding::Quarantined;
         }
-        let is_suspect = |part: &PromptPartId| {
-            let entry = self.entries.get(&PartKey::new(service, part));
+        let is_suspect = |part: &FeatureId| {
+            let entry = self.entries.get(&FeatureKey::new(service, part));
             entry.is_some_and(|entry| {
                 entry.answered.is_none() && entry.ends.iter().any(|end| end.has_begun)
             })
         };
         if !self.entries.is_empty() && parts.iter().any(is_suspect) {
-            PromptStanding::Suspect
+            RequestStanding::Suspect
         } else {
-            PromptStanding::Sound
+            RequestStanding::Sound
         }
     }
 
     /// Admits a request whose prompt is refused as a trial, if one was opened; returns whether it
     /// did.
-    pub fn take_trial(&mut self, service: &ServiceId, parts: &[PromptPartId]) -> bool {
+    pub fn take_trial(&mut self, service: &ServiceId, parts: &[FeatureId]) -> bool {
         let key = self
             .find_verdict(service, parts)
             .map(|verdict| verdict.key.clone());
@@ -165,7 +166,7 @@
     }
 
     /// Opens a trial: the next request with this part is admitted.
-    pub fn open_trial(&mut self, key: &PartKey) {
+    pub fn open_trial(&mut self, key: &FeatureKey) {
         if self.verdicts.contains_key(key) {
             self.trials.insert(key.clone());
         }
@@ -173,7 +174,7 @@
 
     /// Adds a verdict that was stored; returns `false` if it is void because its part was served
     /// again since.
-    pub fn add_verdict(&mut self, verdict: PartVerdict) -> bool {
+    pub fn add_verdict(&mut self, verdict: FeatureVerdict) -> bool {
         let is_void = self.lifted.contains_key(&verdict.key);
         if !is_void && !self.verdicts.contains_key(&verdict.key) && self.has_room() {
             self.verdicts.insert(verdict.key.clone(), verdict.clone());
@@ -183,14 +184,14 @@
     }
 
     /// Records that a verdict is stored.
-    pub fn mark_stored(&mut self, key: &PartKey) {
+    pub fn mark_stored(&mut self, key: &FeatureKey) {
         if let Some(verdict) = self.verdicts.get_mut(key) {
             verdict.is_stored = true;
         }
     }
 
     /// Serves requests with this part again.
-    pub fn lift(&mut self, key: &PartKey, now: Instant) {
+    pub fn lift(&mut self, key: &FeatureKey, now: Instant) {
         if self.verdicts.remove(key).is_none() {
             return;
         }
@@ -208,8 +209,8 @@
     }
 
     /// Returns the verdicts, in order of their parts.
-    pub fn verdicts(&self) -> Vec<PartVerdict> {
-        let mut verdicts: Vec<PartVerdict> = self.verdicts.values().cloned().collect();
+    pub fn verdicts(&self) -> Vec<FeatureVerdict> {
+        let mut verdicts: Vec<FeatureVerdict> = self.verdicts.values().cloned().collect();
         verdicts.sort_by(|one, other| one.key.cmp(&other.key));
         verdicts
     }
@@ -234,7 +235,7 @@
     /// Ends that other instances reported are passed on, so that they outlive the instance that saw
     /// them. Answers are not, as each hop would make them look more recent than they are.
     pub fn report(&self, now: Instant) -> CrashReport {
-        let mut parts: Vec<PartClaim> = Vec::new();
+        let mut parts: Vec<FeatureClaim> = Vec::new();
         for (key, entry) in &self.entries {
             let own_answer = self.answers.latest(key);
             let ends: Vec<EndClaim> = entry
@@ -249,7 +250,7 @@
             // Others count ends of this part for want of an answer that this instance knows.
             let is_awaited = self.reported.contains(key) && own_answer.is_some();
             if !ends.is_empty() || is_awaited {
-                parts.push(PartClaim {
+                parts.push(FeatureClaim {
                     key: key.clone(),
                     ends,
                     answered_ms: own_answer.map(|at| age_ms(now, at)),
@@ -261,7 +262,7 @@
             .lifted
             .iter()
             .filter(|(key, _)| self.reported.contains(*key));
-        parts.extend(lifted.map(|(key, at)| PartClaim {
+        parts.extend(lifted.map(|(key, at)| FeatureClaim {
             key: key.clone(),
             ends: Vec::new(),
             answered_ms: Some(age_ms(now, *at)),
@@ -270,7 +271,7 @@
             let order = other.ends.len().cmp(&one.ends.len());
             order.then_with(|| one.key.cmp(&other.key))
         });
-        parts.truncate(self.settings.max_reported_parts);
+        parts.truncate(self.settings.max_reported_features);
         let verdicts = self.verdicts().into_iter().map(|verdict| VerdictClaim {
             key: verdict.key,
             companions: verdict.companions,
@@ -336,7 +337,7 @@
             verdict.last_end = verdict.last_end.max(last_end);
             verdict.is_stored |= claim.is_stored;
         } else if self.has_room() {
-            let verdict = PartVerdict {
+            let verdict = FeatureVerdict {
                 key: claim.key.clone(),
                 companions: claim.companions.clone(),
                 processes: claim.processes.clone(),
@@ -352,16 +353,16 @@
         self.verdicts.len() < self.settings.max_verdicts
     }
 
-    fn find_verdict(&self, service: &ServiceId, parts: &[PromptPartId]) -> Option<&PartVerdict> {
+    fn find_verdict(&self, service: &ServiceId, parts: &[FeatureId]) -> Option<&FeatureVerdict> {
         if self.verdicts.is_empty() {
             return None;
         }
-        let keys = parts.iter().map(|part| PartKey::new(service, part));
+        let keys = parts.iter().map(|part| FeatureKey::new(service, part));
         let mut verdicts = keys.filter_map(|key| self.verdicts.get(&key));
         verdicts.find(|verdict| verdict.matches(parts))
     }
 
-    fn add_end(&mut self, key: PartKey, end: ProcessEnd, now: Instant) {
+    fn add_end(&mut self, key: FeatureKey, end: ProcessEnd, now: Instant) {
         let age = now.saturating_duration_since(end.at);
         let is_void = self
             .lifted
@@ -370,7 +371,7 @@
         if age >= self.settings.end_max_age || is_void {
             return;
         }
-        if !self.entries.contains_key(&key) && self.entries.len() >= self.settings.max_parts {
+        if !self.entries.contains_key(&key) && self.entries.len() >= self.settings.max_features {
             // A part that was answered tells least, then the one that was not seen for longest.
             let oldest = self.entries.iter().min_by_key(|(_, entry)| {
                 let last_end = entry.ends.iter().map(|end| end.at).max();
@@ -417,14 +418,14 @@
             verdict.last_end = last_end.map_or(verdict.last_end, |at| at.max(verdict.last_end));
         }
         self.lift_answered(now);
-        let evidence = self.entries.iter().map(|(key, entry)| PartEvidence {
+        let evidence = self.entries.iter().map(|(key, entry)| FeatureEvidence {
             key: key.clone(),
             ends: entry.counted_ends().cloned().collect(),
             is_proven: entry.answered.is_some(),
             other_answers: entry.other_answers,
             is_rare: self.answers.share(key) <= self.settings.rare_share,
         });
-        let evidence: Vec<PartEvidence> = evidence
+        let evidence: Vec<FeatureEvidence> = evidence
             .filter(|evidence| !evidence.ends.is_empty())
             .collect();
         for found in find_verdicts(&evidence, &self.verdicts(), &self.settings, now) {
@@ -460,21 +461,21 @@
     fn lift_answered(&mut self, now: Instant) {
         let entries = &self.entries;
         let answers = &self.answers;
-        let answered = |key: &PartKey| {
+        let answered = |key: &FeatureKey| {
             let learned = entries.get(key).and_then(|entry| entry.answered);
             learned.max(answers.latest(key))
         };
         let mut lifted = Vec::new();
         for (key, verdict) in &mut self.verdicts {
             let last_end = verdict.last_end;
-            let is_sound = |key: &PartKey| answered(key).is_some_and(|at| at > last_end);
+            let is_sound = |key: &FeatureKey| answered(key).is_some_and(|at| at > last_end);
             if is_sound(key) {
                 lifted.push(key.clone());
                 continue;
             }
             let service = &key.service;
             let count = verdict.companions.len();
-            let is_open = |part: &PromptPartId| !is_sound(&PartKey::new(service, part));
+            let is_open = |part: &FeatureId| !is_sound(&FeatureKey::new(service, part));
             verdict.companions.retain(is_open);
             if verdict.companions.len() < count {
                 let change = QuarantineChange::Added(verdict.clone());
--- a/crates/dandeliondeal_quarantine/src/crash_verdict.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_verdict.rs
@@ -3,17 +3,17 @@
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use dandeliondeal_types::PromptPartId;
+use dandeliondeal_types::FeatureId;
 
-use crate::crash_evidence::{CrashSettings, PartEvidence, PartKey, ProcessEnd, ProcessId};
+use crate::crash_evidence::{CrashSettings, FeatureEvidence, FeatureKey, ProcessEnd, ProcessId};
 
 /// Requests that are refused: those with the blamed part and all of its companions.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct PartVerdict {
+pub struct FeatureVerdict {
     /// Part that is blamed.
-    pub key: PartKey,
+    pub key: FeatureKey,
     /// Parts under which the same processes ended, so that they can't be told apart from it.
-    pub companions: Vec<PromptPartId>,
+    pub companions: Vec<FeatureId>,
     /// Processes whose ends the part explains.
     pub processes: Vec<ProcessId>,
     /// Time of the last of these ends.
@@ -22,20 +22,20 @@
     pub is_stored: bool,
 }
 
-impl PartVerdict {
+impl FeatureVerdict {
     /// Returns whether a prompt with these shared parts is refused.
-    pub fn matches(&self, parts: &[PromptPartId]) -> bool {
-        parts.contains(&self.key.part) && self.companions.iter().all(|part| parts.contains(part))
+    pub fn matches(&self, parts: &[FeatureId]) -> bool {
+        parts.contains(&self.key.feature) && self.companions.iter().all(|part| parts.contains(part))
     }
 }
 
 /// Ends of one part that count, by process.
-struct CountedPart<'evidence> {
-    evidence: &'evidence PartEvidence,
+struct CountedFeature<'evidence> {
+    evidence: &'evidence FeatureEvidence,
     ends: Vec<&'evidence ProcessEnd>,
 }
 
-impl CountedPart<'_> {
+impl CountedFeature<'_> {
     fn covers(&self, processes: &BTreeSet<&ProcessId>) -> bool {
         let own: BTreeSet<&ProcessId> = self.ends.iter().map(|end| &end.process).collect();
         own.is_superset(processes)
@@ -92,11 +92,11 @@
 /// `known` are earlier verdicts; the ends that they explain count only for the parts that they
 /// blame. A verdict for a part that is blamed already replaces it.
 pub fn find_verdicts(
-    evidence: &[PartEvidence],
-    known: &[PartVerdict],
+    evidence: &[FeatureEvidence],
+    known: &[FeatureVerdict],
     settings: &CrashSettings,
     now: Instant,
-) -> Vec<PartVerdict> {
+) -> Vec<FeatureVerdict> {
     let mut parts = count_ends(evidence, settings, now);
     // Parts without an answer come first, then those under which most processes ended.
     parts.sort_by_key(|part| {
@@ -107,7 +107,7 @@
             &evidence.key,
         )
     });
-    let mut explained: HashMap<ProcessId, PartKey> = HashMap::new();
+    let mut explained: HashMap<ProcessId, FeatureKey> = HashMap::new();
     for verdict in known {
         for process in &verdict.processes {
             explained.insert(ProcessId::clone(process), verdict.key.clone());
@@ -131,10 +131,10 @@
             let other_key = &other.evidence.key;
             other_key != key && other_key.service == key.service && other.covers(&processes)
         });
-        let verdict = PartVerdict {
+        let verdict = FeatureVerdict {
             key: key.clone(),
             companions: companions
-                .map(|other| PromptPartId::clone(&other.evidence.key.part))
+                .map(|other| FeatureId::clone(&other.evidence.key.feature))
                 .collect(),
             processes: processes
                 .iter()
@@ -154,16 +154,16 @@
 /// Returns the blamed parts whose verdicts later ones make needless: each of their ends is one of a
 /// blamed part with more ends.
 pub fn find_explained(
-    evidence: &[PartEvidence],
-    known: &[PartVerdict],
+    evidence: &[FeatureEvidence],
+    known: &[FeatureVerdict],
     settings: &CrashSettings,
     now: Instant,
-) -> Vec<PartKey> {
+) -> Vec<FeatureKey> {
     let parts = count_ends(evidence, settings, now);
     let is_blamed =
-        |part: &&CountedPart<'_>| known.iter().any(|verdict| verdict.key == part.evidence.key);
-    let blamed: Vec<&CountedPart<'_>> = parts.iter().filter(is_blamed).collect();
-    let is_explained = |part: &&&CountedPart<'_>| {
+        |part: &&CountedFeature<'_>| known.iter().any(|verdict| verdict.key == part.evidence.key);
+    let blamed: Vec<&CountedFeature<'_>> = parts.iter().filter(is_blamed).collect();
+    let is_explained = |part: &&&CountedFeature<'_>| {
         let heavier = blamed
             .iter()
             .filter(|other| other.ends.len() > part.ends.len());
@@ -180,10 +180,10 @@
 /// Selects the ends that count: if a process had begun responses, only the requests that it had
 /// begun to answer are suspects.
 fn count_ends<'evidence>(
-    evidence: &'evidence [PartEvidence],
+    evidence: &'evidence [FeatureEvidence],
     settings: &CrashSettings,
     now: Instant,
-) -> Vec<CountedPart<'evidence>> {
+) -> Vec<CountedFeature<'evidence>> {
     let ends = evidence.iter().flat_map(|part| &part.ends);
     let begun = ends.filter(|end| end.has_begun).map(|end| &end.process);
     let begun: HashSet<&ProcessId> = begun.collect();
@@ -192,7 +192,7 @@
         let is_settled = now.saturating_duration_since(end.at) >= settings.settle_time;
         end.has_begun || (is_settled && !begun.contains(&end.process))
     };
-    let parts = evidence.iter().map(|evidence| CountedPart {
+    let parts = evidence.iter().map(|evidence| CountedFeature {
         evidence,
         ends: evidence.ends.iter().filter(|end| counts(end)).collect(),
     });
--- a/crates/dandeliondeal_quarantine/src/lib.rs
+++ b/crates/dandeliondeal_quarantine/src/lib.rs
@@ -18,12 +18,12 @@
 #[doc(inline)]
 pub use answer_memory::AnswerMemory;
 #[doc(inline)]
-pub use crash_evidence::{CrashSettings, PartEvidence, PartKey, ProcessEnd, ProcessId};
+pub use crash_evidence::{CrashSettings, FeatureEvidence, FeatureKey, ProcessEnd, ProcessId};
 #[doc(inline)]
-pub use crash_report::{CrashReport, EndClaim, PartClaim, VerdictClaim};
+pub use crash_report::{CrashReport, EndClaim, FeatureClaim, VerdictClaim};
 #[doc(inline)]
-pub use crash_table::{CrashTable, PromptStanding, QuarantineChange, SuspectPrompt};
+pub use crash_table::{CrashTable, QuarantineChange, RequestStanding, SuspectRequest};
 #[doc(inline)]
-pub use crash_verdict::{PartVerdict, find_verdicts};
+pub use crash_verdict::{FeatureVerdict, find_verdicts};
 #[doc(inline)]
 pub use request_fingerprint::{RequestIdentity, is_fingerprint};
--- a/crates/dandeliondeal_quarantine/tests/crash_fleet.rs
+++ b/crates/dandeliondeal_quarantine/tests/crash_fleet.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_quarantine::{
-    CrashReport, CrashTable, ProcessId, PromptStanding, QuarantineChange, SuspectPrompt,
+    CrashReport, CrashTable, ProcessId, QuarantineChange, RequestStanding, SuspectRequest,
 };
-use dandeliondeal_types::{PromptPartId, ServiceId};
+use dandeliondeal_types::{FeatureId, ServiceId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -77,7 +77,7 @@
     engine: usize,
     age: u32,
     session: u64,
-    parts: Vec<PromptPartId>,
+    parts: Vec<FeatureId>,
     is_deadly: bool,
 }
 
@@ -180,18 +180,18 @@
         self.send(parts, None, step);
     }
 
-    fn draw_parts(&mut self) -> Vec<PromptPartId> {
+    fn draw_parts(&mut self) -> Vec<FeatureId> {
         let first = self.random.random_range(0..=self.case.first_parts % 8);
         vec![format!("first-{first}").into()]
     }
 
-    fn send(&mut self, parts: Vec<PromptPartId>, deadly: Option<usize>, step: u32) {
+    fn send(&mut self, parts: Vec<FeatureId>, deadly: Option<usize>, step: u32) {
         let instance = self.random.random_range(0..self.tables.len());
         if deadly.is_none() {
             self.result.sound_sent += 1;
         }
         let standing = self.tables[instance].standing(&self.service, &parts);
-        if standing == PromptStanding::Quarantined {
+        if standing == RequestStanding::Quarantined {
             match deadly {
                 Some(_) => self.result.deadly_refused += 1,
                 None => self.result.sound_refused += 1,
@@ -254,9 +254,9 @@
         let open: Vec<Run> = open;
         for run in open {
             let head = WAITING_STEPS..=WAITING_STEPS + HEAD_STEPS;
-            let prompt = SuspectPrompt {
+            let prompt = SuspectRequest {
                 service: &self.service,
-                parts: &run.parts,
+                features: &run.parts,
                 session: run.session,
                 has_begun: !self.case.has_late_heads && head.contains(&run.age),
             };
@@ -282,7 +282,7 @@
                 .into_iter()
                 .filter(|change| match change {
                     QuarantineChange::Added(verdict) => {
-                        let key = std::iter::once(&verdict.key.part);
+                        let key = std::iter::once(&verdict.key.feature);
                         let mut parts = key.chain(&verdict.companions);
                         !parts.any(|part| part.starts_with("deadly"))
                     }
--- a/crates/dandeliondeal_quarantine/tests/crash_table.rs
+++ b/crates/dandeliondeal_quarantine/tests/crash_table.rs
@@ -3,9 +3,10 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_quarantine::{
-    CrashReport, CrashSettings, CrashTable, PartKey, PartVerdict, PromptStanding, SuspectPrompt,
+    CrashReport, CrashSettings, CrashTable, FeatureKey, FeatureVerdict, RequestStanding,
+    SuspectRequest,
 };
-use dandeliondeal_types::{PromptPartId, ServiceId};
+use dandeliondeal_types::{FeatureId, ServiceId};
 
 /// Table with a clock and short calls.
 struct TestTable {
@@ -30,9 +31,9 @@
 
     fn end(&mut self, process: &str, parts: &str, session: u64, has_begun: bool) {
         let parts = part_list(parts);
-        let prompt = SuspectPrompt {
+        let prompt = SuspectRequest {
             service: &self.service,
-            parts: &parts,
+            features: &parts,
             session,
             has_begun,
         };
@@ -52,12 +53,12 @@
             .record_answer(&self.service, &part_list(parts), self.now);
     }
 
-    fn standing(&self, parts: &str) -> PromptStanding {
+    fn standing(&self, parts: &str) -> RequestStanding {
         self.table.standing(&self.service, &part_list(parts))
     }
 
-    fn key(&self, part: &str) -> PartKey {
-        PartKey::new(&self.service, &part.into())
+    fn key(&self, part: &str) -> FeatureKey {
+        FeatureKey::new(&self.service, &part.into())
     }
 
     /// Reports to another table through the wire format.
@@ -68,8 +69,8 @@
     }
 }
 
-fn part_list(parts: &str) -> Vec<PromptPartId> {
-    parts.split(' ').map(PromptPartId::from).collect()
+fn part_list(parts: &str) -> Vec<FeatureId> {
+    parts.split(' ').map(FeatureId::from).collect()
 }
 
 #[test]
@@ -77,13 +78,13 @@
     let mut test = TestTable::new();
     test.answer("first");
     test.ends("first bad", 2);
-    assert_eq!(test.standing("first bad"), PromptStanding::Suspect);
-    assert_eq!(test.standing("first"), PromptStanding::Sound);
+    assert_eq!(test.standing("first bad"), RequestStanding::Suspect);
+    assert_eq!(test.standing("first"), RequestStanding::Sound);
     test.end("third", "other bad", 9, true);
-    assert_eq!(test.standing("first bad"), PromptStanding::Quarantined);
-    assert_eq!(test.standing("unseen bad"), PromptStanding::Quarantined);
-    assert_eq!(test.standing("first"), PromptStanding::Sound);
-    assert_eq!(test.standing("other"), PromptStanding::Suspect);
+    assert_eq!(test.standing("first bad"), RequestStanding::Quarantined);
+    assert_eq!(test.standing("unseen bad"), RequestStanding::Quarantined);
+    assert_eq!(test.standing("first"), RequestStanding::Sound);
+    assert_eq!(test.standing("other"), RequestStanding::Suspect);
 }
 
 /// Guards against a part that is blamed although it is answered between the crashes.
@@ -93,7 +94,7 @@
     for _ in 0..4 {
         test.ends("first busy", 2);
         test.answer("first busy");
-        assert_eq!(test.standing("first busy"), PromptStanding::Sound);
+        assert_eq!(test.standing("first busy"), RequestStanding::Sound);
     }
 }
 
@@ -105,9 +106,9 @@
         test.end(process, "first rare", 7, true);
         test.wait(1_000);
     }
-    assert_eq!(test.standing("first rare"), PromptStanding::Suspect);
+    assert_eq!(test.standing("first rare"), RequestStanding::Suspect);
     test.end("five", "first rare", 7, true);
-    assert_eq!(test.standing("first rare"), PromptStanding::Quarantined);
+    assert_eq!(test.standing("first rare"), RequestStanding::Quarantined);
 }
 
 /// Guards against requests that are blamed although their engine had begun another response.
@@ -121,8 +122,8 @@
         test.answer("first");
         test.wait(1_000);
     }
-    assert_eq!(test.standing("first bad"), PromptStanding::Quarantined);
-    assert_eq!(test.standing("first queued"), PromptStanding::Sound);
+    assert_eq!(test.standing("first bad"), RequestStanding::Quarantined);
+    assert_eq!(test.standing("first queued"), RequestStanding::Sound);
 }
 
 /// Guards against a sound part that is refused because only deadly prompts have had it so far.
@@ -130,18 +131,18 @@
 fn companions() {
     let mut test = TestTable::new();
     test.ends("rare bad", 3);
-    assert_eq!(test.standing("rare bad"), PromptStanding::Quarantined);
-    assert_ne!(test.standing("rare"), PromptStanding::Quarantined);
-    assert_ne!(test.standing("bad"), PromptStanding::Quarantined);
+    assert_eq!(test.standing("rare bad"), RequestStanding::Quarantined);
+    assert_ne!(test.standing("rare"), RequestStanding::Quarantined);
+    assert_ne!(test.standing("bad"), RequestStanding::Quarantined);
     // An answer or an end without the other part shows which of both is deadly.
     let mut answered = TestTable::new();
     answered.ends("rare bad", 3);
     answered.answer("rare");
-    assert_eq!(answered.standing("bad"), PromptStanding::Quarantined);
-    assert_eq!(answered.standing("rare"), PromptStanding::Sound);
+    assert_eq!(answered.standing("bad"), RequestStanding::Quarantined);
+    assert_eq!(answered.standing("rare"), RequestStanding::Sound);
     test.end("fourth", "bad", 8, true);
-    assert_eq!(test.standing("bad"), PromptStanding::Quarantined);
-    assert_ne!(test.standing("rare"), PromptStanding::Quarantined);
+    assert_eq!(test.standing("bad"), RequestStanding::Quarantined);
+    assert_ne!(test.standing("rare"), RequestStanding::Quarantined);
 }
 
 /// Guards against the blame of a common part when a whole failure domain is lost.
@@ -155,7 +156,7 @@
     for _ in 0..10 {
         test.wait(100);
         test.answer("second");
-        assert_eq!(test.standing("first"), PromptStanding::Sound);
+        assert_eq!(test.standing("first"), RequestStanding::Sound);
     }
 }
 
@@ -169,8 +170,8 @@
         test.end(&format!("process-{index}"), "first bad", index, true);
         test.answer("first");
     }
-    assert_eq!(test.standing("first bad"), PromptStanding::Quarantined);
-    assert_eq!(test.standing("first"), PromptStanding::Sound);
+    assert_eq!(test.standing("first bad"), RequestStanding::Quarantined);
+    assert_eq!(test.standing("first"), RequestStanding::Sound);
 }
 
 #[test]
@@ -179,7 +180,7 @@
     test.ends("first bad", 2);
     test.wait(121_000);
     test.ends("second bad", 1);
-    assert_eq!(test.standing("second bad"), PromptStanding::Suspect);
+    assert_eq!(test.standing("second bad"), RequestStanding::Suspect);
 }
 
 #[test]
@@ -191,9 +192,9 @@
         test.wait(400);
         test.answer("first");
     }
-    assert_eq!(test.standing("first bad"), PromptStanding::Quarantined);
-    assert_eq!(test.standing("first worse"), PromptStanding::Quarantined);
-    assert_eq!(test.standing("first"), PromptStanding::Sound);
+    assert_eq!(test.standing("first bad"), RequestStanding::Quarantined);
+    assert_eq!(test.standing("first worse"), RequestStanding::Quarantined);
+    assert_eq!(test.standing("first"), RequestStanding::Sound);
 }
 
 /// Guards against crashes that no instance counts, as each one sees few of them.
@@ -211,11 +212,11 @@
     }
     late.table.add_report(&total, now);
     late.wait(600);
-    assert_eq!(late.standing("first bad"), PromptStanding::Quarantined);
+    assert_eq!(late.standing("first bad"), RequestStanding::Quarantined);
     // An instance that starts later learns of the verdict, whoever is left to tell it.
     let mut later = TestTable::new();
     late.report_to(&mut later);
-    assert_eq!(later.standing("first bad"), PromptStanding::Quarantined);
+    assert_eq!(later.standing("first bad"), RequestStanding::Quarantined);
 }
 
 /// Guards against a verdict of an instance that lacks the answers which others know.
@@ -230,7 +231,7 @@
     restarted.report_to(&mut informed);
     informed.report_to(&mut restarted);
     restarted.wait(1_000);
-    assert_eq!(restarted.standing("busy"), PromptStanding::Sound);
+    assert_eq!(restarted.standing("busy"), RequestStanding::Sound);
 }
 
 #[test]
@@ -247,26 +248,26 @@
     assert!(!test.table.take_trial(&service, &parts));
     // The trial crashes another engine.
     test.end("trial", "first bad", 99, true);
-    assert_eq!(test.standing("first bad"), PromptStanding::Quarantined);
+    assert_eq!(test.standing("first bad"), RequestStanding::Quarantined);
     let mut peer = TestTable::new();
     peer.now = test.now;
     test.report_to(&mut peer);
-    assert_eq!(peer.standing("first bad"), PromptStanding::Quarantined);
+    assert_eq!(peer.standing("first bad"), RequestStanding::Quarantined);
     // A later trial is answered. Others serve the part again as well.
     test.wait(600_000);
     peer.wait(600_000);
     test.answer("first bad");
-    assert_eq!(test.standing("first bad"), PromptStanding::Sound);
+    assert_eq!(test.standing("first bad"), RequestStanding::Sound);
     peer.report_to(&mut test);
-    assert_eq!(test.standing("first bad"), PromptStanding::Sound);
+    assert_eq!(test.standing("first bad"), RequestStanding::Sound);
     test.report_to(&mut peer);
-    assert_eq!(peer.standing("first bad"), PromptStanding::Sound);
+    assert_eq!(peer.standing("first bad"), RequestStanding::Sound);
 }
 
 #[test]
 fn stored_verdict() {
     let mut test = TestTable::new();
-    let verdict = PartVerdict {
+    let verdict = FeatureVerdict {
         key: test.key("bad"),
         companions: Vec::new(),
         processes: Vec::new(),
@@ -274,11 +275,11 @@
         is_stored: true,
     };
     test.table.add_verdict(verdict.clone());
-    assert_eq!(test.standing("first bad"), PromptStanding::Quarantined);
+    assert_eq!(test.standing("first bad"), RequestStanding::Quarantined);
     let key = test.key("bad");
     test.table.lift(&key, test.now);
     test.table.add_verdict(verdict);
-    assert_eq!(test.standing("first bad"), PromptStanding::Sound);
+    assert_eq!(test.standing("first bad"), RequestStanding::Sound);
 }
 
 /// Guards against callers that fill the memory with invented ids.
@@ -295,9 +296,9 @@
             true,
         );
     }
-    assert!(test.table.len() <= settings.max_parts);
+    assert!(test.table.len() <= settings.max_features);
     let report = test.table.report(test.now);
-    assert!(report.parts.len() <= settings.max_reported_parts);
+    assert!(report.parts.len() <= settings.max_reported_features);
     for index in 0..1_000 {
         test.end(&format!("again-{index}"), "same", index, true);
     }
--- a/crates/dandeliondeal_quarantine/tests/crash_verdict.rs
+++ b/crates/dandeliondeal_quarantine/tests/crash_verdict.rs
@@ -5,7 +5,7 @@
 
 use bolero_generator::TypeGenerator;
 use dandeliondeal_quarantine::{
-    CrashSettings, PartEvidence, PartKey, PartVerdict, ProcessEnd, find_verdicts,
+    CrashSettings, FeatureEvidence, FeatureKey, FeatureVerdict, ProcessEnd, find_verdicts,
 };
 
 /// Evidence about one part: which of eight processes ended under it, and how.
@@ -19,7 +19,7 @@
     is_rare: bool,
 }
 
-fn build_evidence(parts: &[GeneratedPart], first_end: Instant) -> Vec<PartEvidence> {
+fn build_evidence(parts: &[GeneratedPart], first_end: Instant) -> Vec<FeatureEvidence> {
     let build = |(index, part): (usize, &GeneratedPart)| {
         let processes = (0..8_u64).filter(|process| part.processes & (1 << process) != 0);
         let ends = processes.map(|process| ProcessEnd {
@@ -28,8 +28,8 @@
             session: (u64::from(part.session) >> process) & 3,
             has_begun: part.begun & (1 << process) != 0,
         });
-        PartEvidence {
-            key: PartKey::new(&"drafting".into(), &format!("part-{index}").into()),
+        FeatureEvidence {
+            key: FeatureKey::new(&"drafting".into(), &format!("part-{index}").into()),
             ends: ends.collect(),
             is_proven: part.is_proven,
             other_answers: u32::from(part.other_answers),
@@ -68,12 +68,13 @@
             );
             // What is known already is not found again for other parts.
             let again = find_verdicts(&evidence, &verdicts, &settings, now);
-            let known: BTreeSet<&PartKey> = verdicts.iter().map(|verdict| &verdict.key).collect();
+            let known: BTreeSet<&FeatureKey> =
+                verdicts.iter().map(|verdict| &verdict.key).collect();
             assert!(again.iter().all(|verdict| known.contains(&verdict.key)));
         });
 }
 
-fn check_verdict(verdict: &PartVerdict, evidence: &[PartEvidence], settings: &CrashSettings) {
+fn check_verdict(verdict: &FeatureVerdict, evidence: &[FeatureEvidence], settings: &CrashSettings) {
     let part = evidence
         .iter()
         .find(|part| part.key == verdict.key)
@@ -83,21 +84,21 @@
         assert!(verdict.processes.len() >= settings.proven_ends);
         assert!(part.is_rare || part.other_answers >= settings.min_other_answers);
     }
-    let ended = |part: &PartEvidence| -> BTreeSet<_> {
+    let ended = |part: &FeatureEvidence| -> BTreeSet<_> {
         part.ends.iter().map(|end| end.process.clone()).collect()
     };
     let processes: BTreeSet<_> = verdict.processes.iter().cloned().collect();
     assert!(ended(part).is_superset(&processes));
     // Prompts that lack a part under which all these processes ended are not refused.
     for companion in &verdict.companions {
-        let other = evidence.iter().find(|part| part.key.part == *companion);
+        let other = evidence.iter().find(|part| part.key.feature == *companion);
         assert!(ended(other.expect("evidence")).is_superset(&processes));
     }
 }
 
-fn find_key_sets(verdicts: &[PartVerdict]) -> BTreeSet<(PartKey, BTreeSet<String>)> {
+fn find_key_sets(verdicts: &[FeatureVerdict]) -> BTreeSet<(FeatureKey, BTreeSet<String>)> {
     let parts =
-        |verdict: &PartVerdict| verdict.companions.iter().map(ToString::to_string).collect();
+        |verdict: &FeatureVerdict| verdict.companions.iter().map(ToString::to_string).collect();
     verdicts
         .iter()
         .map(|verdict| (verdict.key.clone(), parts(verdict)))
--- a/crates/dandeliondeal_relay/src/crash_watch.rs
+++ b/crates/dandeliondeal_relay/src/crash_watch.rs
@@ -58,13 +58,13 @@
     for change in &changes {
         match change {
             QuarantineChange::Added(verdict) => tracing::warn!(
-                service = %verdict.key.service, part = %verdict.key.part,
+                service = %verdict.key.service, part = %verdict.key.feature,
                 companions = verdict.companions.join(","),
                 processes = verdict.processes.join(","),
                 "prompts with this part crash engines and are refused"
             ),
             QuarantineChange::Lifted(key) => tracing::warn!(
-                service = %key.service, part = %key.part, "prompts with this part are served again"
+                service = %key.service, part = %key.feature, "prompts with this part are served again"
             ),
         }
     }
--- a/crates/dandeliondeal_relay/src/quarantine_store.rs
+++ b/crates/dandeliondeal_relay/src/quarantine_store.rs
@@ -7,10 +7,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use dandeliondeal_quarantine::{PartKey, PartVerdict, ProcessId};
+use dandeliondeal_quarantine::{FeatureKey, FeatureVerdict, ProcessId};
 use dandeliondeal_types::{
-    Clock, KindStore, ObjectStore, ObjectValue, PromptPartId, PutCondition, ReadFreshness,
-    StoreError,
+    Clock, FeatureId, KindStore, ObjectStore, ObjectValue, PutCondition, ReadFreshness, StoreError,
 };
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -38,15 +37,15 @@
 /// Verdict as stored.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct StoredVerdict {
-    key: PartKey,
-    companions: Vec<PromptPartId>,
+    key: FeatureKey,
+    companions: Vec<FeatureId>,
     processes: Vec<ProcessId>,
     /// Number of trials that were started.
     trials: u32,
 }
 
 impl StoredVerdict {
-    fn new(verdict: &PartVerdict, trials: u32) -> Self {
+    fn new(verdict: &FeatureVerdict, trials: u32) -> Self {
         Self {
             key: verdict.key.clone(),
             companions: verdict.companions.clone(),
@@ -56,8 +55,8 @@
     }
 
     /// Returns the verdict; its age counts from `now`.
-    fn to_verdict(&self, now: Instant) -> PartVerdict {
-        PartVerdict {
+    fn to_verdict(&self, now: Instant) -> FeatureVerdict {
+        FeatureVerdict {
             key: self.key.clone(),
             companions: self.companions.clone(),
             processes: self.processes.clone(),
@@ -104,8 +103,8 @@
 }
 
 /// Returns the name of a verdict's object; ids of parts may hold any character.
-fn object_name(key: &PartKey) -> String {
-    let hash = xxh3_64(format!("{}/{}", key.service, key.part).as_bytes());
+fn object_name(key: &FeatureKey) -> String {
+    let hash = xxh3_64(format!("{}/{}", key.service, key.feature).as_bytes());
     format!("{QUARANTINE_KIND}/part-{hash:016x}")
 }
 
@@ -114,7 +113,7 @@
     context: RelayContext<Time, Dialect>,
     store: Store,
     /// Verdicts in the store at the last read, with the later writes of this instance.
-    stored: HashMap<PartKey, StoredVerdict>,
+    stored: HashMap<FeatureKey, StoredVerdict>,
     /// Time of the last read since this instance got the lease.
     read_at: Option<Instant>,
 }
@@ -148,7 +147,7 @@
         }
         for verdict in crashes.verdicts() {
             if verdict.is_stored && !self.stored.contains_key(&verdict.key) {
-                tracing::info!(part = %verdict.key.part, "verdict was deleted from the store");
+                tracing::info!(part = %verdict.key.feature, "verdict was deleted from the store");
                 crashes.lift(&verdict.key, now);
             }
         }
@@ -176,9 +175,9 @@
             }
             self.start_trial(verdict).await?;
         }
-        let held: HashSet<&PartKey> = verdicts.iter().map(|verdict| &verdict.key).collect();
+        let held: HashSet<&FeatureKey> = verdicts.iter().map(|verdict| &verdict.key).collect();
         let keys = self.stored.keys();
-        let lifted: Vec<PartKey> = keys.filter(|key| !held.contains(key)).cloned().collect();
+        let lifted: Vec<FeatureKey> = keys.filter(|key| !held.contains(key)).cloned().collect();
         for key in lifted {
             self.delete(&key).await?;
         }
@@ -186,7 +185,7 @@
     }
 
     /// Writes a verdict with at least `trials` started trials.
-    async fn write(&mut self, verdict: &PartVerdict, trials: u32) -> Result<(), StoreError> {
+    async fn write(&mut self, verdict: &FeatureVerdict, trials: u32) -> Result<(), StoreError> {
         let name = object_name(&verdict.key);
         let object = self.store.get(&name).await?;
         let earlier = object.as_ref().and_then(decode_verdict);
@@ -200,23 +199,23 @@
             .crashes()
             .borrow_mut()
             .mark_stored(&verdict.key);
-        tracing::info!(part = %verdict.key.part, trials = entry.trials, "verdict stored");
+        tracing::info!(part = %verdict.key.feature, trials = entry.trials, "verdict stored");
         self.stored.insert(verdict.key.clone(), entry);
         Ok(())
     }
 
-    async fn delete(&mut self, key: &PartKey) -> Result<(), StoreError> {
+    async fn delete(&mut self, key: &FeatureKey) -> Result<(), StoreError> {
         let name = object_name(key);
         if let Some(object) = self.store.get(&name).await? {
             self.store.delete(&name, object.version).await?;
         }
         self.stored.remove(key);
-        tracing::info!(part = %key.part, "verdict deleted");
+        tracing::info!(part = %key.feature, "verdict deleted");
         Ok(())
     }
 
     /// Starts the trial of a verdict if one is due.
-    async fn start_trial(&mut self, verdict: &PartVerdict) -> Result<(), StoreError> {
+    async fn start_trial(&mut self, verdict: &FeatureVerdict) -> Result<(), StoreError> {
         let trials = self
             .stored
             .get(&verdict.key)
@@ -229,7 +228,7 @@
         // The trial is counted before it is started, so that instances together start no more.
         self.write(verdict, trials + 1).await?;
         self.context.crashes().borrow_mut().open_trial(&verdict.key);
-        tracing::info!(part = %verdict.key.part, trial = trials + 1, "trial opened");
+        tracing::info!(part = %verdict.key.feature, trial = trials + 1, "trial opened");
         Ok(())
     }
 }
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use dandeliondeal_http::{ConnectionError, EndpointConnection};
 use dandeliondeal_layout::{EngineChain, EngineProfile};
-use dandeliondeal_quarantine::PromptStanding;
+use dandeliondeal_quarantine::RequestStanding;
 use dandeliondeal_types::{Clock, EndpointId};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -336,7 +336,7 @@
     pub(crate) fn may_run_again(&self) -> bool {
         let route = &self.request.route_match.route;
         let is_allowed = route.repeat_class.is_repeatable() && self.run_count < route.attempts;
-        is_allowed && self.prompt_standing() == PromptStanding::Sound
+        is_allowed && self.request_standing() == RequestStanding::Sound
     }
 
     /// Sends the request to the first chain to which a connection can be made.
--- a/crates/dandeliondeal_relay/src/stream_standing.rs
+++ b/crates/dandeliondeal_relay/src/stream_standing.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use dandeliondeal_quarantine::{PromptStanding, SuspectPrompt};
+use dandeliondeal_quarantine::{RequestStanding, SuspectRequest};
 use dandeliondeal_types::Clock;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -32,9 +32,9 @@
     Dialect: RequestDialect + FleetDialect,
 {
     /// Returns how the prompt is treated by now.
-    pub(crate) fn prompt_standing(&self) -> PromptStanding {
+    pub(crate) fn request_standing(&self) -> RequestStanding {
         if self.standing.is_sound {
-            return PromptStanding::Sound;
+            return RequestStanding::Sound;
         }
         let crashes = self.context.crashes().borrow();
         crashes.standing(&self.request.service, &self.request.facts.shared_parts)
@@ -42,7 +42,7 @@
 
     /// Returns whether the request may be sent to an engine.
     pub(crate) fn is_admitted(&mut self) -> bool {
-        if self.standing.is_trial || self.prompt_standing() != PromptStanding::Quarantined {
+        if self.standing.is_trial || self.request_standing() != RequestStanding::Quarantined {
             return true;
         }
         let parts = &self.request.facts.shared_parts;
@@ -93,9 +93,9 @@
         let own_part = facts.own_part.as_ref().unwrap_or(&facts.request);
         // An engine that had sent events was not about to begin, so that others are blamed first.
         let has_begun = run.stage() == ResponseStage::Head;
-        let prompt = SuspectPrompt {
+        let prompt = SuspectRequest {
             service: &self.request.service,
-            parts: &facts.shared_parts,
+            features: &facts.shared_parts,
             session: xxh3_64(own_part.as_bytes()),
             has_begun,
         };
