--- a/crates/dandeliondeal_http/src/connection_error.rs
+++ b/crates/dandeliondeal_http/src/connection_error.rs
@@ -10,6 +10,7 @@
 pub struct ConnectionError {
     is_written: bool,
     is_invalid_answer: bool,
+    is_refused: bool,
     message: Arc<str>,
 }
 
@@ -22,10 +23,22 @@
         Self {
             is_written: false,
             is_invalid_answer: false,
+            is_refused: false,
             message: reason.to_string().into(),
         }
     }
 
+    /// Creates an error for an address at which no process accepts connections.
+    pub fn refused<Reason>(reason: &Reason) -> Self
+    where
+        Reason: std::fmt::Display + ?Sized,
+    {
+        Self {
+            is_refused: true,
+            ..Self::before_write(reason)
+        }
+    }
+
     /// Creates an error that occurred when the request may have reached the endpoint.
     pub fn after_write<Reason>(reason: &Reason) -> Self
     where
@@ -34,6 +47,7 @@
         Self {
             is_written: true,
             is_invalid_answer: false,
+            is_refused: false,
             message: reason.to_string().into(),
         }
     }
@@ -54,6 +68,11 @@
         self.is_invalid_answer
     }
 
+    /// Returns whether the connection was refused, rather than timed out or broken.
+    pub fn is_refused(&self) -> bool {
+        self.is_refused
+    }
+
     /// Returns whether it is certain that no byte of the request was written.
     pub fn is_before_write(&self) -> bool {
         !self.is_written
--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -125,6 +125,9 @@
         let result = timeout(limit, TcpStream::connect(address)).await;
         let stream = match result {
             Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(ConnectionError::refused(&error));
+            }
             Ok(Err(error)) => return Err(ConnectionError::before_write(&error)),
             Err(_elapsed) => {
                 let text = format!("no connection within {} ms", limit.as_millis());
--- a/crates/dandeliondeal_quarantine/src/crash_evidence.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_evidence.rs
@@ -40,9 +40,12 @@
     pub session: u64,
     /// Whether the process had begun the response to the request.
     pub has_begun: bool,
+    /// Whether it is certain that the process ended; otherwise the instance that reported it may
+    /// have lost its links.
+    pub is_confirmed: bool,
 }
 
-/// Evidence about one part.
+/// Evidence about one feature.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FeatureEvidence {
     /// The part.
@@ -68,6 +71,8 @@
     pub proven_ends: usize,
     /// Number of ended processes from which a part is blamed under which none had begun a response.
     pub waiting_ends: usize,
+    /// Number of certain ends under a feature from which its uncertain ones count as well.
+    pub min_confirmed_ends: usize,
     /// Time within which processes count as ended together, unless a process had begun a response
     /// under a part without a known answer.
     pub joint_time: Duration,
@@ -92,6 +97,11 @@
     pub max_ends: usize,
     /// Maximum number of parts in a report.
     pub max_reported_features: usize,
+    /// Maximum number of processes that are remembered as ended or as still running.
+    pub max_processes: usize,
+    /// Time after a reported end from which an answer proves that the process still runs; it covers
+    /// the delay of reports and of answers that a slow instance reads late.
+    pub contact_margin: Duration,
     /// Maximum number of verdicts.
     pub max_verdicts: usize,
     /// Minimum number of answered parts that are remembered.
@@ -104,6 +114,7 @@
             unproven_ends: 3,
             proven_ends: 5,
             waiting_ends: 5,
+            min_confirmed_ends: 2,
             joint_time: Duration::from_millis(100),
             min_span: Duration::from_secs(1),
             min_other_answers: 3,
@@ -114,6 +125,8 @@
             max_features: 64,
             max_ends: 8,
             max_reported_features: 32,
+            max_processes: 64,
+            contact_margin: Duration::from_millis(500),
             max_verdicts: 64,
             answer_capacity: 2_048,
         }
--- a/crates/dandeliondeal_quarantine/src/crash_report.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_report.rs
@@ -3,7 +3,7 @@
 //! Times are ages in milliseconds, as the clocks of instances differ.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dandeliondeal_types::FeatureId;
 use serde::{Deserialize, Serialize};
@@ -26,6 +26,14 @@
     pub session: u64,
     /// Whether the process had begun the response to the request.
     pub has_begun: bool,
+    /// Whether it is certain that the process ended.
+    #[serde(default = "is_confirmed_by_default")]
+    pub is_confirmed: bool,
+}
+
+/// Instances of earlier versions report only ends that they count.
+fn is_confirmed_by_default() -> bool {
+    true
 }
 
 /// Reported evidence about one part.
@@ -68,12 +76,15 @@
     /// Verdicts.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub verdicts: Vec<VerdictClaim>,
+    /// Processes that answered after their end was reported, with the time since, in milliseconds.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub running: BTreeMap<ProcessId, u64>,
 }
 
 impl CrashReport {
     /// Returns whether the report holds nothing.
     pub fn is_empty(&self) -> bool {
-        self.parts.is_empty() && self.verdicts.is_empty()
+        self.parts.is_empty() && self.verdicts.is_empty() && self.running.is_empty()
     }
 
     /// Adds another report.
@@ -82,10 +93,18 @@
             let known = self.parts.iter().position(|known| known.key == claim.key);
             if let Some(index) = known {
                 self.parts[index].add(claim);
-            } else if self.parts.len() < MAX_MERGED {
+            } else {
                 self.parts.push(claim.clone());
             }
         }
+        keep_heaviest(&mut self.parts, MAX_MERGED);
+        for (process, age_ms) in &other.running {
+            if self.running.len() < MAX_MERGED || self.running.contains_key(process) {
+                let known = self.running.entry(ProcessId::clone(process));
+                let known = known.or_insert(*age_ms);
+                *known = (*known).min(*age_ms);
+            }
+        }
         for claim in &other.verdicts {
             let known = self
                 .verdicts
@@ -110,10 +129,28 @@
         for claim in &mut self.verdicts {
             add(&mut claim.age_ms);
         }
+        self.running.values_mut().for_each(add);
     }
 }
 
+/// Keeps the claims that tell most: those with most ends under begun responses, then most ends.
+///
+/// Requests that only waited at an ended endpoint are many, and must not displace the one that ended
+/// it.
+pub(crate) fn keep_heaviest(claims: &mut Vec<FeatureClaim>, count: usize) {
+    claims.sort_by(|one, other| {
+        let order = other.weight().cmp(&one.weight());
+        order.then_with(|| one.key.cmp(&other.key))
+    });
+    claims.truncate(count);
+}
+
 impl FeatureClaim {
+    fn weight(&self) -> (usize, usize) {
+        let begun = self.ends.iter().filter(|end| end.has_begun);
+        (begun.count(), self.ends.len())
+    }
+
     fn add(&mut self, other: &Self) {
         let mut ends: BTreeMap<ProcessId, EndClaim> = BTreeMap::new();
         for end in self.ends.drain(..).chain(other.ends.iter().cloned()) {
@@ -122,6 +159,7 @@
             // Each hop loses the time on the way, so the highest age is the most exact.
             known.age_ms = known.age_ms.max(end.age_ms);
             known.has_begun |= end.has_begun;
+            known.is_confirmed |= end.is_confirmed;
         }
         self.ends = ends.into_values().collect();
         self.ends.sort_by_key(|end| end.age_ms);
@@ -139,3 +177,8 @@
         self.is_stored |= other.is_stored;
     }
 }
+
+/// Returns the time since `at` in milliseconds.
+pub(crate) fn age_ms(now: Instant, at: Instant) -> u64 {
+    u64::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/dandeliondeal_quarantine/src/crash_table.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_table.rs
@@ -1,14 +1,15 @@
 //! What one instance knows of the crashes under prompts, and which prompts it refuses.
 
 use std::collections::{HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use dandeliondeal_types::{FeatureId, ServiceId};
 
 use crate::answer_memory::AnswerMemory;
 use crate::crash_evidence::{CrashSettings, FeatureEvidence, FeatureKey, ProcessEnd, ProcessId};
-use crate::crash_report::{CrashReport, EndClaim, FeatureClaim, VerdictClaim};
 use crate::crash_verdict::{FeatureVerdict, find_explained, find_verdicts};
+use crate::process_memory::ProcessMemory;
+use crate::request_fingerprint::is_fingerprint;
 
 /// How a prompt is treated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,19 +45,37 @@
 }
 
 #[derive(Clone, Debug, Default)]
-struct FeatureEntry {
-    ends: Vec<ProcessEnd>,
+pub(crate) struct FeatureEntry {
+    pub(crate) ends: Vec<ProcessEnd>,
     /// Latest answer under the part that is known, of any instance.
-    answered: Option<Instant>,
+    pub(crate) answered: Option<Instant>,
     other_answers: u32,
 }
 
 impl FeatureEntry {
     /// Returns the ends since the last answer.
-    fn counted_ends(&self) -> impl Iterator<Item = &ProcessEnd> {
+    pub(crate) fn recent_ends(&self) -> impl Iterator<Item = &ProcessEnd> {
         let answered = self.answered;
-        let is_counted = move |end: &&ProcessEnd| answered.is_none_or(|answered| end.at > answered);
-        self.ends.iter().filter(is_counted)
+        let is_recent = move |end: &&ProcessEnd| answered.is_none_or(|answered| end.at > answered);
+        self.ends.iter().filter(is_recent)
+    }
+
+    /// Returns the ends since the last answer that count: those that are certain, and if these are
+    /// `min_confirmed` or more, the others as well.
+    ///
+    /// All endpoints of a service may end at once, so that none is left to confirm the last end.
+    fn counted_ends(&self, min_confirmed: usize) -> impl Iterator<Item = &ProcessEnd> {
+        let confirmed = self.recent_ends().filter(|end| end.is_confirmed);
+        let counts_all = confirmed.count() >= min_confirmed;
+        self.recent_ends()
+            .filter(move |end| counts_all || end.is_confirmed)
+    }
+
+    /// Returns how much the entry tells; the one that tells least is dropped first.
+    fn weight(&self) -> (usize, usize, Option<Instant>) {
+        let begun = self.recent_ends().filter(|end| end.has_begun).count();
+        let last_end = self.ends.iter().map(|end| end.at).max();
+        (begun, self.recent_ends().count(), last_end)
     }
 }
 
@@ -66,17 +85,21 @@
 /// under which a process ended, or that was answered, takes space.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
-    settings: CrashSettings,
+    pub(crate) settings: CrashSettings,
+    /// Answers by part of a prompt.
     answers: AnswerMemory,
-    entries: HashMap<FeatureKey, FeatureEntry>,
-    verdicts: HashMap<FeatureKey, FeatureVerdict>,
+    /// Answers by fingerprint, apart, as most requests have one of their own.
+    answered_requests: AnswerMemory,
+    pub(crate) processes: ProcessMemory,
+    pub(crate) entries: HashMap<FeatureKey, FeatureEntry>,
+    pub(crate) verdicts: HashMap<FeatureKey, FeatureVerdict>,
     /// Parts whose next request is admitted to find out whether they still crash engines.
     trials: HashSet<FeatureKey>,
     /// Parts that were served again, with the time until which older verdicts are void.
-    lifted: HashMap<FeatureKey, Instant>,
+    pub(crate) lifted: HashMap<FeatureKey, Instant>,
     /// Parts with ends or a verdict in the latest report of the fleet.
-    reported: HashSet<FeatureKey>,
-    changes: Vec<QuarantineChange>,
+    pub(crate) reported: HashSet<FeatureKey>,
+    pub(crate) changes: Vec<QuarantineChange>,
 }
 
 impl Default for CrashTable {
@@ -90,6 +113,8 @@
     pub fn new(settings: CrashSettings) -> Self {
         Self {
             answers: AnswerMemory::new(settings.answer_capacity),
+            answered_requests: AnswerMemory::new(settings.answer_capacity),
+            processes: ProcessMemory::new(&settings),
             settings,
             entries: HashMap::new(),
             verdicts: HashMap::new(),
@@ -100,26 +125,91 @@
         }
     }
 
-    /// Records the end of a process that held a request it had not answered.
-    pub fn record_end(&mut self, process: &ProcessId, request: SuspectRequest<'_>, now: Instant) {
-        for part in request.features {
+    /// Records that a process held a request it had not answered, and seems to have ended.
+    ///
+    /// The end counts once it is certain: if `is_confirmed` says so, or as soon as
+    /// [`Self::confirm_end`] is called.
+    pub fn record_end(
+        &mut self,
+        process: &ProcessId,
+        request: SuspectRequest<'_>,
+        is_confirmed: bool,
+        now: Instant,
+    ) {
+        for feature in request.features {
             let end = ProcessEnd {
                 process: ProcessId::clone(process),
                 at: now,
                 session: request.session,
                 has_begun: request.has_begun,
+                is_confirmed,
             };
-            self.add_end(FeatureKey::new(request.service, part), end, now);
+            self.add_end(FeatureKey::new(request.service, feature), end, now);
         }
         self.update(now);
     }
 
-    /// Records that a request with these shared parts was answered.
+    /// Records that a process has certainly ended, because another one was started in its place.
+    pub fn confirm_end(&mut self, process: &ProcessId, now: Instant) {
+        if !self.processes.add_ended(process) {
+            return;
+        }
+        let ends = self.entries.values_mut().flat_map(|entry| &mut entry.ends);
+        let mut is_changed = false;
+        for end in ends.filter(|end| end.process == *process) {
+            is_changed |= !end.is_confirmed;
+            end.is_confirmed = true;
+        }
+        if is_changed {
+            self.update(now);
+        }
+    }
+
+    /// Records an answer of a process: an earlier report of its end was wrong.
+    ///
+    /// Such a report comes from an instance that has lost its links to the endpoints.
+    pub fn record_contact(&mut self, process: &str, now: Instant) {
+        if self.entries.is_empty() {
+            return;
+        }
+        let mut ends = self.entries.values().flat_map(|entry| &entry.ends);
+        let refuted =
+            ends.find(|end| *end.process == *process && self.processes.is_refuted_by(end.at, now));
+        if let Some(process) = refuted.map(|end| ProcessId::clone(&end.process)) {
+            self.refute_end(&process, now, true);
+            self.update(now);
+        }
+    }
+
+    /// Drops the ends of a process that answered later, and the verdicts that rest on them.
+    pub(crate) fn refute_end(&mut self, process: &ProcessId, contact: Instant, is_own: bool) {
+        if !self.processes.add_contact(process, contact, is_own) {
+            return;
+        }
+        let processes = &self.processes;
+        for entry in self.entries.values_mut() {
+            entry.ends.retain(|end| !processes.refutes(end));
+        }
+        // A verdict that has enough ends without this one is found again.
+        let verdicts = self.verdicts.iter().filter(|(_, verdict)| {
+            verdict.processes.contains(process)
+                && processes.is_refuted_by(verdict.last_end, contact)
+        });
+        let void: Vec<FeatureKey> = verdicts.map(|(key, _)| key.clone()).collect();
+        for key in void {
+            self.verdicts.remove(&key);
+            self.trials.remove(&key);
+            self.changes.push(QuarantineChange::Lifted(key));
+        }
+    }
+
+    /// Records that a request with these features was answered.
     pub fn record_answer(&mut self, service: &ServiceId, parts: &[FeatureId], now: Instant) {
         self.answers.record_answer(service);
+        self.answered_requests.record_answer(service);
         for part in parts {
-            self.answers
-                .record_part(FeatureKey::new(service, part), now);
+            let key = FeatureKey::new(service, part);
+            self.memory_of_mut(part).record_part(key, now);
         }
         if self.entries.is_empty() && self.verdicts.is_empty() {
             return;
@@ -146,7 +236,11 @@
         let is_suspect = |part: &FeatureId| {
             let entry = self.entries.get(&FeatureKey::new(service, part));
             entry.is_some_and(|entry| {
-                entry.answered.is_none() && entry.ends.iter().any(|end| end.has_begun)
+                entry.answered.is_none()
+                    && entry
+                        .ends
+                        .iter()
+                        .any(|end| end.has_begun && end.is_confirmed)
             })
         };
         if !self.entries.is_empty() && parts.iter().any(is_suspect) {
@@ -230,126 +324,23 @@
         self.entries.is_empty()
     }
 
-    /// Returns what this instance reports to the others; empty unless processes have ended.
-    ///
-    /// Ends that other instances reported are passed on, so that they outlive the instance that saw
-    /// them. Answers are not, as each hop would make them look more recent than they are.
-    pub fn report(&self, now: Instant) -> CrashReport {
-        let mut parts: Vec<FeatureClaim> = Vec::new();
-        for (key, entry) in &self.entries {
-            let own_answer = self.answers.latest(key);
-            let ends: Vec<EndClaim> = entry
-                .counted_ends()
-                .map(|end| EndClaim {
-                    process: ProcessId::clone(&end.process),
-                    age_ms: age_ms(now, end.at),
-                    session: end.session,
-                    has_begun: end.has_begun,
-                })
-                .collect();
-            // Others count ends of this part for want of an answer that this instance knows.
-            let is_awaited = self.reported.contains(key) && own_answer.is_some();
-            if !ends.is_empty() || is_awaited {
-                parts.push(FeatureClaim {
-                    key: key.clone(),
-                    ends,
-                    answered_ms: own_answer.map(|at| age_ms(now, at)),
-                });
-            }
-        }
-        // Others still hold a verdict that this instance knows to be void.
-        let lifted = self
-            .lifted
-            .iter()
-            .filter(|(key, _)| self.reported.contains(*key));
-        parts.extend(lifted.map(|(key, at)| FeatureClaim {
-            key: key.clone(),
-            ends: Vec::new(),
-            answered_ms: Some(age_ms(now, *at)),
-        }));
-        parts.sort_by(|one, other| {
-            let order = other.ends.len().cmp(&one.ends.len());
-            order.then_with(|| one.key.cmp(&other.key))
-        });
-        parts.truncate(self.settings.max_reported_features);
-        let verdicts = self.verdicts().into_iter().map(|verdict| VerdictClaim {
-            key: verdict.key,
-            companions: verdict.companions,
-            processes: verdict.processes,
-            age_ms: age_ms(now, verdict.last_end),
-            is_stored: verdict.is_stored,
-        });
-        CrashReport {
-            parts,
-            verdicts: verdicts.collect(),
-        }
-    }
-
-    /// Adds what other instances reported.
-    pub fn add_report(&mut self, report: &CrashReport, now: Instant) {
-        let claims = report.parts.iter().filter(|claim| !claim.ends.is_empty());
-        let with_ends = claims.map(|claim| &claim.key);
-        let with_verdict = report.verdicts.iter().map(|claim| &claim.key);
-        self.reported = with_ends.chain(with_verdict).cloned().collect();
-        if report.is_empty() && self.entries.is_empty() {
-            return;
-        }
-        let time_of = |age_ms: u64| {
-            now.checked_sub(Duration::from_millis(age_ms))
-                .unwrap_or(now)
-        };
-        for claim in &report.parts {
-            for end in &claim.ends {
-                let end = ProcessEnd {
-                    process: ProcessId::clone(&end.process),
-                    at: time_of(end.age_ms),
-                    session: end.session,
-                    has_begun: end.has_begun,
-                };
-                self.add_end(claim.key.clone(), end, now);
-            }
-            let Some(answered) = claim.answered_ms.map(time_of) else {
-                continue;
-            };
-            if let Some(entry) = self.entries.get_mut(&claim.key) {
-                entry.answered = entry.answered.max(Some(answered));
-            }
-            let verdict = self.verdicts.get(&claim.key);
-            if verdict.is_some_and(|verdict| answered > verdict.last_end) {
-                self.lift(&claim.key, answered);
-            }
-        }
-        for claim in &report.verdicts {
-            self.merge_verdict(claim, time_of(claim.age_ms));
+    pub(crate) fn memory_of(&self, feature: &str) -> &AnswerMemory {
+        if is_fingerprint(feature) {
+            &self.answered_requests
+        } else {
+            &self.answers
         }
-        self.update(now);
     }
 
-    fn merge_verdict(&mut self, claim: &VerdictClaim, last_end: Instant) {
-        let lifted = self.lifted.get(&claim.key);
-        if lifted.is_some_and(|lifted| *lifted >= last_end) {
-            return;
-        }
-        if let Some(verdict) = self.verdicts.get_mut(&claim.key) {
-            verdict
-                .companions
-                .retain(|part| claim.companions.contains(part));
-            verdict.last_end = verdict.last_end.max(last_end);
-            verdict.is_stored |= claim.is_stored;
-        } else if self.has_room() {
-            let verdict = FeatureVerdict {
-                key: claim.key.clone(),
-                companions: claim.companions.clone(),
-                processes: claim.processes.clone(),
-                last_end,
-                is_stored: claim.is_stored,
-            };
-            self.verdicts.insert(verdict.key.clone(), verdict.clone());
-            self.changes.push(QuarantineChange::Added(verdict));
+    fn memory_of_mut(&mut self, feature: &str) -> &mut AnswerMemory {
+        if is_fingerprint(feature) {
+            &mut self.answered_requests
+        } else {
+            &mut self.answers
         }
     }
 
-    fn has_room(&self) -> bool {
+    pub(crate) fn has_room(&self) -> bool {
         self.verdicts.len() < self.settings.max_verdicts
     }
 
@@ -362,25 +353,26 @@
         verdicts.find(|verdict| verdict.matches(parts))
     }
 
-    fn add_end(&mut self, key: FeatureKey, end: ProcessEnd, now: Instant) {
+    pub(crate) fn add_end(&mut self, key: FeatureKey, end: ProcessEnd, now: Instant) {
         let age = now.saturating_duration_since(end.at);
         let is_void = self
             .lifted
             .get(&key)
             .is_some_and(|lifted| *lifted >= end.at);
-        if age >= self.settings.end_max_age || is_void {
+        if age >= self.settings.end_max_age || is_void || self.processes.refutes(&end) {
             return;
         }
+        let is_confirmed = end.is_confirmed || self.processes.is_ended(&end.process);
+        let end = ProcessEnd {
+            is_confirmed,
+            ..end
+        };
         if !self.entries.contains_key(&key) && self.entries.len() >= self.settings.max_features {
-            // A part that was answered tells least, then the one that was not seen for longest.
-            let oldest = self.entries.iter().min_by_key(|(_, entry)| {
-                let last_end = entry.ends.iter().map(|end| end.at).max();
-                (entry.counted_ends().count() > 0, last_end)
-            });
-            let oldest = oldest.map(|(key, _)| key.clone());
+            let lightest = self.entries.iter().min_by_key(|(_, entry)| entry.weight());
+            let oldest = lightest.map(|(key, _)| key.clone());
             oldest.map(|key| self.entries.remove(&key));
         }
-        let answered = self.answers.latest(&key);
+        let answered = self.memory_of(&key.feature).latest(&key);
         let entry = self.entries.entry(key).or_default();
         entry.answered = entry.answered.max(answered);
         let known = entry
@@ -390,6 +382,7 @@
         if let Some(known) = known {
             known.at = known.at.min(end.at);
             known.has_begun |= end.has_begun;
+            known.is_confirmed |= end.is_confirmed;
             return;
         }
         entry.ends.push(end);
@@ -405,25 +398,28 @@
         }
     }
 
-    fn update(&mut self, now: Instant) {
+    pub(crate) fn update(&mut self, now: Instant) {
         let max_age = self.settings.end_max_age;
+        let min_confirmed = self.settings.min_confirmed_ends;
         for entry in self.entries.values_mut() {
             let is_recent = |end: &ProcessEnd| now.saturating_duration_since(end.at) < max_age;
             entry.ends.retain(is_recent);
         }
         self.entries.retain(|_, entry| !entry.ends.is_empty());
+        self.processes.drop_old(now);
         for (key, verdict) in &mut self.verdicts {
             let entry = self.entries.get(key);
-            let last_end = entry.and_then(|entry| entry.counted_ends().map(|end| end.at).max());
+            let last_end =
+                entry.and_then(|entry| entry.counted_ends(min_confirmed).map(|end| end.at).max());
             verdict.last_end = last_end.map_or(verdict.last_end, |at| at.max(verdict.last_end));
         }
         self.lift_answered(now);
         let evidence = self.entries.iter().map(|(key, entry)| FeatureEvidence {
             key: key.clone(),
-            ends: entry.counted_ends().cloned().collect(),
+            ends: entry.counted_ends(min_confirmed).cloned().collect(),
             is_proven: entry.answered.is_some(),
             other_answers: entry.other_answers,
-            is_rare: self.answers.share(key) <= self.settings.rare_share,
+            is_rare: self.memory_of(&key.feature).share(key) <= self.settings.rare_share,
         });
         let evidence: Vec<FeatureEvidence> = evidence
             .filter(|evidence| !evidence.ends.is_empty())
@@ -460,10 +456,11 @@
     /// Lifts verdicts whose part was answered after the last end, and removes companions that were.
     fn lift_answered(&mut self, now: Instant) {
         let entries = &self.entries;
-        let answers = &self.answers;
+        let (answers, answered_requests) = (&self.answers, &self.answered_requests);
         let answered = |key: &FeatureKey| {
             let learned = entries.get(key).and_then(|entry| entry.answered);
-            learned.max(answers.latest(key))
+            let own = answers.latest(key).max(answered_requests.latest(key));
+            learned.max(own)
         };
         let mut lifted = Vec::new();
         for (key, verdict) in &mut self.verdicts {
@@ -487,7 +484,3 @@
         }
     }
 }
-
-fn age_ms(now: Instant, at: Instant) -> u64 {
-    u64::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/dandeliondeal_quarantine/src/crash_verdict.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_verdict.rs
@@ -6,6 +6,7 @@
 use dandeliondeal_types::FeatureId;
 
 use crate::crash_evidence::{CrashSettings, FeatureEvidence, FeatureKey, ProcessEnd, ProcessId};
+use crate::request_fingerprint::is_fingerprint;
 
 /// Requests that are refused: those with the blamed part and all of its companions.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -41,14 +42,28 @@
         own.is_superset(processes)
     }
 
+    /// Returns whether a verdict about copies of one request is explained better by this part of
+    /// prompts, under which the same processes ended and others did.
+    fn supersedes(&self, blamed: &FeatureKey, known: &[FeatureVerdict]) -> bool {
+        let mut verdicts = known.iter().filter(|verdict| verdict.key == *blamed);
+        is_fingerprint(&blamed.feature)
+            && !is_fingerprint(&self.evidence.key.feature)
+            && verdicts.any(|verdict| {
+                let processes = verdict.processes.iter().collect();
+                self.ends.len() > verdict.processes.len() && self.covers(&processes)
+            })
+    }
+
     fn is_sufficient(&self, ends: &[&ProcessEnd], settings: &CrashSettings, now: Instant) -> bool {
         let times = ends.iter().map(|end| end.at);
         let (Some(first), Some(last)) = (times.clone().min(), times.max()) else {
             return false;
         };
         let sessions: HashSet<u64> = ends.iter().map(|end| end.session).collect();
-        let has_sessions =
-            sessions.len() >= settings.min_sessions || ends.len() >= settings.proven_ends;
+        // All copies of a request are one session.
+        let has_sessions = is_fingerprint(&self.evidence.key.feature)
+            || sessions.len() >= settings.min_sessions
+            || ends.len() >= settings.proven_ends;
         let is_settled = now.saturating_duration_since(first) >= settings.settle_time;
         let has_begun = ends.iter().any(|end| end.has_begun);
         let required = match (has_begun, self.evidence.is_proven) {
@@ -98,12 +113,14 @@
     now: Instant,
 ) -> Vec<FeatureVerdict> {
     let mut parts = count_ends(evidence, settings, now);
-    // Parts without an answer come first, then those under which most processes ended.
+    // Features without an answer come first, then those under which most processes ended, then those
+    // that fewer requests have.
     parts.sort_by_key(|part| {
         let evidence = part.evidence;
         (
             evidence.is_proven,
             std::cmp::Reverse(part.ends.len()),
+            !is_fingerprint(&evidence.key.feature),
             &evidence.key,
         )
     });
@@ -116,7 +133,10 @@
     let mut verdicts = Vec::new();
     for part in &parts {
         let key = &part.evidence.key;
-        let is_own = |end: &ProcessEnd| explained.get(&end.process).is_none_or(|by| by == key);
+        let is_own = |end: &ProcessEnd| {
+            let by = explained.get(&end.process);
+            by.is_none_or(|by| by == key || part.supersedes(by, known))
+        };
         let ends: Vec<&ProcessEnd> = part
             .ends
             .iter()
@@ -127,9 +147,14 @@
             continue;
         }
         let processes: BTreeSet<&ProcessId> = ends.iter().map(|end| &end.process).collect();
+        // No request has two fingerprints, and a fingerprint can be told apart from each part.
         let companions = parts.iter().filter(|other| {
             let other_key = &other.evidence.key;
-            other_key != key && other_key.service == key.service && other.covers(&processes)
+            let is_part = !is_fingerprint(&key.feature) && !is_fingerprint(&other_key.feature);
+            is_part
+                && other_key != key
+                && other_key.service == key.service
+                && other.covers(&processes)
         });
         let verdict = FeatureVerdict {
             key: key.clone(),
--- /dev/null
+++ b/crates/dandeliondeal_quarantine/src/process_memory.rs
@@ -0,0 +1,108 @@
+//! Bounded memory of processes that certainly ended, and of those that were reported so in error.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use crate::crash_evidence::{CrashSettings, ProcessEnd, ProcessId};
+use crate::crash_report::age_ms;
+
+/// Latest answer of a process whose end was reported before.
+#[derive(Clone, Copy, Debug)]
+struct ProcessContact {
+    at: Instant,
+    /// Whether this instance got the answer. Only then it reports it, as each hop makes it look more
+    /// recent.
+    is_own: bool,
+}
+
+/// What is known for certain about processes whose end was reported.
+#[derive(Clone, Debug)]
+pub(crate) struct ProcessMemory {
+    capacity: usize,
+    contact_margin: Duration,
+    max_age: Duration,
+    /// Processes in whose place another one was started, the latest last.
+    ended: VecDeque<ProcessId>,
+    /// Processes that answered after their end was reported.
+    running: HashMap<ProcessId, ProcessContact>,
+}
+
+impl ProcessMemory {
+    pub(crate) fn new(settings: &CrashSettings) -> Self {
+        Self {
+            capacity: settings.max_processes,
+            contact_margin: settings.contact_margin,
+            max_age: settings.end_max_age,
+            ended: VecDeque::new(),
+            running: HashMap::new(),
+        }
+    }
+
+    /// Records that a process was replaced by another one; returns `false` if that was known.
+    pub(crate) fn add_ended(&mut self, process: &ProcessId) -> bool {
+        if self.is_ended(process) {
+            return false;
+        }
+        if self.ended.len() >= self.capacity {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(ProcessId::clone(process));
+        true
+    }
+
+    /// Returns whether a process is known to have been replaced.
+    pub(crate) fn is_ended(&self, process: &ProcessId) -> bool {
+        self.ended.contains(process)
+    }
+
+    /// Records an answer of a process; returns `false` if a later one is known.
+    pub(crate) fn add_contact(&mut self, process: &ProcessId, at: Instant, is_own: bool) -> bool {
+        let known = self.running.get(process);
+        if known.is_some_and(|known| known.at >= at || (known.is_own && !is_own)) {
+            return false;
+        }
+        if self.running.len() >= self.capacity && known.is_none() {
+            let oldest = self.running.iter().min_by_key(|(_, contact)| contact.at);
+            let oldest = oldest.map(|(process, _)| ProcessId::clone(process));
+            oldest.map(|process| self.running.remove(&process));
+        }
+        let contact = ProcessContact { at, is_own };
+        self.running.insert(ProcessId::clone(process), contact);
+        true
+    }
+
+    /// Returns whether an answer at `contact` shows that the reported end was no end.
+    pub(crate) fn is_refuted_by(&self, end: Instant, contact: Instant) -> bool {
+        end + self.contact_margin < contact
+    }
+
+    /// Returns whether the process is known to have answered after its reported end.
+    pub(crate) fn refutes(&self, end: &ProcessEnd) -> bool {
+        let contact = self.running.get(&end.process);
+        contact.is_some_and(|contact| self.is_refuted_by(end.at, contact.at))
+    }
+
+    /// Returns whether one of the processes answered later than its end, at the latest `last_end`.
+    pub(crate) fn refutes_any(&self, processes: &[ProcessId], last_end: Instant) -> bool {
+        let contacts = processes
+            .iter()
+            .filter_map(|process| self.running.get(process));
+        let mut contacts = contacts.map(|contact| contact.at);
+        contacts.any(|contact| self.is_refuted_by(last_end, contact))
+    }
+
+    /// Returns the processes that answered this instance, with the time since then in milliseconds.
+    pub(crate) fn own_contacts(&self, now: Instant) -> BTreeMap<ProcessId, u64> {
+        let own = self.running.iter().filter(|(_, contact)| contact.is_own);
+        own.map(|(process, contact)| (ProcessId::clone(process), age_ms(now, contact.at)))
+            .collect()
+    }
+
+    /// Forgets contacts that are older than any end that is kept.
+    pub(crate) fn drop_old(&mut self, now: Instant) {
+        let max_age = self.max_age;
+        let is_recent =
+            |contact: &ProcessContact| now.saturating_duration_since(contact.at) < max_age;
+        self.running.retain(|_, contact| is_recent(contact));
+    }
+}
--- a/crates/dandeliondeal_quarantine/tests/crash_fleet.rs
+++ b/crates/dandeliondeal_quarantine/tests/crash_fleet.rs
@@ -260,7 +260,7 @@
                 session: run.session,
                 has_begun: !self.case.has_late_heads && head.contains(&run.age),
             };
-            self.tables[run.instance].record_end(&process, prompt, self.now);
+            self.tables[run.instance].record_end(&process, prompt, true, self.now);
         }
     }
 
--- a/crates/dandeliondeal_quarantine/tests/crash_table.rs
+++ b/crates/dandeliondeal_quarantine/tests/crash_table.rs
@@ -37,7 +37,8 @@
             session,
             has_begun,
         };
-        self.table.record_end(&process.into(), prompt, self.now);
+        self.table
+            .record_end(&process.into(), prompt, true, self.now);
     }
 
     /// Records ends of different processes under different requests, a second apart.
--- a/crates/dandeliondeal_quarantine/tests/crash_verdict.rs
+++ b/crates/dandeliondeal_quarantine/tests/crash_verdict.rs
@@ -27,6 +27,7 @@
             at: first_end + Duration::from_millis(300 * (8 - process)),
             session: (u64::from(part.session) >> process) & 3,
             has_begun: part.begun & (1 << process) != 0,
+            is_confirmed: true,
         });
         FeatureEvidence {
             key: FeatureKey::new(&"drafting".into(), &format!("part-{index}").into()),
--- a/crates/dandeliondeal_relay/src/crash_watch.rs
+++ b/crates/dandeliondeal_relay/src/crash_watch.rs
@@ -1,48 +1,158 @@
-//! Finds out whether an engine's process has ended, and logs which prompts are refused for it.
+//! Finds out whether an endpoint's process has ended, and logs which requests are refused for it.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
-use dandeliondeal_quarantine::{ProcessId, QuarantineChange};
-use dandeliondeal_types::{Clock, EndpointId};
+use dandeliondeal_quarantine::{ProcessId, QuarantineChange, is_fingerprint};
+use dandeliondeal_types::{Clock, EndpointId, EndpointRecord};
+use futures_util::future::select_ok;
+use tokio::sync::OnceCell;
 
-use crate::endpoint_exchange::{CONNECT_TIMEOUT, ConnectionChoice, open_connection};
+use crate::endpoint_exchange::{ConnectionChoice, open_connection};
 use crate::relay_context::RelayContext;
 
-/// Returns the id of an engine's process if it has ended unexpectedly.
+/// Maximum time to connect to an endpoint of which another connection has just broken.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Maximum number of other endpoints that are tried to find out whether this instance has its links.
+const MAX_WITNESSES: usize = 2;
+/// Time for which the result of a check is used for other requests that the process held.
+const RESULT_LIFE: Duration = Duration::from_secs(2);
+
+/// Unexpected end of an endpoint's process.
+#[derive(Clone, Debug)]
+pub(crate) struct EndedProcess {
+    pub(crate) process: ProcessId,
+    /// Whether another endpoint accepted a connection after the end.
+    ///
+    /// Otherwise this instance may have lost its links to the endpoints.
+    pub(crate) is_confirmed: bool,
+}
+
+/// Result of a check, which the requests that a process held share.
+type SharedResult = Rc<OnceCell<Option<bool>>>;
+
+/// Checks whether processes have ended.
+#[derive(Debug, Default)]
+pub struct ProcessChecks {
+    results: RefCell<HashMap<ProcessId, (Instant, SharedResult)>>,
+}
+
+impl ProcessChecks {
+    fn shared_result(&self, process: &ProcessId, now: Instant) -> SharedResult {
+        let mut results = self.results.borrow_mut();
+        results.retain(|_, (at, result)| {
+            let is_recent = now.saturating_duration_since(*at) < RESULT_LIFE;
+            // Only an end is final.
+            is_recent && result.get() != Some(&None)
+        });
+        let (_, result) = results
+            .entry(ProcessId::clone(process))
+            .or_insert_with(|| (now, SharedResult::default()));
+        Rc::clone(result)
+    }
+}
+
+/// Returns the id of the process that wrote a registration.
+pub(crate) fn process_id(record: &EndpointRecord) -> ProcessId {
+    format!("{}@{}", record.id, record.started_at_ms).into()
+}
+
+/// Returns the end of an endpoint's process if it has ended unexpectedly.
 ///
-/// A broken connection alone does not show that: engines and links reset connections as well. An
-/// engine that is draining or deregistered was stopped.
-pub(crate) async fn ended_process<Time, Dialect>(
+/// A broken connection alone does not show that: endpoints and links reset connections as well. A
+/// process has ended if its address refuses connections; an endpoint that does not answer may be
+/// unreachable. An endpoint that is draining or deregistered was stopped.
+pub(crate) async fn find_end<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
-    engine: &EndpointId,
-    address: SocketAddr,
-) -> Option<ProcessId>
+    endpoint: &EndpointId,
+) -> Option<EndedProcess>
 where
     Time: Clock,
 {
-    let (process, is_usable) = {
+    let record = {
         let fleet = context.fleet().borrow();
-        let record = fleet.record(engine).filter(|record| !record.is_draining)?;
-        let process: ProcessId = format!("{engine}@{}", record.started_at_ms).into();
-        (process, fleet.is_usable(engine))
+        let record = fleet.record(endpoint).filter(|record| !record.is_draining);
+        record.cloned()?
+    };
+    let process = process_id(&record);
+    let result = context
+        .process_checks()
+        .shared_result(&process, context.now());
+    let is_confirmed = result.get_or_init(|| check_process(context, &record));
+    let is_confirmed = (*is_confirmed.await)?;
+    Some(EndedProcess {
+        process,
+        is_confirmed,
+    })
+}
+
+/// Returns whether the end of a process is certain; `None` if it has not ended.
+async fn check_process<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    record: &EndpointRecord,
+) -> Option<bool>
+where
+    Time: Clock,
+{
+    let Err(error) = try_connect(context, &record.id, record.address).await else {
+        return None;
     };
-    if !is_usable {
-        return Some(process);
+    let is_confirmed = has_witness(context, record).await;
+    tracing::info!(
+        endpoint = %record.id, %error, is_refused = error.is_refused(), is_confirmed,
+        "endpoint accepts no connection"
+    );
+    if is_confirmed {
+        // Engines only; the monitor of plain services counts each failed call.
+        let now = context.now();
+        context.fleet().borrow_mut().mark_failed(&record.id, now);
+        context.engine_checks().add_suspect(&record.id, now);
     }
+    error.is_refused().then_some(is_confirmed)
+}
+
+/// Returns whether another endpoint accepts connections; one of the same service is preferred.
+async fn has_witness<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    ended: &EndpointRecord,
+) -> bool
+where
+    Time: Clock,
+{
+    let witnesses = {
+        let fleet = context.fleet().borrow();
+        let is_other = |record: &&EndpointRecord| record.address != ended.address;
+        let others = fleet.records().filter(is_other);
+        let (same, rest): (Vec<_>, Vec<_>) =
+            others.partition(|record| record.service == ended.service);
+        let witnesses = same
+            .into_iter()
+            .take(MAX_WITNESSES)
+            .chain(rest.into_iter().take(MAX_WITNESSES));
+        let witnesses = witnesses.map(|record| (EndpointId::clone(&record.id), record.address));
+        witnesses.collect::<Vec<_>>()
+    };
+    let attempts = witnesses
+        .iter()
+        .map(|(endpoint, address)| Box::pin(try_connect(context, endpoint, *address)));
+    let attempts: Vec<_> = attempts.collect();
+    !attempts.is_empty() && select_ok(attempts).await.is_ok()
+}
+
+async fn try_connect<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    endpoint: &EndpointId,
+    address: SocketAddr,
+) -> Result<(), dandeliondeal_http::ConnectionError>
+where
+    Time: Clock,
+{
     let choice = ConnectionChoice::New;
-    match open_connection(context, engine, address, choice, CONNECT_TIMEOUT).await {
-        Ok(connection) => {
-            context.pool().borrow_mut().put(engine, connection);
-            None
-        }
-        Err(error) => {
-            let now = context.now();
-            context.fleet().borrow_mut().mark_failed(engine, now);
-            context.engine_checks().add_suspect(engine, now);
-            tracing::info!(%engine, %error, "engine does not answer; taken out of use");
-            Some(process)
-        }
-    }
+    let opened = open_connection(context, endpoint, address, choice, CHECK_TIMEOUT).await;
+    opened.map(drop)
 }
 
 /// Logs and counts the changes of what is refused.
@@ -57,12 +167,23 @@
     };
     for change in &changes {
         match change {
+            QuarantineChange::Added(verdict) if is_fingerprint(&verdict.key.feature) => {
+                tracing::warn!(
+                    service = %verdict.key.service, fingerprint = %verdict.key.feature,
+                    processes = verdict.processes.join(","),
+                    "copies of this request crash endpoints and are refused"
+                );
+            }
             QuarantineChange::Added(verdict) => tracing::warn!(
                 service = %verdict.key.service, part = %verdict.key.feature,
                 companions = verdict.companions.join(","),
                 processes = verdict.processes.join(","),
                 "prompts with this part crash engines and are refused"
             ),
+            QuarantineChange::Lifted(key) if is_fingerprint(&key.feature) => tracing::warn!(
+                service = %key.service, fingerprint = %key.feature,
+                "copies of this request are served again"
+            ),
             QuarantineChange::Lifted(key) => tracing::warn!(
                 service = %key.service, part = %key.feature, "prompts with this part are served again"
             ),
--- a/crates/dandeliondeal_relay/src/fleet_sinks.rs
+++ b/crates/dandeliondeal_relay/src/fleet_sinks.rs
@@ -5,6 +5,7 @@
 use dandeliondeal_route::RouteTable;
 use dandeliondeal_types::{Clock, EndpointRecord, KindChanges, KindSnapshot, ObjectValue};
 
+use crate::crash_watch::{log_changes, process_id};
 use crate::dialect::FleetDialect;
 use crate::fleet_view::FleetChange;
 use crate::relay_context::RelayContext;
@@ -133,6 +134,26 @@
     }
 }
 
+impl<Time, Dialect> EndpointSink<Time, Dialect>
+where
+    Time: Clock,
+{
+    /// Records the ends of processes in whose place another one has started.
+    fn confirm_ends(&self, now: Instant) {
+        let superseded = self.context.fleet().borrow_mut().take_superseded();
+        for record in &superseded {
+            let process = process_id(record);
+            self.context
+                .crashes()
+                .borrow_mut()
+                .confirm_end(&process, now);
+        }
+        if !superseded.is_empty() {
+            log_changes(&self.context);
+        }
+    }
+}
+
 impl<Time, Dialect> KindSink for EndpointSink<Time, Dialect>
 where
     Time: Clock,
@@ -149,6 +170,7 @@
             let mut fleet = self.context.fleet().borrow_mut();
             fleet.replace(records, lapse_until, now)
         };
+        self.confirm_ends(now);
         for change in &changes {
             self.publish_change(change, snapshot.version);
         }
@@ -169,5 +191,6 @@
                 self.publish_change(&change, event.object.version);
             }
         }
+        self.confirm_ends(now);
     }
 }
--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -40,6 +40,9 @@
     engine_services: HashSet<ServiceId>,
     /// Engines excluded from new chains, with the end of the exclusion.
     excluded: HashMap<EndpointId, Instant>,
+    /// Registrations of processes in whose place another one has started since
+    /// [`Self::take_superseded`].
+    superseded: Vec<EndpointRecord>,
 }
 
 /// Effect of a change in the registrations.
@@ -105,6 +108,7 @@
             slowness: HashMap::new(),
             engine_services: HashSet::new(),
             excluded: HashMap::new(),
+            superseded: Vec::new(),
         })
     }
 
@@ -189,6 +193,7 @@
             previous.is_some_and(|previous| previous.started_at_ms != record.started_at_ms);
         if is_new_start {
             self.slowness.remove(&id);
+            self.superseded.extend(previous.cloned());
         }
         self.excluded.remove(&id);
         self.remove_superseded(&record);
@@ -208,11 +213,18 @@
                 && *id != record.id;
             if is_superseded {
                 tracing::info!(endpoint = %id, by = %record.id, "registration superseded");
+                self.superseded.push(existing.clone());
             }
             !is_superseded
         });
     }
 
+    /// Returns the registrations of processes in whose place another one has started since the last
+    /// call.
+    pub fn take_superseded(&mut self) -> Vec<EndpointRecord> {
+        std::mem::take(&mut self.superseded)
+    }
+
     /// Excludes an engine that does not hold the layers that it registered.
     pub fn exclude_mismatched(&mut self, engine: &EndpointId, now: Instant) {
         self.exclude_until(engine, now + EXCLUSION_TIME);
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod request_handler;
 pub mod request_intake;
 pub mod request_progress;
+mod request_standing;
 pub mod router_server;
 mod run_source;
 pub mod shared_store;
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use dandeliondeal_balance::{CallResult, FailureSignal};
 use dandeliondeal_http::{ConnectionError, EndpointConnection, ResponseHead};
+use dandeliondeal_quarantine::RequestStanding;
 use dandeliondeal_route::RepeatClass;
 use dandeliondeal_types::{Clock, EndpointId, EndpointRecord};
 use futures_util::StreamExt;
@@ -185,6 +186,14 @@
         if self.sent_attempts > 0 && !(may_repeat && self.has_attempts_left()) {
             return Err(RaceEnd::Unanswered(RefusalCause::LostAnswer));
         }
+        if !self.request.is_admitted(self.context) {
+            return Err(RaceEnd::Unanswered(RefusalCause::Quarantined));
+        }
+        // A request under which a process ended does not run twice, unless it was ever answered.
+        let is_suspect = self.request.standing(self.context) == RequestStanding::Suspect;
+        if is_suspect && !self.lifecycle.is_proven_not_run() {
+            return Err(RaceEnd::Unanswered(RefusalCause::LostAnswer));
+        }
         let mut excluded = self.tried.clone();
         let now = self.context.now();
         excluded.extend(self.context.rates().borrow().full_endpoints(now));
@@ -262,6 +271,7 @@
             }
             AttemptResult::Complete(head, body) => {
                 self.lifecycle.apply(LifecycleEvent::Start);
+                self.request.record_sound(self.context, &endpoint.id);
                 let response = build_response(self.context, &head, body);
                 if !head.status.is_server_error() || !self.is_repeatable {
                     return Some(response);
@@ -279,7 +289,7 @@
                 let error = error.map_or_else(|| "timeout".to_owned(), |error| error.to_string());
                 tracing::info!(
                     %request, endpoint = %endpoint.id, error,
-                    fingerprint = &*self.request.fingerprint, "response lost"
+                    features = self.request.features.join(","), "response lost"
                 );
             }
         }
@@ -394,6 +404,13 @@
         AttemptResult::NotRun => CallResult::Failed(FailureSignal::Busy),
         AttemptResult::Lost(_) => no_answer,
     });
+    if let AttemptResult::Lost(Some(error)) = &result
+        && !error.is_invalid_answer()
+    {
+        // Whether the replica had begun to answer is not known, as it answers all at once.
+        let has_begun = true;
+        request.record_end(context, &endpoint.id, has_begun).await;
+    }
     if !matches!(result, AttemptResult::Lost(_)) {
         context.pool().borrow_mut().put(&endpoint.id, connection);
     }
--- a/crates/dandeliondeal_relay/src/refusal.rs
+++ b/crates/dandeliondeal_relay/src/refusal.rs
@@ -30,7 +30,7 @@
     Overloaded,
     /// The endpoints state request limits, and no other has room.
     Limited,
-    /// A part of the prompt crashes engines.
+    /// Copies of the request, or prompts with a part that it has, crash endpoints.
     Quarantined,
     /// The endpoint stated that it did not execute the request.
     Rejected,
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -17,6 +17,7 @@
 use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, watch};
 
+use crate::crash_watch::ProcessChecks;
 use crate::engine_calls::ReportCache;
 use crate::engine_check::EngineChecks;
 use crate::first_engine_health::FirstEngineHealth;
@@ -67,6 +68,7 @@
     engine_checks: EngineChecks,
     first_engines: FirstEngineHealth,
     crashes: RefCell<CrashTable>,
+    process_checks: ProcessChecks,
     rates: RefCell<EndpointRates>,
     urgent_report: Notify,
     metrics: RelayMetrics,
@@ -118,6 +120,7 @@
             engine_checks: EngineChecks::default(),
             first_engines: FirstEngineHealth::default(),
             crashes: RefCell::default(),
+            process_checks: ProcessChecks::default(),
             rates: RefCell::default(),
             urgent_report: Notify::new(),
             metrics: RelayMetrics::new()?,
@@ -202,7 +205,12 @@
         &self.shared.first_engines
     }
 
-    /// Returns what is known of crashes under prompts.
+    /// Returns the checks whether processes have ended.
+    pub fn process_checks(&self) -> &ProcessChecks {
+        &self.shared.process_checks
+    }
+
+    /// Returns what is known of crashes under requests.
     pub fn crashes(&self) -> &RefCell<CrashTable> {
         &self.shared.crashes
     }
--- a/crates/dandeliondeal_relay/src/request_intake.rs
+++ b/crates/dandeliondeal_relay/src/request_intake.rs
@@ -1,5 +1,6 @@
 //! Reads a request and resolves its route, organisation and service.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -39,8 +40,11 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
-    /// Fingerprint that copies of this request have in common.
-    pub fingerprint: FeatureId,
+    /// What other requests may have in common with this one: the shared parts of its prompt, and
+    /// the fingerprint of its copies.
+    pub features: Vec<FeatureId>,
+    /// Whether the request was admitted to find out whether it still crashes endpoints.
+    pub is_trial: Cell<bool>,
     /// Route and organisation from the configuration.
     pub route_match: RouteMatch,
     /// Service that runs the request.
@@ -146,7 +150,8 @@
         organisation: route_match.organisation.as_ref(),
         body: &body,
     };
-    let fingerprint = identity.fingerprint();
+    let mut features = facts.shared_parts.clone();
+    features.push(identity.fingerprint());
     let headers = std::mem::take(&mut request.head_mut().headers);
     let mut lifecycle = RelayLifecycle::new(context.lifecycle_table().clone());
     lifecycle.apply(LifecycleEvent::Admit);
@@ -156,7 +161,8 @@
         uri,
         headers,
         body,
-        fingerprint,
+        features,
+        is_trial: Cell::new(false),
         route_match,
         service,
         engine_profile,
