--- a/crates/dandeliondeal_config/src/router_settings.rs
+++ b/crates/dandeliondeal_config/src/router_settings.rs
@@ -44,6 +44,8 @@
     pub readiness: SocketAddr,
     /// Address for other instances.
     pub peers: SocketAddr,
+    /// Address for requests that other instances hand over.
+    pub handover: SocketAddr,
     /// Address at which metrics are served.
     pub metrics: SocketAddr,
 }
@@ -54,6 +56,7 @@
             callers: loopback(8080),
             readiness: loopback(8083),
             peers: loopback(8082),
+            handover: loopback(8084),
             metrics: loopback(9464),
         }
     }
@@ -151,6 +154,10 @@
             "Address at which the load balancer checks readiness."
         ),
         setting_field!(endpoints.peers, "Address for other instances."),
+        setting_field!(
+            endpoints.handover,
+            "Address for requests that other instances hand over."
+        ),
         setting_field!(endpoints.metrics, "Address at which metrics are served."),
         setting_field!(store.address, required, "Address of the platform's store."),
         setting_field!(
--- a/crates/dandeliondeal_relay/src/instance_registry.rs
+++ b/crates/dandeliondeal_relay/src/instance_registry.rs
@@ -29,14 +29,18 @@
     pub id: InstanceId,
     /// Address for calls from other instances.
     pub address: SocketAddr,
+    /// Address for requests that other instances hand over; `None` for an earlier version.
+    pub handover: Option<SocketAddr>,
     /// Failure domain of the instance.
     pub failure_domain: FailureDomain,
 }
 
 /// Registration of an instance, as stored.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct InstanceEntry {
     address: SocketAddr,
+    #[serde(default)]
+    handover: Option<SocketAddr>,
     failure_domain: Arc<str>,
 }
 
@@ -81,10 +85,15 @@
     Some(PeerInstance {
         id: InstanceId::clone(&object.name),
         address: entry.address,
+        handover: entry.handover,
         failure_domain: entry.failure_domain,
     })
 }
 
+fn is_entry(object: &ObjectValue, entry: &InstanceEntry) -> bool {
+    serde_json::from_str::<InstanceEntry>(&object.body).is_ok_and(|stored| stored == *entry)
+}
+
 async fn register<Time, Dialect, Store>(context: &RelayContext<Time, Dialect>, store: &Store)
 where
     Time: Clock,
@@ -94,20 +103,28 @@
     let name = format!("{REGISTRY_KIND}/{}", settings.instance.id);
     let entry = InstanceEntry {
         address: settings.endpoints.peers,
+        handover: Some(settings.endpoints.handover),
         failure_domain: Arc::clone(&settings.instance.failure_domain),
     };
     let body: Arc<str> = serde_json::to_string(&entry).unwrap_or_default().into();
+    let mut condition = PutCondition::Absent;
     loop {
-        match store
-            .put(&name, PutCondition::Absent, Arc::clone(&body))
-            .await
-        {
-            // An earlier start of the same instance has already registered it.
-            Ok(_) | Err(StoreError::Conflict { .. }) => return,
-            Err(error) => {
-                tracing::info!(%error, "instance registration failed; retrying");
-                actix_rt::time::sleep(context.jitter(REGISTER_RETRY_INTERVAL)).await;
-            }
-        }
+        let error = match store.put(&name, condition, Arc::clone(&body)).await {
+            Ok(_) => return,
+            Err(StoreError::Conflict { .. }) => match store.get(&name).await {
+                // An earlier start of the same instance has already registered it.
+                Ok(Some(object)) if is_entry(&object, &entry) => return,
+                Ok(object) => {
+                    condition = object.map_or(PutCondition::Absent, |object| {
+                        PutCondition::Version(object.version)
+                    });
+                    continue;
+                }
+                Err(error) => error,
+            },
+            Err(error) => error,
+        };
+        tracing::info!(%error, "instance registration failed; retrying");
+        actix_rt::time::sleep(context.jitter(REGISTER_RETRY_INTERVAL)).await;
     }
 }
--- a/crates/dandeliondeal_relay/tests/lease_contenders.rs
+++ b/crates/dandeliondeal_relay/tests/lease_contenders.rs
@@ -12,6 +12,7 @@
     let peers = (0..count).map(|index| PeerInstance {
         id: format!("router-{index}").into(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        handover: None,
         failure_domain: "didube".into(),
     });
     peers.collect()
