Hand requests over to another instance while the links to the endpoints are lost

Callers of machines without links got 503 within 4 ms, or waited for streams behind links that were gone; every one of these requests could have been served by other machines.

Cause: an instance decided by its own links alone, and had no way to pass a request on. The class is a failure of the observer that is taken for a failure of what it observes: engines were marked failed, connects that timed out counted as ended processes, and broken runs were counted against engines in the totals of the fleet.

Change: a service's links count as lost when connections that were opened for the purpose reach none of three endpoints, on suspicion (no bytes for 200 ms while requests are open, or no endpoint found), and as restored after two probes with a connection; marks of failure are then forgotten. Instances report lost links through the hubs. Meanwhile a request is handed over once, to an instance with links, in the own failure domain if there is one; deadline, attempts left, last event and the version of the configuration go with it. Streams and repeatable requests under way are continued there within the repeat budget. Plain attempts and the start of streams moved to files of their own.

--- a/crates/dandeliondeal_balance/src/endpoint_monitor.rs
+++ b/crates/dandeliondeal_balance/src/endpoint_monitor.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 
 use crate::endpoint_group::EndpointGroup;
+use crate::endpoint_health::EndpointHealth;
 use crate::endpoint_load::OtherLoad;
 use crate::endpoint_profile::{CallResult, EndpointProfile, FailureSignal};
 use crate::endpoint_slot::EndpointSlot;
@@ -89,6 +90,17 @@
         }
     }
 
+    /// Forgets the health of a group's endpoints, and returns their ids.
+    pub fn reset_group(&mut self, group: &str, now: Instant) -> Vec<EndpointId> {
+        let slots = self.slots.iter_mut();
+        let members = slots.filter(|slot| *slot.profile.group == *group);
+        let reset = members.map(|slot| {
+            slot.health = EndpointHealth::new(Arc::clone(&self.table), &self.settings.health, now);
+            Arc::clone(&slot.profile.id)
+        });
+        reset.collect()
+    }
+
     /// Records the start of a call to an endpoint.
     pub fn record_start(&mut self, endpoint: &EndpointId, now: Instant) {
         if let Some(&index) = self.slot_indexes.get(endpoint) {
--- a/crates/dandeliondeal_relay/src/crash_watch.rs
+++ b/crates/dandeliondeal_relay/src/crash_watch.rs
@@ -12,11 +12,13 @@
 use tokio::sync::OnceCell;
 
 use crate::endpoint_exchange::{ConnectionChoice, open_connection};
+use crate::link_monitor::probe_links;
 use crate::relay_context::RelayContext;
 
 /// Maximum time to connect to an endpoint of which another connection has just broken.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Maximum number of other endpoints that are tried to find out whether this instance has its links.
+/// Maximum number of endpoints of other services that are tried to find out whether this instance has
+/// its links.
 const MAX_WITNESSES: usize = 2;
 /// Time for which the result of a check is used for other requests that the process held.
 const RESULT_LIFE: Duration = Duration::from_secs(2);
@@ -122,18 +124,15 @@
 where
     Time: Clock,
 {
-    let witnesses = {
+    if probe_links(context, &ended.service).await > 0 {
+        return true;
+    }
+    let witnesses: Vec<(EndpointId, SocketAddr)> = {
         let fleet = context.fleet().borrow();
-        let is_other = |record: &&EndpointRecord| record.address != ended.address;
-        let others = fleet.records().filter(is_other);
-        let (same, rest): (Vec<_>, Vec<_>) =
-            others.partition(|record| record.service == ended.service);
-        let witnesses = same
-            .into_iter()
-            .take(MAX_WITNESSES)
-            .chain(rest.into_iter().take(MAX_WITNESSES));
-        let witnesses = witnesses.map(|record| (EndpointId::clone(&record.id), record.address));
-        witnesses.collect::<Vec<_>>()
+        let records = fleet.records();
+        let others = records.filter(|record| record.service != ended.service);
+        let others = others.map(|record| (EndpointId::clone(&record.id), record.address));
+        others.take(MAX_WITNESSES).collect()
     };
     let attempts = witnesses
         .iter()
--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -375,6 +375,19 @@
         state != Some(HealthState::Testing) && self.engines.is_usable(engine, true)
     }
 
+    /// Returns whether this instance counts an endpoint as failed.
+    pub fn is_failed(&self, endpoint: &EndpointId) -> bool {
+        let is_failed = |state| matches!(state, Some(HealthState::Failed | HealthState::Testing));
+        is_failed(self.engines.state(endpoint)) || is_failed(self.plain.state(endpoint))
+    }
+
+    /// Forgets what was observed of the endpoints of a service, and returns them.
+    pub fn reset_health(&mut self, service: &str, now: Instant) -> Vec<EndpointId> {
+        let mut reset = self.engines.reset_group(service, now);
+        reset.extend(self.plain.reset_group(service, now));
+        reset
+    }
+
     /// Returns the failed engines that are due for a check.
     pub fn engines_due_for_check(&self) -> Vec<EndpointId> {
         let states = self.engines.states();
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -21,12 +21,20 @@
 pub mod first_engine_health;
 pub mod fleet_sinks;
 pub mod fleet_view;
+mod handover;
+pub mod handover_entrance;
+mod handover_stream;
+pub mod handover_wire;
 pub mod hub_selection;
 pub mod instance_registry;
 pub mod layout_controller;
 pub mod lease_contenders;
+pub mod link_monitor;
+pub mod link_state;
 pub mod load_exchange;
 pub mod load_tracker;
+pub mod peer_choice;
+mod plain_attempt;
 pub mod plain_relay;
 mod quarantine_store;
 pub mod refusal;
@@ -44,11 +52,13 @@
 mod run_source;
 pub mod shared_store;
 pub mod store_watch;
+mod stream_handover;
 mod stream_rejection;
 pub mod stream_relay;
 mod stream_replacement;
 mod stream_run;
 mod stream_standing;
+mod stream_start;
 
 #[doc(inline)]
 pub use dialect::{
--- a/crates/dandeliondeal_relay/src/load_exchange.rs
+++ b/crates/dandeliondeal_relay/src/load_exchange.rs
@@ -15,7 +15,7 @@
 use dandeliondeal_limit::RateReport;
 use dandeliondeal_peer::{PeerClient, PeerError, PeerHandler};
 use dandeliondeal_quarantine::CrashReport;
-use dandeliondeal_types::{Clock, EndpointId, FailureDomain, InstanceId};
+use dandeliondeal_types::{Clock, EndpointId, FailureDomain, InstanceId, ServiceId};
 use serde::{Deserialize, Serialize};
 
 use crate::crash_watch::log_changes;
@@ -25,6 +25,7 @@
 use crate::first_engine_health::AttemptTotals;
 use crate::hub_selection::HubSelector;
 use crate::instance_registry::PeerInstance;
+use crate::link_monitor::LostLinks;
 use crate::load_tracker::EngineLoad;
 use crate::relay_context::RelayContext;
 use crate::shared_store::{CHANGES_METHOD, FeedTable};
@@ -64,6 +65,9 @@
     /// Limits that endpoints state, with the requests a second that instances send to them.
     #[serde(default, skip_serializing_if = "RateReport::is_empty")]
     pub rates: RateReport,
+    /// Instances that cannot reach the endpoints of a service.
+    #[serde(default, skip_serializing_if = "LostLinks::is_empty")]
+    pub lost_links: LostLinks,
 }
 
 impl LoadSummary {
@@ -86,6 +90,10 @@
             crashes.add_age(age);
             self.crashes.add(&crashes);
         }
+        for (service, instances) in &other.lost_links {
+            let total = self.lost_links.entry(ServiceId::clone(service));
+            total.or_default().extend(instances.iter().cloned());
+        }
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         for (endpoint, claim) in &other.rates {
             let mut claim = *claim;
@@ -221,6 +229,7 @@
         local.has_lease = self.context.holds_lease();
         local.crashes = self.context.crashes().borrow().report(sent_at);
         local.rates = self.context.rates().borrow().report(sent_at);
+        local.lost_links = self.context.links().report(&settings.id);
         let id = InstanceId::clone(&settings.id);
         let fleet = if hub.id == id {
             self.hub_state
@@ -241,6 +250,7 @@
             let now = self.context.now();
             let crashes = self.context.crashes();
             crashes.borrow_mut().add_report(&fleet.crashes, now);
+            self.context.links().set_fleet(&fleet.lost_links);
             set_fleet_rates(&self.context, &fleet.rates, &local.rates);
             self.context
                 .tracker()
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -4,23 +4,18 @@
 use std::time::{Duration, Instant};
 
 use actix_http::Response;
-use actix_http::StatusCode;
-use actix_rt::time::{sleep, timeout};
-use bytes::Bytes;
-use dandeliondeal_balance::{CallResult, FailureSignal};
-use dandeliondeal_http::{ConnectionError, EndpointConnection, ResponseHead};
+use actix_rt::time::sleep;
+use dandeliondeal_http::ConnectionError;
 use dandeliondeal_quarantine::RequestStanding;
 use dandeliondeal_route::RepeatClass;
 use dandeliondeal_types::{Clock, EndpointId, EndpointRecord};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
-use crate::call_guard::CallGuard;
-use crate::dialect::{AttemptFacts, FleetDialect, RequestDialect};
-use crate::endpoint_exchange::{
-    ConnectionChoice, MAX_RESPONSE_BYTES, build_attempt, exchange, open_connection,
-};
-use crate::endpoint_limits::record_limit;
+use crate::dialect::{FleetDialect, RequestDialect};
+use crate::handover::{build_response, hand_over_plain};
+use crate::link_monitor::{LinkUse, check_handover, needs_handover, wait_for_lost_links};
+use crate::plain_attempt::{AttemptResult, connect_endpoint, run_attempt, select_endpoint};
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
@@ -34,19 +29,6 @@
 /// Share of the remaining time after which another attempt is started beside an unanswered one.
 const ATTEMPT_SHARE: f64 = 0.45;
 
-/// Maximum wait for the body of a rejection, which usually arrives with its head.
-const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(20);
-
-/// Result of one attempt.
-enum AttemptResult {
-    /// The endpoint stated that it did not execute the request.
-    NotRun,
-    /// A complete response was received; successful ones are signed.
-    Complete(ResponseHead, Bytes),
-    /// No complete response was received; without an error, the attempt timed out.
-    Lost(Option<ConnectionError>),
-}
-
 /// How the attempts of a request end.
 enum RaceEnd {
     /// The caller gets an endpoint's response.
@@ -55,6 +37,8 @@
     TimedOut,
     /// No further attempt can be made.
     Unanswered(RefusalCause),
+    /// The links to the endpoints are lost; another instance may serve the request.
+    LinksLost,
 }
 
 /// Relays one request to a plain service.
@@ -66,11 +50,18 @@
     Time: Clock,
     Dialect: RequestDialect + FleetDialect,
 {
+    let link_use = LinkUse::start(context, &request.service);
     let mut race = AttemptRace::new(context, request);
     let end = race.run().await;
+    drop(link_use);
     let (lifecycle, last_failure) = (race.lifecycle, race.last_failure);
+    let sent_attempts = race.sent_attempts;
     request.lifecycle = lifecycle;
     match end {
+        RaceEnd::LinksLost => {
+            request.sent_attempts = sent_attempts;
+            hand_over_plain(context, request).await
+        }
         RaceEnd::Answered(response) => {
             request.lifecycle.apply(LifecycleEvent::Complete);
             RelayOutcome::Answered(response)
@@ -98,6 +89,10 @@
     open_endpoints: Vec<EndpointId>,
     sent_attempts: u32,
     failed_connections: usize,
+    /// Time of the last offer, or of the start.
+    active_at: Instant,
+    /// Whether the request must stay here although the links are lost.
+    is_handover_denied: bool,
     /// Whether a repeat was taken from the budget but not sent yet.
     holds_repeat: bool,
     /// Latest failure response of an endpoint; used if no attempt succeeds.
@@ -119,6 +114,8 @@
             open_endpoints: Vec::new(),
             sent_attempts: 0,
             failed_connections: 0,
+            active_at: context.now(),
+            is_handover_denied: request.is_handed_over(),
             holds_repeat: false,
             last_failure: None,
         }
@@ -136,9 +133,11 @@
             // Only one connection is opened at a time.
             let due = next_attempt.filter(|_| connecting.is_empty());
             let delay = due.map(|due| due.saturating_duration_since(context.now()));
+            let is_open = !open_attempts.is_empty() || !connecting.is_empty();
+            let lost = wait_for_lost_links(context, &request.service, self.active_at);
             if delay.is_some_and(|delay| delay.is_zero()) {
                 next_attempt = None;
-                match self.next_endpoint() {
+                match self.next_endpoint().await {
                     Ok(endpoint) => connecting.push(connect_endpoint(context, request, endpoint)),
                     Err(cause) => {
                         self.log_no_attempt(&cause);
@@ -169,7 +168,13 @@
                     }
                 },
                 () = sleep(delay.unwrap_or_default()), if delay.is_some() => {}
-                () = &mut final_responses, if !open_attempts.is_empty() || !connecting.is_empty() => {
+                () = lost, if is_open && !self.is_handover_denied => {
+                    if self.may_hand_over() {
+                        return RaceEnd::LinksLost;
+                    }
+                    self.is_handover_denied = true;
+                }
+                () = &mut final_responses, if is_open => {
                     return RaceEnd::TimedOut;
                 }
                 else => return end,
@@ -178,7 +183,7 @@
     }
 
     /// Returns the endpoint of the next attempt, or how the race ends if none is open.
-    fn next_endpoint(&mut self) -> Result<EndpointRecord, RaceEnd> {
+    async fn next_endpoint(&mut self) -> Result<EndpointRecord, RaceEnd> {
         if self.is_late() {
             return Err(RaceEnd::TimedOut);
         }
@@ -194,13 +199,24 @@
         if is_suspect && !self.lifecycle.is_proven_not_run() {
             return Err(RaceEnd::Unanswered(RefusalCause::LostAnswer));
         }
+        let (context, service) = (self.context, &self.request.service);
+        if !self.is_handover_denied && needs_handover(context, service) && self.may_hand_over() {
+            return Err(RaceEnd::LinksLost);
+        }
         let mut excluded = self.tried.clone();
         let now = self.context.now();
         excluded.extend(self.context.rates().borrow().full_endpoints(now));
         let endpoint = (self.failed_connections < MAX_CONNECT_ATTEMPTS)
             .then(|| select_endpoint(self.context, self.request, self.is_repeatable, &excluded))
-            .flatten()
-            .ok_or(RaceEnd::Unanswered(RefusalCause::NoEndpoint))?;
+            .flatten();
+        let Some(endpoint) = endpoint else {
+            let is_lost = !self.is_handover_denied && check_handover(context, service).await;
+            return Err(if is_lost && self.may_hand_over() {
+                RaceEnd::LinksLost
+            } else {
+                RaceEnd::Unanswered(RefusalCause::NoEndpoint)
+            });
+        };
         if self.sent_attempts > 0 && !self.holds_repeat {
             self.holds_repeat = self.context.acquire_repeat(&self.request.service, "answer");
             if !self.holds_repeat {
@@ -216,7 +232,23 @@
     }
 
     fn has_attempts_left(&self) -> bool {
-        self.sent_attempts < self.request.route_match.route.attempts
+        self.sent_attempts < self.request.max_attempts()
+    }
+
+    /// Returns whether another instance may serve the request, and charges the repeat budget if this
+    /// one has sent it.
+    fn may_hand_over(&mut self) -> bool {
+        if self.sent_attempts == 0 || self.lifecycle.is_proven_not_run() {
+            return true;
+        }
+        let standing = self.request.standing(self.context);
+        let may_repeat = self.is_repeatable && standing == RequestStanding::Sound;
+        may_repeat
+            && self.has_attempts_left()
+            && (self.holds_repeat
+                || self
+                    .context
+                    .acquire_repeat(&self.request.service, "lost-links"))
     }
 
     /// Records that the request is sent to an endpoint.
@@ -226,10 +258,13 @@
         self.lifecycle.apply(LifecycleEvent::Offer);
         self.request.progress.record_attempt(&endpoint.id);
         let now = self.context.now();
+        self.active_at = now;
         self.context
             .rates()
             .borrow_mut()
             .record_request(&endpoint.id, now);
+        let links = self.context.links();
+        links.record_request(&self.request.service, &endpoint.id);
         self.open_endpoints.push(EndpointId::clone(&endpoint.id));
         self.sent_attempts += 1;
         self.holds_repeat = false;
@@ -270,9 +305,11 @@
                 }
             }
             AttemptResult::Complete(head, body) => {
+                let links = self.context.links();
+                links.record_traffic(&self.request.service, self.context.now());
                 self.lifecycle.apply(LifecycleEvent::Start);
                 self.request.record_sound(self.context, &endpoint.id);
-                let response = build_response(self.context, &head, body);
+                let response = build_response(self.context, &head, RelayBody::Complete(body));
                 if !head.status.is_server_error() || !self.is_repeatable {
                     return Some(response);
                 }
@@ -313,175 +350,3 @@
         }
     }
 }
-
-fn select_endpoint<Time, Dialect>(
-    context: &RelayContext<Time, Dialect>,
-    request: &RelayRequest,
-    is_repeatable: bool,
-    excluded: &[EndpointId],
-) -> Option<EndpointRecord>
-where
-    Time: Clock,
-{
-    let now = context.now();
-    let fleet = context.fleet().borrow();
-    let ranked =
-        context.with_rng(|random| fleet.ranked(&request.service, is_repeatable, random, now));
-    let selected = ranked
-        .into_iter()
-        .find(|record| !excluded.contains(&record.id));
-    selected.or_else(|| {
-        // The ranking is a sample of the healthy endpoints; any other endpoint is better than none.
-        let mut rest = fleet.records().filter(|record| {
-            record.service == request.service
-                && !record.is_draining
-                && !excluded.contains(&record.id)
-        });
-        rest.next().cloned()
-    })
-}
-
-/// Connects to an endpoint; a failure is recorded as a call that the endpoint refused.
-async fn connect_endpoint<Time, Dialect>(
-    context: &RelayContext<Time, Dialect>,
-    request: &RelayRequest,
-    endpoint: EndpointRecord,
-) -> (EndpointRecord, Result<EndpointConnection, ConnectionError>)
-where
-    Time: Clock,
-{
-    let started = context.now();
-    let choice = match request.route_match.route.repeat_class {
-        RepeatClass::Safe => ConnectionChoice::Idle,
-        _ => ConnectionChoice::New,
-    };
-    let limit = request.time_left(started);
-    let opened = open_connection(context, &endpoint.id, endpoint.address, choice, limit).await;
-    if opened.is_err() {
-        let refused = CallResult::Failed(FailureSignal::Refused);
-        record_call(context, &endpoint, started, refused);
-    }
-    (endpoint, opened)
-}
-
-/// Sends the request to an endpoint and waits for its response until the deadline.
-///
-/// If the attempt is cancelled later than `overdue_time`, it counts as unanswered: otherwise an
-/// endpoint that never answers would be preferred as long as other endpoints answer in its place.
-async fn run_attempt<Time, Dialect>(
-    context: &RelayContext<Time, Dialect>,
-    request: &RelayRequest,
-    endpoint: EndpointRecord,
-    mut connection: EndpointConnection,
-    overdue_time: Option<Duration>,
-) -> (EndpointRecord, AttemptResult)
-where
-    Time: Clock,
-    Dialect: RequestDialect,
-{
-    let no_answer = CallResult::Failed(FailureSignal::NoAnswer);
-    let mut guard = CallGuard::start(context, vec![EndpointId::clone(&endpoint.id)]);
-    let limit = request.time_left(context.now());
-    let response = {
-        let attempt = send_attempt(context, request, &endpoint, &mut connection);
-        let mut response = pin!(timeout(limit, attempt));
-        tokio::select! {
-            biased;
-            response = &mut response => response,
-            () = sleep(overdue_time.unwrap_or_default()), if overdue_time.is_some() => {
-                guard.set_drop_result(no_answer);
-                response.await
-            }
-        }
-    };
-    let result = match response {
-        Ok(Ok(result)) => result,
-        Ok(Err(error)) => AttemptResult::Lost(Some(error)),
-        Err(_elapsed) => AttemptResult::Lost(None),
-    };
-    guard.end(match &result {
-        AttemptResult::Complete(..) => CallResult::Answered,
-        AttemptResult::NotRun => CallResult::Failed(FailureSignal::Busy),
-        AttemptResult::Lost(_) => no_answer,
-    });
-    if let AttemptResult::Lost(Some(error)) = &result
-        && !error.is_invalid_answer()
-    {
-        // Whether the replica had begun to answer is not known, as it answers all at once.
-        let has_begun = true;
-        request.record_end(context, &endpoint.id, has_begun).await;
-    }
-    if !matches!(result, AttemptResult::Lost(_)) {
-        context.pool().borrow_mut().put(&endpoint.id, connection);
-    }
-    (endpoint, result)
-}
-
-async fn send_attempt<Time, Dialect>(
-    context: &RelayContext<Time, Dialect>,
-    request: &RelayRequest,
-    endpoint: &EndpointRecord,
-    connection: &mut EndpointConnection,
-) -> Result<AttemptResult, ConnectionError>
-where
-    Time: Clock,
-    Dialect: RequestDialect,
-{
-    let facts = AttemptFacts {
-        endpoint: &endpoint.id,
-        organisation: request.route_match.organisation.as_ref(),
-        time_left: request.time_left(context.now()),
-        last_event: None,
-        chain: None,
-        urgency: request.route_match.urgency,
-    };
-    let outbound = build_attempt(context, request, &facts);
-    let id = &request.facts.request;
-    let (head, facts) = exchange(context.dialect(), connection, &outbound, id).await?;
-    record_limit(context, &endpoint.id, facts.request_limit);
-    if facts.is_not_run && !head.status.is_success() {
-        // The head states all that matters; the body only decides whether the connection is reusable.
-        let body = connection.read_body(MAX_RESPONSE_BYTES);
-        if timeout(REJECTION_BODY_TIMEOUT, body).await.is_err() {
-            tracing::debug!(request = %id, "body of a rejection did not arrive");
-        }
-        return Ok(AttemptResult::NotRun);
-    }
-    let body = connection.read_body(MAX_RESPONSE_BYTES).await?;
-    let is_verified = facts.is_signed && !facts.is_encoded && facts.request.is_some();
-    if head.status.is_success() && !is_verified {
-        return Err(ConnectionError::after_write(
-            "response lacks the endpoint's signature",
-        ));
-    }
-    Ok(AttemptResult::Complete(head, body))
-}
-
-fn build_response<Time, Dialect>(
-    context: &RelayContext<Time, Dialect>,
-    head: &ResponseHead,
-    body: Bytes,
-) -> Response<RelayBody>
-where
-    Time: Clock,
-    Dialect: RequestDialect,
-{
-    let status = StatusCode::from_u16(head.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut response = Response::with_body(status, RelayBody::Complete(body));
-    *response.headers_mut() = context.dialect().forwarded_headers(&head.headers);
-    response
-}
-
-fn record_call<Time, Dialect>(
-    context: &RelayContext<Time, Dialect>,
-    endpoint: &EndpointRecord,
-    started: Instant,
-    result: CallResult,
-) where
-    Time: Clock,
-{
-    let now = context.now();
-    let mut fleet = context.fleet().borrow_mut();
-    fleet.call_started(&endpoint.id, started);
-    fleet.call_finished(&endpoint.id, started, result, now);
-}
--- a/crates/dandeliondeal_relay/src/refusal.rs
+++ b/crates/dandeliondeal_relay/src/refusal.rs
@@ -68,6 +68,29 @@
         self.status() == StatusCode::SERVICE_UNAVAILABLE
     }
 
+    /// All causes.
+    const ALL: [Self; 14] = [
+        Self::NoConfig,
+        Self::NoRoute,
+        Self::UnknownKey,
+        Self::BadHead,
+        Self::LongBody,
+        Self::LostBody,
+        Self::NoEndpoint,
+        Self::Overloaded,
+        Self::Limited,
+        Self::Quarantined,
+        Self::Rejected,
+        Self::LateUnsent,
+        Self::LateSent,
+        Self::LostAnswer,
+    ];
+
+    /// Returns the cause with this name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|cause| cause.name() == name)
+    }
+
     /// Returns the name used in logs, metrics and responses.
     pub fn name(self) -> &'static str {
         match self {
@@ -105,6 +128,7 @@
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     dialect.write_refusal(request, wait, headers);
+    response.extensions_mut().insert(cause);
     if cause == RefusalCause::LostBody {
         let head = response.head_mut();
         head.set_connection_type(ConnectionType::Close);
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -6,10 +6,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use dandeliondeal_config::RouterSettings;
+use dandeliondeal_config::{RouterSettings, SecretText};
 use dandeliondeal_http::{ConnectionPool, PoolSettings};
 use dandeliondeal_layout::{LayoutPlanner, LayoutSettings};
 use dandeliondeal_limit::EndpointRates;
+use dandeliondeal_peer::PeerSettings;
 use dandeliondeal_quarantine::CrashTable;
 use dandeliondeal_route::{RepeatWindow, RouteTable, WindowSettings};
 use dandeliondeal_types::{Clock, ServiceId};
@@ -23,6 +24,7 @@
 use crate::first_engine_health::FirstEngineHealth;
 use crate::fleet_view::FleetView;
 use crate::instance_registry::PeerInstance;
+use crate::link_monitor::LinkMonitor;
 use crate::load_tracker::LoadTracker;
 use crate::relay_error::RelayError;
 use crate::relay_lifecycle::{LifecycleTable, lifecycle_table};
@@ -69,6 +71,8 @@
     first_engines: FirstEngineHealth,
     crashes: RefCell<CrashTable>,
     process_checks: ProcessChecks,
+    links: LinkMonitor,
+    peer_secret: SecretText,
     rates: RefCell<EndpointRates>,
     urgent_report: Notify,
     metrics: RelayMetrics,
@@ -121,6 +125,8 @@
             first_engines: FirstEngineHealth::default(),
             crashes: RefCell::default(),
             process_checks: ProcessChecks::default(),
+            links: LinkMonitor::default(),
+            peer_secret: PeerSettings::default().secret,
             rates: RefCell::default(),
             urgent_report: Notify::new(),
             metrics: RelayMetrics::new()?,
@@ -210,6 +216,16 @@
         &self.shared.process_checks
     }
 
+    /// Returns the secret that instances share.
+    pub fn peer_secret(&self) -> &SecretText {
+        &self.shared.peer_secret
+    }
+
+    /// Returns the links to the endpoints.
+    pub fn links(&self) -> &LinkMonitor {
+        &self.shared.links
+    }
+
     /// Returns what is known of crashes under requests.
     pub fn crashes(&self) -> &RefCell<CrashTable> {
         &self.shared.crashes
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -34,6 +34,10 @@
     pub config_version: IntGauge,
     /// Number of parts of prompts that are refused because they crash engines.
     pub quarantined_parts: IntGauge,
+    /// Number of services whose endpoints this instance cannot reach.
+    pub lost_services: IntGauge,
+    /// Number of requests that were handed over to other instances, by how that ended.
+    pub handovers: IntCounterVec,
     /// Number of endpoints that state a request limit.
     pub limited_endpoints: IntGauge,
     /// Number of requests in progress.
@@ -106,6 +110,16 @@
             "Version of the configuration in force.",
         )?;
         registry.register(Box::new(config_version.clone()))?;
+        let lost_services = IntGauge::new(
+            "dandeliondeal_lost_services",
+            "Services whose endpoints this instance cannot reach.",
+        )?;
+        registry.register(Box::new(lost_services.clone()))?;
+        let handovers = counters(
+            "dandeliondeal_handovers_total",
+            "Requests handed over to other instances by result.",
+            &["result"],
+        )?;
         let quarantined_parts = IntGauge::new(
             "dandeliondeal_quarantined_parts",
             "Parts of prompts that are refused because they crash engines.",
@@ -130,6 +144,8 @@
             store_failures,
             orders,
             config_version,
+            lost_services,
+            handovers,
             quarantined_parts,
             limited_endpoints,
             open_requests,
--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -16,7 +16,7 @@
 use crate::relay_body::{RelayBody, StreamPart};
 use crate::relay_context::RelayContext;
 use crate::relay_outcome::RelayOutcome;
-use crate::request_intake::{RelayRequest, read_request};
+use crate::request_intake::{RelayRequest, RequestOrigin, read_request};
 use crate::request_progress::RequestProgress;
 use crate::stream_relay::{StreamEnd, StreamRelay};
 
@@ -43,6 +43,7 @@
 pub async fn handle_request<Time, Dialect>(
     context: RelayContext<Time, Dialect>,
     request: Request,
+    origin: RequestOrigin,
 ) -> Response<RelayBody>
 where
     Time: Clock,
@@ -50,7 +51,7 @@
 {
     let arrived = context.now();
     let open = OpenGauge::new(&context);
-    let intake = read_request(&context, request).await;
+    let intake = read_request(&context, request, origin).await;
     let mut response = match intake {
         Err((facts, cause)) => {
             let record = OpenRequest::start(&context, &facts.request, "none", arrived, open);
--- a/crates/dandeliondeal_relay/src/request_intake.rs
+++ b/crates/dandeliondeal_relay/src/request_intake.rs
@@ -15,6 +15,8 @@
 
 use crate::dialect::{CallerFacts, RequestDialect};
 use crate::endpoint_limits::reserve_room;
+use crate::handover_entrance::OpenCount;
+use crate::handover_wire::HandoverFacts;
 use crate::refusal::RefusalCause;
 use crate::relay_context::RelayContext;
 use crate::relay_lifecycle::{LifecycleEvent, RelayLifecycle};
@@ -27,6 +29,20 @@
 /// Maximum retry delay after a refusal, as a share of the remaining time.
 const MAX_RETRY_DELAY_SHARE: f64 = 0.3;
 
+/// Where a request comes from.
+#[derive(Debug)]
+pub enum RequestOrigin {
+    /// From a caller.
+    Caller,
+    /// From another instance, which has lost its links to the endpoints.
+    Instance {
+        /// What the instance says of the request.
+        facts: HandoverFacts,
+        /// Counts the request as long as it is open.
+        open: OpenCount,
+    },
+}
+
 /// Request with the configuration that applies to it.
 #[derive(Debug)]
 pub struct RelayRequest {
@@ -61,6 +77,12 @@
     pub progress: RequestProgress,
     /// Time until endpoints have room, if the request is refused for want of it.
     pub room_delay: Option<Duration>,
+    /// Where the request comes from.
+    pub origin: RequestOrigin,
+    /// Version of the configuration of the route.
+    pub config_version: u64,
+    /// Number of attempts that were sent and not rejected, by this and other instances.
+    pub sent_attempts: u32,
 }
 
 impl RelayRequest {
@@ -82,6 +104,25 @@
 }
 
 impl RelayRequest {
+    /// Returns whether another instance handed the request over; it is not handed over again.
+    pub fn is_handed_over(&self) -> bool {
+        matches!(self.origin, RequestOrigin::Instance { .. })
+    }
+
+    /// Returns the maximum number of endpoints to which the request may be sent.
+    pub fn max_attempts(&self) -> u32 {
+        let route = &self.route_match.route;
+        match &self.origin {
+            RequestOrigin::Caller => route.attempts,
+            RequestOrigin::Instance { facts, .. } => facts.attempts.min(route.attempts),
+        }
+    }
+
+    /// Returns the number of endpoints to which the request may still be sent.
+    pub fn attempts_left(&self) -> u32 {
+        self.max_attempts().saturating_sub(self.sent_attempts)
+    }
+
     /// Returns the time left until the final response has to be sent.
     pub fn time_left(&self, now: Instant) -> Duration {
         let time_left = self.deadline.saturating_duration_since(now);
@@ -104,6 +145,7 @@
 pub async fn read_request<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     request: Request,
+    origin: RequestOrigin,
 ) -> Result<RelayRequest, (CallerFacts, RefusalCause)>
 where
     Time: Clock,
@@ -112,7 +154,14 @@
     let arrived = context.now();
     let mut request = request;
     let mut payload = request.take_payload();
-    let facts = context.dialect().read_caller(request.headers());
+    let mut facts = context.dialect().read_caller(request.headers());
+    if let RequestOrigin::Instance {
+        facts: handover, ..
+    } = &origin
+    {
+        facts.deadline = Some(handover.time_left);
+        facts.last_event = handover.last_event;
+    }
     let Some(table) = context.table() else {
         return Err((facts, RefusalCause::NoConfig));
     };
@@ -132,7 +181,9 @@
     };
     let rule = table.service(&service);
     let engine_profile = rule.and_then(|rule| rule.engine.clone());
-    context.count_request(&service);
+    if matches!(origin, RequestOrigin::Caller) {
+        context.count_request(&service);
+    }
     let caller_timeout = facts.deadline.unwrap_or(DEFAULT_DEADLINE);
     let deadline = arrived + caller_timeout.min(route_match.route.timeout);
     let max_body = table.limits().body_bytes;
@@ -171,6 +222,9 @@
         lifecycle,
         progress: RequestProgress::default(),
         room_delay: None,
+        origin,
+        config_version: table.version(),
+        sent_attempts: 0,
     })
 }
 
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -15,15 +15,18 @@
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::engine_check::retest_engines;
 use crate::fleet_sinks::{ConfigSink, EndpointSink};
+use crate::handover_entrance::HandoverEntrance;
 use crate::hub_selection::HubSelector;
 use crate::instance_registry;
 use crate::layout_controller::LayoutController;
+use crate::link_monitor::watch_links;
 use crate::load_exchange::LoadExchange;
 use crate::quarantine_store::run_quarantine_store;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
 use crate::relay_error::RelayError;
 use crate::request_handler::handle_request;
+use crate::request_intake::RequestOrigin;
 use crate::shared_store::{FeedTable, SharedStore};
 use crate::store_watch::follow_kind;
 
@@ -65,6 +68,7 @@
     readiness: HttpListener,
     metrics: HttpListener,
     peers: PeerServer,
+    handover: HttpListener,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -115,8 +119,13 @@
         let peers = PeerServer::start(listener, &peer_settings, exchange.clone())?;
         tasks.push(actix_rt::spawn(exchange.run()));
         let handler_context = context.clone();
-        let serve_caller = move |request: Request| handle_request(handler_context.clone(), request);
+        let serve_caller = move |request: Request| {
+            handle_request(handler_context.clone(), request, RequestOrigin::Caller)
+        };
         let callers = HttpListener::start(addresses.callers, limits, serve_caller).await?;
+        let entrance = HandoverEntrance::new(context.clone());
+        let serve_handover = move |request: Request| entrance.clone().serve(request);
+        let handover = HttpListener::start(addresses.handover, limits, serve_handover).await?;
         let handler_context = context.clone();
         let serve_readiness = move |_request: Request| {
             let response = readiness_response(&handler_context);
@@ -135,6 +144,7 @@
             readiness,
             metrics,
             peers,
+            handover,
             tasks,
         })
     }
@@ -172,6 +182,7 @@
         let limit = grace.saturating_sub(GRACE_MARGIN.min(grace / GRACE_MARGIN_DIVISOR));
         actix_rt::time::sleep(BALANCER_LAG.min(limit)).await;
         self.callers.close();
+        self.handover.close();
         loop {
             // Connections end only after the listener's task has run.
             actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
@@ -242,6 +253,7 @@
         actix_rt::spawn(instance_registry::run_registry(context.clone(), status)),
         actix_rt::spawn(controller.run()),
         actix_rt::spawn(sweep(context.clone())),
+        actix_rt::spawn(watch_links(context.clone())),
     ])
 }
 
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -5,34 +5,33 @@
 //! fail.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::Response;
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
 use dandeliondeal_http::{ConnectionError, EndpointConnection};
-use dandeliondeal_layout::{EngineChain, EngineProfile};
+use dandeliondeal_layout::EngineProfile;
 use dandeliondeal_quarantine::RequestStanding;
-use dandeliondeal_types::{Clock, EndpointId};
+use dandeliondeal_types::{Clock, EndpointId, ServiceId};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
-use crate::chain_selection::{ChainConstraints, ChainDemand, select_chain};
-use crate::dialect::{AttemptFacts, FleetDialect, RequestDialect};
-use crate::endpoint_exchange::{ConnectionChoice, build_attempt, open_connection};
+use crate::chain_selection::ChainDemand;
+use crate::dialect::{FleetDialect, RequestDialect};
+use crate::handover_stream::HandoverStream;
+use crate::link_monitor::{LinkUse, wait_for_lost_links};
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
 use crate::relay_lifecycle::LifecycleEvent;
 use crate::request_intake::RelayRequest;
 use crate::run_source::SourceStep;
+use crate::stream_handover::LocalEnd;
 use crate::stream_replacement::PendingConnection;
 use crate::stream_run::{RunStep, StreamRun};
 use crate::stream_standing::StreamStanding;
 
-/// Maximum number of failed connections to first engines: none is an attempt, as nothing was sent.
-const MAX_CONNECT_ATTEMPTS: u32 = 4;
-
 /// End of a stream before its last event.
 #[derive(Debug)]
 pub enum StreamEnd {
@@ -58,7 +57,7 @@
 {
     pub(crate) context: RelayContext<Time, Dialect>,
     pub(crate) request: RelayRequest,
-    profile: Arc<EngineProfile>,
+    pub(crate) profile: Arc<EngineProfile>,
     pub(crate) demand: ChainDemand,
     /// Open runs; the first one delivered the last event, if any did.
     pub(crate) runs: Vec<StreamRun<Time, Dialect>>,
@@ -73,7 +72,14 @@
     /// Number of attempts that were sent, without those that were rejected.
     pub(crate) run_count: u32,
     /// Whether a repeat was charged to the budget for an attempt that is not sent yet.
-    holds_repeat: bool,
+    pub(crate) holds_repeat: bool,
+    /// Time of the last event, or of the start.
+    active_at: Instant,
+    /// Whether the stream must stay on its runs although the links are lost.
+    pub(crate) is_handover_denied: bool,
+    pub(crate) link_use: Option<LinkUse<Time, Dialect>>,
+    /// Stream of another instance that has replaced the runs.
+    pub(crate) handover: Option<HandoverStream>,
     /// Id of the last event that was passed on.
     pub(crate) last_event: Option<u64>,
     pub(crate) standing: StreamStanding,
@@ -93,6 +99,10 @@
         let demand = ChainDemand::new(&request.facts, &profile);
         let last_event = request.facts.last_event;
         Self {
+            active_at: context.now(),
+            is_handover_denied: request.is_handed_over(),
+            link_use: Some(LinkUse::start(&context, &request.service)),
+            handover: None,
             context,
             request,
             profile,
@@ -122,7 +132,10 @@
 
     /// Returns the response headers of the run that delivered the first event.
     pub fn response_headers(&self) -> HeaderMap {
-        self.response_headers.clone().unwrap_or_default()
+        let handover = self.handover.as_ref();
+        let headers = self.response_headers.as_ref();
+        let headers = headers.or_else(|| handover.and_then(HandoverStream::headers));
+        headers.cloned().unwrap_or_default()
     }
 
     /// Returns the next complete events; `None` after the last one.
@@ -131,15 +144,42 @@
     ///
     /// Returns [`StreamEnd`] if the stream cannot continue.
     pub async fn next_events(&mut self) -> Result<Option<Bytes>, StreamEnd> {
+        loop {
+            if let Some(handover) = &mut self.handover {
+                return handover.next_events(&self.context, &mut self.request).await;
+            }
+            match self.next_local_events().await {
+                Err(LocalEnd::LinksLost) => self.start_handover(),
+                Err(LocalEnd::Ended(end)) => return Err(end),
+                Ok(events) => return Ok(events),
+            }
+        }
+    }
+
+    /// Returns the next complete events of the runs of this instance.
+    async fn next_local_events(&mut self) -> Result<Option<Bytes>, LocalEnd> {
+        let context = self.context.clone();
+        let service = ServiceId::clone(&self.request.service);
         loop {
             let time_left = self.time_left()?;
             if self.runs.is_empty() && self.pending_connection.is_none() {
-                let run = self.start_run().await?;
+                let run = self.start_run_or_hand_over().await?;
                 self.runs.push(run);
             }
-            let step = actix_rt::time::timeout(time_left, self.next_step());
-            match step.await {
-                Err(_elapsed) => return Err(self.end_timed_out()),
+            let lost = wait_for_lost_links(&context, &service, self.active_at);
+            let may_hand_over = !self.is_handover_denied;
+            let step = tokio::select! {
+                biased;
+                step = actix_rt::time::timeout(time_left, self.next_step()) => step,
+                () = lost, if may_hand_over => {
+                    if self.acquire_handover() {
+                        return Err(LocalEnd::LinksLost);
+                    }
+                    continue;
+                }
+            };
+            match step {
+                Err(_elapsed) => return Err(self.end_timed_out().into()),
                 Ok(RelayStep::Opened(opened)) => self.add_run(opened),
                 Ok(RelayStep::Run(index, RunStep::Silent(cause))) => {
                     self.handle_silence(index, cause);
@@ -156,7 +196,7 @@
         }
     }
 
-    fn time_left(&mut self) -> Result<Duration, StreamEnd> {
+    pub(crate) fn time_left(&mut self) -> Result<Duration, StreamEnd> {
         let time_left = self.request.time_left(self.context.now());
         if time_left.is_zero() {
             return Err(self.end_timed_out());
@@ -229,6 +269,9 @@
 
     fn record_events(&mut self) {
         self.begin_response();
+        self.active_at = self.context.now();
+        let links = self.context.links();
+        links.record_traffic(&self.request.service, self.active_at);
         if let Some(run) = self.runs.first_mut() {
             run.record_events();
             self.last_event = run.last_event();
@@ -272,8 +315,11 @@
         if error.is_invalid_answer() {
             self.record_failure(&run);
         } else {
-            self.record_break(&run);
             self.record_end(&run).await;
+            // Behind lost links all runs break, which tells nothing about the engines.
+            if !self.context.links().is_lost(&self.request.service) {
+                self.record_break(&run);
+            }
         }
         drop(run);
         let is_resumed = self.has_other_run() || self.acquire_resume("broken-stream");
@@ -335,120 +381,10 @@
     /// Returns whether the route allows another run.
     pub(crate) fn may_run_again(&self) -> bool {
         let route = &self.request.route_match.route;
-        let is_allowed = route.repeat_class.is_repeatable() && self.run_count < route.attempts;
+        let is_allowed =
+            route.repeat_class.is_repeatable() && self.run_count < self.request.max_attempts();
         is_allowed && self.request_standing() == RequestStanding::Sound
     }
-
-    /// Sends the request to the first chain to which a connection can be made.
-    async fn start_run(&mut self) -> Result<StreamRun<Time, Dialect>, StreamEnd> {
-        let mut failed_connections = 0;
-        loop {
-            let time_left = self.time_left()?;
-            if !self.is_admitted() {
-                return Err(self.refuse(RefusalCause::Quarantined));
-            }
-            let Some(chain) = self.select_chain(None) else {
-                let cause = self.request.no_endpoint_cause(&self.context);
-                return Err(self.refuse(cause));
-            };
-            let hop = chain.hops[0].clone();
-            let choice = self.connection_choice();
-            let opened = open_connection(&self.context, &hop.id, hop.address, choice, time_left);
-            let error = match opened.await {
-                Ok(connection) => match self.send_request(connection, chain) {
-                    Ok(run) => return Ok(run),
-                    Err(error) => error,
-                },
-                Err(error) => error,
-            };
-            self.record_connect_failure(&hop.id, &error);
-            failed_connections += 1;
-            if failed_connections >= MAX_CONNECT_ATTEMPTS {
-                return Err(self.refuse(RefusalCause::NoEndpoint));
-            }
-        }
-    }
-
-    /// Returns the kind of connection for the next run.
-    pub(crate) fn connection_choice(&self) -> ConnectionChoice {
-        // A repeated run must not fail because an idle connection was closed without notice, and
-        // one that must not be repeated would be lost by it.
-        let is_repeatable = self.request.route_match.route.repeat_class.is_repeatable();
-        if is_repeatable && self.attempts == 0 {
-            ConnectionChoice::Idle
-        } else {
-            ConnectionChoice::New
-        }
-    }
-
-    /// Takes an engine to which no connection could be made out of use.
-    pub(crate) fn record_connect_failure(&mut self, engine: &EndpointId, error: &ConnectionError) {
-        tracing::info!(
-            request = %self.request.facts.request, %engine, %error, "connection failed"
-        );
-        let now = self.context.now();
-        self.context.fleet().borrow_mut().mark_failed(engine, now);
-        self.context.first_engines().record(engine, false, now);
-        self.excluded.push(EndpointId::clone(engine));
-    }
-
-    /// Starts a run on a chain over a connection to its first engine.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`ConnectionError`] if the request cannot be encoded; nothing was sent.
-    pub(crate) fn send_request(
-        &mut self,
-        connection: EndpointConnection,
-        chain: EngineChain,
-    ) -> Result<StreamRun<Time, Dialect>, ConnectionError> {
-        let facts = AttemptFacts {
-            endpoint: &chain.hops[0].id,
-            organisation: self.request.route_match.organisation.as_ref(),
-            time_left: self.request.time_left(self.context.now()),
-            last_event: self.last_event,
-            chain: Some(&chain),
-            urgency: self.request.route_match.urgency,
-        };
-        let outbound = build_attempt(&self.context, &self.request, &facts);
-        let reservation = self.context.tracker().reserve(&chain, self.demand.tokens());
-        let run = StreamRun::start(
-            &self.context,
-            connection,
-            chain,
-            reservation,
-            (&outbound, &self.request.facts.request),
-            self.last_event,
-        )?;
-        let now = self.context.now();
-        let rates = self.context.rates();
-        rates.borrow_mut().record_request(run.first_engine(), now);
-        self.attempts += 1;
-        self.run_count += 1;
-        self.holds_repeat = false;
-        self.request.progress.record_attempt(run.first_engine());
-        self.request.lifecycle.apply(LifecycleEvent::Offer);
-        Ok(run)
-    }
-}
-
-impl<Time, Dialect> StreamRelay<Time, Dialect>
-where
-    Time: Clock,
-{
-    pub(crate) fn select_chain(&self, current_chain: Option<&EngineChain>) -> Option<EngineChain> {
-        let constraints = ChainConstraints {
-            current_chain,
-            excluded: &self.excluded,
-        };
-        select_chain(
-            &self.context,
-            &self.request.service,
-            &self.profile,
-            self.demand,
-            constraints,
-        )
-    }
 }
 
 /// Waits for the next step of any run.
--- /dev/null
+++ b/crates/dandeliondeal_relay/src/stream_start.rs
@@ -0,0 +1,142 @@
+//! Starts runs of a stream: selects a chain, connects and sends the request.
+
+use dandeliondeal_http::{ConnectionError, EndpointConnection};
+use dandeliondeal_layout::EngineChain;
+use dandeliondeal_types::{Clock, EndpointId};
+
+use crate::chain_selection::{ChainConstraints, select_chain};
+use crate::dialect::{AttemptFacts, FleetDialect, RequestDialect};
+use crate::endpoint_exchange::{ConnectionChoice, build_attempt, open_connection};
+use crate::refusal::RefusalCause;
+use crate::relay_lifecycle::LifecycleEvent;
+use crate::stream_handover::LocalEnd;
+use crate::stream_relay::StreamRelay;
+use crate::stream_run::StreamRun;
+
+/// Maximum number of failed connections to first engines: none is an attempt, as nothing was sent.
+const MAX_CONNECT_ATTEMPTS: u32 = 4;
+
+impl<Time, Dialect> StreamRelay<Time, Dialect>
+where
+    Time: Clock,
+    Dialect: RequestDialect + FleetDialect,
+{
+    /// Sends the request to the first chain to which a connection can be made.
+    pub(crate) async fn start_run(&mut self) -> Result<StreamRun<Time, Dialect>, LocalEnd> {
+        let mut failed_connections = 0;
+        loop {
+            let time_left = self.time_left()?;
+            if !self.is_admitted() {
+                return Err(self.refuse(RefusalCause::Quarantined).into());
+            }
+            let Some(chain) = self.select_chain(None) else {
+                if self.must_hand_over().await {
+                    return Err(LocalEnd::LinksLost);
+                }
+                let cause = self.request.no_endpoint_cause(&self.context);
+                return Err(self.refuse(cause).into());
+            };
+            let hop = chain.hops[0].clone();
+            let choice = self.connection_choice();
+            let opened = open_connection(&self.context, &hop.id, hop.address, choice, time_left);
+            let error = match opened.await {
+                Ok(connection) => match self.send_request(connection, chain) {
+                    Ok(run) => return Ok(run),
+                    Err(error) => error,
+                },
+                Err(error) => error,
+            };
+            if self.must_hand_over().await {
+                return Err(LocalEnd::LinksLost);
+            }
+            self.record_connect_failure(&hop.id, &error);
+            failed_connections += 1;
+            if failed_connections >= MAX_CONNECT_ATTEMPTS {
+                return Err(self.refuse(RefusalCause::NoEndpoint).into());
+            }
+        }
+    }
+
+    /// Returns the kind of connection for the next run.
+    pub(crate) fn connection_choice(&self) -> ConnectionChoice {
+        // A repeated run must not fail because an idle connection was closed without notice, and
+        // one that must not be repeated would be lost by it.
+        let is_repeatable = self.request.route_match.route.repeat_class.is_repeatable();
+        if is_repeatable && self.attempts == 0 {
+            ConnectionChoice::Idle
+        } else {
+            ConnectionChoice::New
+        }
+    }
+
+    /// Takes an engine to which no connection could be made out of use.
+    pub(crate) fn record_connect_failure(&mut self, engine: &EndpointId, error: &ConnectionError) {
+        tracing::info!(
+            request = %self.request.facts.request, %engine, %error, "connection failed"
+        );
+        let now = self.context.now();
+        self.context.fleet().borrow_mut().mark_failed(engine, now);
+        self.context.first_engines().record(engine, false, now);
+        self.excluded.push(EndpointId::clone(engine));
+    }
+
+    /// Starts a run on a chain over a connection to its first engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectionError`] if the request cannot be encoded; nothing was sent.
+    pub(crate) fn send_request(
+        &mut self,
+        connection: EndpointConnection,
+        chain: EngineChain,
+    ) -> Result<StreamRun<Time, Dialect>, ConnectionError> {
+        let facts = AttemptFacts {
+            endpoint: &chain.hops[0].id,
+            organisation: self.request.route_match.organisation.as_ref(),
+            time_left: self.request.time_left(self.context.now()),
+            last_event: self.last_event,
+            chain: Some(&chain),
+            urgency: self.request.route_match.urgency,
+        };
+        let outbound = build_attempt(&self.context, &self.request, &facts);
+        let reservation = self.context.tracker().reserve(&chain, self.demand.tokens());
+        let run = StreamRun::start(
+            &self.context,
+            connection,
+            chain,
+            reservation,
+            (&outbound, &self.request.facts.request),
+            self.last_event,
+        )?;
+        let now = self.context.now();
+        let rates = self.context.rates();
+        rates.borrow_mut().record_request(run.first_engine(), now);
+        let links = self.context.links();
+        links.record_request(&self.request.service, run.first_engine());
+        self.attempts += 1;
+        self.run_count += 1;
+        self.holds_repeat = false;
+        self.request.progress.record_attempt(run.first_engine());
+        self.request.lifecycle.apply(LifecycleEvent::Offer);
+        Ok(run)
+    }
+}
+
+impl<Time, Dialect> StreamRelay<Time, Dialect>
+where
+    Time: Clock,
+{
+    pub(crate) fn select_chain(&self, current_chain: Option<&EngineChain>) -> Option<EngineChain> {
+        let constraints = ChainConstraints {
+            current_chain,
+            excluded: &self.excluded,
+        };
+        select_chain(
+            &self.context,
+            &self.request.service,
+            &self.profile,
+            self.demand,
+            constraints,
+        )
+    }
+}
