Hand requests over also when most endpoints of a service count as failed here

An instance that counts 0.7 of a service's endpoints as failed is isolated and hands over as well, with a pause of 0.5 s if no instance took a request. An instance whose engines have no room is no longer left out for 2 s.

--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -381,6 +381,14 @@
         is_failed(self.engines.state(endpoint)) || is_failed(self.plain.state(endpoint))
     }
 
+    /// Returns the number of endpoints of a service that this instance counts as failed, and of all.
+    pub fn failed_count(&self, service: &str) -> (usize, usize) {
+        let members = self.engines_of(service);
+        members.fold((0, 0), |(failed, total), record| {
+            (failed + usize::from(self.is_failed(&record.id)), total + 1)
+        })
+    }
+
     /// Forgets what was observed of the endpoints of a service, and returns them.
     pub fn reset_health(&mut self, service: &str, now: Instant) -> Vec<EndpointId> {
         let mut reset = self.engines.reset_group(service, now);
--- a/crates/dandeliondeal_relay/src/handover.rs
+++ b/crates/dandeliondeal_relay/src/handover.rs
@@ -139,7 +139,7 @@
     for _ in 0..MAX_PEERS {
         let now = context.now();
         let Some(peer) = find_peer(context, &request.service) else {
-            return Err(RefusalCause::NoEndpoint);
+            break;
         };
         let limit = CONNECT_TIMEOUT.min(request.time_left(now));
         let connection = match EndpointConnection::connect(peer.address, limit, now).await {
@@ -189,6 +189,7 @@
             }
         }
     }
+    context.links().back_off(&request.service, context.now());
     Err(RefusalCause::NoEndpoint)
 }
 
--- a/crates/dandeliondeal_relay/src/handover_entrance.rs
+++ b/crates/dandeliondeal_relay/src/handover_entrance.rs
@@ -72,9 +72,11 @@
         let mut response = handle_request(self.context.clone(), request, origin).await;
         let cause = response.extensions().get::<RefusalCause>().copied();
         match cause {
-            Some(RefusalCause::NoEndpoint | RefusalCause::NoConfig) => {
+            // Endpoints without room are no reason to ask yet another instance.
+            Some(RefusalCause::NoEndpoint) if self.context.links().has_lost() => {
                 refuse(HandoverRefusal::NotTaken)
             }
+            Some(RefusalCause::NoConfig) => refuse(HandoverRefusal::NotTaken),
             Some(cause) => {
                 HandoverRefusal::Ended(cause).write(response.headers_mut());
                 response
--- a/crates/dandeliondeal_relay/src/link_monitor.rs
+++ b/crates/dandeliondeal_relay/src/link_monitor.rs
@@ -26,6 +26,13 @@
 const FIRST_PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 /// Maximum number of endpoints that a probe tries.
 const PROBE_TARGETS: usize = 3;
+/// Share of a service's endpoints that this instance counts as failed from which it is isolated: the
+/// few that it reaches seldom make a chain, and other instances may reach all.
+const ISOLATION_SHARE: f64 = 0.7;
+/// Minimum number of endpoints of a service that can be isolated from.
+const MIN_ISOLATION_ENDPOINTS: usize = 3;
+/// Time for which no request is handed over after no instance took one.
+const HANDOVER_BACKOFF: Duration = Duration::from_millis(500);
 /// Time for which an instance that did not take a request is not asked again.
 const PEER_EXCLUSION_TIME: Duration = Duration::from_secs(2);
 
@@ -39,6 +46,10 @@
     open_requests: usize,
     /// Time of the last bytes from an endpoint, or since which requests are open.
     last_traffic: Option<Instant>,
+    /// Whether most endpoints count as failed, as of the last look.
+    is_isolated: bool,
+    /// Time until which no request is handed over.
+    backoff_until: Option<Instant>,
     /// Endpoint that was sent the latest request.
     last_endpoint: Option<EndpointId>,
     /// Probe that is under way.
@@ -69,16 +80,25 @@
     }
 }
 
+impl ServiceLinks {
+    fn is_lost(&self) -> bool {
+        self.state.is_lost() || self.is_isolated
+    }
+}
+
 impl LinkMonitor {
-    /// Returns whether no endpoint of a service can be reached.
+    /// Returns whether no endpoint of a service can be reached, or too few.
     pub fn is_lost(&self, service: &str) -> bool {
-        if self.lost_count.get() == 0 {
+        if !self.has_lost() {
             return false;
         }
         let services = self.services.borrow();
-        services
-            .get(service)
-            .is_some_and(|links| links.state.is_lost())
+        services.get(service).is_some_and(ServiceLinks::is_lost)
+    }
+
+    /// Returns whether the links to any service are lost.
+    pub fn has_lost(&self) -> bool {
+        self.lost_count.get() > 0
     }
 
     /// Waits until the links to a service are lost.
@@ -96,7 +116,7 @@
             return LostLinks::new();
         }
         let services = self.services.borrow();
-        let lost = services.iter().filter(|(_, links)| links.state.is_lost());
+        let lost = services.iter().filter(|(_, links)| links.is_lost());
         lost.map(|(service, _)| {
             let instances = BTreeSet::from([InstanceId::clone(own)]);
             (ServiceId::clone(service), instances)
@@ -123,6 +143,23 @@
         }
     }
 
+    /// Does not hand over requests for a service for a while, as no instance took one.
+    ///
+    /// Lost links are no reason to wait: which instances have theirs is known within moments.
+    pub fn back_off(&self, service: &str, now: Instant) {
+        let mut services = self.services.borrow_mut();
+        let links = services.get_mut(service);
+        if let Some(links) = links.filter(|links| !links.state.is_lost()) {
+            links.backoff_until = Some(now + HANDOVER_BACKOFF);
+        }
+    }
+
+    fn is_backing_off(&self, service: &str, now: Instant) -> bool {
+        let services = self.services.borrow();
+        let until = services.get(service).and_then(|links| links.backoff_until);
+        until.is_some_and(|until| now < until)
+    }
+
     /// Does not hand requests over to an instance for a while.
     pub fn exclude_peer(&self, peer: &InstanceId, now: Instant) {
         let mut unresponsive = self.unresponsive.borrow_mut();
@@ -210,7 +247,10 @@
 where
     Time: Clock,
 {
-    context.links().is_lost(service) && find_peer(context, service).is_some()
+    let links = context.links();
+    links.is_lost(service)
+        && !links.is_backing_off(service, context.now())
+        && find_peer(context, service).is_some()
 }
 
 /// Returns whether a request has to be handed over after it found no endpoint; probes the links if
@@ -274,6 +314,36 @@
         for service in services {
             start_probe(&context, service);
         }
+        update_isolation(&context);
+    }
+}
+
+/// Decides anew from which services this instance is isolated.
+fn update_isolation<Time, Dialect>(context: &RelayContext<Time, Dialect>)
+where
+    Time: Clock,
+{
+    let links = context.links();
+    let services: Vec<ServiceId> = links.services.borrow().keys().cloned().collect();
+    for service in services {
+        let (failed, total) = context.fleet().borrow().failed_count(&service);
+        let is_isolated =
+            total >= MIN_ISOLATION_ENDPOINTS && failed as f64 >= total as f64 * ISOLATION_SHARE;
+        let was_isolated = links.with_links(&service, |links| {
+            std::mem::replace(&mut links.is_isolated, is_isolated)
+        });
+        if was_isolated == is_isolated {
+            continue;
+        }
+        let count = links.lost_count.get();
+        links.lost_count.set(if is_isolated {
+            count + 1
+        } else {
+            count.saturating_sub(1)
+        });
+        tracing::info!(%service, failed, total, is_isolated, "isolation from endpoints changed");
+        links.changes.send_modify(|count| *count += 1);
+        context.request_report();
     }
 }
 
