--- a/crates/dandeliondeal_quarantine/src/crash_table.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_table.rs
@@ -16,7 +16,7 @@
 pub enum RequestStanding {
     /// Nothing is known against it.
     Sound,
-    /// A process ended under a part of it that was never answered: it must not run twice.
+    /// A process ended under a feature of it that was never answered: it must not run twice.
     Suspect,
     /// It is refused.
     Quarantined,
@@ -40,14 +40,14 @@
 pub enum QuarantineChange {
     /// Requests are refused from now on, or other ones than before.
     Added(FeatureVerdict),
-    /// Requests with this part are served again.
+    /// Requests with this feature are served again.
     Lifted(FeatureKey),
 }
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FeatureEntry {
     pub(crate) ends: Vec<ProcessEnd>,
-    /// Latest answer under the part that is known, of any instance.
+    /// Latest answer under the feature that is known, of any instance.
     pub(crate) answered: Option<Instant>,
     other_answers: u32,
 }
@@ -81,23 +81,23 @@
 
 /// Crashes, answers and verdicts that one instance knows of.
 ///
-/// Its size is bounded by [`CrashSettings`], whatever ids callers send: only a part of a request
+/// Its size is bounded by [`CrashSettings`], whatever ids callers send: only a feature of a request
 /// under which a process ended, or that was answered, takes space.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
     pub(crate) settings: CrashSettings,
-    /// Answers by part of a prompt.
+    /// Answers by feature of a prompt.
     answers: AnswerMemory,
     /// Answers by fingerprint, apart, as most requests have one of their own.
     answered_requests: AnswerMemory,
     pub(crate) processes: ProcessMemory,
     pub(crate) entries: HashMap<FeatureKey, FeatureEntry>,
     pub(crate) verdicts: HashMap<FeatureKey, FeatureVerdict>,
-    /// Parts whose next request is admitted to find out whether they still crash engines.
+    /// Features whose next request is admitted to find out whether they still crash engines.
     trials: HashSet<FeatureKey>,
-    /// Parts that were served again, with the time until which older verdicts are void.
+    /// Features that were served again, with the time until which older verdicts are void.
     pub(crate) lifted: HashMap<FeatureKey, Instant>,
-    /// Parts with ends or a verdict in the latest report of the fleet.
+    /// Features with ends or a verdict in the latest report of the fleet.
     pub(crate) reported: HashSet<FeatureKey>,
     pub(crate) changes: Vec<QuarantineChange>,
 }
@@ -204,12 +204,12 @@
     }
 
     /// Records that a request with these features was answered.
-    pub fn record_answer(&mut self, service: &ServiceId, parts: &[FeatureId], now: Instant) {
+    pub fn record_answer(&mut self, service: &ServiceId, features: &[FeatureId], now: Instant) {
         self.answers.record_answer(service);
         self.answered_requests.record_answer(service);
-        for part in parts {
-            let key = FeatureKey::new(service, part);
-            self.memory_of_mut(part).record_part(key, now);
+        for feature in features {
+            let key = FeatureKey::new(service, feature);
+            self.memory_of_mut(feature).record_part(key, now);
         }
         if self.entries.is_empty() && self.verdicts.is_empty() {
             return;
@@ -218,7 +218,7 @@
             if key.service != *service {
                 continue;
             }
-            if parts.contains(&key.feature) {
+            if features.contains(&key.feature) {
                 entry.answered = Some(now);
                 entry.other_answers = 0;
             } else {
@@ -229,12 +229,12 @@
     }
 
     /// Returns how a prompt is treated.
-    pub fn standing(&self, service: &ServiceId, parts: &[FeatureId]) -> RequestStanding {
-        if self.find_verdict(service, parts).is_some() {
+    pub fn standing(&self, service: &ServiceId, features: &[FeatureId]) -> RequestStanding {
+        if self.find_verdict(service, features).is_some() {
             return RequestStanding::Quarantined;
         }
-        let is_suspect = |part: &FeatureId| {
-            let entry = self.entries.get(&FeatureKey::new(service, part));
+        let is_suspect = |feature: &FeatureId| {
+            let entry = self.entries.get(&FeatureKey::new(service, feature));
             entry.is_some_and(|entry| {
                 entry.answered.is_none()
                     && entry
@@ -243,7 +243,7 @@
                         .any(|end| end.has_begun && end.is_confirmed)
             })
         };
-        if !self.entries.is_empty() && parts.iter().any(is_suspect) {
+        if !self.entries.is_empty() && features.iter().any(is_suspect) {
             RequestStanding::Suspect
         } else {
             RequestStanding::Sound
@@ -252,21 +252,21 @@
 
     /// Admits a request whose prompt is refused as a trial, if one was opened; returns whether it
     /// did.
-    pub fn take_trial(&mut self, service: &ServiceId, parts: &[FeatureId]) -> bool {
+    pub fn take_trial(&mut self, service: &ServiceId, features: &[FeatureId]) -> bool {
         let key = self
-            .find_verdict(service, parts)
+            .find_verdict(service, features)
             .map(|verdict| verdict.key.clone());
         key.is_some_and(|key| self.trials.remove(&key))
     }
 
-    /// Opens a trial: the next request with this part is admitted.
+    /// Opens a trial: the next request with this feature is admitted.
     pub fn open_trial(&mut self, key: &FeatureKey) {
         if self.verdicts.contains_key(key) {
             self.trials.insert(key.clone());
         }
     }
 
-    /// Adds a verdict that was stored; returns `false` if it is void because its part was served
+    /// Adds a verdict that was stored; returns `false` if it is void because its feature was served
     /// again since.
     pub fn add_verdict(&mut self, verdict: FeatureVerdict) -> bool {
         let is_void = self.lifted.contains_key(&verdict.key);
@@ -284,7 +284,7 @@
         }
     }
 
-    /// Serves requests with this part again.
+    /// Serves requests with this feature again.
     pub fn lift(&mut self, key: &FeatureKey, now: Instant) {
         if self.verdicts.remove(key).is_none() {
             return;
@@ -302,7 +302,7 @@
         self.changes.push(QuarantineChange::Lifted(key.clone()));
     }
 
-    /// Returns the verdicts, in order of their parts.
+    /// Returns the verdicts, in order of their features.
     pub fn verdicts(&self) -> Vec<FeatureVerdict> {
         let mut verdicts: Vec<FeatureVerdict> = self.verdicts.values().cloned().collect();
         verdicts.sort_by(|one, other| one.key.cmp(&other.key));
@@ -314,12 +314,12 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Returns the number of parts with ends, for logs.
+    /// Returns the number of features with ends, for logs.
     pub fn len(&self) -> usize {
         self.entries.len()
     }
 
-    /// Returns whether no part with ends is known.
+    /// Returns whether no feature with ends is known.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
@@ -344,13 +344,15 @@
         self.verdicts.len() < self.settings.max_verdicts
     }
 
-    fn find_verdict(&self, service: &ServiceId, parts: &[FeatureId]) -> Option<&FeatureVerdict> {
+    fn find_verdict(&self, service: &ServiceId, features: &[FeatureId]) -> Option<&FeatureVerdict> {
         if self.verdicts.is_empty() {
             return None;
         }
-        let keys = parts.iter().map(|part| FeatureKey::new(service, part));
+        let keys = features
+            .iter()
+            .map(|feature| FeatureKey::new(service, feature));
         let mut verdicts = keys.filter_map(|key| self.verdicts.get(&key));
-        verdicts.find(|verdict| verdict.matches(parts))
+        verdicts.find(|verdict| verdict.matches(features))
     }
 
     pub(crate) fn add_end(&mut self, key: FeatureKey, end: ProcessEnd, now: Instant) {
@@ -431,7 +433,7 @@
                     let count = verdict.companions.len();
                     verdict
                         .companions
-                        .retain(|part| found.companions.contains(part));
+                        .retain(|feature| found.companions.contains(feature));
                     verdict.last_end = verdict.last_end.max(found.last_end);
                     verdict.processes.clone_from(&found.processes);
                     if verdict.companions.len() < count {
@@ -453,7 +455,7 @@
         }
     }
 
-    /// Lifts verdicts whose part was answered after the last end, and removes companions that were.
+    /// Lifts verdicts whose feature was answered after the last end, and removes companions that were.
     fn lift_answered(&mut self, now: Instant) {
         let entries = &self.entries;
         let (answers, answered_requests) = (&self.answers, &self.answered_requests);
@@ -472,7 +474,7 @@
             }
             let service = &key.service;
             let count = verdict.companions.len();
-            let is_open = |part: &FeatureId| !is_sound(&FeatureKey::new(service, part));
+            let is_open = |feature: &FeatureId| !is_sound(&FeatureKey::new(service, feature));
             verdict.companions.retain(is_open);
             if verdict.companions.len() < count {
                 let change = QuarantineChange::Added(verdict.clone());
