--- a/crates/dandeliondeal_relay/src/handover.rs
+++ b/crates/dandeliondeal_relay/src/handover.rs
@@ -35,7 +35,7 @@
 
 /// Reply of another instance to a request.
 enum PeerReply {
-    Answer(OpenHandover),
+    Answer(Box<OpenHandover>),
     NotTaken,
     Ended(RefusalCause),
     /// The connection broke after the request may have been read.
@@ -161,7 +161,7 @@
             PeerReply::Answer(open) => {
                 log_handover(request, &peer, "answer");
                 count(context, "answer");
-                return Ok(open);
+                return Ok(*open);
             }
             PeerReply::NotTaken => {
                 log_handover(request, &peer, "not-taken");
@@ -244,7 +244,7 @@
         let problem = "response of another instance lacks the endpoint's signature";
         return PeerReply::Lost(ConnectionError::after_write(problem));
     }
-    PeerReply::Answer(OpenHandover { connection, head })
+    PeerReply::Answer(Box::new(OpenHandover { connection, head }))
 }
 
 fn log_handover(request: &RelayRequest, peer: &HandoverPeer, result: &str) {
--- a/crates/dandeliondeal_relay/tests/link_state.rs
+++ b/crates/dandeliondeal_relay/tests/link_state.rs
@@ -41,10 +41,7 @@
     }
     assert_eq!(state.record_result(3, 2, step(&mut now, 250)), None);
     let change = state.record_result(3, 2, step(&mut now, 250));
-    assert_eq!(
-        change,
-        Some(LinkChange::Restored(Duration::from_millis(3_000)))
-    );
+    assert_eq!(change, Some(LinkChange::Restored(Duration::from_secs(3))));
     assert!(!state.is_lost());
 }
 
