--- a/crates/dandeliondeal_quarantine/src/crash_table.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_table.rs
@@ -1,4 +1,4 @@
-//! What one instance knows of the crashes under prompts, and which prompts it refuses.
+//! What one instance knows of the crashes under requests, and which requests it refuses.
 
 use std::collections::{HashMap, HashSet};
 use std::time::Instant;
@@ -11,7 +11,7 @@
 use crate::process_memory::ProcessMemory;
 use crate::request_fingerprint::is_fingerprint;
 
-/// How a prompt is treated.
+/// How a request is treated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RequestStanding {
     /// Nothing is known against it.
@@ -86,14 +86,14 @@
 #[derive(Clone, Debug)]
 pub struct CrashTable {
     pub(crate) settings: CrashSettings,
-    /// Answers by feature of a prompt.
+    /// Answers by part of a prompt.
     answers: AnswerMemory,
     /// Answers by fingerprint, apart, as most requests have one of their own.
     answered_requests: AnswerMemory,
     pub(crate) processes: ProcessMemory,
     pub(crate) entries: HashMap<FeatureKey, FeatureEntry>,
     pub(crate) verdicts: HashMap<FeatureKey, FeatureVerdict>,
-    /// Features whose next request is admitted to find out whether they still crash engines.
+    /// Features whose next request is admitted to find out whether they still crash endpoints.
     trials: HashSet<FeatureKey>,
     /// Features that were served again, with the time until which older verdicts are void.
     pub(crate) lifted: HashMap<FeatureKey, Instant>,
@@ -228,7 +228,7 @@
         self.update(now);
     }
 
-    /// Returns how a prompt is treated.
+    /// Returns how a request is treated.
     pub fn standing(&self, service: &ServiceId, features: &[FeatureId]) -> RequestStanding {
         if self.find_verdict(service, features).is_some() {
             return RequestStanding::Quarantined;
@@ -250,7 +250,7 @@
         }
     }
 
-    /// Admits a request whose prompt is refused as a trial, if one was opened; returns whether it
+    /// Admits a request that is refused as a trial, if one was opened; returns whether it
     /// did.
     pub fn take_trial(&mut self, service: &ServiceId, features: &[FeatureId]) -> bool {
         let key = self
--- a/crates/dandeliondeal_relay/src/link_monitor.rs
+++ b/crates/dandeliondeal_relay/src/link_monitor.rs
@@ -460,7 +460,7 @@
     let links = context.links();
     links.lost_count.set(links.lost_count.get() + 1);
     context.metrics().lost_services.inc();
-    // Idle connections may be as dead as the links.
+    // Idle connections use the same links.
     context.pool().borrow_mut().clear();
     tracing::warn!(%service, tried, "links to endpoints lost");
     links.changes.send_modify(|count| *count += 1);
