A caller's header is not taken for the last event of a handed-over request

Callers could send the header by which an instance says which event the caller has; it was only replaced when there was one, so that the other instance began the stream after an event of the caller's choosing. The header is removed before the others are written. Test planted_event failed before.

--- a/crates/dandeliondeal_relay/src/handover_wire.rs
+++ b/crates/dandeliondeal_relay/src/handover_wire.rs
@@ -38,6 +38,8 @@
     /// Adds the headers to a request.
     pub fn write(&self, secret: &str, headers: &mut HeaderMap) {
         let time_left = u64::try_from(self.time_left.as_millis()).unwrap_or(u64::MAX);
+        // The caller may have sent a header of this name.
+        headers.remove(LAST_EVENT);
         insert(headers, SECRET, secret);
         insert(headers, CONFIG_VERSION, &self.config_version.to_string());
         insert(headers, TIME_LEFT_MS, &time_left.to_string());
--- a/crates/dandeliondeal_relay/tests/handover_wire.rs
+++ b/crates/dandeliondeal_relay/tests/handover_wire.rs
@@ -69,3 +69,19 @@
     let unknown = HandoverRefusal::Ended(RefusalCause::LostAnswer);
     assert_eq!(HandoverRefusal::read(&headers), Some(unknown));
 }
+
+/// Guards against a caller whose own header is taken for one of the instance that hands over.
+#[test]
+fn planted_event() {
+    let mut headers = HeaderMap::new();
+    headers.insert(
+        HeaderName::from_static("dandeliondeal-handover-last-event"),
+        HeaderValue::from_static("99"),
+    );
+    let facts = HandoverFacts {
+        last_event: None,
+        ..FACTS
+    };
+    facts.write("secret", &mut headers);
+    assert_eq!(HandoverFacts::take("secret", &mut headers), Some(facts));
+}
