--- a/crates/dandeliondeal_config/src/router_settings.rs
+++ b/crates/dandeliondeal_config/src/router_settings.rs
@@ -33,6 +33,8 @@
     pub allowances: AllowanceSettings,
     /// Resources that the machine provides.
     pub machine: MachineSettings,
+    /// Admission of requests by urgency.
+    pub grading: GradingSettings,
 }
 
 /// Listen addresses of a router.
@@ -130,6 +132,25 @@
     }
 }
 
+/// Admission of requests by urgency.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct GradingSettings {
+    /// Which services are graded.
+    pub mode: GradingMode,
+}
+
+/// Which services are graded, so that requests to them are admitted by urgency.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum GradingMode {
+    /// The configuration in force decides.
+    #[default]
+    Auto,
+    /// All services.
+    On,
+    /// No service.
+    Off,
+}
+
 impl SettingsTable for RouterSettings {
     const FIELDS: &'static [SettingField<Self>] = &[
         setting_field!(
@@ -214,5 +235,10 @@
             1_048_576,
             "Maximum number of open file descriptors of the process."
         ),
+        setting_field!(
+            grading.mode,
+            "Which services admit requests by urgency: auto (where the configuration has requests \
+             that differ in urgency or objective), on (all) or off (none)."
+        ),
     ];
 }
--- a/crates/dandeliondeal_config/src/setting_value.rs
+++ b/crates/dandeliondeal_config/src/setting_value.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::SecretText;
+use crate::{GradingMode, SecretText};
 
 /// Type of the value of a setting.
 pub(crate) trait SettingValue: Clone + PartialEq {
@@ -70,6 +70,28 @@
     }
 }
 
+impl SettingValue for GradingMode {
+    const EXPECTED: &'static str = "auto, on or off";
+
+    fn parse_setting(text: &str) -> Option<Self> {
+        match text {
+            "auto" => Some(Self::Auto),
+            "on" => Some(Self::On),
+            "off" => Some(Self::Off),
+            _ => None,
+        }
+    }
+
+    fn format_setting(&self) -> String {
+        match self {
+            Self::Auto => "auto",
+            Self::On => "on",
+            Self::Off => "off",
+        }
+        .to_owned()
+    }
+}
+
 impl SettingValue for SecretText {
     const EXPECTED: &'static str = "printable text without spaces, 16 to 256 bytes long";
 
--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -34,12 +34,12 @@
     /// Endpoints whose registration is missing since a store outage, with the time until which they
     /// are kept.
     lapsing: HashMap<EndpointId, Instant>,
-    plain: EndpointMonitor,
+    pub(crate) plain: EndpointMonitor,
     engines: EndpointMonitor,
     slowness: HashMap<EndpointId, (f64, Instant)>,
     engine_services: HashSet<ServiceId>,
     /// Engines excluded from new chains, with the end of the exclusion.
-    excluded: HashMap<EndpointId, Instant>,
+    pub(crate) excluded: HashMap<EndpointId, Instant>,
     /// Registrations of processes in whose place another one has started since
     /// [`Self::take_superseded`].
     superseded: Vec<EndpointRecord>,
--- a/crates/dandeliondeal_relay/src/load_exchange.rs
+++ b/crates/dandeliondeal_relay/src/load_exchange.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use dandeliondeal_limit::RateReport;
+use dandeliondeal_limit::{DemandReport, RateReport};
 use dandeliondeal_peer::{PeerClient, PeerError, PeerHandler};
 use dandeliondeal_quarantine::CrashReport;
 use dandeliondeal_types::{Clock, EndpointId, FailureDomain, InstanceId, ServiceId};
@@ -28,6 +28,7 @@
 use crate::link_monitor::LostLinks;
 use crate::load_tracker::EngineLoad;
 use crate::relay_context::RelayContext;
+use crate::request_admission::{apply_news, publish_shares};
 use crate::shared_store::{CHANGES_METHOD, FeedTable};
 
 /// Method that reports an instance's load to its hub.
@@ -68,6 +69,12 @@
     /// Instances that cannot reach the endpoints of a service.
     #[serde(default, skip_serializing_if = "LostLinks::is_empty")]
     pub lost_links: LostLinks,
+    /// Demand for graded services.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub demand: BTreeMap<ServiceId, DemandReport>,
+    /// Number of open requests to graded plain services.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub open_calls: BTreeMap<ServiceId, f64>,
 }
 
 impl LoadSummary {
@@ -94,6 +101,16 @@
             let total = self.lost_links.entry(ServiceId::clone(service));
             total.or_default().extend(instances.iter().cloned());
         }
+        for (service, demand) in &other.demand {
+            let total = self.demand.entry(ServiceId::clone(service));
+            total.or_default().add(demand);
+        }
+        for (service, open_calls) in &other.open_calls {
+            *self
+                .open_calls
+                .entry(ServiceId::clone(service))
+                .or_default() += open_calls;
+        }
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         for (endpoint, claim) in &other.rates {
             let mut claim = *claim;
@@ -230,6 +247,7 @@
         local.crashes = self.context.crashes().borrow().report(sent_at);
         local.rates = self.context.rates().borrow().report(sent_at);
         local.lost_links = self.context.links().report(&settings.id);
+        self.context.admission().write_report(&mut local, sent_at);
         let id = InstanceId::clone(&settings.id);
         let fleet = if hub.id == id {
             self.hub_state
@@ -255,6 +273,7 @@
             self.context
                 .tracker()
                 .set_fleet_load(&fleet, &local, sent_at);
+            apply_news(&self.context, &fleet, &local);
             let health = self.context.first_engines();
             health.set_fleet(&fleet.offers, &local.offers, sent_at);
             if fleet.has_lease {
@@ -262,6 +281,7 @@
             }
             self.check_suspects(&fleet);
         }
+        publish_shares(&self.context);
         log_changes(&self.context);
     }
 
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -15,12 +15,14 @@
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::handover::{build_response, hand_over_plain};
 use crate::link_monitor::{LinkUse, check_handover, needs_handover, wait_for_lost_links};
+use crate::plain_admission::admit_call;
 use crate::plain_attempt::{AttemptResult, connect_endpoint, run_attempt, select_endpoint};
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
 use crate::relay_lifecycle::{LifecycleEvent, RelayLifecycle};
 use crate::relay_outcome::RelayOutcome;
+use crate::request_admission::RunningRequest;
 use crate::request_intake::RelayRequest;
 
 /// Maximum number of endpoints that are tried when no connection can be made; nothing is sent to
@@ -50,12 +52,20 @@
     Time: Clock,
     Dialect: RequestDialect + FleetDialect,
 {
+    if let Some(outcome) = admit_call(context, request).await {
+        return outcome;
+    }
+    let mut running = RunningRequest::start(context, &request.service, true);
     let link_use = LinkUse::start(context, &request.service);
     let mut race = AttemptRace::new(context, request);
     let end = race.run().await;
     drop(link_use);
     let (lifecycle, last_failure) = (race.lifecycle, race.last_failure);
     let sent_attempts = race.sent_attempts;
+    if let Some(running) = &mut running {
+        running.has_run = sent_attempts > 0;
+    }
+    drop(running);
     request.lifecycle = lifecycle;
     match end {
         RaceEnd::LinksLost => {
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -29,6 +29,7 @@
 use crate::relay_error::RelayError;
 use crate::relay_lifecycle::{LifecycleTable, lifecycle_table};
 use crate::relay_metrics::RelayMetrics;
+use crate::request_admission::RequestAdmission;
 
 /// Share of the slack that running instances use.
 ///
@@ -83,6 +84,7 @@
     stop_phase: watch::Sender<StopPhase>,
     holds_lease: Cell<bool>,
     lease_holder_seen: Cell<Option<Instant>>,
+    admission: RequestAdmission,
 }
 
 impl<Time, Dialect> Clone for RelayContext<Time, Dialect> {
@@ -137,6 +139,7 @@
             stop_phase: watch::Sender::new(StopPhase::Running),
             holds_lease: Cell::new(false),
             lease_holder_seen: Cell::new(None),
+            admission: RequestAdmission::default(),
         };
         Ok(Self {
             shared: Rc::new(shared),
@@ -175,6 +178,8 @@
             return false;
         }
         self.fleet().borrow_mut().set_services(&table, self.now());
+        let mode = self.settings().grading.mode;
+        self.admission().set_services(&table, mode, self.now());
         let version = i64::try_from(table.version()).unwrap_or(i64::MAX);
         self.shared.metrics.config_version.set(version);
         self.shared.table.replace(Some(Arc::new(table)));
@@ -186,6 +191,11 @@
         &self.shared.fleet
     }
 
+    /// Returns the admission to graded services.
+    pub fn admission(&self) -> &RequestAdmission {
+        &self.shared.admission
+    }
+
     /// Returns the pool of idle connections.
     pub fn pool(&self) -> &RefCell<ConnectionPool<Time>> {
         &self.shared.pool
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -27,6 +27,7 @@
 use crate::relay_lifecycle::LifecycleEvent;
 use crate::request_intake::RelayRequest;
 use crate::run_source::SourceStep;
+use crate::stream_admission::StreamAdmission;
 use crate::stream_handover::LocalEnd;
 use crate::stream_replacement::PendingConnection;
 use crate::stream_run::{RunStep, StreamRun};
@@ -83,6 +84,7 @@
     /// Id of the last event that was passed on.
     pub(crate) last_event: Option<u64>,
     pub(crate) standing: StreamStanding,
+    pub(crate) admission: StreamAdmission<Time, Dialect>,
 }
 
 impl<Time, Dialect> StreamRelay<Time, Dialect>
@@ -116,6 +118,7 @@
             holds_repeat: false,
             last_event,
             standing: StreamStanding::default(),
+            admission: StreamAdmission::default(),
         }
     }
 
--- a/crates/dandeliondeal_relay/src/stream_start.rs
+++ b/crates/dandeliondeal_relay/src/stream_start.rs
@@ -26,6 +26,7 @@
         let mut failed_connections = 0;
         loop {
             let time_left = self.time_left()?;
+            self.ask_admission(time_left).await?;
             if !self.is_admitted() {
                 return Err(self.refuse(RefusalCause::Quarantined).into());
             }
@@ -34,6 +35,9 @@
                     return Err(LocalEnd::LinksLost);
                 }
                 let cause = self.request.no_endpoint_cause(&self.context);
+                if cause == RefusalCause::NoEndpoint && self.wait_for_room(time_left).await? {
+                    continue;
+                }
                 return Err(self.refuse(cause).into());
             };
             let hop = chain.hops[0].clone();
@@ -113,6 +117,7 @@
         rates.borrow_mut().record_request(run.first_engine(), now);
         let links = self.context.links();
         links.record_request(&self.request.service, run.first_engine());
+        self.record_running();
         self.attempts += 1;
         self.run_count += 1;
         self.holds_repeat = false;
--- a/crates/dandeliondeal_route/src/route_table.rs
+++ b/crates/dandeliondeal_route/src/route_table.rs
@@ -99,6 +99,17 @@
         self.services.values()
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<RouteRule>> {
+        self.routes.values().flatten()
+    }
+
+    /// Returns whether an organisation with an API key states its own urgency.
+    pub fn has_own_urgencies(&self) -> bool {
+        let mut owners = self.key_owners.values();
+        owners.any(|(_, urgency)| urgency.is_some())
+    }
+
     /// Finds the route and the organisation of a request.
     ///
     /// # Errors
