Interface of graded admission

Cause: the wiring of graded admission needs the types before the decisions exist. Change: AdmissionGate with its settings, requests, actions, news and state.

--- a/crates/dandeliondeal_limit/src/lib.rs
+++ b/crates/dandeliondeal_limit/src/lib.rs
@@ -1,14 +1,19 @@
 //! Fleet-wide organisation limits, admission queues and load shedding.
 //!
 //! This crate makes decisions and performs no I/O. [`AdmissionQueue`] shares the capacity of one
-//! instance among organisations. [`GrantOwner`] and [`GrantHolder`] share an organisation's limit
-//! among instances. [`EndpointRates`] shares limits that endpoints state. [`LocalLimit`] applies an
-//! instance's share of the limit to single requests.
+//! instance among organisations. [`AdmissionGate`] shares the room of a graded service by urgency.
+//! [`GrantOwner`] and [`GrantHolder`] share an organisation's limit among instances.
+//! [`EndpointRates`] shares limits that endpoints state. [`LocalLimit`] applies an instance's share
+//! of the limit to single requests.
 
+pub mod admission_gate;
 pub mod admission_queue;
+pub mod admission_rank;
 pub mod cost_estimate;
+pub mod demand_report;
 pub mod drain_rate;
 pub mod endpoint_rates;
+pub mod gate_state;
 pub mod grant_holder;
 pub mod grant_message;
 pub mod grant_owner;
@@ -16,19 +21,28 @@
 pub mod local_limit;
 mod organisation_queue;
 pub mod rate_bucket;
+pub mod service_room;
 pub mod water_fill;
 
+#[doc(inline)]
+pub use admission_gate::{AdmissionGate, GateAction, GateRequest, GateSettings};
 #[doc(inline)]
 pub use admission_queue::{
     AdmissionAction, AdmissionQueue, AdmissionSettings, QueuedRequest, RefusalReason,
 };
 #[doc(inline)]
+pub use admission_rank::AdmissionRank;
+#[doc(inline)]
 pub use cost_estimate::CostEstimate;
 #[doc(inline)]
+pub use demand_report::{DemandReport, RankDemand};
+#[doc(inline)]
 pub use endpoint_rates::{
     EndpointRates, RateClaim, RateReport, RateSettings, SenderShare, sender_count,
 };
 #[doc(inline)]
+pub use gate_state::GateState;
+#[doc(inline)]
 pub use grant_holder::GrantHolder;
 #[doc(inline)]
 pub use grant_message::{GrantAnswer, GrantRequest, HeldGrant};
@@ -40,3 +54,5 @@
 pub use local_limit::LocalLimit;
 #[doc(inline)]
 pub use rate_bucket::RateBucket;
+#[doc(inline)]
+pub use service_room::ServiceRoom;
