--- a/crates/dandeliondeal_relay/src/request_admission.rs
+++ b/crates/dandeliondeal_relay/src/request_admission.rs
@@ -350,7 +350,9 @@
         }
         let now = context.now();
         context.admission().with_gate(&service, |entry| {
-            let actions = entry.gate.tick(|| context.with_rng(Rng::random::<f64>), now);
+            let actions = entry
+                .gate
+                .tick(|| context.with_rng(Rng::random::<f64>), now);
             entry.dispatch(&actions);
         });
     }
--- a/crates/dandeliondeal_relay/src/service_gate.rs
+++ b/crates/dandeliondeal_relay/src/service_gate.rs
@@ -80,7 +80,7 @@
             };
             if let Some(sender) = self.waiting.remove(ticket) {
                 // A request that has left meanwhile needs no decision.
-                drop(sender.send(*action));
+                let _ = sender.send(*action);
             }
         }
         self.changed.notify_one();
