Graded admission decides by rank, room and demand

Cause: urgency had no effect in the router, and engines rejected a quarter of the arrivals. Change: shares by rank and organisation from the total demand and the room, computed once per news; a wait queue by rank and work; retry delays that grow as the share falls.

--- a/crates/dandeliondeal_limit/src/admission_gate.rs
+++ b/crates/dandeliondeal_limit/src/admission_gate.rs
@@ -1,111 +1,61 @@
 //! Admission of requests to one graded service at one instance.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use dandeliondeal_types::OrganisationId;
 
 use crate::admission_queue::TicketId;
 use crate::admission_rank::AdmissionRank;
+use crate::admission_share::AdmissionShare;
+use crate::demand_meter::DemandMeter;
 use crate::demand_report::DemandReport;
+use crate::gate_request::{GateAction, GateRequest};
+use crate::gate_settings::GateSettings;
 use crate::gate_state::GateState;
+use crate::retry_delay::retry_delay;
 use crate::service_room::ServiceRoom;
+use crate::wait_queue::{WaitQueue, WaitReason, WaitingRequest};
 
-/// Settings of an admission gate.
-#[derive(Clone, Debug, PartialEq)]
-pub struct GateSettings {
-    /// Part of the capacity at which the service counts as full.
-    pub target_fill: f64,
-    /// Part of the demand of each rank that is always admitted.
-    pub floor_share: f64,
-    /// Part of the remaining objective for which a request may wait.
-    pub wait_share: f64,
-    /// Lowest share at which a request that is not admitted may wait.
-    pub min_wait_share: f64,
-    /// Time for which the supply is computed.
-    pub horizon: Duration,
-    /// Age from which news is not used.
-    pub news_limit: Duration,
-    /// Expected time between news, until it is measured.
-    pub news_interval: Duration,
-    /// Time constant of the arrival rates.
-    pub demand_window: Duration,
-    /// Minimum time between two releases of requests that wait for room.
-    pub release_interval: Duration,
-    /// Retry delay where few requests are refused.
-    pub min_retry_delay: Duration,
-    /// Retry delay where all requests are refused.
-    pub max_retry_delay: Duration,
-    /// Maximum retry delay, as a part of the time that the caller has left.
-    pub retry_share: f64,
-    /// Maximum number of waiting requests.
-    pub max_waiting: usize,
-}
-
-impl Default for GateSettings {
-    fn default() -> Self {
-        Self {
-            target_fill: 0.9,
-            floor_share: 0.1,
-            wait_share: 0.5,
-            min_wait_share: 0.5,
-            horizon: Duration::from_millis(500),
-            news_limit: Duration::from_millis(1_200),
-            news_interval: Duration::from_millis(200),
-            demand_window: Duration::from_millis(500),
-            release_interval: Duration::from_millis(100),
-            min_retry_delay: Duration::from_secs(2),
-            max_retry_delay: Duration::from_secs(8),
-            retry_share: 0.3,
-            max_waiting: 1_024,
-        }
-    }
-}
-
-impl GateSettings {
-    /// Returns the maximum retry delay of a caller that has `time_left`, for
-    /// [`GateRequest::max_retry_delay`].
-    pub fn retry_limit(&self, time_left: Duration) -> Duration {
-        self.max_retry_delay
-            .min(time_left.mul_f64(self.retry_share))
-    }
-}
-
-/// Properties of a request that a gate needs.
-#[derive(Clone, Debug, PartialEq)]
-pub struct GateRequest {
-    /// Organisation that sent the request, if known.
-    pub organisation: Option<OrganisationId>,
-    /// Rank of the request.
-    pub rank: AdmissionRank,
-    /// Work, in tokens for a stream and 1 for a plain request.
-    pub work: f64,
-    /// Time until the latency objective is missed; zero if it has been missed.
-    pub objective_left: Duration,
-    /// Maximum retry delay; see [`GateSettings::retry_limit`].
-    pub max_retry_delay: Duration,
-}
+/// Weight of the newest sample in the mean service time and the mean time between news.
+const SAMPLE_WEIGHT: f64 = 0.05;
+/// Time for which the end of a wait is kept after it; the request may still be looking for a chain.
+const RELEASE_GRACE: Duration = Duration::from_secs(1);
+/// Tolerance for rounding when the shares of several requests add up to the work of one.
+const ROUNDING: f64 = 1e-9;
 
-/// Action for the caller of a gate to perform.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum GateAction {
-    /// Start the request. A request that waited for room looks for a chain again.
-    Admit(TicketId),
-    /// Hold the request until another action for it follows.
-    Wait(TicketId),
-    /// Refuse the request; no part of it has run.
-    Refuse {
-        /// The request.
-        ticket: TicketId,
-        /// Time after which the caller may retry.
-        retry_after: Duration,
-    },
+/// What the last news led to.
+#[derive(Clone, Debug)]
+struct GateNews {
+    at: Instant,
+    room: ServiceRoom,
+    supply_rate: f64,
+    ranks: Vec<AdmissionRank>,
+    shares: AdmissionShare,
 }
 
 /// Decides which requests of one service start at this instance.
+///
+/// The shares are computed once per news. A request is admitted with the probability of its share,
+/// so instances with few requests need no shares of their own.
 #[derive(Clone, Debug)]
 pub struct AdmissionGate {
     settings: GateSettings,
+    demand: DemandMeter,
+    waiting: WaitQueue,
+    news: Option<GateNews>,
+    /// Mean time between news.
+    news_interval: Duration,
     mean_service_time: Duration,
+    service_samples: f64,
+    /// Work that this instance admitted since the last news.
+    admitted_work: f64,
+    /// Time of the last release of requests that wait for room.
+    released_at: Option<Instant>,
+    /// Requests that gave way to others and are refused at the next tick.
+    displaced: Vec<(TicketId, WaitingRequest)>,
+    /// State of the random factors of retry delays, where no draw is passed.
+    spread_state: u64,
 }
 
 impl AdmissionGate {
@@ -114,8 +64,17 @@
     /// `usual_service_time` counts until service times have been measured.
     pub fn new(settings: GateSettings, usual_service_time: Duration, _now: Instant) -> Self {
         Self {
-            settings,
+            demand: DemandMeter::new(settings.demand_window),
+            waiting: WaitQueue::default(),
+            news: None,
+            news_interval: settings.news_interval,
             mean_service_time: usual_service_time,
+            service_samples: 1.0,
+            admitted_work: 0.0,
+            released_at: None,
+            displaced: Vec::new(),
+            spread_state: 0,
+            settings,
         }
     }
 
@@ -125,88 +84,359 @@
     pub fn submit(
         &mut self,
         ticket: TicketId,
-        _request: GateRequest,
-        _draw: f64,
-        _now: Instant,
+        request: GateRequest,
+        draw: f64,
+        now: Instant,
     ) -> Vec<GateAction> {
-        vec![GateAction::Admit(ticket)]
+        let request = request.checked();
+        let draw = self.checked_draw(draw);
+        let organisation = request.organisation.as_ref();
+        self.demand
+            .record(request.rank, organisation, request.work, now);
+        let share = self.share(request.rank, organisation, now);
+        if draw < share {
+            self.admitted_work += request.work;
+            return vec![GateAction::Admit(ticket)];
+        }
+        let spread = (draw - share) / (1.0 - share).max(f64::MIN_POSITIVE);
+        let ends = now + request.objective_left.mul_f64(self.settings.wait_share);
+        if share < self.settings.min_wait_share || ends <= self.next_news(now) {
+            return vec![self.refusal(ticket, &request, spread, now)];
+        }
+        let waiting = WaitingRequest {
+            request,
+            reason: WaitReason::Share,
+            arrived: now,
+            ends,
+        };
+        match self
+            .waiting
+            .push(ticket, waiting, self.settings.max_waiting)
+        {
+            None => vec![GateAction::Wait(ticket)],
+            Some((last, removed)) => {
+                let refusal = self.refusal(last, &removed.request, spread, now);
+                if last == ticket {
+                    vec![refusal]
+                } else {
+                    vec![GateAction::Wait(ticket), refusal]
+                }
+            }
+        }
     }
 
     /// Decides on an admitted request that no endpoint has room for: wait or refuse.
+    ///
+    /// A request that waits again after it was released still has its first end.
     pub fn wait_for_room(
         &mut self,
         ticket: TicketId,
         request: GateRequest,
-        _now: Instant,
+        now: Instant,
     ) -> GateAction {
-        let GateRequest {
-            max_retry_delay, ..
-        } = request;
-        GateAction::Refuse {
-            ticket,
-            retry_after: self.settings.min_retry_delay.min(max_retry_delay),
+        let request = request.checked();
+        self.admitted_work = (self.admitted_work - request.work).max(0.0);
+        let time = request.objective_left.mul_f64(self.settings.wait_share);
+        let ends = self.waiting.wait_end(ticket, time, now);
+        let spread = self.next_spread();
+        if !self.waiting.waits_for_room() {
+            // The search for a chain has just failed; the next one follows an interval later.
+            self.released_at = Some(now);
+        }
+        if ends <= now {
+            return self.refusal(ticket, &request, spread, now);
+        }
+        let waiting = WaitingRequest {
+            request,
+            reason: WaitReason::Room,
+            arrived: now,
+            ends,
+        };
+        match self
+            .waiting
+            .push(ticket, waiting, self.settings.max_waiting)
+        {
+            Some((last, removed)) if last == ticket => {
+                self.refusal(ticket, &removed.request, spread, now)
+            }
+            displaced => {
+                self.displaced.extend(displaced);
+                GateAction::Wait(ticket)
+            }
         }
     }
 
     /// Processes the total of all instances, and decides on the waiting requests.
+    ///
+    /// News with a room that is not a number counts as none.
     pub fn set_news<Draw>(
         &mut self,
-        _demand: &DemandReport,
-        _room: ServiceRoom,
-        _draws: Draw,
-        _now: Instant,
+        demand: &DemandReport,
+        room: ServiceRoom,
+        mut draws: Draw,
+        now: Instant,
     ) -> Vec<GateAction>
     where
         Draw: FnMut() -> f64,
     {
-        Vec::new()
+        if let Some(news) = self.current_news(now) {
+            let interval = now.saturating_duration_since(news.at).as_secs_f64();
+            let mean = self.news_interval.as_secs_f64();
+            let mean = mean + (interval - mean) * SAMPLE_WEIGHT;
+            self.news_interval = Duration::from_secs_f64(mean.max(0.0));
+        }
+        self.news = room.checked().map(|room| {
+            let supply_rate = room.supply_rate(&self.settings, self.mean_service_time);
+            let ranks = demand.ranks.keys();
+            GateNews {
+                at: now,
+                room,
+                supply_rate,
+                ranks: ranks
+                    .filter_map(|&rank| AdmissionRank::from_value(rank))
+                    .collect(),
+                shares: AdmissionShare::new(demand, supply_rate, self.settings.floor_share),
+            }
+        });
+        self.admitted_work = 0.0;
+        self.waiting
+            .forget_ended(RELEASE_GRACE, self.settings.max_waiting, now);
+        let mut actions = self.end_waits(&mut draws, now);
+        self.release_for_room(&mut actions, now);
+        self.decide_again(&mut actions, &mut draws, now);
+        actions
     }
 
     /// Ends waits, and releases requests that wait for room.
-    pub fn tick<Draw>(&mut self, _draws: Draw, _now: Instant) -> Vec<GateAction>
+    pub fn tick<Draw>(&mut self, mut draws: Draw, now: Instant) -> Vec<GateAction>
     where
         Draw: FnMut() -> f64,
     {
-        Vec::new()
+        let mut actions = self.end_waits(&mut draws, now);
+        self.release_for_room(&mut actions, now);
+        if self.current_news(now).is_none() {
+            self.decide_again(&mut actions, &mut draws, now);
+        }
+        actions
     }
 
     /// Returns when to call [`Self::tick`] next, if requests wait.
     pub fn next_tick(&self) -> Option<Instant> {
-        None
+        let end = self.waiting.first_end();
+        let displaced = self.displaced.first().map(|(_, waiting)| waiting.arrived);
+        let room = self.released_at.filter(|_| self.waiting.waits_for_room());
+        let release = room.map(|at| at + self.settings.release_interval);
+        let news = self
+            .news
+            .as_ref()
+            .filter(|_| self.waiting.waits_for_share());
+        let stale = news.map(|news| news.at + self.settings.news_limit);
+        [end, displaced, release, stale].into_iter().flatten().min()
     }
 
     /// Removes a request whose caller has left.
-    pub fn cancel(&mut self, _ticket: TicketId) {}
+    pub fn cancel(&mut self, ticket: TicketId) {
+        self.waiting.remove(ticket);
+        self.waiting.forget_released(ticket);
+        self.displaced.retain(|(displaced, _)| *displaced != ticket);
+    }
 
     /// Records the end of a request that ran.
     pub fn record_finished(&mut self, service_time: Duration, _now: Instant) {
-        self.mean_service_time = service_time;
+        self.service_samples += 1.0;
+        let weight = (1.0 / self.service_samples).max(SAMPLE_WEIGHT);
+        let mean = self.mean_service_time.as_secs_f64();
+        let mean = mean + (service_time.as_secs_f64() - mean) * weight;
+        self.mean_service_time = Duration::from_secs_f64(mean.max(0.0));
     }
 
     /// Returns the demand at this instance, for its report.
-    pub fn local_demand(&mut self, _now: Instant) -> DemandReport {
-        DemandReport::default()
+    ///
+    /// Organisations are included while work is turned away.
+    pub fn local_demand(&mut self, now: Instant) -> DemandReport {
+        let news = self.current_news(now);
+        let is_scarce = news.is_some_and(|news| !news.shares.admits_all());
+        self.demand.report(is_scarce, now)
     }
 
     /// Returns the probability with which a request is admitted.
     pub fn share(
         &self,
-        _rank: AdmissionRank,
-        _organisation: Option<&OrganisationId>,
-        _now: Instant,
+        rank: AdmissionRank,
+        organisation: Option<&OrganisationId>,
+        now: Instant,
     ) -> f64 {
-        1.0
+        let news = self.current_news(now);
+        news.map_or(1.0, |news| news.shares.share(rank, organisation))
     }
 
     /// Returns the state for logs, metrics and explanations.
-    pub fn describe(&self, _now: Instant) -> GateState {
+    pub fn describe(&self, now: Instant) -> GateState {
+        let shares = self.current_news(now).map(|news| {
+            let ranks = news.ranks.iter();
+            ranks
+                .map(|&rank| (rank.value(), news.shares.rank_share(rank)))
+                .collect()
+        });
+        let news = self.news.as_ref();
         GateState {
-            shares: std::collections::BTreeMap::new(),
-            supply: None,
-            room: None,
-            news_age: None,
-            waiting: 0,
+            shares: shares.unwrap_or_default(),
+            supply: news.map(|news| news.supply_rate),
+            room: news.map(|news| news.room),
+            news_age: news.map(|news| now.saturating_duration_since(news.at)),
+            waiting: self.waiting.len(),
             mean_service_time: self.mean_service_time,
         }
     }
+
+    /// Returns the news unless it is too old.
+    fn current_news(&self, now: Instant) -> Option<&GateNews> {
+        let news = self.news.as_ref()?;
+        let age = now.saturating_duration_since(news.at);
+        (age < self.settings.news_limit).then_some(news)
+    }
+
+    /// Returns when news is expected next.
+    fn next_news(&self, now: Instant) -> Instant {
+        let expected = self.news.as_ref().map(|news| news.at + self.news_interval);
+        expected.map_or(now, |expected| expected.max(now))
+    }
+
+    fn refusal(
+        &self,
+        ticket: TicketId,
+        request: &GateRequest,
+        spread: f64,
+        now: Instant,
+    ) -> GateAction {
+        let share = self.share(request.rank, request.organisation.as_ref(), now);
+        GateAction::Refuse {
+            ticket,
+            retry_after: retry_delay(&self.settings, share, spread, request.max_retry_delay),
+        }
+    }
+
+    /// Refuses the requests whose wait has ended and those that gave way to others.
+    fn end_waits<Draw>(&mut self, draws: &mut Draw, now: Instant) -> Vec<GateAction>
+    where
+        Draw: FnMut() -> f64,
+    {
+        let mut ended = std::mem::take(&mut self.displaced);
+        ended.extend(std::iter::from_fn(|| self.waiting.pop_ended(now)));
+        let refusals = ended.into_iter().map(|(ticket, waiting)| {
+            let spread = self.checked_draw(draws());
+            self.refusal(ticket, &waiting.request, spread, now)
+        });
+        refusals.collect()
+    }
+
+    /// Lets requests that wait for room look for it again, as far as the known room goes.
+    fn release_for_room(&mut self, actions: &mut Vec<GateAction>, now: Instant) {
+        let interval = self.settings.release_interval;
+        let is_early = self
+            .released_at
+            .is_some_and(|at| now.saturating_duration_since(at) < interval);
+        if is_early || !self.waiting.waits_for_room() {
+            return;
+        }
+        self.released_at = Some(now);
+        let news = self.current_news(now);
+        let room = news.map(|news| {
+            let supply = news.room.supply(&self.settings, self.mean_service_time);
+            (supply, news.room.capacity * self.settings.target_fill)
+        });
+        for ticket in self.waiting.tickets(WaitReason::Room) {
+            let work = self
+                .waiting
+                .get(ticket)
+                .map_or(0.0, |waiting| waiting.request.work);
+            let is_beyond = room.is_some_and(|(supply, target)| {
+                // Work beyond the whole target would never fit.
+                self.admitted_work + work.min(target) > supply
+            });
+            if is_beyond {
+                break;
+            }
+            self.waiting.release(ticket);
+            self.admitted_work += work;
+            actions.push(GateAction::Admit(ticket));
+        }
+    }
+
+    /// Decides again on the requests that were not admitted.
+    ///
+    /// The shares of equal requests are added up and given to them in order, so that the first ones
+    /// are served. A request that is alone is admitted with the probability of its share.
+    fn decide_again<Draw>(&mut self, actions: &mut Vec<GateAction>, draws: &mut Draw, now: Instant)
+    where
+        Draw: FnMut() -> f64,
+    {
+        let mut budgets: BTreeMap<(AdmissionRank, Option<OrganisationId>), f64> = BTreeMap::new();
+        let tickets = self.waiting.tickets(WaitReason::Share);
+        for &ticket in &tickets {
+            let Some(waiting) = self.waiting.get(ticket) else {
+                continue;
+            };
+            let GateRequest {
+                rank,
+                organisation,
+                work,
+                ..
+            } = waiting.request.clone();
+            self.demand.record(rank, organisation.as_ref(), work, now);
+            let share = self.share(rank, organisation.as_ref(), now);
+            if share < self.settings.min_wait_share {
+                let refusal = self.drop_waiting(ticket, draws(), now);
+                actions.extend(refusal);
+            } else {
+                *budgets.entry((rank, organisation)).or_default() += share * work;
+            }
+        }
+        for ticket in tickets {
+            let Some(waiting) = self.waiting.get(ticket) else {
+                continue;
+            };
+            let request = &waiting.request;
+            let (work, ends) = (request.work, waiting.ends);
+            let key = (request.rank, request.organisation.clone());
+            let budget = budgets.entry(key).or_default();
+            let draw = draws();
+            let is_admitted = *budget >= work * (1.0 - ROUNDING) || draw < *budget / work;
+            *budget = (*budget - work).max(0.0);
+            if is_admitted {
+                self.waiting.release(ticket);
+                self.admitted_work += work;
+                actions.push(GateAction::Admit(ticket));
+            } else if ends <= self.next_news(now) {
+                let refusal = self.drop_waiting(ticket, draw, now);
+                actions.extend(refusal);
+            }
+        }
+    }
+
+    fn drop_waiting(&mut self, ticket: TicketId, draw: f64, now: Instant) -> Option<GateAction> {
+        let waiting = self.waiting.remove(ticket)?;
+        let spread = self.checked_draw(draw);
+        Some(self.refusal(ticket, &waiting.request, spread, now))
+    }
+
+    /// Returns a draw in 0 to 1, and keeps its digits for decisions without a draw.
+    fn checked_draw(&mut self, draw: f64) -> f64 {
+        let draw = if draw.is_finite() {
+            draw.clamp(0.0, 1.0)
+        } else {
+            0.5
+        };
+        self.spread_state ^= draw.to_bits();
+        draw
+    }
+
+    /// Returns a number in 0 to 1 that differs from decision to decision (`SplitMix64`).
+    fn next_spread(&mut self) -> f64 {
+        self.spread_state = self.spread_state.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mixed =
+            (self.spread_state ^ (self.spread_state >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        (mixed ^ (mixed >> 31)) as f64 / u64::MAX as f64
+    }
 }
--- a/crates/dandeliondeal_limit/src/admission_rank.rs
+++ b/crates/dandeliondeal_limit/src/admission_rank.rs
@@ -1,14 +1,12 @@
 //! Order in which requests of a graded service get room.
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 /// Highest urgency value; a larger value is reduced to it.
 const MAX_URGENCY: u8 = 9;
 
 /// Rank of a request, 0 to 19; lower ranks come first.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
 pub struct AdmissionRank(u8);
 
@@ -24,6 +22,11 @@
         Self(2 * urgency.min(MAX_URGENCY) + u8::from(is_late))
     }
 
+    /// Returns the rank with this number, if there is one.
+    pub fn from_value(value: u8) -> Option<Self> {
+        (usize::from(value) < Self::COUNT).then_some(Self(value))
+    }
+
     /// Returns the number of the rank.
     pub fn value(self) -> u8 {
         self.0
--- a/crates/dandeliondeal_limit/src/lib.rs
+++ b/crates/dandeliondeal_limit/src/lib.rs
@@ -9,10 +9,14 @@
 pub mod admission_gate;
 pub mod admission_queue;
 pub mod admission_rank;
+mod admission_share;
 pub mod cost_estimate;
+mod demand_meter;
 pub mod demand_report;
 pub mod drain_rate;
 pub mod endpoint_rates;
+pub mod gate_request;
+pub mod gate_settings;
 pub mod gate_state;
 pub mod grant_holder;
 pub mod grant_message;
@@ -21,11 +25,13 @@
 pub mod local_limit;
 mod organisation_queue;
 pub mod rate_bucket;
+mod retry_delay;
 pub mod service_room;
+mod wait_queue;
 pub mod water_fill;
 
 #[doc(inline)]
-pub use admission_gate::{AdmissionGate, GateAction, GateRequest, GateSettings};
+pub use admission_gate::AdmissionGate;
 #[doc(inline)]
 pub use admission_queue::{
     AdmissionAction, AdmissionQueue, AdmissionSettings, QueuedRequest, RefusalReason,
@@ -41,6 +47,10 @@
     EndpointRates, RateClaim, RateReport, RateSettings, SenderShare, sender_count,
 };
 #[doc(inline)]
+pub use gate_request::{GateAction, GateRequest};
+#[doc(inline)]
+pub use gate_settings::GateSettings;
+#[doc(inline)]
 pub use gate_state::GateState;
 #[doc(inline)]
 pub use grant_holder::GrantHolder;
--- a/crates/dandeliondeal_limit/src/water_fill.rs
+++ b/crates/dandeliondeal_limit/src/water_fill.rs
@@ -24,18 +24,49 @@
     even_share + own_demand.min(fair_level(distributable, demands))
 }
 
+/// Amount that can be divided.
+pub(crate) trait DivisibleAmount: Copy + PartialOrd + std::ops::Sub<Output = Self> {
+    /// Returns an equal part, for a positive number of parts.
+    fn divide_by(self, parts: usize) -> Self;
+
+    /// Compares two amounts.
+    fn compare(&self, other: &Self) -> std::cmp::Ordering;
+}
+
+impl DivisibleAmount for u64 {
+    fn divide_by(self, parts: usize) -> Self {
+        self / parts as Self
+    }
+
+    fn compare(&self, other: &Self) -> std::cmp::Ordering {
+        self.cmp(other)
+    }
+}
+
+impl DivisibleAmount for f64 {
+    fn divide_by(self, parts: usize) -> Self {
+        self / parts as Self
+    }
+
+    fn compare(&self, other: &Self) -> std::cmp::Ordering {
+        self.total_cmp(other)
+    }
+}
+
 /// Returns the common level at which demands are capped so that they fit into `total`.
-fn fair_level(total: u64, demands: &[u64]) -> u64 {
+pub(crate) fn fair_level<Amount>(total: Amount, demands: &[Amount]) -> Amount
+where
+    Amount: DivisibleAmount,
+{
     let mut sorted = demands.to_vec();
-    sorted.sort_unstable();
+    sorted.sort_unstable_by(Amount::compare);
     let mut remaining = total;
     for (position, &demand) in sorted.iter().enumerate() {
-        let unserved = (sorted.len() - position) as u64;
-        let equal_share = remaining / unserved;
+        let equal_share = remaining.divide_by(sorted.len() - position);
         if demand >= equal_share {
             return equal_share;
         }
-        remaining -= demand;
+        remaining = remaining - demand;
     }
     remaining
 }
