--- a/crates/dandeliondeal_relay/src/plain_admission.rs
+++ b/crates/dandeliondeal_relay/src/plain_admission.rs
@@ -29,9 +29,10 @@
     }
     let now = context.now();
     let limit = request.time_left(now);
+    let place = (context.admission().new_ticket(), CALL_WORK);
     let verdict = tokio::select! {
         biased;
-        verdict = decide(context, request, AdmissionQuestion::New, CALL_WORK, limit) => verdict?,
+        verdict = decide(context, request, AdmissionQuestion::New, place, limit) => verdict?,
         () = context.wait_for_final_responses() => AdmissionVerdict::TimedOut,
         () = wait_for_lost_links(context, &request.service, now) => return None,
     };
--- a/crates/dandeliondeal_relay/src/request_admission.rs
+++ b/crates/dandeliondeal_relay/src/request_admission.rs
@@ -32,6 +32,16 @@
     NoRoom,
 }
 
+impl AdmissionQuestion {
+    /// Returns what the decision depends on, for logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::New => "share",
+            Self::NoRoom => "room",
+        }
+    }
+}
+
 /// Decision on a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum AdmissionVerdict {
@@ -91,6 +101,13 @@
         }
     }
 
+    /// Returns the ticket of a new request.
+    pub(crate) fn new_ticket(&self) -> TicketId {
+        let ticket = self.last_ticket.get().wrapping_add(1);
+        self.last_ticket.set(ticket);
+        ticket
+    }
+
     fn with_gate<Result, Use>(&self, service: &str, call: Use) -> Option<Result>
     where
         Use: FnOnce(&mut ServiceGate) -> Result,
@@ -108,20 +125,22 @@
 
 /// Asks the gate of a request's service, and waits for its decision for at most `limit`.
 ///
+/// A request keeps its ticket, so that its waits together last no longer than one may.
+///
 /// Returns `None` if no gate decides: the service is not graded, or it has no usable endpoints and
 /// is refused for that.
 pub(crate) async fn decide<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     request: &RelayRequest,
     question: AdmissionQuestion,
-    work: f64,
+    (ticket, work): (TicketId, f64),
     limit: Duration,
 ) -> Option<AdmissionVerdict>
 where
     Time: Clock,
     Dialect: 'static,
 {
-    let mut pending = PendingRequest::submit(context, request, question, work)?;
+    let mut pending = PendingRequest::submit(context, request, question, (ticket, work))?;
     let action = match pending.receiver.try_recv() {
         Ok(action) => action,
         Err(TryRecvError::Closed) => GateAction::Admit(pending.ticket),
@@ -131,6 +150,9 @@
             match actix_rt::time::timeout(limit, &mut pending.receiver).await {
                 Ok(action) => action.unwrap_or(GateAction::Admit(pending.ticket)),
                 Err(_elapsed) => {
+                    context.admission().with_gate(&request.service, |entry| {
+                        entry.cancel(ticket);
+                    });
                     pending.finish("refuse", None);
                     return Some(AdmissionVerdict::TimedOut);
                 }
@@ -174,7 +196,7 @@
         context: &'request RelayContext<Time, Dialect>,
         request: &'request RelayRequest,
         question: AdmissionQuestion,
-        work: f64,
+        (ticket, work): (TicketId, f64),
     ) -> Option<Self> {
         let admission = context.admission();
         if !admission.is_graded(&request.service) {
@@ -182,8 +204,6 @@
         }
         let now = context.now();
         let gate_request = build_gate_request(context, request, work, now);
-        let ticket = admission.last_ticket.get().wrapping_add(1);
-        admission.last_ticket.set(ticket);
         let draw = context.with_rng(Rng::random::<f64>);
         let submitted = gate_request.clone();
         let receiver = admission.with_gate(&request.service, |entry| {
@@ -258,7 +278,7 @@
             share,
             fill = room.map(|room| room.fill()),
             news_age_ms = news_age.map(milliseconds),
-            is_admitted = self.question == AdmissionQuestion::NoRoom,
+            cause = self.question.name(),
             decision,
             waited_ms = milliseconds(waited),
             retry_after_ms = retry_after.map(milliseconds),
@@ -272,15 +292,13 @@
     Time: Clock,
 {
     fn drop(&mut self) {
+        if self.is_decided {
+            return;
+        }
+        self.record_decision("left", None);
         let admission = self.context.admission();
         let ticket = self.ticket;
-        if !self.is_decided {
-            self.record_decision("left", None);
-        }
-        // A gate ignores the ticket of a request that does not wait.
-        if self.has_waited {
-            admission.with_gate(&self.request.service, |entry| entry.cancel(ticket));
-        }
+        admission.with_gate(&self.request.service, |entry| entry.cancel(ticket));
     }
 }
 
--- a/crates/dandeliondeal_relay/src/stream_admission.rs
+++ b/crates/dandeliondeal_relay/src/stream_admission.rs
@@ -1,8 +1,8 @@
 //! Admission of streams to graded services.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use dandeliondeal_limit::GateSettings;
+use dandeliondeal_limit::admission_queue::TicketId;
 use dandeliondeal_types::Clock;
 
 use crate::dialect::{FleetDialect, RequestDialect};
@@ -14,9 +14,6 @@
 use crate::stream_handover::LocalEnd;
 use crate::stream_relay::StreamRelay;
 
-/// Maximum number of times that a stream waits for room.
-const MAX_ROOM_WAITS: u32 = 8;
-
 /// State of a stream's admission.
 #[derive(Debug)]
 pub(crate) struct StreamAdmission<Time, Dialect>
@@ -24,9 +21,7 @@
     Time: Clock,
 {
     is_decided: bool,
-    /// Number of waits for room, and the time at which the last one has to end.
-    room_waits: u32,
-    room_wait_end: Option<Instant>,
+    ticket: Option<TicketId>,
     running: Option<RunningRequest<Time, Dialect>>,
 }
 
@@ -37,8 +32,7 @@
     fn default() -> Self {
         Self {
             is_decided: false,
-            room_waits: 0,
-            room_wait_end: None,
+            ticket: None,
             running: None,
         }
     }
@@ -59,8 +53,9 @@
         if !is_first || is_out_of_reach || !needs_admission(&self.request) {
             return Ok(());
         }
-        let (question, work) = (AdmissionQuestion::New, self.demand.tokens());
-        let verdict = decide(&self.context, &self.request, question, work, time_left).await;
+        let verdict = self
+            .decide_admission(AdmissionQuestion::New, time_left)
+            .await;
         self.admission.is_decided = true;
         match verdict {
             None | Some(AdmissionVerdict::Admitted) => Ok(()),
@@ -77,32 +72,16 @@
 
     /// Waits for room after no chain was found; returns `false` if the stream may not wait.
     ///
-    /// All waits of a stream together last for at most the share of its objective that one may last.
+    /// The gate ends the wait within the share of its objective that a request may wait.
     pub(crate) async fn wait_for_room(&mut self, time_left: Duration) -> Result<bool, LocalEnd> {
-        let may_wait = self.attempts == 0
-            && self.admission.room_waits < MAX_ROOM_WAITS
-            && needs_admission(&self.request);
-        if !may_wait {
+        if self.attempts > 0 || !needs_admission(&self.request) {
             return Ok(false);
         }
-        let now = self.context.now();
-        let end = *self.admission.room_wait_end.get_or_insert_with(|| {
-            let objective = self.request.route_match.route.latency_objective;
-            let used = now.saturating_duration_since(self.request.arrived);
-            now + objective
-                .saturating_sub(used)
-                .mul_f64(GateSettings::default().wait_share)
-        });
-        let limit = end.saturating_duration_since(now).min(time_left);
-        if self.admission.room_waits > 0 && limit.is_zero() {
-            return Err(self.refuse(RefusalCause::Overloaded).into());
-        }
-        self.admission.room_waits += 1;
-        let (question, work) = (AdmissionQuestion::NoRoom, self.demand.tokens());
-        match decide(&self.context, &self.request, question, work, limit).await {
+        let question = AdmissionQuestion::NoRoom;
+        match self.decide_admission(question, time_left).await {
             None => Ok(false),
             Some(AdmissionVerdict::Admitted) => Ok(true),
-            Some(AdmissionVerdict::TimedOut) => Err(self.refuse(RefusalCause::Overloaded).into()),
+            Some(AdmissionVerdict::TimedOut) => Err(self.end_timed_out().into()),
             Some(AdmissionVerdict::Refused(retry_delay)) => {
                 self.request.room_delay = retry_delay;
                 Err(self.refuse(RefusalCause::Overloaded).into())
@@ -110,6 +89,18 @@
         }
     }
 
+    async fn decide_admission(
+        &mut self,
+        question: AdmissionQuestion,
+        limit: Duration,
+    ) -> Option<AdmissionVerdict> {
+        let admission = self.context.admission();
+        let new_ticket = || admission.new_ticket();
+        let ticket = *self.admission.ticket.get_or_insert_with(new_ticket);
+        let work = (ticket, self.demand.tokens());
+        decide(&self.context, &self.request, question, work, limit).await
+    }
+
     /// Records that the stream is sent to engines.
     pub(crate) fn record_running(&mut self) {
         if self.admission.running.is_none() {
