Hubs survey engines of graded services and share which are slow

The hub of each failure domain asks the engines of its domain for their reports once a second, and the load reports carry the slow ones. Not measured yet.

--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod engine_absence;
 pub mod engine_calls;
 pub mod engine_check;
+pub mod engine_survey;
 pub mod event_splitter;
 pub mod first_engine_health;
 mod fleet_room;
--- a/crates/dandeliondeal_relay/src/load_exchange.rs
+++ b/crates/dandeliondeal_relay/src/load_exchange.rs
@@ -22,6 +22,7 @@
 use crate::dialect::FleetDialect;
 use crate::endpoint_limits::{set_fleet_rates, update_shares};
 use crate::engine_check::{CheckCause, check_engine};
+use crate::engine_survey::{SlowEngines, add_slow_engines, apply_slow_engines};
 use crate::first_engine_health::AttemptTotals;
 use crate::hub_selection::HubSelector;
 use crate::instance_registry::PeerInstance;
@@ -75,6 +76,9 @@
     /// Number of open requests to graded plain services.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub open_calls: BTreeMap<ServiceId, f64>,
+    /// Engines of graded services that are slow.
+    #[serde(default, skip_serializing_if = "SlowEngines::is_empty")]
+    pub slow_engines: SlowEngines,
 }
 
 impl LoadSummary {
@@ -111,6 +115,7 @@
                 .entry(ServiceId::clone(service))
                 .or_default() += open_calls;
         }
+        add_slow_engines(&mut self.slow_engines, &other.slow_engines);
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         for (endpoint, claim) in &other.rates {
             let mut claim = *claim;
@@ -247,6 +252,7 @@
         local.crashes = self.context.crashes().borrow().report(sent_at);
         local.rates = self.context.rates().borrow().report(sent_at);
         local.lost_links = self.context.links().report(&settings.id);
+        local.slow_engines = self.context.survey().slow_engines(sent_at);
         self.context.admission().write_report(&mut local, sent_at);
         let id = InstanceId::clone(&settings.id);
         let fleet = if hub.id == id {
@@ -269,6 +275,7 @@
             let crashes = self.context.crashes();
             crashes.borrow_mut().add_report(&fleet.crashes, now);
             self.context.links().set_fleet(&fleet.lost_links);
+            apply_slow_engines(&self.context, &fleet.slow_engines);
             set_fleet_rates(&self.context, &fleet.rates, &local.rates);
             self.context
                 .tracker()
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -21,6 +21,7 @@
 use crate::crash_watch::ProcessChecks;
 use crate::engine_calls::ReportCache;
 use crate::engine_check::EngineChecks;
+use crate::engine_survey::EngineSurvey;
 use crate::first_engine_health::FirstEngineHealth;
 use crate::fleet_view::FleetView;
 use crate::instance_registry::PeerInstance;
@@ -70,6 +71,7 @@
     tracker: LoadTracker,
     report_cache: ReportCache,
     engine_checks: EngineChecks,
+    survey: EngineSurvey,
     first_engines: FirstEngineHealth,
     crashes: RefCell<CrashTable>,
     process_checks: ProcessChecks,
@@ -126,6 +128,7 @@
             tracker: LoadTracker::default(),
             report_cache: ReportCache::default(),
             engine_checks: EngineChecks::default(),
+            survey: EngineSurvey::default(),
             first_engines: FirstEngineHealth::default(),
             crashes: RefCell::default(),
             process_checks: ProcessChecks::default(),
@@ -234,6 +237,11 @@
         &self.shared.engine_checks
     }
 
+    /// Returns the slowness that engines reported.
+    pub fn survey(&self) -> &EngineSurvey {
+        &self.shared.survey
+    }
+
     /// Returns the outcomes of attempts at the first engines of chains.
     pub fn first_engines(&self) -> &FirstEngineHealth {
         &self.shared.first_engines
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -14,6 +14,7 @@
 
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::engine_check::retest_engines;
+use crate::engine_survey::run_survey;
 use crate::fleet_sinks::{ConfigSink, EndpointSink};
 use crate::handover_entrance::HandoverEntrance;
 use crate::hub_selection::HubSelector;
@@ -114,6 +115,7 @@
             .unwrap_or(usize::MAX),
             ..ListenerSettings::default()
         };
+        tasks.push(actix_rt::spawn(run_survey(context.clone(), hubs.clone())));
         let exchange = LoadExchange::new(context.clone(), peer_client, hubs, feeds);
         let listener = std::net::TcpListener::bind(addresses.peers)?;
         let peers = PeerServer::start(listener, &peer_settings, exchange.clone())?;
