--- a/crates/dandeliondeal_command/src/request_timeline.rs
+++ b/crates/dandeliondeal_command/src/request_timeline.rs
@@ -8,7 +8,7 @@
 /// Seconds before the first line of a request whose engine and instance events are included.
 const CONTEXT_SECONDS: f64 = 5.0;
 /// Messages about an instance itself that may explain the outcome of a request.
-const INSTANCE_MESSAGES: [&str; 9] = [
+const INSTANCE_MESSAGES: [&str; 10] = [
     "started",
     "stopping",
     "stopped",
@@ -18,6 +18,7 @@
     "layout lease",
     "hub does not answer; another is taken",
     "instances counted",
+    "admission share changed",
 ];
 /// Message about the loss of an engine, logged by the request that detected it.
 const ENGINE_LOSS_MESSAGE: &str = "engine does not answer; taken out of use";
--- a/crates/dandeliondeal_command/tests/request_timeline.rs
+++ b/crates/dandeliondeal_command/tests/request_timeline.rs
@@ -76,3 +76,39 @@
 fn unknown_request() {
     assert!(request_timeline("r9", &logs()).is_empty());
 }
+
+// A refusal by admission must be traceable to the share of its rank.
+#[test]
+fn admission_lines() {
+    let text = [
+        log_line(
+            8,
+            "admission share changed",
+            ",\"service\":\"drafting\",\"rank\":4,\"from\":1.0,\"share\":0.3,\"fill\":0.97",
+        ),
+        log_line(
+            9,
+            "request admission",
+            ",\"request\":\"r1\",\"rank\":4,\"share\":0.3,\"decision\":\"refuse\"",
+        ),
+        log_line(
+            9,
+            "request ended",
+            ",\"request\":\"r1\",\"outcome\":\"overloaded\",\"status\":503",
+        ),
+    ];
+    let log = InstanceLog {
+        name: "router-1".to_owned(),
+        text: text.concat(),
+    };
+    let timeline = request_timeline("r1", &[log]);
+    let messages: Vec<&str> = timeline.iter().map(|entry| &*entry.message).collect();
+    let expected = [
+        "admission share changed",
+        "request admission",
+        "request ended",
+    ];
+    assert_eq!(messages, expected);
+    assert!(timeline[1].fields.contains("decision=refuse"));
+    assert!(timeline[1].fields.contains("share=0.3"));
+}
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -6,6 +6,8 @@
 //! [`LayoutController`] orders engines to hold layers. [`RequestDialect`] and [`FleetDialect`]
 //! convert from and to the wire format of a deployment.
 
+pub mod admission_metrics;
+mod admission_news;
 pub mod call_guard;
 pub mod chain_selection;
 pub mod chain_watch;
@@ -55,6 +57,7 @@
 pub mod route_deadlines;
 pub mod router_server;
 mod run_source;
+mod running_request;
 mod service_gate;
 pub mod shared_store;
 pub mod store_watch;
--- a/crates/dandeliondeal_relay/src/load_exchange.rs
+++ b/crates/dandeliondeal_relay/src/load_exchange.rs
@@ -18,6 +18,7 @@
 use dandeliondeal_types::{Clock, EndpointId, FailureDomain, InstanceId, ServiceId};
 use serde::{Deserialize, Serialize};
 
+use crate::admission_news::{apply_news, publish_shares};
 use crate::crash_watch::log_changes;
 use crate::dialect::FleetDialect;
 use crate::endpoint_limits::{set_fleet_rates, update_shares};
@@ -28,7 +29,6 @@
 use crate::link_monitor::LostLinks;
 use crate::load_tracker::EngineLoad;
 use crate::relay_context::RelayContext;
-use crate::request_admission::{apply_news, publish_shares};
 use crate::shared_store::{CHANGES_METHOD, FeedTable};
 
 /// Method that reports an instance's load to its hub.
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -22,8 +22,8 @@
 use crate::relay_context::RelayContext;
 use crate::relay_lifecycle::{LifecycleEvent, RelayLifecycle};
 use crate::relay_outcome::RelayOutcome;
-use crate::request_admission::RunningRequest;
 use crate::request_intake::RelayRequest;
+use crate::running_request::RunningRequest;
 
 /// Maximum number of endpoints that are tried when no connection can be made; nothing is sent to
 /// them.
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -3,16 +3,15 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Error, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
-    IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Error, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
+use crate::admission_metrics::AdmissionMetrics;
+
 /// Upper bounds of the latency buckets in seconds, around the latency objectives of callers.
 const LATENCY_BUCKETS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 20.0];
 
-/// Upper bounds of the buckets of waits in seconds, up to half of the longest usual objective.
-const WAIT_BUCKETS: [f64; 7] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8];
-
 /// Metrics of one router.
 #[derive(Clone, Debug)]
 pub struct RelayMetrics {
@@ -47,14 +46,8 @@
     pub open_requests: IntGauge,
     /// Number of log lines dropped under load.
     pub dropped_logs: IntCounter,
-    /// Number of decisions on requests to graded services, by service, urgency and decision.
-    pub admission_decisions: IntCounterVec,
-    /// Time for which requests waited for a decision or for room, in seconds.
-    pub admission_wait: Histogram,
-    /// Share of the requests that is admitted, by service and rank.
-    pub admission_share: GaugeVec,
-    /// Part of a graded service's capacity that is committed.
-    pub service_fill: GaugeVec,
+    /// Admission to graded services.
+    pub admission: AdmissionMetrics,
 }
 
 impl RelayMetrics {
@@ -141,32 +134,7 @@
             "Endpoints that state a request limit.",
         )?;
         registry.register(Box::new(limited_endpoints.clone()))?;
-        let admission_decisions = counters(
-            "dandeliondeal_admission_decisions_total",
-            "Decisions on requests to graded services.",
-            &["service", "urgency", "decision"],
-        )?;
-        let options = HistogramOpts::new(
-            "dandeliondeal_admission_wait_seconds",
-            "Time for which requests to graded services waited for a decision or for room.",
-        );
-        let admission_wait = Histogram::with_opts(options.buckets(WAIT_BUCKETS.to_vec()))?;
-        registry.register(Box::new(admission_wait.clone()))?;
-        let gauges = |name: &str, help: &str, labels: &[&str]| {
-            let gauges = GaugeVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(gauges.clone()))?;
-            Ok::<_, Error>(gauges)
-        };
-        let admission_share = gauges(
-            "dandeliondeal_admission_share",
-            "Share of the requests to a graded service that is admitted, by rank.",
-            &["service", "rank"],
-        )?;
-        let service_fill = gauges(
-            "dandeliondeal_service_fill",
-            "Part of the capacity of a graded service that is committed.",
-            &["service"],
-        )?;
+        let admission = AdmissionMetrics::new(&registry)?;
         let open_requests =
             IntGauge::new("dandeliondeal_open_requests", "Requests that are open.")?;
         registry.register(Box::new(open_requests.clone()))?;
@@ -187,10 +155,7 @@
             limited_endpoints,
             open_requests,
             dropped_logs,
-            admission_decisions,
-            admission_wait,
-            admission_share,
-            service_fill,
+            admission,
         })
     }
 
--- a/crates/dandeliondeal_relay/src/request_admission.rs
+++ b/crates/dandeliondeal_relay/src/request_admission.rs
@@ -7,7 +7,7 @@
 
 use dandeliondeal_config::GradingMode;
 use dandeliondeal_limit::admission_queue::TicketId;
-use dandeliondeal_limit::{AdmissionRank, DemandReport, GateAction, GateRequest, GateSettings};
+use dandeliondeal_limit::{AdmissionRank, GateAction, GateRequest, GateSettings};
 use dandeliondeal_route::RouteTable;
 use dandeliondeal_types::{Clock, RouteId, ServiceId};
 use rand::Rng;
@@ -56,7 +56,7 @@
 /// Gates of the graded services.
 #[derive(Debug, Default)]
 pub struct RequestAdmission {
-    services: RefCell<HashMap<ServiceId, ServiceGate>>,
+    pub(crate) services: RefCell<HashMap<ServiceId, ServiceGate>>,
     deadlines: RefCell<RouteDeadlines>,
     last_ticket: Cell<TicketId>,
 }
@@ -108,7 +108,8 @@
         ticket
     }
 
-    fn with_gate<Result, Use>(&self, service: &str, call: Use) -> Option<Result>
+    /// Calls `call` with the gate of a service; `None` if the service is not graded.
+    pub(crate) fn with_gate<Result, Use>(&self, service: &str, call: Use) -> Option<Result>
     where
         Use: FnOnce(&mut ServiceGate) -> Result,
     {
@@ -241,10 +242,10 @@
     /// Counts a decision, and logs it unless the request was admitted at once.
     fn record_decision(&mut self, decision: &str, retry_after: Option<Duration>) {
         let (request, service) = (self.request, &self.request.service);
-        let metrics = self.context.metrics();
+        let metrics = &self.context.metrics().admission;
         let urgency = request.route_match.urgency.to_string();
         let labels = [&**service, &*urgency, decision];
-        metrics.admission_decisions.with_label_values(&labels).inc();
+        metrics.decisions.with_label_values(&labels).inc();
         let now = self.context.now();
         let waited = now.saturating_duration_since(self.started);
         let is_plain_admission = decision == "admit" && !self.has_waited;
@@ -253,7 +254,7 @@
         } else {
             self.is_decided = true;
             if self.has_waited {
-                metrics.admission_wait.observe(waited.as_secs_f64());
+                metrics.wait.observe(waited.as_secs_f64());
             }
         }
         if is_plain_admission {
@@ -302,7 +303,7 @@
     }
 }
 
-fn milliseconds(duration: Duration) -> u64 {
+pub(crate) fn milliseconds(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
@@ -333,8 +334,10 @@
 }
 
 /// Starts the task that ends waits at a service's gate, unless it runs.
-fn start_ticker<Time, Dialect>(context: &RelayContext<Time, Dialect>, service: &ServiceId)
-where
+pub(crate) fn start_ticker<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    service: &ServiceId,
+) where
     Time: Clock,
     Dialect: 'static,
 {
@@ -375,143 +378,3 @@
         });
     }
 }
-
-/// Passes the totals of all instances on to the gates; `local` is the part of this instance in them.
-pub(crate) fn apply_news<Time, Dialect>(
-    context: &RelayContext<Time, Dialect>,
-    fleet: &LoadSummary,
-    local: &LoadSummary,
-) where
-    Time: Clock,
-    Dialect: 'static,
-{
-    let Some(table) = context.table() else {
-        return;
-    };
-    let now = context.now();
-    let no_demand = DemandReport::default();
-    let mut waiting_services = Vec::new();
-    for (service, entry) in context.admission().services.borrow_mut().iter_mut() {
-        let demand = fleet.demand.get(service);
-        // A hub of an earlier version drops the demand: there is no news of it.
-        if demand.is_none() && local.demand.contains_key(service) {
-            continue;
-        }
-        let view = context.fleet().borrow();
-        let rule = table.service(service);
-        let room = match rule.and_then(|rule| rule.engine.as_ref()) {
-            Some(profile) => {
-                let instance_count = context.instance_count();
-                view.model_room(service, profile, context.tracker(), instance_count, now)
-            }
-            None => {
-                let open_calls = fleet.open_calls.get(service).copied();
-                view.plain_room(service, open_calls.unwrap_or_default())
-            }
-        };
-        drop(view);
-        entry.has_capacity = room.capacity > 0.0;
-        let demand = demand.unwrap_or(&no_demand);
-        let draws = || context.with_rng(Rng::random::<f64>);
-        let actions = entry.gate.set_news(demand, room, draws, now);
-        entry.dispatch(&actions);
-        if entry.gate.next_tick().is_some() {
-            waiting_services.push(ServiceId::clone(service));
-        }
-    }
-    for service in waiting_services {
-        start_ticker(context, &service);
-    }
-}
-
-/// Updates the metrics of the gates, and logs the shares that changed.
-pub(crate) fn publish_shares<Time, Dialect>(context: &RelayContext<Time, Dialect>)
-where
-    Time: Clock,
-{
-    let now = context.now();
-    let metrics = context.metrics();
-    for (service, entry) in context.admission().services.borrow_mut().iter_mut() {
-        let state = entry.gate.describe(now);
-        let fill = state.room.map(|room| room.fill());
-        if let Some(fill) = fill {
-            let gauge = metrics.service_fill.with_label_values(&[&**service]);
-            gauge.set(fill);
-        }
-        let (previous, changes) = (entry.ranks(), entry.record_shares(&state));
-        for rank in previous.into_iter().chain(state.shares.keys().copied()) {
-            let share = state.shares.get(&rank).copied().unwrap_or(1.0);
-            let labels = [&**service, &*rank.to_string()];
-            metrics
-                .admission_share
-                .with_label_values(&labels)
-                .set(share);
-        }
-        for change in changes {
-            tracing::info!(
-                service = %service,
-                rank = change.rank,
-                from = change.from,
-                share = change.to,
-                fill,
-                supply = state.supply,
-                news_age_ms = state.news_age.map(milliseconds),
-                "admission share changed"
-            );
-        }
-    }
-}
-
-/// Request of a graded service that runs; its end is recorded when it is dropped.
-#[derive(Debug)]
-pub(crate) struct RunningRequest<Time, Dialect>
-where
-    Time: Clock,
-{
-    context: RelayContext<Time, Dialect>,
-    service: ServiceId,
-    started: Instant,
-    is_call: bool,
-    /// Whether its duration counts.
-    pub(crate) has_run: bool,
-}
-
-impl<Time, Dialect> RunningRequest<Time, Dialect>
-where
-    Time: Clock,
-{
-    /// Records the start of a request; `None` if its service is not graded. A request to a plain
-    /// service, `is_call`, is counted as open.
-    pub(crate) fn start(
-        context: &RelayContext<Time, Dialect>,
-        service: &ServiceId,
-        is_call: bool,
-    ) -> Option<Self> {
-        context.admission().with_gate(service, |entry| {
-            entry.open_calls += u32::from(is_call);
-        })?;
-        Some(Self {
-            context: context.clone(),
-            service: ServiceId::clone(service),
-            started: context.now(),
-            is_call,
-            has_run: true,
-        })
-    }
-}
-
-impl<Time, Dialect> Drop for RunningRequest<Time, Dialect>
-where
-    Time: Clock,
-{
-    fn drop(&mut self) {
-        let now = self.context.now();
-        let service_time = now.saturating_duration_since(self.started);
-        self.context.admission().with_gate(&self.service, |entry| {
-            entry.open_calls = entry.open_calls.saturating_sub(u32::from(self.is_call));
-            if self.has_run {
-                entry.gate.record_finished(service_time, now);
-            }
-        });
-    }
-}
--- a/crates/dandeliondeal_relay/src/route_deadlines.rs
+++ b/crates/dandeliondeal_relay/src/route_deadlines.rs
@@ -41,7 +41,11 @@
         let age = now.saturating_duration_since(window.started);
         if age >= WINDOW {
             let is_adjacent = age < WINDOW * 2;
-            window.previous = is_adjacent.then_some(window.current).unwrap_or_default();
+            window.previous = if is_adjacent {
+                window.current
+            } else {
+                Duration::ZERO
+            };
             window.current = Duration::ZERO;
             window.started = now;
         }
--- a/crates/dandeliondeal_relay/src/stream_admission.rs
+++ b/crates/dandeliondeal_relay/src/stream_admission.rs
@@ -8,9 +8,8 @@
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::link_monitor::needs_handover;
 use crate::refusal::RefusalCause;
-use crate::request_admission::{
-    AdmissionQuestion, AdmissionVerdict, RunningRequest, decide, needs_admission,
-};
+use crate::request_admission::{AdmissionQuestion, AdmissionVerdict, decide, needs_admission};
+use crate::running_request::RunningRequest;
 use crate::stream_handover::LocalEnd;
 use crate::stream_relay::StreamRelay;
 
