--- a/crates/dandeliondeal_limit/src/admission_gate.rs
+++ b/crates/dandeliondeal_limit/src/admission_gate.rs
@@ -342,8 +342,8 @@
         self.released_at = Some(now);
         let news = self.current_news(now);
         let room = news.map(|news| {
-            let supply = news.room.supply(&self.settings, self.mean_service_time);
-            (supply, news.room.capacity * self.settings.target_fill)
+            let target = news.room.capacity * self.settings.target_fill;
+            (target - news.room.committed, target)
         });
         for ticket in self.waiting.tickets(WaitReason::Room) {
             let work = self
@@ -357,7 +357,11 @@
             if is_beyond {
                 break;
             }
-            self.waiting.release(ticket);
+            // Its work is not committed yet, so it counts as offered again.
+            if let Some(WaitingRequest { request, .. }) = self.waiting.release(ticket) {
+                let organisation = request.organisation.as_ref();
+                self.demand.record(request.rank, organisation, work, now);
+            }
             self.admitted_work += work;
             actions.push(GateAction::Admit(ticket));
         }
