--- a/crates/dandeliondeal_limit/src/admission_gate.rs
+++ b/crates/dandeliondeal_limit/src/admission_gate.rs
@@ -343,7 +343,9 @@
         let news = self.current_news(now);
         let room = news.map(|news| {
             let target = news.room.capacity * self.settings.target_fill;
-            (target - news.room.committed, target)
+            let service_seconds = self.mean_service_time.as_secs_f64().max(1e-3);
+            let ending = (interval.as_secs_f64() / service_seconds).min(1.0);
+            (target - news.room.committed * (1.0 - ending), target)
         });
         for ticket in self.waiting.tickets(WaitReason::Room) {
             let work = self
