--- a/crates/dandeliondeal_limit/src/admission_gate.rs
+++ b/crates/dandeliondeal_limit/src/admission_gate.rs
@@ -342,8 +342,10 @@
         self.released_at = Some(now);
         let news = self.current_news(now);
         let room = news.map(|news| {
-            let supply = news.room.supply(&self.settings, self.mean_service_time);
-            (supply, news.room.capacity * self.settings.target_fill)
+            let target = news.room.capacity * self.settings.target_fill;
+            let service_seconds = self.mean_service_time.as_secs_f64().max(1e-3);
+            let ending = (interval.as_secs_f64() / service_seconds).min(1.0);
+            (target - news.room.committed * (1.0 - ending), target)
         });
         for ticket in self.waiting.tickets(WaitReason::Room) {
             let work = self
@@ -357,7 +359,11 @@
             if is_beyond {
                 break;
             }
-            self.waiting.release(ticket);
+            // Its work is not committed yet, so it counts as offered again.
+            if let Some(WaitingRequest { request, .. }) = self.waiting.release(ticket) {
+                let organisation = request.organisation.as_ref();
+                self.demand.record(request.rank, organisation, work, now);
+            }
             self.admitted_work += work;
             actions.push(GateAction::Admit(ticket));
         }
