--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -403,6 +403,11 @@
         })
     }
 
+    /// Keeps the connection from being used for another request.
+    pub fn forbid_reuse(&mut self) {
+        self.is_keep_alive = false;
+    }
+
     /// Returns whether the connection can carry another request.
     ///
     /// This requires that the request was written completely, the response ended as its framing
--- a/crates/dandeliondeal_http/tests/support/raw_endpoint.rs
+++ b/crates/dandeliondeal_http/tests/support/raw_endpoint.rs
@@ -63,6 +63,22 @@
 impl RawEndpoint {
     /// Starts an endpoint; `answer` receives the head of each request.
     pub fn start<Answer>(answer: Answer) -> Self
+    where
+        Answer: Fn(&str) -> RawAnswer + Send + Sync + 'static,
+    {
+        Self::start_with(answer, false)
+    }
+
+    /// Starts an endpoint that sends a second copy of each answer when the connection is in use
+    /// again, before the answer to the next request.
+    pub fn start_doubling<Answer>(answer: Answer) -> Self
+    where
+        Answer: Fn(&str) -> RawAnswer + Send + Sync + 'static,
+    {
+        Self::start_with(answer, true)
+    }
+
+    fn start_with<Answer>(answer: Answer, is_doubling: bool) -> Self
     where
         Answer: Fn(&str) -> RawAnswer + Send + Sync + 'static,
     {
@@ -76,7 +92,7 @@
                 let state = Arc::clone(&shared_state);
                 let answer = Arc::clone(&answer);
                 std::thread::spawn(move || {
-                    serve_connection(&state, stream, &*answer);
+                    serve_connection(&state, stream, &*answer, is_doubling);
                 });
             }
         });
@@ -98,11 +114,16 @@
     }
 }
 
-fn serve_connection<Answer>(state: &RawState, mut stream: TcpStream, answer: &Answer)
-where
+fn serve_connection<Answer>(
+    state: &RawState,
+    mut stream: TcpStream,
+    answer: &Answer,
+    is_doubling: bool,
+) where
     Answer: Fn(&str) -> RawAnswer,
 {
     stream.set_nodelay(true).expect("a socket");
+    let mut second_copy = Vec::new();
     while let Some(head) = read_request(&mut stream) {
         state
             .requests
@@ -110,9 +131,13 @@
             .expect("the requests")
             .push(head.clone());
         let answer = answer(&head);
-        if stream.write_all(&answer.start).is_err() {
+        let bytes = [second_copy.as_slice(), answer.start.as_slice()].concat();
+        if stream.write_all(&bytes).is_err() {
             return;
         }
+        if is_doubling {
+            second_copy.clone_from(&answer.start);
+        }
         if !answer.repeat.is_empty() {
             state.endless_answers.fetch_add(1, Ordering::Relaxed);
             repeat_answer(&mut stream, &answer);
--- a/crates/dandeliondeal_relay/src/endpoint_exchange.rs
+++ b/crates/dandeliondeal_relay/src/endpoint_exchange.rs
@@ -149,6 +149,10 @@
             let response_to = facts.request.as_ref();
             let is_late = response_to.is_some_and(|response_to| *response_to != self.request);
             if !is_late {
+                if response_to.is_none() {
+                    // A second copy of this response could not be told from the next one.
+                    connection.forbid_reuse();
+                }
                 return Ok((head, facts));
             }
             self.late_responses += 1;
--- a/crates/dandeliondeal_relay/src/engine_calls.rs
+++ b/crates/dandeliondeal_relay/src/engine_calls.rs
@@ -121,7 +121,8 @@
             context,
             engine,
             address,
-            ConnectionChoice::Idle,
+            // A report has no id, so a late response on a used connection could be read as one.
+            ConnectionChoice::New,
             REPORT_TIMEOUT,
         )
         .await?;
@@ -135,7 +136,6 @@
                 head.status
             )));
         }
-        context.pool().borrow_mut().put(engine, connection);
         let report = context.dialect().read_report(engine, &body);
         report.map_err(|error| ConnectionError::after_write(&error))
     };
--- a/crates/dandeliondeal_relay/src/handover.rs
+++ b/crates/dandeliondeal_relay/src/handover.rs
@@ -2,10 +2,13 @@
 //!
 //! A request makes one such step: the other instance sends it to endpoints or refuses it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::{Response, StatusCode};
+use actix_http::header::HeaderMap;
+use actix_http::{Method, Response, StatusCode, Uri};
 use actix_rt::time::timeout;
+use bytes::Bytes;
 use dandeliondeal_http::{ConnectionError, EndpointConnection, OutboundRequest, ResponseHead};
 use dandeliondeal_types::Clock;
 
@@ -26,11 +29,16 @@
 /// Maximum time to connect to another instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Maximum time in which another instance answers a check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Request that another instance has begun to answer.
 #[derive(Debug)]
 pub(crate) struct OpenHandover {
     pub(crate) connection: EndpointConnection,
     pub(crate) head: ResponseHead,
+    /// Address at which the other instance takes requests over.
+    pub(crate) address: SocketAddr,
 }
 
 /// Reply of another instance to a request.
@@ -156,7 +164,7 @@
         request.lifecycle.apply(LifecycleEvent::Offer);
         request.progress.record_attempt(&peer.id);
         request.sent_attempts += 1;
-        let reply = exchange(context, request, connection, last_event).await;
+        let reply = exchange(context, request, connection, peer.address, last_event).await;
         match reply {
             PeerReply::Answer(open) => {
                 log_handover(request, &peer, "answer");
@@ -204,6 +212,7 @@
     context: &RelayContext<Time, Dialect>,
     request: &RelayRequest,
     mut connection: EndpointConnection,
+    address: SocketAddr,
     last_event: Option<u64>,
 ) -> PeerReply
 where
@@ -244,7 +253,43 @@
         let problem = "response of another instance lacks the endpoint's signature";
         return PeerReply::Lost(ConnectionError::after_write(problem));
     }
-    PeerReply::Answer(Box::new(OpenHandover { connection, head }))
+    PeerReply::Answer(Box::new(OpenHandover {
+        connection,
+        head,
+        address,
+    }))
+}
+
+/// Returns whether the instance at `address` answers a request that it does not take.
+pub(crate) async fn is_peer_alive<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    address: SocketAddr,
+) -> bool
+where
+    Time: Clock,
+{
+    // No instance has this version of the configuration.
+    let facts = HandoverFacts {
+        config_version: u64::MAX,
+        time_left: CHECK_TIMEOUT,
+        attempts: 0,
+        last_event: None,
+    };
+    let mut headers = HeaderMap::new();
+    facts.write(context.peer_secret().reveal(), &mut headers);
+    let request = OutboundRequest {
+        method: Method::GET,
+        uri: Uri::from_static("/"),
+        headers,
+        body: Bytes::new(),
+    };
+    let check = async {
+        let now = context.now();
+        let mut connection = EndpointConnection::connect(address, CONNECT_TIMEOUT, now).await?;
+        connection.queue_request(&request)?;
+        connection.read_head().await
+    };
+    matches!(timeout(CHECK_TIMEOUT, check).await, Ok(Ok(_)))
 }
 
 fn log_handover(request: &RelayRequest, peer: &HandoverPeer, result: &str) {
--- a/crates/dandeliondeal_relay/src/handover_stream.rs
+++ b/crates/dandeliondeal_relay/src/handover_stream.rs
@@ -11,7 +11,7 @@
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::endpoint_exchange::MAX_RESPONSE_BYTES;
 use crate::event_splitter::EventSplitter;
-use crate::handover::{OpenHandover, build_response, open_handover, record_loss};
+use crate::handover::{OpenHandover, build_response, is_peer_alive, open_handover, record_loss};
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
@@ -20,8 +20,11 @@
 use crate::request_intake::RelayRequest;
 use crate::stream_relay::StreamEnd;
 
-/// Time without bytes after which the other instance counts as gone; callers wait twice as long.
+/// Time without bytes after which the other instance is checked, and counts as gone if it does not
+/// answer.
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
+/// Time without bytes after which the response counts as lost although the other instance answers.
+const MAX_SILENCE: Duration = Duration::from_secs(5);
 
 /// Relayed stream of another instance; dropping it cancels the request there.
 #[derive(Debug)]
@@ -154,6 +157,7 @@
     {
         let invalid = |error| EventsEnd::Broken(ConnectionError::invalid_answer(&error));
         self.splitter.check().map_err(invalid)?;
+        let mut active_at = context.now();
         loop {
             let time_left = request.time_left(context.now());
             if time_left.is_zero() {
@@ -164,6 +168,12 @@
                 Ok(Ok(chunk)) => chunk,
                 Ok(Err(error)) => return Err(EventsEnd::Broken(error)),
                 Err(_elapsed) if limit == time_left => return Err(EventsEnd::Late),
+                Err(_elapsed)
+                    if context.now().saturating_duration_since(active_at) < MAX_SILENCE
+                        && is_peer_alive(context, open.address).await =>
+                {
+                    continue;
+                }
                 Err(_elapsed) => {
                     let error = ConnectionError::after_write("the other instance is silent");
                     return Err(EventsEnd::Broken(error));
@@ -176,6 +186,7 @@
                 }
                 return Err(EventsEnd::Complete);
             };
+            active_at = context.now();
             let events = self.splitter.push(&chunk).map_err(invalid)?;
             if !events.is_empty() {
                 return Ok(events);
--- a/crates/dandeliondeal_relay/src/layout_controller.rs
+++ b/crates/dandeliondeal_relay/src/layout_controller.rs
@@ -406,6 +406,13 @@
             let state = self.state.borrow();
             let known_count = state.order_counts.get(&order.engine);
             order.order_count = known_count.map_or(0, |(_, count)| *count);
+            drop(state);
+            // The term may have ended while the engine was asked.
+            let Some(fencing_number) = self.fencing_number() else {
+                self.state.borrow_mut().pending.remove(&order.engine);
+                return;
+            };
+            order.fencing_number = fencing_number;
         }
         let request = self.context.dialect().write_order(&order);
         let reply = send_order(&self.context, order.address, &request).await;
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -56,9 +56,13 @@
     drop(link_use);
     let (lifecycle, last_failure) = (race.lifecycle, race.last_failure);
     let sent_attempts = race.sent_attempts;
+    let is_unanswered = !race.open_endpoints.is_empty();
     request.lifecycle = lifecycle;
     match end {
         RaceEnd::LinksLost => {
+            if is_unanswered {
+                request.lifecycle.mark_may_have_run();
+            }
             request.sent_attempts = sent_attempts;
             hand_over_plain(context, request).await
         }
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -188,7 +188,7 @@
             actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
             let elapsed = self.context.now().saturating_duration_since(started);
             let open = self.context.metrics().open_requests.get();
-            let connections = self.callers.open_connections();
+            let connections = self.callers.open_connections() + self.handover.open_connections();
             if elapsed >= limit || (open <= 0 && connections == 0) {
                 self.context.record_exit();
                 tracing::info!(open, connections, elapsed_ms = %elapsed.as_millis(), "stopped");
--- a/crates/dandeliondeal_store/src/platform_client.rs
+++ b/crates/dandeliondeal_store/src/platform_client.rs
@@ -1,6 +1,7 @@
 //! HTTP client of the platform.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -70,7 +71,11 @@
 struct ClientState<Time> {
     settings: PlatformSettings,
     clock: Time,
-    client: RefCell<Client>,
+    /// HTTP clients by the first part of the objects' names.
+    ///
+    /// Calls for different kinds of objects share no connection, because a late answer to an earlier
+    /// call cannot be told from the answer to one for another kind.
+    clients: RefCell<HashMap<Arc<str>, Client>>,
     budget: RefCell<CallBudget>,
     jitter: RefCell<StdRng>,
     call_count: Cell<u64>,
@@ -104,12 +109,11 @@
     /// Creates a client that uses `dialect`, without sending anything.
     pub fn with_dialect(settings: PlatformSettings, clock: Time, dialect: Dialect) -> Self {
         let budget = CallBudget::new(settings.budget.clone(), clock.now());
-        let client = http_client(&settings);
         let jitter = StdRng::seed_from_u64(settings.seed);
         let shared = ClientState {
             settings,
             clock,
-            client: RefCell::new(client),
+            clients: RefCell::default(),
             budget: RefCell::new(budget),
             jitter: RefCell::new(jitter),
             call_count: Cell::new(0),
@@ -195,8 +199,7 @@
         let answer = match result {
             Err(error) => {
                 if !error.is_not_written() {
-                    let client = http_client(&self.shared.settings);
-                    self.shared.client.replace(client);
+                    self.shared.clients.borrow_mut().clear();
                 }
                 return Err(error);
             }
@@ -206,6 +209,17 @@
         Ok(answer)
     }
 
+    fn client(&self, name: &str) -> Client {
+        let kind = name.split_once('/').map_or(name, |(kind, _)| kind);
+        let mut clients = self.shared.clients.borrow_mut();
+        if let Some(client) = clients.get(kind) {
+            return client.clone();
+        }
+        let client = http_client(&self.shared.settings);
+        clients.insert(kind.into(), client.clone());
+        client
+    }
+
     fn take_budget(&self, kind: CallKind) -> Result<(), StoreError> {
         let now = self.shared.clock.now();
         let mut budget = self.shared.budget.borrow_mut();
@@ -223,7 +237,7 @@
         self.shared.call_count.set(self.shared.call_count.get() + 1);
         let settings = &self.shared.settings;
         let url = format!("http://{}{}", settings.address, call.path);
-        let mut request = self.shared.client.borrow().request(call.method, url);
+        let mut request = self.client(name).request(call.method, url);
         for header in call.headers {
             request = request.insert_header(header);
         }
@@ -275,7 +289,14 @@
             body: &body,
         };
         let answer = self.write(request).await?;
-        self.dialect.read_version(name, &answer)
+        let version = self.dialect.read_version(name, &answer)?;
+        match condition {
+            PutCondition::Version(replaced) if version <= replaced => {
+                let reason = format!("answer with version {version} to a write over {replaced}");
+                Err(StoreError::response_lost(name, &reason))
+            }
+            _ => Ok(version),
+        }
     }
 
     async fn delete(&self, name: &str, version: Version) -> Result<(), StoreError> {
@@ -371,7 +392,12 @@
         });
         let call_timeout = timeout + self.shared.settings.call_timeout;
         let answer = self.call(kind, call, call_timeout, CallKind::Read).await?;
-        self.dialect.read_changes(kind, &answer)
+        let changes = self.dialect.read_changes(kind, &answer)?;
+        if changes.version < since {
+            let reason = format!("changes up to {} in answer to {since}", changes.version);
+            return Err(StoreError::response_lost(kind, &reason));
+        }
+        Ok(changes)
     }
 }
 
