--- a/crates/dandeliondeal_command/src/router_command.rs
+++ b/crates/dandeliondeal_command/src/router_command.rs
@@ -101,6 +101,7 @@
         .map_err(|error| CommandError::failed(format!("router: {error}")))?;
     tracing::info!(
         %instance,
+        version = env!("CARGO_PKG_VERSION"),
         incarnation,
         callers = %server.caller_address(),
         readiness = %server.readiness_address(),
--- a/crates/dandeliondeal_relay/src/instance_registry.rs
+++ b/crates/dandeliondeal_relay/src/instance_registry.rs
@@ -37,7 +37,7 @@
 
 /// Registration of an instance, as stored.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct InstanceEntry {
+pub struct InstanceEntry {
     address: SocketAddr,
     #[serde(default)]
     handover: Option<SocketAddr>,
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -36,7 +36,7 @@
 pub mod peer_choice;
 mod plain_attempt;
 pub mod plain_relay;
-mod quarantine_store;
+pub mod quarantine_store;
 pub mod refusal;
 pub mod relay_body;
 pub mod relay_context;
--- a/crates/dandeliondeal_relay/src/load_exchange.rs
+++ b/crates/dandeliondeal_relay/src/load_exchange.rs
@@ -106,7 +106,7 @@
 
 /// Report of an instance to its hub, or of a hub to another one.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct LoadReport {
+pub struct LoadReport {
     /// Id of the instance, or the failure domain that a hub reports for.
     from: InstanceId,
     work: LoadSummary,
--- a/crates/dandeliondeal_relay/src/quarantine_store.rs
+++ b/crates/dandeliondeal_relay/src/quarantine_store.rs
@@ -36,7 +36,7 @@
 
 /// Verdict as stored.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct StoredVerdict {
+pub struct StoredVerdict {
     key: FeatureKey,
     companions: Vec<FeatureId>,
     processes: Vec<ProcessId>,
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -159,6 +159,11 @@
         self.callers.address()
     }
 
+    /// Returns the address for requests that other instances hand over.
+    pub fn handover_address(&self) -> std::net::SocketAddr {
+        self.handover.address()
+    }
+
     /// Returns the address of the readiness check.
     pub fn readiness_address(&self) -> std::net::SocketAddr {
         self.readiness.address()
--- a/crates/dandeliondeal_relay/src/shared_store.rs
+++ b/crates/dandeliondeal_relay/src/shared_store.rs
@@ -42,7 +42,7 @@
 
 /// Request of a member for changes.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct FeedRequest {
+pub struct FeedRequest {
     kind: String,
     seen: Version,
 }
