--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -42,7 +42,7 @@
 mod plain_admission;
 mod plain_attempt;
 pub mod plain_relay;
-mod quarantine_store;
+pub mod quarantine_store;
 pub mod refusal;
 pub mod relay_body;
 pub mod relay_context;
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -66,9 +66,13 @@
         running.has_run = sent_attempts > 0;
     }
     drop(running);
+    let is_unanswered = !race.open_endpoints.is_empty();
     request.lifecycle = lifecycle;
     match end {
         RaceEnd::LinksLost => {
+            if is_unanswered {
+                request.lifecycle.mark_may_have_run();
+            }
             request.sent_attempts = sent_attempts;
             hand_over_plain(context, request).await
         }
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -161,6 +161,11 @@
         self.callers.address()
     }
 
+    /// Returns the address for requests that other instances hand over.
+    pub fn handover_address(&self) -> std::net::SocketAddr {
+        self.handover.address()
+    }
+
     /// Returns the address of the readiness check.
     pub fn readiness_address(&self) -> std::net::SocketAddr {
         self.readiness.address()
@@ -190,7 +195,7 @@
             actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
             let elapsed = self.context.now().saturating_duration_since(started);
             let open = self.context.metrics().open_requests.get();
-            let connections = self.callers.open_connections();
+            let connections = self.callers.open_connections() + self.handover.open_connections();
             if elapsed >= limit || (open <= 0 && connections == 0) {
                 self.context.record_exit();
                 tracing::info!(open, connections, elapsed_ms = %elapsed.as_millis(), "stopped");
