Loss notices between instances: table, exchange and wiring

Each instance found a lost engine on its own, which took seconds. The observer now tells a hub, which tells the hubs of all domains; members wait there. A certain notice starts a check by a connection, and a confirmed loss wakes the streams that run through the engine.

--- a/crates/dandeliondeal_peer/src/peer_client.rs
+++ b/crates/dandeliondeal_peer/src/peer_client.rs
@@ -9,6 +9,7 @@
 
 use jsonrpsee::core::client::{ClientT, Error};
 use jsonrpsee::rpc_params;
+use jsonrpsee::types::ErrorCode;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -216,7 +217,10 @@
 
 fn call_error(address: SocketAddr, method: &'static str, error: &Error) -> PeerError {
     let reason: Arc<str> = error.to_string().into();
-    if matches!(error, Error::Call(_)) {
+    if let Error::Call(object) = error {
+        if object.code() == ErrorCode::MethodNotFound.code() {
+            return PeerError::UnknownMethod { method };
+        }
         return PeerError::Refused { method, reason };
     }
     PeerError::NoAnswer {
--- a/crates/dandeliondeal_peer/src/peer_error.rs
+++ b/crates/dandeliondeal_peer/src/peer_error.rs
@@ -28,6 +28,12 @@
         /// Error text of the connection.
         reason: Arc<str>,
     },
+    /// The peer, of another version, does not know the method.
+    #[display("{method} is unknown to the peer")]
+    UnknownMethod {
+        /// Method that was called.
+        method: &'static str,
+    },
     /// The call was refused, or its body or reply could not be encoded or decoded.
     #[display("{method} refused: {reason}")]
     Refused {
--- a/crates/dandeliondeal_relay/src/chain_watch.rs
+++ b/crates/dandeliondeal_relay/src/chain_watch.rs
@@ -5,8 +5,11 @@
 use dandeliondeal_layout::EngineChain;
 use dandeliondeal_types::{Clock, EndpointId};
 use derive_more::Display;
+use tokio::sync::watch;
 
 use crate::dialect::FleetDialect;
+use crate::loss_board::{confirm_loss, record_loss};
+use crate::loss_notice::LossEvidence;
 use crate::relay_context::RelayContext;
 
 /// Time without an event after which the states of the chain's engines are checked.
@@ -55,10 +58,17 @@
     Dialect: FleetDialect,
 {
     let mut is_logged = false;
+    let mut losses = context.losses().subscribe();
     loop {
+        if let Some(engine) = context.losses().first_lost(chain, last_activity) {
+            count_silence(context, "known-loss");
+            return SilenceCause::Unresponsive(engine);
+        }
         let silence = context.now().saturating_duration_since(last_activity);
         if silence < SILENCE_LIMIT {
-            actix_rt::time::sleep(SILENCE_LIMIT.saturating_sub(silence)).await;
+            let until_limit = last_activity + SILENCE_LIMIT;
+            let wait = until_limit.saturating_duration_since(context.now());
+            wait_for_loss(&mut losses, wait).await;
             continue;
         }
         let failed = context.fleet().borrow().first_failed(chain);
@@ -88,10 +98,16 @@
                 return SilenceCause::Mute(EndpointId::clone(&chain.hops[0].id));
             }
         }
-        actix_rt::time::sleep(SILENCE_LIMIT).await;
+        wait_for_loss(&mut losses, SILENCE_LIMIT).await;
     }
 }
 
+/// Waits until an engine was certainly lost, or until `limit` has passed.
+async fn wait_for_loss(losses: &mut watch::Receiver<u64>, limit: Duration) {
+    // The sender lives as long as the context, so the wait for a change does not fail.
+    drop(actix_rt::time::timeout(limit, losses.changed()).await);
+}
+
 fn count_silence<Time, Dialect>(context: &RelayContext<Time, Dialect>, finding: &str)
 where
     Time: Clock,
@@ -153,5 +169,13 @@
     context.fleet().borrow_mut().mark_failed(&engine, now);
     context.engine_checks().add_suspect(&engine, now);
     tracing::info!(request, %engine, "engine does not answer; taken out of use");
+    if context.losses().is_shared() {
+        let (context, engine) = (context.clone(), EndpointId::clone(&engine));
+        actix_rt::spawn(async move {
+            if !confirm_loss(&context, &engine, LossEvidence::Refused).await {
+                record_loss(&context, &engine, LossEvidence::Silent);
+            }
+        });
+    }
     ReportFinding::Unresponsive(engine)
 }
--- a/crates/dandeliondeal_relay/src/crash_watch.rs
+++ b/crates/dandeliondeal_relay/src/crash_watch.rs
@@ -13,6 +13,8 @@
 
 use crate::endpoint_exchange::{ConnectionChoice, open_connection};
 use crate::link_monitor::probe_links;
+use crate::loss_board::record_loss;
+use crate::loss_notice::LossEvidence;
 use crate::relay_context::RelayContext;
 
 /// Maximum time to connect to an endpoint of which another connection has just broken.
@@ -112,6 +114,12 @@
         let now = context.now();
         context.fleet().borrow_mut().mark_failed(&record.id, now);
         context.engine_checks().add_suspect(&record.id, now);
+        let evidence = if error.is_refused() {
+            LossEvidence::Reset
+        } else {
+            LossEvidence::Silent
+        };
+        record_loss(context, &record.id, evidence);
     }
     error.is_refused().then_some(is_confirmed)
 }
--- a/crates/dandeliondeal_relay/src/engine_check.rs
+++ b/crates/dandeliondeal_relay/src/engine_check.rs
@@ -14,6 +14,8 @@
 
 use crate::dialect::{EngineReport, FleetDialect};
 use crate::engine_calls::REPORT_TIMEOUT;
+use crate::loss_board::{confirm_loss, record_loss};
+use crate::loss_notice::LossEvidence;
 use crate::relay_context::RelayContext;
 
 /// Minimum time between two checks of one engine, which is about the age of a report's values.
@@ -38,6 +40,9 @@
     /// Another instance found the engine failed.
     #[display("suspicion")]
     Suspicion,
+    /// Another instance is certain that the engine's process has ended.
+    #[display("notice")]
+    Notice,
     /// The engine was found failed some time ago.
     #[display("retest")]
     Retest,
@@ -80,7 +85,8 @@
     }
 }
 
-/// Starts a check of an engine unless one was started within `CHECK_INTERVAL`.
+/// Starts a check of an engine unless one was started within `CHECK_INTERVAL`, or within a second
+/// after a certain notice.
 pub fn check_engine<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     engine: &EndpointId,
@@ -90,9 +96,18 @@
     Dialect: FleetDialect,
 {
     let now = context.now();
-    if !context.engine_checks().try_start(engine, now) {
+    let may_start = if cause == CheckCause::Notice {
+        context.losses().try_check(engine, now)
+    } else {
+        context.engine_checks().try_start(engine, now)
+    };
+    if !may_start {
         return;
     }
+    if cause == CheckCause::Notice {
+        let mut fleet = context.fleet().borrow_mut();
+        fleet.exclude_for_check(engine, now + REPORT_TIMEOUT);
+    }
     if cause == CheckCause::Rejection {
         // The engine may have failed just before the rejection; exclude it until the check can have
         // finished.
@@ -131,6 +146,9 @@
     let Some(address) = address else {
         return;
     };
+    if cause == CheckCause::Notice && confirm_loss(context, engine, LossEvidence::Refused).await {
+        return;
+    }
     let started = context.now();
     let report = context.report_cache().fetch(context, engine, address).await;
     let now = context.now();
@@ -138,8 +156,14 @@
         context.fleet().borrow_mut().mark_failed(engine, now);
         context.engine_checks().add_suspect(engine, now);
         tracing::info!(%engine, %cause, "engine does not answer; taken out of use");
+        // A retest finds an engine failed of which the other instances know.
+        let is_new = cause != CheckCause::Retest && context.losses().is_shared();
+        if is_new && !confirm_loss(context, engine, LossEvidence::Refused).await {
+            record_loss(context, engine, LossEvidence::Silent);
+        }
         return;
     };
+    context.losses().remove_lost(engine);
     let holds_layers = apply_report(context, engine, cause, &report, now);
     if cause == CheckCause::Retest {
         let mut fleet = context.fleet().borrow_mut();
--- a/crates/dandeliondeal_relay/src/fleet_sinks.rs
+++ b/crates/dandeliondeal_relay/src/fleet_sinks.rs
@@ -8,6 +8,8 @@
 use crate::crash_watch::{log_changes, process_id};
 use crate::dialect::FleetDialect;
 use crate::fleet_view::FleetChange;
+use crate::loss_board::publish_loss;
+use crate::loss_notice::LossEvidence;
 use crate::relay_context::RelayContext;
 use crate::store_watch::KindSink;
 
@@ -147,6 +149,12 @@
                 .crashes()
                 .borrow_mut()
                 .confirm_end(&process, now);
+            let is_engine = self.context.fleet().borrow().is_engine(record);
+            if is_engine && !record.is_draining && self.context.losses().is_shared() {
+                let incarnation = Some(record.started_at_ms);
+                let evidence = LossEvidence::Superseded;
+                publish_loss(&self.context, &record.id, incarnation, evidence);
+            }
         }
         if !superseded.is_empty() {
             log_changes(&self.context);
--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -235,6 +235,14 @@
         self.excluded.insert(EndpointId::clone(engine), until);
     }
 
+    /// Excludes an engine from new chains until `until` while it is checked, unless it is excluded
+    /// already.
+    pub fn exclude_for_check(&mut self, engine: &EndpointId, until: Instant) {
+        let engine = EndpointId::clone(engine);
+        let end = self.excluded.entry(engine).or_insert(until);
+        *end = until.max(*end);
+    }
+
     /// Ends the exclusion of an engine that holds the layers that it registered.
     pub fn readmit(&mut self, engine: &str) {
         self.excluded.remove(engine);
@@ -305,6 +313,11 @@
         self.records.get(id)
     }
 
+    /// Returns whether an endpoint belongs to a service that runs on engines.
+    pub fn is_engine(&self, record: &EndpointRecord) -> bool {
+        self.engine_services.contains(&record.service)
+    }
+
     /// Returns the number of registered endpoints.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/crates/dandeliondeal_relay/src/hub_selection.rs
+++ b/crates/dandeliondeal_relay/src/hub_selection.rs
@@ -69,6 +69,26 @@
             .collect()
     }
 
+    /// Returns the first `count` instances of a failure domain in the order in which they are
+    /// selected as its hub.
+    pub fn ranked_hubs(&self, domain: &str, count: usize) -> Vec<PeerInstance> {
+        let now = self.context.now();
+        let mut unresponsive = self.unresponsive.borrow_mut();
+        unresponsive.retain(|_, until| now < *until);
+        let mut ranked: Vec<PeerInstance> = Vec::new();
+        while ranked.len() < count {
+            let next = self.select(domain, |peer| {
+                let is_ranked = ranked.iter().any(|hub| hub.id == peer.id);
+                !is_ranked && !unresponsive.contains_key(&peer.id)
+            });
+            let Some(next) = next else {
+                break;
+            };
+            ranked.push(next);
+        }
+        ranked
+    }
+
     fn select<Filter>(&self, domain: &str, is_candidate: Filter) -> Option<PeerInstance>
     where
         Filter: Fn(&PeerInstance) -> bool,
@@ -85,7 +105,12 @@
 
     /// Excludes an instance that did not answer for a while.
     pub fn exclude(&self, hub: &InstanceId) {
-        let until = self.context.now() + HUB_EXCLUSION_TIME;
+        self.exclude_for(hub, HUB_EXCLUSION_TIME);
+    }
+
+    /// Excludes an instance for `time`.
+    pub fn exclude_for(&self, hub: &InstanceId, time: Duration) {
+        let until = self.context.now() + time;
         let mut unresponsive = self.unresponsive.borrow_mut();
         unresponsive.insert(InstanceId::clone(hub), until);
     }
--- a/crates/dandeliondeal_relay/src/load_exchange.rs
+++ b/crates/dandeliondeal_relay/src/load_exchange.rs
@@ -27,6 +27,7 @@
 use crate::instance_registry::PeerInstance;
 use crate::link_monitor::LostLinks;
 use crate::load_tracker::EngineLoad;
+use crate::loss_exchange::{LossExchange, NOTICE_METHOD, WATCH_METHOD};
 use crate::relay_context::RelayContext;
 use crate::shared_store::{CHANGES_METHOD, FeedTable};
 
@@ -161,6 +162,7 @@
     hub_state: Rc<RefCell<HubState>>,
     hubs: HubSelector<Time, Dialect>,
     feeds: FeedTable,
+    losses: LossExchange<Time, Dialect>,
 }
 
 impl<Time, Dialect> Clone for LoadExchange<Time, Dialect> {
@@ -171,6 +173,7 @@
             hub_state: Rc::clone(&self.hub_state),
             hubs: self.hubs.clone(),
             feeds: self.feeds.clone(),
+            losses: self.losses.clone(),
         }
     }
 }
@@ -182,12 +185,14 @@
 {
     /// Creates an exchange that does nothing until [`Self::run`].
     ///
-    /// `feeds` serves store changes to the members that use this instance as their hub.
+    /// `feeds` serves store changes to the members that use this instance as their hub, `losses`
+    /// notices of lost engines.
     pub fn new(
         context: RelayContext<Time, Dialect>,
         client: PeerClient,
         hubs: HubSelector<Time, Dialect>,
         feeds: FeedTable,
+        losses: LossExchange<Time, Dialect>,
     ) -> Self {
         Self {
             context,
@@ -195,6 +200,7 @@
             hub_state: Rc::default(),
             hubs,
             feeds,
+            losses,
         }
     }
 
@@ -328,12 +334,21 @@
     Time: Clock,
     Dialect: FleetDialect,
 {
-    const METHODS: &'static [&'static str] = &[REPORT_METHOD, EXCHANGE_METHOD, CHANGES_METHOD];
+    const METHODS: &'static [&'static str] = &[
+        REPORT_METHOD,
+        EXCHANGE_METHOD,
+        CHANGES_METHOD,
+        NOTICE_METHOD,
+        WATCH_METHOD,
+    ];
 
     async fn handle(&self, method: &'static str, body: Box<str>) -> Result<String, PeerError> {
         if method == CHANGES_METHOD {
             return self.feeds.answer_member(&self.context, &body).await;
         }
+        if method == NOTICE_METHOD || method == WATCH_METHOD {
+            return self.losses.handle(method, body).await;
+        }
         let refuse = |error: serde_json::Error| PeerError::refused(method, error.to_string());
         let report: LoadReport = serde_json::from_str(&body).map_err(refuse)?;
         let now = self.context.now();
--- /dev/null
+++ b/crates/dandeliondeal_relay/src/loss_board.rs
@@ -0,0 +1,273 @@
+//! Losses of engines that this instance knows, for its own streams and for other instances.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use dandeliondeal_layout::EngineChain;
+use dandeliondeal_types::{Clock, EndpointId, InstanceId};
+use tokio::sync::{Notify, watch};
+
+use crate::dialect::FleetDialect;
+use crate::endpoint_exchange::{ConnectionChoice, open_connection};
+use crate::loss_notice::{LossEvidence, LossNotice, NOTICE_INTERVAL, NOTICE_LIFE, NoticeTable};
+use crate::relay_context::RelayContext;
+
+/// Maximum time to connect to an engine that is said to be lost.
+const CONNECT_LIMIT: Duration = Duration::from_millis(100);
+/// Time for which events that were under way still arrive after the loss of an engine.
+const EVENT_TRANSIT: Duration = Duration::from_millis(50);
+/// Maximum number of notices that wait to be sent.
+const MAX_QUEUED: usize = 1_024;
+
+/// Losses of engines; part of the state that all requests share.
+#[derive(Debug)]
+pub struct LossBoard {
+    is_shared: Cell<bool>,
+    notices: RefCell<NoticeTable>,
+    /// Engines whose process has certainly ended, with its incarnation and the time of the finding.
+    lost: RefCell<HashMap<EndpointId, (Option<u64>, Instant)>>,
+    checked: RefCell<HashMap<EndpointId, Instant>>,
+    /// Observations of this instance that its hub has not been told.
+    outgoing: RefCell<Vec<LossNotice>>,
+    outgoing_added: Notify,
+    /// Number of certain losses so far.
+    losses: watch::Sender<u64>,
+    /// Sequence number of the latest notice.
+    arrivals: watch::Sender<u64>,
+}
+
+impl Default for LossBoard {
+    fn default() -> Self {
+        Self {
+            is_shared: Cell::new(false),
+            notices: RefCell::default(),
+            lost: RefCell::default(),
+            checked: RefCell::default(),
+            outgoing: RefCell::default(),
+            outgoing_added: Notify::new(),
+            losses: watch::Sender::new(0),
+            arrivals: watch::Sender::new(0),
+        }
+    }
+}
+
+impl LossBoard {
+    /// Returns whether losses are shared under the configuration in force.
+    pub(crate) fn is_shared(&self) -> bool {
+        self.is_shared.get()
+    }
+
+    /// Sets whether losses are shared.
+    pub(crate) fn set_shared(&self, is_shared: bool) {
+        self.is_shared.set(is_shared);
+    }
+
+    /// Returns the table of recent notices.
+    pub(crate) fn notices(&self) -> &RefCell<NoticeTable> {
+        &self.notices
+    }
+
+    /// Adds a notice; returns whether it is news.
+    pub(crate) fn add(&self, notice: LossNotice, now: Instant) -> bool {
+        let (is_news, sequence) = {
+            let mut notices = self.notices.borrow_mut();
+            (notices.add(notice, now), notices.last_sequence())
+        };
+        if is_news {
+            self.arrivals.send_replace(sequence);
+        }
+        is_news
+    }
+
+    /// Adds a notice of this instance, which is sent to its hub if it is news.
+    pub fn publish(&self, notice: LossNotice, now: Instant) -> bool {
+        let is_news = self.is_shared() && self.add(notice.clone(), now);
+        if is_news && self.outgoing.borrow().len() < MAX_QUEUED {
+            self.outgoing.borrow_mut().push(notice);
+            self.outgoing_added.notify_one();
+        }
+        is_news
+    }
+
+    /// Waits for notices of this instance, and returns them.
+    pub(crate) async fn take_outgoing(&self, limit: usize) -> Vec<LossNotice> {
+        loop {
+            {
+                let mut outgoing = self.outgoing.borrow_mut();
+                if !outgoing.is_empty() {
+                    let count = limit.min(outgoing.len());
+                    return outgoing.drain(..count).collect();
+                }
+            }
+            self.outgoing_added.notified().await;
+        }
+    }
+
+    /// Subscribes to the sequence number of the latest notice.
+    pub(crate) fn subscribe_arrivals(&self) -> watch::Receiver<u64> {
+        self.arrivals.subscribe()
+    }
+
+    /// Subscribes to the number of certain losses.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.losses.subscribe()
+    }
+
+    /// Returns the first engine of a chain that was certainly lost since the chain's last event.
+    pub fn first_lost(&self, chain: &EngineChain, last_activity: Instant) -> Option<EndpointId> {
+        let lost = self.lost.borrow();
+        let is_lost = |engine: &EndpointId| {
+            let found = lost.get(engine);
+            found.is_some_and(|(_, at)| *at + EVENT_TRANSIT >= last_activity)
+        };
+        let mut hops = chain.hops.iter().filter(|_| !lost.is_empty());
+        let hop = hops.find(|hop| is_lost(&hop.id));
+        hop.map(|hop| EndpointId::clone(&hop.id))
+    }
+
+    /// Records the end of an engine's process; returns `false` if it was known.
+    fn add_lost(&self, engine: &EndpointId, incarnation: Option<u64>, now: Instant) -> bool {
+        let mut lost = self.lost.borrow_mut();
+        lost.retain(|_, (_, at)| now.saturating_duration_since(*at) < NOTICE_LIFE);
+        let known = lost.get(engine).map(|(incarnation, _)| *incarnation);
+        if known == Some(incarnation) {
+            return false;
+        }
+        lost.insert(EndpointId::clone(engine), (incarnation, now));
+        drop(lost);
+        self.losses.send_modify(|count| *count += 1);
+        true
+    }
+
+    /// Records that an engine was found alive.
+    pub(crate) fn remove_lost(&self, engine: &str) {
+        self.lost.borrow_mut().remove(engine);
+    }
+
+    /// Returns whether the end of this process is known.
+    pub(crate) fn is_lost(&self, engine: &str, incarnation: Option<u64>) -> bool {
+        let lost = self.lost.borrow();
+        lost.get(engine)
+            .is_some_and(|(known, _)| *known == incarnation)
+    }
+
+    /// Returns whether an engine may be checked for a notice now, at most once a second.
+    pub(crate) fn try_check(&self, engine: &EndpointId, now: Instant) -> bool {
+        let mut checked = self.checked.borrow_mut();
+        checked.retain(|_, at| now.saturating_duration_since(*at) < NOTICE_INTERVAL);
+        let may_check = !checked.contains_key(engine);
+        if may_check {
+            checked.insert(EndpointId::clone(engine), now);
+        }
+        may_check
+    }
+}
+
+/// Records the loss of an engine, whose failure this instance has observed.
+///
+/// Tells other instances unless one of them has told this one, and wakes the streams that run through
+/// the engine if its process has certainly ended. Does nothing unless losses are shared.
+pub fn record_loss<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    engine: &EndpointId,
+    evidence: LossEvidence,
+) where
+    Time: Clock,
+{
+    if !context.losses().is_shared() {
+        return;
+    }
+    let observed = {
+        let fleet = context.fleet().borrow();
+        let record = fleet.record(engine).filter(|record| !record.is_draining);
+        record
+            .filter(|record| fleet.is_engine(record))
+            .filter(|record| !context.links().is_lost(&record.service))
+            .map(|record| record.started_at_ms)
+    };
+    // A process that drains was stopped, and behind lost links all engines look lost.
+    if let Some(incarnation) = observed {
+        publish_loss(context, engine, Some(incarnation), evidence);
+    }
+}
+
+/// Records the end of the process of `engine` with this incarnation.
+pub(crate) fn publish_loss<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    engine: &EndpointId,
+    incarnation: Option<u64>,
+    evidence: LossEvidence,
+) where
+    Time: Clock,
+{
+    let now = context.now();
+    let notice = LossNotice {
+        engine: EndpointId::clone(engine),
+        incarnation,
+        evidence,
+        observer: InstanceId::clone(&context.settings().instance.id),
+        age_ms: 0,
+    };
+    let board = context.losses();
+    let is_sent = board.publish(notice, now);
+    let is_first = evidence.is_certain() && board.add_lost(engine, incarnation, now);
+    if is_first || (is_sent && !evidence.is_certain()) {
+        tracing::info!(%engine, incarnation, %evidence, is_sent, "engine lost");
+    }
+    if is_sent {
+        let counter = &context.metrics().loss_notices;
+        let evidence = evidence.to_string();
+        counter.with_label_values(&[&*evidence, "published"]).inc();
+    }
+}
+
+/// Finds out by a new connection whether the process of an engine that failed has ended, and records
+/// the loss.
+///
+/// `evidence` is the one if the connection is refused.
+pub(crate) async fn confirm_loss<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    engine: &EndpointId,
+    evidence: LossEvidence,
+) -> bool
+where
+    Time: Clock,
+{
+    let address = {
+        let fleet = context.fleet().borrow();
+        fleet.record(engine).map(|record| record.address)
+    };
+    let Some(address) = address else {
+        return false;
+    };
+    let choice = ConnectionChoice::New;
+    let opened = open_connection(context, engine, address, choice, CONNECT_LIMIT).await;
+    let is_refused = opened.is_err_and(|error| error.is_refused());
+    if is_refused {
+        let now = context.now();
+        context.fleet().borrow_mut().mark_failed(engine, now);
+        context.engine_checks().add_suspect(engine, now);
+        record_loss(context, engine, evidence);
+    }
+    is_refused
+}
+
+/// Starts [`confirm_loss`] for an engine that broke a connection, at most once a second.
+pub(crate) fn check_broken<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    engine: &EndpointId,
+) where
+    Time: Clock,
+    Dialect: FleetDialect,
+{
+    let board = context.losses();
+    if !board.is_shared() || !board.try_check(engine, context.now()) {
+        return;
+    }
+    let context = context.clone();
+    let engine = EndpointId::clone(engine);
+    actix_rt::spawn(async move {
+        confirm_loss(&context, &engine, LossEvidence::Reset).await;
+    });
+}
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -26,6 +26,8 @@
 use crate::instance_registry::PeerInstance;
 use crate::link_monitor::LinkMonitor;
 use crate::load_tracker::LoadTracker;
+use crate::loss_board::LossBoard;
+use crate::loss_exchange::shares_losses;
 use crate::relay_error::RelayError;
 use crate::relay_lifecycle::{LifecycleTable, lifecycle_table};
 use crate::relay_metrics::RelayMetrics;
@@ -72,6 +74,7 @@
     crashes: RefCell<CrashTable>,
     process_checks: ProcessChecks,
     links: LinkMonitor,
+    losses: LossBoard,
     peer_secret: SecretText,
     rates: RefCell<EndpointRates>,
     urgent_report: Notify,
@@ -126,6 +129,7 @@
             crashes: RefCell::default(),
             process_checks: ProcessChecks::default(),
             links: LinkMonitor::default(),
+            losses: LossBoard::default(),
             peer_secret: PeerSettings::default().secret,
             rates: RefCell::default(),
             urgent_report: Notify::new(),
@@ -175,6 +179,7 @@
             return false;
         }
         self.fleet().borrow_mut().set_services(&table, self.now());
+        self.losses().set_shared(shares_losses(&table));
         let version = i64::try_from(table.version()).unwrap_or(i64::MAX);
         self.shared.metrics.config_version.set(version);
         self.shared.table.replace(Some(Arc::new(table)));
@@ -226,6 +231,11 @@
         &self.shared.links
     }
 
+    /// Returns the losses of engines that are known.
+    pub fn losses(&self) -> &LossBoard {
+        &self.shared.losses
+    }
+
     /// Returns what is known of crashes under requests.
     pub fn crashes(&self) -> &RefCell<CrashTable> {
         &self.shared.crashes
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -38,6 +38,8 @@
     pub lost_services: IntGauge,
     /// Number of requests that were handed over to other instances, by how that ended.
     pub handovers: IntCounterVec,
+    /// Number of notices of lost engines by evidence and direction.
+    pub loss_notices: IntCounterVec,
     /// Number of endpoints that state a request limit.
     pub limited_endpoints: IntGauge,
     /// Number of requests in progress.
@@ -120,6 +122,11 @@
             "Requests handed over to other instances by result.",
             &["result"],
         )?;
+        let loss_notices = counters(
+            "dandeliondeal_loss_notices_total",
+            "Notices of lost engines by evidence and direction.",
+            &["evidence", "direction"],
+        )?;
         let quarantined_parts = IntGauge::new(
             "dandeliondeal_quarantined_parts",
             "Parts of prompts that are refused because they crash engines.",
@@ -147,6 +154,7 @@
             quarantined_parts,
             lost_services,
             handovers,
+            loss_notices,
             limited_endpoints,
             open_requests,
             dropped_logs,
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -21,6 +21,7 @@
 use crate::layout_controller::LayoutController;
 use crate::link_monitor::watch_links;
 use crate::load_exchange::LoadExchange;
+use crate::loss_exchange::LossExchange;
 use crate::quarantine_store::run_quarantine_store;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
@@ -114,10 +115,12 @@
             .unwrap_or(usize::MAX),
             ..ListenerSettings::default()
         };
-        let exchange = LoadExchange::new(context.clone(), peer_client, hubs, feeds);
+        let losses = LossExchange::new(context.clone(), peer_client.clone());
+        let exchange = LoadExchange::new(context.clone(), peer_client, hubs, feeds, losses.clone());
         let listener = std::net::TcpListener::bind(addresses.peers)?;
         let peers = PeerServer::start(listener, &peer_settings, exchange.clone())?;
         tasks.push(actix_rt::spawn(exchange.run()));
+        tasks.push(actix_rt::spawn(losses.run()));
         let handler_context = context.clone();
         let serve_caller = move |request: Request| {
             handle_request(handler_context.clone(), request, RequestOrigin::Caller)
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -21,6 +21,7 @@
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::handover_stream::HandoverStream;
 use crate::link_monitor::{LinkUse, wait_for_lost_links};
+use crate::loss_board::check_broken;
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
@@ -315,6 +316,7 @@
         if error.is_invalid_answer() {
             self.record_failure(&run);
         } else {
+            check_broken(&self.context, run.first_engine());
             self.record_end(&run).await;
             // Behind lost links all runs break, which tells nothing about the engines.
             if !self.context.links().is_lost(&self.request.service) {
--- a/crates/dandeliondeal_relay/src/stream_start.rs
+++ b/crates/dandeliondeal_relay/src/stream_start.rs
@@ -7,6 +7,8 @@
 use crate::chain_selection::{ChainConstraints, select_chain};
 use crate::dialect::{AttemptFacts, FleetDialect, RequestDialect};
 use crate::endpoint_exchange::{ConnectionChoice, build_attempt, open_connection};
+use crate::loss_board::record_loss;
+use crate::loss_notice::LossEvidence;
 use crate::refusal::RefusalCause;
 use crate::relay_lifecycle::LifecycleEvent;
 use crate::stream_handover::LocalEnd;
@@ -76,6 +78,12 @@
         );
         let now = self.context.now();
         self.context.fleet().borrow_mut().mark_failed(engine, now);
+        let evidence = if error.is_refused() {
+            LossEvidence::Refused
+        } else {
+            LossEvidence::Silent
+        };
+        record_loss(&self.context, engine, evidence);
         self.context.first_engines().record(engine, false, now);
         self.excluded.push(EndpointId::clone(engine));
     }
--- a/crates/dandeliondeal_route/src/route_table.rs
+++ b/crates/dandeliondeal_route/src/route_table.rs
@@ -89,6 +89,17 @@
         &self.limits
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<RouteRule>> {
+        self.routes.values().flatten()
+    }
+
+    /// Returns whether an organisation has an urgency of its own.
+    pub fn has_organisation_urgency(&self) -> bool {
+        let mut owners = self.key_owners.values();
+        owners.any(|(_, urgency)| urgency.is_some())
+    }
+
     /// Returns the configuration of a service.
     pub fn service(&self, id: &str) -> Option<&Arc<ServiceRule>> {
         self.services.get(id)
