--- a/crates/dandeliondeal_relay/src/loss_exchange.rs
+++ b/crates/dandeliondeal_relay/src/loss_exchange.rs
@@ -1,6 +1,6 @@
 //! Passes notices of lost engines between instances.
 //!
-//! The observer tells a hub of its failure domain, which tells the hubs of all domains. Each instance
+//! The observer tells two hubs of its failure domain, which tell the hubs of all domains. Each instance
 //! keeps a call open at two hubs of its domain, which they answer once there is news.
 
 use std::collections::HashMap;
@@ -152,7 +152,7 @@
         self.context.losses().publish(notice, self.context.now())
     }
 
-    /// Tells a hub of this domain of the losses that this instance observed.
+    /// Tells the hubs of this domain of the losses that this instance observed.
     async fn send_notices(&self) {
         let mut rate = MessageRate::default();
         loop {
@@ -163,19 +163,12 @@
                 is_relayed: false,
                 notices,
             };
-            for _ in 0..MAX_HUB_ATTEMPTS {
-                let own = &self.context.settings().instance;
-                let Some(hub) = self.hubs.hub_of(&own.failure_domain) else {
-                    break;
-                };
-                if hub.id == own.id {
-                    self.queue_relay(&message.notices);
-                    break;
-                }
-                if self.send(&hub, &message).await {
-                    break;
-                }
+            let own = &self.context.settings().instance;
+            let hubs = self.hubs.ranked_hubs(&own.failure_domain, HUBS_PER_DOMAIN);
+            if hubs.iter().any(|hub| hub.id == own.id) {
+                self.queue_relay(&message.notices);
             }
+            self.tell_domain(&own.failure_domain, &message).await;
         }
     }
 
@@ -334,6 +327,13 @@
             self.count(notice, "ignored");
             return;
         }
+        if self
+            .context
+            .losses()
+            .is_lost(&notice.engine, notice.incarnation)
+        {
+            return;
+        }
         let is_usable = self.context.fleet().borrow().is_usable(&notice.engine);
         if notice.evidence.is_certain() {
             check_engine(&self.context, &notice.engine, CheckCause::Notice);
--- a/crates/dandeliondeal_relay/src/loss_notice.rs
+++ b/crates/dandeliondeal_relay/src/loss_notice.rs
@@ -108,17 +108,7 @@
             observed_at,
         });
         if self.entries.len() > MAX_NOTICES {
-            self.entries.pop_front();
-            let entries = self.entries.iter();
-            let keys: std::collections::HashSet<LossKey> = entries
-                .map(|entry| {
-                    (
-                        EndpointId::clone(&entry.notice.engine),
-                        entry.notice.incarnation,
-                    )
-                })
-                .collect();
-            self.latest.retain(|key, _| keys.contains(key));
+            self.remove_first();
         }
         true
     }
@@ -162,9 +152,22 @@
     }
 
     fn remove_expired(&mut self, now: Instant) {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < NOTICE_LIFE;
-        self.entries.retain(|entry| is_recent(entry.observed_at));
-        self.latest.retain(|_, (at, _)| is_recent(*at));
+        let is_expired =
+            |entry: &NoticeEntry| now.saturating_duration_since(entry.observed_at) >= NOTICE_LIFE;
+        while self.entries.front().is_some_and(is_expired) {
+            self.remove_first();
+        }
+    }
+
+    fn remove_first(&mut self) {
+        let Some(entry) = self.entries.pop_front() else {
+            return;
+        };
+        let key = (entry.notice.engine, entry.notice.incarnation);
+        let latest = self.latest.get(&key);
+        if latest.is_some_and(|(at, _)| *at == entry.observed_at) {
+            self.latest.remove(&key);
+        }
     }
 }
 
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -107,16 +107,19 @@
             "Log lines that were left out under load.",
         )?;
         registry.register(Box::new(dropped_logs.clone()))?;
-        let config_version = IntGauge::new(
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, Error>(gauge)
+        };
+        let config_version = gauge(
             "dandeliondeal_config_version",
             "Version of the configuration in force.",
         )?;
-        registry.register(Box::new(config_version.clone()))?;
-        let lost_services = IntGauge::new(
+        let lost_services = gauge(
             "dandeliondeal_lost_services",
             "Services whose endpoints this instance cannot reach.",
         )?;
-        registry.register(Box::new(lost_services.clone()))?;
         let handovers = counters(
             "dandeliondeal_handovers_total",
             "Requests handed over to other instances by result.",
@@ -127,19 +130,15 @@
             "Notices of lost engines by evidence and direction.",
             &["evidence", "direction"],
         )?;
-        let quarantined_parts = IntGauge::new(
+        let quarantined_parts = gauge(
             "dandeliondeal_quarantined_parts",
             "Parts of prompts that are refused because they crash engines.",
         )?;
-        registry.register(Box::new(quarantined_parts.clone()))?;
-        let limited_endpoints = IntGauge::new(
+        let limited_endpoints = gauge(
             "dandeliondeal_limited_endpoints",
             "Endpoints that state a request limit.",
         )?;
-        registry.register(Box::new(limited_endpoints.clone()))?;
-        let open_requests =
-            IntGauge::new("dandeliondeal_open_requests", "Requests that are open.")?;
-        registry.register(Box::new(open_requests.clone()))?;
+        let open_requests = gauge("dandeliondeal_open_requests", "Requests that are open.")?;
         Ok(Self {
             registry,
             outcomes,
