--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -16,6 +16,7 @@
 use dandeliondeal_types::{EndpointId, EndpointRecord, InstanceId, ServiceId};
 use rand::Rng;
 
+pub use crate::fleet_change::FleetChange;
 use crate::load_tracker::LoadTracker;
 
 /// Time after a store outage for which missing registrations are kept.
@@ -45,20 +46,6 @@
     superseded: Vec<EndpointRecord>,
 }
 
-/// Effect of a change in the registrations.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum FleetChange {
-    /// The endpoint is new or has changed.
-    Changed(EndpointId),
-    /// The endpoint accepts no new requests.
-    Draining(EndpointId),
-    /// The endpoint is gone.
-    Gone(EndpointId),
-    /// The endpoint's registration is missing after a store outage; it is kept for a while in case
-    /// only the registration expired.
-    Lapsing(EndpointId),
-}
-
 /// Maximum time for which an engine's own statement overrides its registration, which is about one
 /// heartbeat late.
 const EXCLUSION_TIME: Duration = Duration::from_secs(3);
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod engine_check;
 pub mod event_splitter;
 pub mod first_engine_health;
+pub mod fleet_change;
 pub mod fleet_sinks;
 pub mod fleet_view;
 mod handover;
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -107,11 +107,7 @@
             "Log lines that were left out under load.",
         )?;
         registry.register(Box::new(dropped_logs.clone()))?;
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, Error>(gauge)
-        };
+        let gauge = |name, help| register_gauge(&registry, name, help);
         let config_version = gauge(
             "dandeliondeal_config_version",
             "Version of the configuration in force.",
@@ -178,3 +174,9 @@
         Ok(text)
     }
 }
+
+fn register_gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, Error> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
