--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -40,6 +40,8 @@
     pub lost_services: IntGauge,
     /// Number of requests that were handed over to other instances, by how that ended.
     pub handovers: IntCounterVec,
+    /// Number of notices of lost engines by evidence and direction.
+    pub loss_notices: IntCounterVec,
     /// Number of endpoints that state a request limit.
     pub limited_endpoints: IntGauge,
     /// Number of requests in progress.
@@ -109,35 +111,35 @@
             "Log lines that were left out under load.",
         )?;
         registry.register(Box::new(dropped_logs.clone()))?;
-        let config_version = IntGauge::new(
+        let gauge = |name, help| register_gauge(&registry, name, help);
+        let config_version = gauge(
             "dandeliondeal_config_version",
             "Version of the configuration in force.",
         )?;
-        registry.register(Box::new(config_version.clone()))?;
-        let lost_services = IntGauge::new(
+        let lost_services = gauge(
             "dandeliondeal_lost_services",
             "Services whose endpoints this instance cannot reach.",
         )?;
-        registry.register(Box::new(lost_services.clone()))?;
         let handovers = counters(
             "dandeliondeal_handovers_total",
             "Requests handed over to other instances by result.",
             &["result"],
         )?;
-        let quarantined_parts = IntGauge::new(
+        let loss_notices = counters(
+            "dandeliondeal_loss_notices_total",
+            "Notices of lost engines by evidence and direction.",
+            &["evidence", "direction"],
+        )?;
+        let quarantined_parts = gauge(
             "dandeliondeal_quarantined_parts",
             "Parts of prompts that are refused because they crash engines.",
         )?;
-        registry.register(Box::new(quarantined_parts.clone()))?;
-        let limited_endpoints = IntGauge::new(
+        let limited_endpoints = gauge(
             "dandeliondeal_limited_endpoints",
             "Endpoints that state a request limit.",
         )?;
-        registry.register(Box::new(limited_endpoints.clone()))?;
         let admission = AdmissionMetrics::new(&registry)?;
-        let open_requests =
-            IntGauge::new("dandeliondeal_open_requests", "Requests that are open.")?;
-        registry.register(Box::new(open_requests.clone()))?;
+        let open_requests = gauge("dandeliondeal_open_requests", "Requests that are open.")?;
         Ok(Self {
             registry,
             outcomes,
@@ -152,6 +154,7 @@
             quarantined_parts,
             lost_services,
             handovers,
+            loss_notices,
             limited_endpoints,
             open_requests,
             dropped_logs,
@@ -177,3 +180,9 @@
         Ok(text)
     }
 }
+
+fn register_gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, Error> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
