Infer lost engines from streams that fall silent together

Each instance finds a silent engine on its own, by the silence of single streams. Adds SilenceInference: evidence of one observer or the sum of several; an engine is suspected if chance, at the measured rate, and the loss of other engines explain its silences with less than 1%.

--- a/crates/dandeliondeal_balance/src/lib.rs
+++ b/crates/dandeliondeal_balance/src/lib.rs
@@ -1,8 +1,8 @@
-//! Endpoint health, endpoint selection, slow start and the retry budget.
+//! Endpoint health, endpoint selection, slow start, silence inference and the retry budget.
 //!
 //! This crate makes decisions and performs no I/O. [`EndpointMonitor`] records events at the
 //! endpoints and selects which of them to use. [`RetryBudget`] decides whether a failed attempt may
-//! be repeated.
+//! be repeated. [`SilenceInference`] infers lost engines from streams that fall silent together.
 
 mod endpoint_group;
 pub mod endpoint_health;
@@ -17,6 +17,9 @@
 pub mod retry_budget;
 mod sample_rank;
 pub mod signal_window;
+pub mod silence_inference;
+mod silence_odds;
+pub mod silence_report;
 pub mod stable_subset;
 
 #[doc(inline)]
@@ -37,3 +40,7 @@
 pub use monitor_view::{FullView, SampledView};
 #[doc(inline)]
 pub use retry_budget::{RetryBudget, RetrySettings};
+#[doc(inline)]
+pub use silence_inference::{InferenceSettings, SilenceInference, StreamKey};
+#[doc(inline)]
+pub use silence_report::{SilenceReport, SilentChain, Suspicion};
