Bound reports by witnessed silences and tolerate slow chains in the silence inference

A cut-off observer accused engines while its streams fell silent one by one, and slow chains counted as silent between two events. A silence now counts only if another stream of the observer delivered when the next event was due, and the limit follows the stream's own interval.

--- a/crates/dandeliondeal_balance/src/silence_inference.rs
+++ b/crates/dandeliondeal_balance/src/silence_inference.rs
@@ -21,14 +21,22 @@
 const MAX_OBSERVERS: usize = 2_048;
 /// Maximum number of silent chains in a report, and of engines in each.
 const MAX_REPORTED_CHAINS: usize = 64;
+/// Weight of the latest interval in a stream's mean interval.
+const INTERVAL_WEIGHT: f64 = 0.25;
 /// Maximum number of silences that are weighed at a time.
 const MAX_SILENCES: usize = 1_024;
 
 /// Parameters of the inference.
 #[derive(Clone, Copy, Debug)]
 pub struct InferenceSettings {
-    /// Time without an event after which a stream counts as silent.
+    /// Minimum time without an event after which a stream counts as silent.
     pub silence_limit: Duration,
+    /// Maximum of that time.
+    pub max_silence_limit: Duration,
+    /// Multiple of a stream's mean interval between events after which it counts as silent.
+    ///
+    /// A sound chain's interval is at most 60 ms, so it matters only for slow chains.
+    pub interval_factor: f64,
     /// Time for which a delivery shows that the engines of its chain are alive.
     pub delivery_window: Duration,
     /// Time by which a delivery has to follow a stream's last event to clear its engines of the
@@ -60,6 +68,8 @@
     fn default() -> Self {
         Self {
             silence_limit: Duration::from_millis(100),
+            max_silence_limit: Duration::from_millis(400),
+            interval_factor: 1.6,
             delivery_window: Duration::from_millis(60),
             clearing_delay: Duration::from_millis(120),
             timer_limit: Duration::from_millis(100),
@@ -79,6 +89,8 @@
 struct StreamEvidence {
     chain: Vec<EndpointId>,
     delivered_at: Instant,
+    /// Mean of the recent intervals between events; 0 before the second event.
+    mean_interval: Duration,
     is_silent: bool,
 }
 
@@ -108,6 +120,8 @@
     settings: InferenceSettings,
     streams: HashMap<StreamKey, StreamEvidence>,
     silent_count: usize,
+    /// Last delivery of any stream of this observer.
+    delivered_at: Option<Instant>,
     /// Last sign of life of each engine.
     alive: HashMap<EndpointId, Instant>,
     observers: HashMap<InstanceId, ObserverEvidence>,
@@ -129,6 +143,7 @@
             settings,
             streams: HashMap::new(),
             silent_count: 0,
+            delivered_at: None,
             alive: HashMap::new(),
             observers: HashMap::new(),
             silent_share: SilentShare {
@@ -149,7 +164,7 @@
         since: Instant,
         now: Instant,
     ) {
-        if now.saturating_duration_since(since) < self.settings.silence_limit {
+        if now.saturating_duration_since(since) < self.silence_limit(stream) {
             return;
         }
         if !self.streams.contains_key(&stream) {
@@ -171,6 +186,7 @@
         for engine in chain {
             self.record_alive(engine, now);
         }
+        self.delivered_at = Some(now);
         let Some(evidence) = self.streams.get_mut(&stream) else {
             self.insert_stream(stream, chain, now);
             return;
@@ -181,6 +197,12 @@
         }
         let interval = now.saturating_duration_since(evidence.delivered_at);
         evidence.delivered_at = now;
+        evidence.mean_interval = if evidence.mean_interval.is_zero() {
+            interval
+        } else {
+            evidence.mean_interval.mul_f64(1.0 - INTERVAL_WEIGHT)
+                + interval.mul_f64(INTERVAL_WEIGHT)
+        };
         if *evidence.chain != *chain {
             evidence.chain = chain.to_vec();
         }
@@ -260,6 +282,22 @@
         }
     }
 
+    /// Returns the time without an event after which a stream counts as silent.
+    pub fn silence_limit(&self, stream: StreamKey) -> Duration {
+        let InferenceSettings {
+            silence_limit,
+            max_silence_limit,
+            interval_factor,
+            ..
+        } = self.settings;
+        let evidence = self.streams.get(&stream);
+        let interval = evidence.map(|evidence| evidence.mean_interval);
+        let interval = interval.filter(|interval| !interval.is_zero());
+        // The interval of a new stream may be that of a slow chain.
+        let usual = interval.unwrap_or(silence_limit).mul_f64(interval_factor);
+        usual.clamp(silence_limit, max_silence_limit)
+    }
+
     /// Returns the number of this observer's silent streams.
     pub fn silent_count(&self) -> usize {
         self.silent_count
@@ -342,6 +380,7 @@
         let evidence = StreamEvidence {
             chain: chain.to_vec(),
             delivered_at,
+            mean_interval: Duration::ZERO,
             is_silent: false,
         };
         self.streams.insert(stream, evidence);
@@ -361,18 +400,21 @@
         }
     }
 
-    /// Returns whether an observer whose streams look like this one's may accuse an engine.
-    fn may_accuse(&self, now: Instant) -> bool {
-        self.silent_count < self.streams.len() && self.paused_until.is_none_or(|until| now >= until)
-    }
-
-    /// Returns the own silences; none if this observer accuses nobody.
+    /// Returns the own silences in which this observer may accuse an engine.
+    ///
+    /// A delivery of another stream has to show that this observer still received events when the
+    /// silent stream's next one was due.
     fn own_silences(&self, now: Instant) -> impl Iterator<Item = (&[EndpointId], Instant)> {
-        let may_accuse = self.may_accuse(now);
-        let silent = self
-            .streams
-            .values()
-            .filter(move |stream| may_accuse && stream.is_silent);
+        let is_paused = self.paused_until.is_some_and(|until| now < until);
+        let may_accuse = !is_paused && self.silent_count < self.streams.len();
+        let window = self.settings.delivery_window;
+        let is_witnessed = move |since: Instant| {
+            let delivered_at = self.delivered_at.filter(|_| may_accuse);
+            delivered_at.is_some_and(|at| at.saturating_duration_since(since) > window)
+        };
+        let streams = self.streams.values();
+        let silent =
+            streams.filter(move |stream| stream.is_silent && is_witnessed(stream.delivered_at));
         silent.map(|stream| (&*stream.chain, stream.delivered_at))
     }
 
