Move streams of graded services off engines that fall silent together

A stream of a silent engine waited 300 ms for the first engine's report, and all instances chose the same spare engines. Streams of graded services now follow the suspicions of SilenceInference, are moved in order of need, spread by a weighted rendezvous hash, reserve the room of pending moves and are ordered once more after a conflict.

--- a/crates/dandeliondeal_layout/src/chain_graph.rs
+++ b/crates/dandeliondeal_layout/src/chain_graph.rs
@@ -146,6 +146,16 @@
         }
     }
 
+    /// Multiplies each engine's durations by the factor that `factor_of` returns for it.
+    pub fn scale_each<Factor>(&mut self, mut factor_of: Factor)
+    where
+        Factor: FnMut(&EngineNode) -> f64,
+    {
+        for node in &mut self.nodes {
+            node.slowness *= factor_of(node);
+        }
+    }
+
     /// Returns the engines of the graph.
     pub fn nodes(&self) -> &[EngineNode] {
         &self.nodes
--- a/crates/dandeliondeal_relay/src/chain_selection.rs
+++ b/crates/dandeliondeal_relay/src/chain_selection.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 
 use crate::dialect::CallerFacts;
+use crate::move_order::spread_factor;
 use crate::relay_context::RelayContext;
 
 /// Seconds that each change of failure domain adds per token, in either direction.
@@ -68,6 +69,8 @@
     pub current_chain: Option<&'request EngineChain>,
     /// Engines that the chain must not use.
     pub excluded: &'request [EndpointId],
+    /// Key by which a move is spread over the engines with room; `None` for a random choice.
+    pub spread_key: Option<&'request str>,
 }
 
 /// Selects the cheapest chain for a new request, or for one that moves to another chain.
@@ -105,7 +108,14 @@
         excluded.extend(context.rates().borrow().full_endpoints(now));
     }
     let mut graph = fleet.chain_graph(service, profile, tracker, instance_count, &excluded, now);
-    context.with_rng(|random| graph.scale_costs(|| random.random_range(ENGINE_TIME_FACTORS)));
+    if let Some(key) = constraints.spread_key {
+        graph.scale_each(|node| {
+            let committed = node.committed_tokens / node.token_capacity.max(1.0);
+            spread_factor(key, &node.id, MAX_COMMITTED_SHARE_ON_MOVE - committed)
+        });
+    } else {
+        context.with_rng(|random| graph.scale_costs(|| random.random_range(ENGINE_TIME_FACTORS)));
+    }
     let crossing_seconds = profile.crossing_time(demand.prompt_tokens).as_secs_f64();
     let query = ChainQuery {
         required_first: first_engine,
--- a/crates/dandeliondeal_relay/src/chain_watch.rs
+++ b/crates/dandeliondeal_relay/src/chain_watch.rs
@@ -7,7 +7,9 @@
 use derive_more::Display;
 
 use crate::dialect::FleetDialect;
+use crate::engine_check::{CheckCause, check_engine};
 use crate::relay_context::RelayContext;
+use crate::silence_watch::StreamSilence;
 
 /// Time without an event after which the states of the chain's engines are checked.
 ///
@@ -16,6 +18,11 @@
 /// Time without an event after which the first engine is asked which engine it waits for.
 const REPORT_DELAY: Duration = Duration::from_millis(300);
 
+/// Time without an event after which a stream of a graded service counts as silent.
+const SUSPICION_LIMIT: Duration = Duration::from_millis(100);
+/// Time between two looks at the suspected engines of a silent chain.
+const SUSPICION_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Time without an event after which an engine without a queue counts as mute although it answers
 /// reports.
 const MUTE_LIMIT: Duration = Duration::from_millis(800);
@@ -29,13 +36,16 @@
     /// The first engine reports no queue and no failure, but delivers no event.
     #[display("no event from engine {_0}")]
     Mute(EndpointId),
+    /// Streams through the engine fell silent together.
+    #[display("suspected engine {_0}")]
+    Suspected(EndpointId),
 }
 
 impl SilenceCause {
     /// Returns the engine that is held responsible.
     pub fn engine(&self) -> &EndpointId {
         match self {
-            Self::Unresponsive(engine) | Self::Mute(engine) => engine,
+            Self::Unresponsive(engine) | Self::Mute(engine) | Self::Suspected(engine) => engine,
         }
     }
 }
@@ -49,6 +59,7 @@
     chain: &EngineChain,
     request: &str,
     last_activity: Instant,
+    evidence: Option<&StreamSilence<Time, Dialect>>,
 ) -> SilenceCause
 where
     Time: Clock,
@@ -57,6 +68,16 @@
     let mut is_logged = false;
     loop {
         let silence = context.now().saturating_duration_since(last_activity);
+        if let Some(evidence) = evidence {
+            if let Some(engine) = find_suspect(context, evidence, request, silence) {
+                return SilenceCause::Suspected(engine);
+            }
+            if silence < SILENCE_LIMIT {
+                let first_wait = SUSPICION_LIMIT.saturating_sub(silence);
+                actix_rt::time::sleep(first_wait.max(SUSPICION_INTERVAL)).await;
+                continue;
+            }
+        }
         if silence < SILENCE_LIMIT {
             actix_rt::time::sleep(SILENCE_LIMIT.saturating_sub(silence)).await;
             continue;
@@ -88,8 +109,41 @@
                 return SilenceCause::Mute(EndpointId::clone(&chain.hops[0].id));
             }
         }
-        actix_rt::time::sleep(SILENCE_LIMIT).await;
+        let pause = if evidence.is_some() && silence < REPORT_DELAY {
+            SUSPICION_INTERVAL
+        } else {
+            SILENCE_LIMIT
+        };
+        actix_rt::time::sleep(pause).await;
+    }
+}
+
+/// Returns the suspected engine of a silent chain, which is then checked.
+fn find_suspect<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    evidence: &StreamSilence<Time, Dialect>,
+    request: &str,
+    silence: Duration,
+) -> Option<EndpointId>
+where
+    Time: Clock,
+    Dialect: FleetDialect,
+{
+    if silence < SUSPICION_LIMIT {
+        return None;
     }
+    let suspicion = evidence.find_suspect()?;
+    check_engine(context, &suspicion.engine, CheckCause::Silence);
+    count_silence(context, "suspected");
+    tracing::info!(
+        request,
+        engine = %suspicion.engine,
+        silent_streams = suspicion.silent_streams,
+        sound_probability = suspicion.sound_probability,
+        silence_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX),
+        "engine suspected; its streams are silent"
+    );
+    Some(suspicion.engine)
 }
 
 fn count_silence<Time, Dialect>(context: &RelayContext<Time, Dialect>, finding: &str)
--- a/crates/dandeliondeal_relay/src/dialect.rs
+++ b/crates/dandeliondeal_relay/src/dialect.rs
@@ -236,6 +236,9 @@
     /// Reads an engine's reply to an order.
     fn read_order_reply(&self, status: StatusCode) -> OrderReply;
 
+    /// Reads the body of a conflict; returns the address of the engine at fault if it names one.
+    fn read_conflict(&self, body: &[u8]) -> Option<SocketAddr>;
+
     /// Builds the request for an engine's report.
     fn write_report_request(&self, engine: SocketAddr) -> OutboundRequest;
 
--- a/crates/dandeliondeal_relay/src/engine_calls.rs
+++ b/crates/dandeliondeal_relay/src/engine_calls.rs
@@ -20,6 +20,10 @@
 pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum wait for the reply to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
+/// Maximum wait for the body of a conflict, which only names the engine at fault.
+const CONFLICT_BODY_TIMEOUT: Duration = Duration::from_millis(20);
+/// Maximum size of the body of a conflict in bytes.
+const MAX_CONFLICT_BYTES: usize = 4 * 1024;
 /// Time for which a report is reused.
 ///
 /// A report is already about 200 ms old when it arrives, and each call for one is charged like a
@@ -71,7 +75,8 @@
                 _ => break,
             }
         }
-        self.insert(engine, ReportEntry::Pending(context.now()));
+        let sent_at = context.now();
+        self.insert(engine, ReportEntry::Pending(sent_at));
         let report = request_report(context, engine, address).await;
         let now = context.now();
         match report {
@@ -81,6 +86,7 @@
                 let mut fleet = context.fleet().borrow_mut();
                 fleet.set_slowness(engine, report.slowness, now);
                 drop(fleet);
+                context.silences().record_alive(engine, sent_at);
                 Some(report)
             }
             Err(error) => {
@@ -176,3 +182,43 @@
         )),
     }
 }
+
+/// Sends an order to move a request; returns the reply, with the address of the engine at fault if a
+/// conflict names one.
+///
+/// # Errors
+///
+/// Returns [`ConnectionError`] if no reply was received, as [`send_order`].
+pub async fn send_move_order<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    address: SocketAddr,
+    order: &OutboundRequest,
+) -> Result<(OrderReply, Option<SocketAddr>), ConnectionError>
+where
+    Time: Clock,
+    Dialect: FleetDialect,
+{
+    let call = async {
+        let now = context.now();
+        let mut connection = EndpointConnection::connect(address, CONNECT_TIMEOUT, now).await?;
+        connection.send(order).await?;
+        let head = connection.read_head().await?;
+        let reply = context.dialect().read_order_reply(head.status);
+        if reply != OrderReply::Conflict {
+            return Ok((reply, None));
+        }
+        let body = timeout(
+            CONFLICT_BODY_TIMEOUT,
+            connection.read_body(MAX_CONFLICT_BYTES),
+        )
+        .await;
+        let body = body.ok().and_then(Result::ok).unwrap_or_default();
+        Ok((reply, context.dialect().read_conflict(&body)))
+    };
+    match timeout(ORDER_TIMEOUT, call).await {
+        Ok(result) => result,
+        Err(_elapsed) => Err(ConnectionError::after_write(
+            "timed out waiting for the reply",
+        )),
+    }
+}
--- a/crates/dandeliondeal_relay/src/engine_check.rs
+++ b/crates/dandeliondeal_relay/src/engine_check.rs
@@ -38,6 +38,9 @@
     /// Another instance found the engine failed.
     #[display("suspicion")]
     Suspicion,
+    /// Streams through the engine fell silent together.
+    #[display("silence")]
+    Silence,
     /// The engine was found failed some time ago.
     #[display("retest")]
     Retest,
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -29,6 +29,7 @@
 use crate::relay_error::RelayError;
 use crate::relay_lifecycle::{LifecycleTable, lifecycle_table};
 use crate::relay_metrics::RelayMetrics;
+use crate::silence_watch::SilenceWatch;
 
 /// Share of the slack that running instances use.
 ///
@@ -66,6 +67,7 @@
     budgets: RefCell<HashMap<ServiceId, RepeatWindow>>,
     random: RefCell<StdRng>,
     tracker: LoadTracker,
+    silences: SilenceWatch,
     report_cache: ReportCache,
     engine_checks: EngineChecks,
     first_engines: FirstEngineHealth,
@@ -120,6 +122,7 @@
             budgets: RefCell::default(),
             random: RefCell::new(StdRng::seed_from_u64(seed)),
             tracker: LoadTracker::default(),
+            silences: SilenceWatch::default(),
             report_cache: ReportCache::default(),
             engine_checks: EngineChecks::default(),
             first_engines: FirstEngineHealth::default(),
@@ -196,6 +199,11 @@
         &self.shared.tracker
     }
 
+    /// Returns the evidence on silent streams.
+    pub fn silences(&self) -> &SilenceWatch {
+        &self.shared.silences
+    }
+
     /// Returns the cache of engine reports.
     pub fn report_cache(&self) -> &ReportCache {
         &self.shared.report_cache
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -184,8 +184,8 @@
                 Ok(RelayStep::Run(index, RunStep::Silent(cause))) => {
                     self.handle_silence(index, cause);
                 }
-                Ok(RelayStep::Run(index, RunStep::MoveEnded(cause, chain))) => {
-                    self.handle_move(index, &cause, chain);
+                Ok(RelayStep::Run(index, RunStep::MoveEnded(cause, result))) => {
+                    self.handle_move(index, cause, result);
                 }
                 Ok(RelayStep::Run(index, RunStep::Response(step))) => {
                     if let Some(events) = self.handle_response(index, step).await? {
--- a/crates/dandeliondeal_relay/src/stream_replacement.rs
+++ b/crates/dandeliondeal_relay/src/stream_replacement.rs
@@ -7,13 +7,15 @@
 use dandeliondeal_types::{Clock, EndpointId};
 use tokio::task::JoinHandle;
 
+use crate::chain_selection::{ChainConstraints, select_chain};
 use crate::chain_watch::SilenceCause;
 use crate::dialect::{FleetDialect, OrderReply, RequestDialect};
 use crate::endpoint_exchange::open_connection;
-use crate::engine_calls::send_order;
+use crate::engine_calls::send_move_order;
+use crate::load_tracker::LoadReservation;
 use crate::stream_rejection::MAX_ATTEMPTS;
 use crate::stream_relay::StreamRelay;
-use crate::stream_run::{MoveOrder, StreamRun};
+use crate::stream_run::{MoveOrder, MoveResult, StreamRun};
 
 /// Time until a silent run is looked at again after another run or a move was tried.
 const SILENCE_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -25,6 +27,13 @@
     connection: JoinHandle<Result<EndpointConnection, ConnectionError>>,
 }
 
+/// Move that is ordered again after a conflict.
+#[derive(Debug)]
+struct RetriedMove {
+    /// Engine that the reply to the first order named.
+    refused: Option<EndpointId>,
+}
+
 impl PendingConnection {
     /// Waits until the connection is open or has failed. Cancel safe.
     pub(crate) async fn wait(&mut self) -> Result<EndpointConnection, ConnectionError> {
@@ -42,10 +51,10 @@
     pub(crate) fn handle_silence(&mut self, index: usize, cause: SilenceCause) {
         let retry_at = self.context.now() + SILENCE_RETRY_DELAY;
         self.runs[index].set_silent_since(retry_at);
-        if let SilenceCause::Unresponsive(engine) = &cause
+        if let SilenceCause::Unresponsive(engine) | SilenceCause::Suspected(engine) = &cause
             && self.runs[index].may_move()
         {
-            if let Some(next_chain) = self.select_move(&self.runs[index], engine) {
+            if let Some(next_chain) = self.select_move(&self.runs[index], engine, None) {
                 self.order_move(index, cause, next_chain);
                 return;
             }
@@ -55,21 +64,27 @@
     }
 
     /// Handles the end of an order to move a run.
-    pub(crate) fn handle_move(
-        &mut self,
-        index: usize,
-        cause: &SilenceCause,
-        chain: Option<EngineChain>,
-    ) {
+    pub(crate) fn handle_move(&mut self, index: usize, cause: SilenceCause, result: MoveResult) {
         let run = &mut self.runs[index];
-        if let Some(chain) = chain {
-            let tokens = self.demand.tokens();
-            let reservation = self.context.tracker().reserve(&chain, tokens);
-            run.set_chain(chain, reservation);
-        } else {
-            run.refuse_moves();
-            self.start_replacement(cause);
+        match result {
+            MoveResult::Moved(chain) => {
+                let tokens = self.demand.tokens();
+                let reservation = self.context.tracker().reserve(&chain, tokens);
+                run.set_chain(chain, reservation);
+                return;
+            }
+            MoveResult::Conflict(named) if run.is_graded() && run.record_conflict() => {
+                let run = &self.runs[index];
+                let retry = RetriedMove { refused: named };
+                if let Some(chain) = self.select_move(run, cause.engine(), Some(&retry)) {
+                    self.order_move(index, cause, chain);
+                    return;
+                }
+            }
+            MoveResult::Conflict(_) | MoveResult::Refused => {}
         }
+        self.runs[index].refuse_moves();
+        self.start_replacement(&cause);
     }
 
     /// Opens a connection for another run beside the silent ones, if the route, the repeat budget
@@ -90,6 +105,8 @@
         }
         // Runs have the same id, by which an engine tells the requests that it received apart.
         let excluded_count = self.excluded.len();
+        // A suspicion may be wrong, so that the engine is not excluded for good.
+        self.excluded.extend(self.suspected_engines());
         let open_engines = self.runs.iter().map(StreamRun::first_engine).cloned();
         self.excluded.extend(open_engines);
         let chain = self.select_chain(None);
@@ -163,11 +180,53 @@
         &self,
         run: &StreamRun<Time, Dialect>,
         failed: &EndpointId,
+        retry: Option<&RetriedMove>,
     ) -> Option<EngineChain> {
-        let is_first_failed = run.first_engine() == failed;
-        (!is_first_failed)
-            .then(|| self.select_chain(Some(run.chain())))
-            .flatten()
+        if run.first_engine() == failed {
+            return None;
+        }
+        if !run.is_graded() {
+            return self.select_chain(Some(run.chain()));
+        }
+        let id = &self.request.facts.request;
+        let spread_key = if retry.is_some() {
+            format!("{id}/retry")
+        } else {
+            id.to_string()
+        };
+        let mut excluded = self.excluded.clone();
+        excluded.extend(self.suspected_engines());
+        excluded.extend(retry.and_then(|retry| retry.refused.clone()));
+        excluded.retain(|engine| engine != run.first_engine());
+        let constraints = ChainConstraints {
+            current_chain: Some(run.chain()),
+            excluded: &excluded,
+            spread_key: Some(&spread_key),
+        };
+        let (service, profile) = (&self.request.service, &self.profile);
+        let chain = select_chain(&self.context, service, profile, self.demand, constraints)?;
+        // The order of an unchanged chain would not help.
+        (chain.hops != run.chain().hops).then_some(chain)
+    }
+
+    /// Returns the engines that are suspected now; none if the service is not graded.
+    fn suspected_engines(&self) -> Vec<EndpointId> {
+        let now = self.context.now();
+        let suspicions = self
+            .context
+            .silences()
+            .suspicions(&self.request.service, now);
+        let suspicions = suspicions.into_iter();
+        suspicions.map(|suspicion| suspicion.engine).collect()
+    }
+
+    /// Reserves the room that a move takes on the engines that are new to the run.
+    fn reserve_move(&self, run: &StreamRun<Time, Dialect>, next: &EngineChain) -> LoadReservation {
+        let mut added = next.clone();
+        added
+            .hops
+            .retain(|hop| !run.chain().contains_engine(&hop.id));
+        self.context.tracker().reserve(&added, self.demand.tokens())
     }
 
     /// Orders the first engine of a run to continue the request on another chain.
@@ -176,20 +235,30 @@
         let id = self.request.facts.request.clone();
         let first = self.runs[index].chain().hops[0].clone();
         let lost = EndpointId::clone(cause.engine());
+        let run = &self.runs[index];
+        let reservation = run.is_graded().then(|| self.reserve_move(run, &next_chain));
         let reply = actix_rt::spawn(async move {
             let order = context.dialect().write_move_order(&id, &next_chain);
-            let reply = send_order(&context, first.address, &order).await;
-            let (text, is_moved) = match &reply {
-                Ok(reply) => (
-                    reply.to_string(),
-                    matches!(reply, OrderReply::Started | OrderReply::Done),
-                ),
-                Err(error) => (error.to_string(), false),
+            let reply = send_move_order(&context, first.address, &order).await;
+            let (text, refused) = match &reply {
+                Ok((reply, address)) => (reply.to_string(), *address),
+                Err(error) => (error.to_string(), None),
             };
+            let named = next_chain
+                .hops
+                .iter()
+                .find(|hop| Some(hop.address) == refused);
+            let named = named.map(|hop| EndpointId::clone(&hop.id));
             tracing::info!(
-                request = %id, engine = %first.id, %lost, reply = text, "chain move ordered"
+                request = %id, engine = %first.id, %lost, reply = text, refused = named.as_deref(),
+                "chain move ordered"
             );
-            is_moved.then_some(next_chain)
+            drop(reservation);
+            match reply {
+                Ok((OrderReply::Started | OrderReply::Done, _)) => MoveResult::Moved(next_chain),
+                Ok((OrderReply::Conflict, _)) => MoveResult::Conflict(named),
+                Ok(_) | Err(_) => MoveResult::Refused,
+            }
         });
         self.runs[index].set_move_order(MoveOrder { cause, reply });
     }
--- a/crates/dandeliondeal_relay/src/stream_run.rs
+++ b/crates/dandeliondeal_relay/src/stream_run.rs
@@ -1,20 +1,23 @@
 //! One run of a stream on a chain of engines.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix_http::header::HeaderMap;
 use dandeliondeal_http::{ConnectionError, EndpointConnection, OutboundRequest};
 use dandeliondeal_layout::EngineChain;
-use dandeliondeal_types::{Clock, EndpointId, RequestId};
+use dandeliondeal_route::RouteMatch;
+use dandeliondeal_types::{Clock, EndpointId, RequestId, ServiceId};
 use derive_more::Display;
 use tokio::task::JoinHandle;
 
 use crate::chain_watch::{SilenceCause, watch_chain};
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::load_tracker::LoadReservation;
+use crate::move_order::MoveNeed;
 use crate::relay_context::RelayContext;
 use crate::run_source::{RunSource, SourceStep};
+use crate::silence_watch::{StreamSilence, wait_for_move};
 
 /// How far the response of a run has come.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -37,8 +40,19 @@
     Response(SourceStep),
     /// The chain delivers no events.
     Silent(SilenceCause),
-    /// The order to continue on another chain has ended; without a chain, it was refused.
-    MoveEnded(SilenceCause, Option<EngineChain>),
+    /// The order to continue on another chain has ended.
+    MoveEnded(SilenceCause, MoveResult),
+}
+
+/// Result of an order to continue on another chain.
+#[derive(Debug)]
+pub(crate) enum MoveResult {
+    /// The run continues on this chain.
+    Moved(EngineChain),
+    /// An engine of the chain has no room or is not there; it is named if it is known.
+    Conflict(Option<EndpointId>),
+    /// The run stays on its chain.
+    Refused,
 }
 
 /// Order to the first engine to continue a silent run on another chain.
@@ -46,8 +60,8 @@
 pub(crate) struct MoveOrder {
     /// Why the run is moved.
     pub(crate) cause: SilenceCause,
-    /// Returns the new chain if the engine accepts it.
-    pub(crate) reply: JoinHandle<Option<EngineChain>>,
+    /// Returns the result of the order.
+    pub(crate) reply: JoinHandle<MoveResult>,
 }
 
 /// One run of a stream on a chain of engines; dropping it cancels the run.
@@ -66,6 +80,22 @@
     move_order: Option<MoveOrder>,
     /// Whether the run could not be moved since its last event.
     is_move_refused: bool,
+    /// Whether an order to move the run met a conflict since its last event.
+    has_conflict: bool,
+    /// Evidence on the silence of the chain, and the urgency and the pause objective of the request,
+    /// if the service is graded.
+    grade: Option<RunGrade<Time, Dialect>>,
+}
+
+/// What distinguishes a run of a graded service.
+#[derive(Debug)]
+struct RunGrade<Time, Dialect>
+where
+    Time: Clock,
+{
+    evidence: StreamSilence<Time, Dialect>,
+    urgency: u8,
+    pause_objective: Option<Duration>,
 }
 
 impl<Time, Dialect> StreamRun<Time, Dialect>
@@ -97,19 +127,48 @@
             silent_since: context.now(),
             move_order: None,
             is_move_refused: false,
+            has_conflict: false,
+            grade: None,
         })
     }
 
+    /// Collects evidence on silences of the run if the service of the request is graded.
+    pub(crate) fn set_grade(&mut self, route_match: &RouteMatch, service: &ServiceId) {
+        let evidence = StreamSilence::start(&self.context, service, &self.chain);
+        self.grade = evidence.map(|evidence| RunGrade {
+            evidence,
+            urgency: route_match.urgency,
+            pause_objective: route_match.route.pause_objective,
+        });
+    }
+
     /// Waits for the next step. Cancel safe: a later call continues.
     pub(crate) async fn next_step(&mut self) -> RunStep {
         let chain = Rc::clone(&self.chain);
-        let watch = watch_chain(&self.context, &chain, &self.request, self.silent_since);
+        let grade = self.grade.as_ref();
+        let watch = async {
+            let evidence = grade.map(|grade| &grade.evidence);
+            let (context, since) = (&self.context, self.silent_since);
+            let cause = watch_chain(context, &chain, &self.request, since, evidence).await;
+            if let Some(grade) = grade {
+                let silence = context.now().saturating_duration_since(since);
+                let need = MoveNeed {
+                    urgency: grade.urgency,
+                    time_left: grade
+                        .pause_objective
+                        .unwrap_or(Duration::MAX)
+                        .saturating_sub(silence),
+                };
+                wait_for_move(context, need).await;
+            }
+            cause
+        };
         let is_watched = self.move_order.is_none();
         let move_order = &mut self.move_order;
         let moved = async {
             match move_order {
                 // The task fails only if it panics, which leaves the run where it was.
-                Some(order) => (&mut order.reply).await.ok().flatten(),
+                Some(order) => (&mut order.reply).await.unwrap_or(MoveResult::Refused),
                 None => std::future::pending().await,
             }
         };
@@ -117,7 +176,7 @@
             biased;
             step = self.source.next_step() => return RunStep::Response(step),
             cause = watch, if is_watched => return RunStep::Silent(cause),
-            chain = moved => chain,
+            result = moved => result,
         };
         match self.move_order.take() {
             Some(order) => RunStep::MoveEnded(order.cause, moved),
@@ -183,6 +242,10 @@
     pub(crate) fn record_events(&mut self) {
         self.silent_since = self.context.now();
         self.is_move_refused = false;
+        self.has_conflict = false;
+        if let Some(grade) = &self.grade {
+            grade.evidence.record_delivery();
+        }
     }
 
     /// Returns whether the run may be moved to another chain now.
@@ -190,6 +253,16 @@
         !self.is_move_refused && self.move_order.is_none()
     }
 
+    /// Returns whether the service of the request is graded.
+    pub(crate) fn is_graded(&self) -> bool {
+        self.grade.is_some()
+    }
+
+    /// Records a conflict; returns whether it is the first one since the last event.
+    pub(crate) fn record_conflict(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_conflict, true)
+    }
+
     /// Waits for the reply to an order to continue on another chain.
     pub(crate) fn set_move_order(&mut self, order: MoveOrder) {
         self.move_order = Some(order);
@@ -202,6 +275,9 @@
 
     /// Records that the run continues on another chain with the same first engine.
     pub(crate) fn set_chain(&mut self, chain: EngineChain, reservation: LoadReservation) {
+        if let Some(grade) = &mut self.grade {
+            grade.evidence.set_chain(&chain);
+        }
         self.chain = Rc::new(chain);
         self.reservation = reservation;
         self.silent_since = self.context.now();
--- a/crates/dandeliondeal_relay/src/stream_start.rs
+++ b/crates/dandeliondeal_relay/src/stream_start.rs
@@ -100,7 +100,7 @@
         };
         let outbound = build_attempt(&self.context, &self.request, &facts);
         let reservation = self.context.tracker().reserve(&chain, self.demand.tokens());
-        let run = StreamRun::start(
+        let mut run = StreamRun::start(
             &self.context,
             connection,
             chain,
@@ -108,6 +108,7 @@
             (&outbound, &self.request.facts.request),
             self.last_event,
         )?;
+        run.set_grade(&self.request.route_match, &self.request.service);
         let now = self.context.now();
         let rates = self.context.rates();
         rates.borrow_mut().record_request(run.first_engine(), now);
@@ -130,6 +131,7 @@
         let constraints = ChainConstraints {
             current_chain,
             excluded: &self.excluded,
+            spread_key: None,
         };
         select_chain(
             &self.context,
--- a/crates/dandeliondeal_route/src/route_table.rs
+++ b/crates/dandeliondeal_route/src/route_table.rs
@@ -99,6 +99,25 @@
         self.services.values()
     }
 
+    /// Returns whether a service's streaming routes differ in urgency or objectives, or an
+    /// organisation states its own urgency.
+    pub fn has_grades(&self, service: &str) -> bool {
+        let mut grades = self.routes.values().flatten().filter_map(|route| {
+            let is_stream = route.repeat_class.is_stream();
+            let mut shares = route.service_shares.iter();
+            let is_served = shares.any(|share| *share.service == *service);
+            (is_stream && is_served).then_some((
+                route.urgency,
+                route.latency_objective,
+                route.pause_objective,
+            ))
+        });
+        let first = grades.next();
+        let differs = grades.any(|grade| Some(grade) != first);
+        let mut owners = self.key_owners.values();
+        first.is_some() && (differs || owners.any(|(_, urgency)| urgency.is_some()))
+    }
+
     /// Finds the route and the organisation of a request.
     ///
     /// # Errors
