--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -28,6 +28,7 @@
 use crate::request_handler::handle_request;
 use crate::request_intake::RequestOrigin;
 use crate::shared_store::{FeedTable, SharedStore};
+use crate::silence_watch::watch_timer;
 use crate::store_watch::follow_kind;
 
 /// Name of the lease that allows sending layer orders.
@@ -254,6 +255,7 @@
         actix_rt::spawn(controller.run()),
         actix_rt::spawn(sweep(context.clone())),
         actix_rt::spawn(watch_links(context.clone())),
+        actix_rt::spawn(watch_timer(context.clone())),
     ])
 }
 
--- a/crates/dandeliondeal_relay/src/silence_watch.rs
+++ b/crates/dandeliondeal_relay/src/silence_watch.rs
@@ -15,6 +15,9 @@
 /// Time for which suspicions are reused; bounds their cost when many streams are silent.
 const SUSPICION_REUSE_TIME: Duration = Duration::from_millis(5);
 
+/// Time between two measurements of the timer.
+const TIMER_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Evidence on the engines of one service.
 #[derive(Debug, Default)]
 struct ServiceSilence {
@@ -108,6 +111,20 @@
     grades.get(service).copied().unwrap_or(false)
 }
 
+/// Measures by how much a timer is late, so that an instance that was paused accuses no engine.
+pub async fn watch_timer<Time, Dialect>(context: RelayContext<Time, Dialect>)
+where
+    Time: Clock,
+{
+    loop {
+        let due_at = context.now() + TIMER_INTERVAL;
+        actix_rt::time::sleep(TIMER_INTERVAL).await;
+        let now = context.now();
+        let lateness = now.saturating_duration_since(due_at);
+        context.silences().record_timer(lateness, now);
+    }
+}
+
 /// Waits until it is the turn of a move; moves that are due within a few milliseconds go in order of
 /// need.
 pub async fn wait_for_move<Time, Dialect>(context: &RelayContext<Time, Dialect>, need: MoveNeed)
