--- a/crates/dandeliondeal_relay/src/engine_check.rs
+++ b/crates/dandeliondeal_relay/src/engine_check.rs
@@ -43,6 +43,9 @@
     /// Another instance is certain that the engine's process has ended.
     #[display("notice")]
     Notice,
+    /// Streams through the engine fell silent together.
+    #[display("silence")]
+    Silence,
     /// The engine was found failed some time ago.
     #[display("retest")]
     Retest,
--- a/crates/dandeliondeal_relay/src/loss_exchange.rs
+++ b/crates/dandeliondeal_relay/src/loss_exchange.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use dandeliondeal_peer::{PeerClient, PeerError, PeerHandler};
-use dandeliondeal_route::RouteTable;
 use dandeliondeal_types::{Clock, InstanceId};
 use futures_util::future::join_all;
 use serde::de::DeserializeOwned;
@@ -77,26 +76,6 @@
     context.losses().is_shared()
 }
 
-/// Returns whether a configuration asks for service according to need.
-pub(crate) fn shares_losses(table: &RouteTable) -> bool {
-    let is_model = |id: &str| table.service(id).is_some_and(|rule| rule.engine.is_some());
-    let streams = table.routes().filter(|route| {
-        let mut services = route.service_shares.iter();
-        route.repeat_class.is_stream() && services.any(|share| is_model(&share.service))
-    });
-    let mut aims = streams.map(|route| {
-        (
-            route.urgency,
-            route.latency_objective,
-            route.pause_objective,
-        )
-    });
-    let Some(first) = aims.next() else {
-        return false;
-    };
-    table.has_organisation_urgency() || aims.any(|aim| aim != first)
-}
-
 /// Passes notices on; clones share the state.
 #[derive(Debug)]
 pub struct LossExchange<Time, Dialect> {
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -28,11 +28,11 @@
 use crate::link_monitor::LinkMonitor;
 use crate::load_tracker::LoadTracker;
 use crate::loss_board::LossBoard;
-use crate::loss_exchange::shares_losses;
 use crate::relay_error::RelayError;
 use crate::relay_lifecycle::{LifecycleTable, lifecycle_table};
 use crate::relay_metrics::RelayMetrics;
 use crate::request_admission::RequestAdmission;
+use crate::silence_watch::SilenceWatch;
 
 /// Share of the slack that running instances use.
 ///
@@ -71,6 +71,7 @@
     budgets: RefCell<HashMap<ServiceId, RepeatWindow>>,
     random: RefCell<StdRng>,
     tracker: LoadTracker,
+    silences: SilenceWatch,
     report_cache: ReportCache,
     engine_checks: EngineChecks,
     survey: EngineSurvey,
@@ -129,6 +130,7 @@
             budgets: RefCell::default(),
             random: RefCell::new(StdRng::seed_from_u64(seed)),
             tracker: LoadTracker::default(),
+            silences: SilenceWatch::default(),
             report_cache: ReportCache::default(),
             engine_checks: EngineChecks::default(),
             survey: EngineSurvey::default(),
@@ -189,7 +191,10 @@
         self.fleet().borrow_mut().set_services(&table, self.now());
         let mode = self.settings().grading.mode;
         self.admission().set_services(&table, mode, self.now());
-        self.losses().set_shared(shares_losses(&table));
+        let has_graded_model = table
+            .services()
+            .any(|rule| rule.engine.is_some() && self.admission().is_graded(&rule.id));
+        self.losses().set_shared(has_graded_model);
         let version = i64::try_from(table.version()).unwrap_or(i64::MAX);
         self.shared.metrics.config_version.set(version);
         self.shared.table.replace(Some(Arc::new(table)));
@@ -232,6 +237,11 @@
         &self.shared.tracker
     }
 
+    /// Returns the evidence on silent streams.
+    pub fn silences(&self) -> &SilenceWatch {
+        &self.shared.silences
+    }
+
     /// Returns the cache of engine reports.
     pub fn report_cache(&self) -> &ReportCache {
         &self.shared.report_cache
--- a/crates/dandeliondeal_relay/src/request_admission.rs
+++ b/crates/dandeliondeal_relay/src/request_admission.rs
@@ -1,7 +1,7 @@
 //! Admission of requests to graded services: gates, waiting requests and their timer.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,7 +9,7 @@
 use dandeliondeal_limit::admission_queue::TicketId;
 use dandeliondeal_limit::{AdmissionRank, GateAction, GateRequest, GateSettings};
 use dandeliondeal_route::RouteTable;
-use dandeliondeal_types::{Clock, RouteId, ServiceId};
+use dandeliondeal_types::{Clock, ServiceId};
 use rand::Rng;
 use tokio::sync::oneshot::{self, error::TryRecvError};
 
@@ -17,7 +17,6 @@
 use crate::load_exchange::LoadSummary;
 use crate::relay_context::RelayContext;
 use crate::request_intake::RelayRequest;
-use crate::route_deadlines::RouteDeadlines;
 use crate::service_gate::ServiceGate;
 
 /// Minimum time between two calls of a gate for the end of waits.
@@ -57,7 +56,6 @@
 #[derive(Debug, Default)]
 pub struct RequestAdmission {
     pub(crate) services: RefCell<HashMap<ServiceId, ServiceGate>>,
-    deadlines: RefCell<RouteDeadlines>,
     last_ticket: Cell<TicketId>,
 }
 
@@ -74,10 +72,6 @@
             let new_gate = || ServiceGate::new(is_model, now);
             services.entry(service).or_insert_with(new_gate);
         }
-        let routes: HashSet<&RouteId> = table.routes().map(|route| &route.id).collect();
-        self.deadlines
-            .borrow_mut()
-            .retain(|route| routes.contains(route));
     }
 
     /// Returns whether a service is graded.
@@ -204,7 +198,7 @@
             return None;
         }
         let now = context.now();
-        let gate_request = build_gate_request(context, request, work, now);
+        let gate_request = build_gate_request(request, work, now);
         let draw = context.with_rng(Rng::random::<f64>);
         let submitted = gate_request.clone();
         let receiver = admission.with_gate(&request.service, |entry| {
@@ -307,21 +301,10 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn build_gate_request<Time, Dialect>(
-    context: &RelayContext<Time, Dialect>,
-    request: &RelayRequest,
-    work: f64,
-    now: Instant,
-) -> GateRequest
-where
-    Time: Clock,
-{
+fn build_gate_request(request: &RelayRequest, work: f64, now: Instant) -> GateRequest {
     let route = &request.route_match.route;
-    let mut deadlines = context.admission().deadlines.borrow_mut();
-    let deadline = request.facts.deadline;
-    let used_before =
-        deadline.map(|deadline| deadlines.record(&route.id, deadline, request.arrived));
-    let used = now.saturating_duration_since(request.arrived) + used_before.unwrap_or_default();
+    // Callers choose their deadlines, so a shorter one does not show that a caller has returned.
+    let used = now.saturating_duration_since(request.arrived);
     let objective_left = route.latency_objective.saturating_sub(used);
     let max_retry_delay = GateSettings::default().max_retry_delay;
     GateRequest {
--- a/crates/dandeliondeal_route/src/route_table.rs
+++ b/crates/dandeliondeal_route/src/route_table.rs
@@ -94,12 +94,6 @@
         self.routes.values().flatten()
     }
 
-    /// Returns whether an organisation has an urgency of its own.
-    pub fn has_organisation_urgency(&self) -> bool {
-        let mut owners = self.key_owners.values();
-        owners.any(|(_, urgency)| urgency.is_some())
-    }
-
     /// Returns the configuration of a service.
     pub fn service(&self, id: &str) -> Option<&Arc<ServiceRule>> {
         self.services.get(id)
@@ -110,15 +104,11 @@
         self.services.values()
     }
 
-    /// Returns all routes.
-    pub fn routes(&self) -> impl Iterator<Item = &Arc<RouteRule>> {
-        self.routes.values().flatten()
-    }
-
-    /// Returns whether an organisation with an API key states its own urgency.
-    pub fn has_own_urgencies(&self) -> bool {
-        let mut owners = self.key_owners.values();
-        owners.any(|(_, urgency)| urgency.is_some())
+    /// Returns whether organisations with an API key differ in the urgency that they state.
+    pub fn has_different_urgencies(&self) -> bool {
+        let mut urgencies = self.key_owners.values().map(|(_, urgency)| urgency);
+        let first = urgencies.next();
+        urgencies.any(|urgency| Some(urgency) != first)
     }
 
     /// Finds the route and the organisation of a request.
