--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -101,16 +101,15 @@
         );
         let latency = HistogramVec::new(options.buckets(LATENCY_BUCKETS.to_vec()), &["service"])?;
         registry.register(Box::new(latency.clone()))?;
-        let budget_denials = IntCounter::new(
+        let counter = |name, help| register_counter(&registry, name, help);
+        let budget_denials = counter(
             "dandeliondeal_repeat_denials_total",
             "Repeats that the budget did not allow.",
         )?;
-        registry.register(Box::new(budget_denials.clone()))?;
-        let dropped_logs = IntCounter::new(
+        let dropped_logs = counter(
             "dandeliondeal_dropped_log_lines_total",
             "Log lines that were left out under load.",
         )?;
-        registry.register(Box::new(dropped_logs.clone()))?;
         let gauge = |name, help| register_gauge(&registry, name, help);
         let config_version = gauge(
             "dandeliondeal_config_version",
@@ -181,6 +180,13 @@
     }
 }
 
+/// Creates and registers a counter.
+fn register_counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, Error> {
+    let counter = IntCounter::new(name, help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
 fn register_gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, Error> {
     let gauge = IntGauge::new(name, help)?;
     registry.register(Box::new(gauge.clone()))?;
