--- a/crates/dandeliondeal_relay/src/stream_replacement.rs
+++ b/crates/dandeliondeal_relay/src/stream_replacement.rs
@@ -11,7 +11,7 @@
 use crate::chain_watch::SilenceCause;
 use crate::dialect::{FleetDialect, OrderReply, RequestDialect};
 use crate::endpoint_exchange::open_connection;
-use crate::engine_calls::send_move_order;
+use crate::engine_calls::{send_move_order, send_order};
 use crate::load_tracker::LoadReservation;
 use crate::stream_rejection::MAX_ATTEMPTS;
 use crate::stream_relay::StreamRelay;
@@ -236,10 +236,16 @@
         let first = self.runs[index].chain().hops[0].clone();
         let lost = EndpointId::clone(cause.engine());
         let run = &self.runs[index];
-        let reservation = run.is_graded().then(|| self.reserve_move(run, &next_chain));
+        let is_graded = run.is_graded();
+        let reservation = is_graded.then(|| self.reserve_move(run, &next_chain));
         let reply = actix_rt::spawn(async move {
             let order = context.dialect().write_move_order(&id, &next_chain);
-            let reply = send_move_order(&context, first.address, &order).await;
+            let reply = if is_graded {
+                send_move_order(&context, first.address, &order).await
+            } else {
+                let reply = send_order(&context, first.address, &order).await;
+                reply.map(|reply| (reply, None))
+            };
             let (text, refused) = match &reply {
                 Ok((reply, address)) => (reply.to_string(), *address),
                 Err(error) => (error.to_string(), None),
