Model services count as full at all committed memory

The gate's own target is 0.9 of the capacity. A model's work is committed at its full size, which requests rarely reach together, and the chain search commits engines up to 1.1.

--- a/crates/dandeliondeal_limit/src/gate_settings.rs
+++ b/crates/dandeliondeal_limit/src/gate_settings.rs
@@ -36,7 +36,7 @@
 impl Default for GateSettings {
     fn default() -> Self {
         Self {
-            target_fill: 1.0,
+            target_fill: 0.9,
             floor_share: 0.1,
             wait_share: 0.5,
             min_wait_share: 0.5,
--- a/crates/dandeliondeal_relay/src/service_gate.rs
+++ b/crates/dandeliondeal_relay/src/service_gate.rs
@@ -12,6 +12,11 @@
 const STREAM_SERVICE_TIME: Duration = Duration::from_secs(3);
 /// Expected duration of a plain request until durations are measured.
 const PLAIN_SERVICE_TIME: Duration = Duration::from_millis(60);
+/// Part of a model's capacity that may be committed before requests are turned away.
+///
+/// It is higher than the gate's usual one: work is committed at its full size, which requests rarely
+/// reach at the same time, and the chain search itself commits engines up to 1.1.
+const MODEL_TARGET_FILL: f64 = 1.0;
 /// Shares at which a change is logged.
 const LOGGED_SHARES: [f64; 2] = [0.99, 0.5];
 
@@ -48,8 +53,12 @@
         } else {
             PLAIN_SERVICE_TIME
         };
+        let mut settings = GateSettings::default();
+        if is_model {
+            settings.target_fill = MODEL_TARGET_FILL;
+        }
         Self {
-            gate: AdmissionGate::new(GateSettings::default(), service_time, now),
+            gate: AdmissionGate::new(settings, service_time, now),
             changed: Rc::default(),
             has_ticker: false,
             has_capacity: true,
