--- a/crates/dandeliondeal_relay/src/chain_watch.rs
+++ b/crates/dandeliondeal_relay/src/chain_watch.rs
@@ -5,9 +5,14 @@
 use dandeliondeal_layout::EngineChain;
 use dandeliondeal_types::{Clock, EndpointId};
 use derive_more::Display;
+use tokio::sync::watch;
 
 use crate::dialect::FleetDialect;
+use crate::engine_check::{CheckCause, check_engine};
+use crate::loss_board::{confirm_loss, record_loss};
+use crate::loss_notice::LossEvidence;
 use crate::relay_context::RelayContext;
+use crate::silence_watch::StreamSilence;
 
 /// Time without an event after which the states of the chain's engines are checked.
 ///
@@ -16,6 +21,11 @@
 /// Time without an event after which the first engine is asked which engine it waits for.
 const REPORT_DELAY: Duration = Duration::from_millis(300);
 
+/// Time without an event after which a stream of a graded service counts as silent.
+const SUSPICION_LIMIT: Duration = Duration::from_millis(100);
+/// Time between two looks at the suspected engines of a silent chain.
+const SUSPICION_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Time without an event after which an engine without a queue counts as mute although it answers
 /// reports.
 const MUTE_LIMIT: Duration = Duration::from_millis(800);
@@ -29,13 +39,16 @@
     /// The first engine reports no queue and no failure, but delivers no event.
     #[display("no event from engine {_0}")]
     Mute(EndpointId),
+    /// Streams through the engine fell silent together.
+    #[display("suspected engine {_0}")]
+    Suspected(EndpointId),
 }
 
 impl SilenceCause {
     /// Returns the engine that is held responsible.
     pub fn engine(&self) -> &EndpointId {
         match self {
-            Self::Unresponsive(engine) | Self::Mute(engine) => engine,
+            Self::Unresponsive(engine) | Self::Mute(engine) | Self::Suspected(engine) => engine,
         }
     }
 }
@@ -49,16 +62,34 @@
     chain: &EngineChain,
     request: &str,
     last_activity: Instant,
+    evidence: Option<&StreamSilence<Time, Dialect>>,
 ) -> SilenceCause
 where
     Time: Clock,
     Dialect: FleetDialect,
 {
     let mut is_logged = false;
+    let mut losses = context.losses().subscribe();
     loop {
+        if let Some(engine) = context.losses().first_lost(chain, last_activity) {
+            count_silence(context, "known-loss");
+            return SilenceCause::Unresponsive(engine);
+        }
         let silence = context.now().saturating_duration_since(last_activity);
+        if let Some(evidence) = evidence {
+            if let Some(engine) = find_suspect(context, evidence, request, silence) {
+                return SilenceCause::Suspected(engine);
+            }
+            if silence < SILENCE_LIMIT {
+                let first_wait = SUSPICION_LIMIT.saturating_sub(silence);
+                wait_for_loss(&mut losses, first_wait.max(SUSPICION_INTERVAL)).await;
+                continue;
+            }
+        }
         if silence < SILENCE_LIMIT {
-            actix_rt::time::sleep(SILENCE_LIMIT.saturating_sub(silence)).await;
+            let until_limit = last_activity + SILENCE_LIMIT;
+            let wait = until_limit.saturating_duration_since(context.now());
+            wait_for_loss(&mut losses, wait).await;
             continue;
         }
         let failed = context.fleet().borrow().first_failed(chain);
@@ -88,10 +119,49 @@
                 return SilenceCause::Mute(EndpointId::clone(&chain.hops[0].id));
             }
         }
-        actix_rt::time::sleep(SILENCE_LIMIT).await;
+        let pause = if evidence.is_some() && silence < REPORT_DELAY {
+            SUSPICION_INTERVAL
+        } else {
+            SILENCE_LIMIT
+        };
+        wait_for_loss(&mut losses, pause).await;
     }
 }
 
+/// Returns the suspected engine of a silent chain, which is then checked.
+fn find_suspect<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    evidence: &StreamSilence<Time, Dialect>,
+    request: &str,
+    silence: Duration,
+) -> Option<EndpointId>
+where
+    Time: Clock,
+    Dialect: FleetDialect,
+{
+    if silence < SUSPICION_LIMIT {
+        return None;
+    }
+    let suspicion = evidence.find_suspect()?;
+    check_engine(context, &suspicion.engine, CheckCause::Silence);
+    count_silence(context, "suspected");
+    tracing::info!(
+        request,
+        engine = %suspicion.engine,
+        silent_streams = suspicion.silent_streams,
+        sound_probability = suspicion.sound_probability,
+        silence_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX),
+        "engine suspected; its streams are silent"
+    );
+    Some(suspicion.engine)
+}
+
+/// Waits until an engine was certainly lost, or until `limit` has passed.
+async fn wait_for_loss(losses: &mut watch::Receiver<u64>, limit: Duration) {
+    // The sender lives as long as the context, so the wait for a change does not fail.
+    drop(actix_rt::time::timeout(limit, losses.changed()).await);
+}
+
 fn count_silence<Time, Dialect>(context: &RelayContext<Time, Dialect>, finding: &str)
 where
     Time: Clock,
@@ -153,5 +223,13 @@
     context.fleet().borrow_mut().mark_failed(&engine, now);
     context.engine_checks().add_suspect(&engine, now);
     tracing::info!(request, %engine, "engine does not answer; taken out of use");
+    if context.losses().is_shared() {
+        let (context, engine) = (context.clone(), EndpointId::clone(&engine));
+        actix_rt::spawn(async move {
+            if !confirm_loss(&context, &engine, LossEvidence::Refused).await {
+                record_loss(&context, &engine, LossEvidence::Silent);
+            }
+        });
+    }
     ReportFinding::Unresponsive(engine)
 }
--- a/crates/dandeliondeal_relay/src/graded_service.rs
+++ b/crates/dandeliondeal_relay/src/graded_service.rs
@@ -9,10 +9,9 @@
 /// Returns the services to which requests are admitted by urgency.
 ///
 /// In the mode `auto`, a model service is graded if its streaming routes differ in urgency, latency
-/// objective or pause objective, or if an organisation states its own urgency. A plain service is
-/// graded if any model service is. Only in a configuration without streams from models do its own
-/// routes, or an organisation with its own urgency, decide: otherwise a deployment whose model
-/// service is not graded would be served in another way because of its plain routes.
+/// objective or pause objective, or if organisations differ in the urgency that they state. A plain
+/// service is graded only in a configuration without streams from models, by its own routes: its
+/// endpoints queue short calls, so that open calls beyond their places are no sign of overload.
 pub fn graded_services(table: &RouteTable, mode: GradingMode) -> HashSet<ServiceId> {
     let all = || table.services().map(|rule| ServiceId::clone(&rule.id));
     match mode {
@@ -31,14 +30,10 @@
             .filter(|service| is_graded(table, service, false));
         return graded.collect();
     }
-    let mut graded: HashSet<ServiceId> = models
-        .into_iter()
+    let models = models.into_iter();
+    models
         .filter(|service| is_graded(table, service, true))
-        .collect();
-    if !graded.is_empty() {
-        graded.extend(plain);
-    }
-    graded
+        .collect()
 }
 
 /// Returns whether the routes of a service, or its organisations, differ in what they need.
@@ -47,7 +42,7 @@
     let Some(first) = routes.next() else {
         return false;
     };
-    table.has_own_urgencies() || routes.any(|route| has_other_needs(first, route))
+    table.has_different_urgencies() || routes.any(|route| has_other_needs(first, route))
 }
 
 fn has_other_needs(left: &RouteRule, right: &RouteRule) -> bool {
--- a/crates/dandeliondeal_relay/src/load_exchange.rs
+++ b/crates/dandeliondeal_relay/src/load_exchange.rs
@@ -18,17 +18,19 @@
 use dandeliondeal_types::{Clock, EndpointId, FailureDomain, InstanceId, ServiceId};
 use serde::{Deserialize, Serialize};
 
+use crate::admission_news::{apply_news, publish_shares};
 use crate::crash_watch::log_changes;
 use crate::dialect::FleetDialect;
 use crate::endpoint_limits::{set_fleet_rates, update_shares};
 use crate::engine_check::{CheckCause, check_engine};
+use crate::engine_survey::{SlowEngines, add_slow_engines, apply_slow_engines};
 use crate::first_engine_health::AttemptTotals;
 use crate::hub_selection::HubSelector;
 use crate::instance_registry::PeerInstance;
 use crate::link_monitor::LostLinks;
 use crate::load_tracker::EngineLoad;
+use crate::loss_exchange::{LossExchange, NOTICE_METHOD, WATCH_METHOD};
 use crate::relay_context::RelayContext;
-use crate::request_admission::{apply_news, publish_shares};
 use crate::shared_store::{CHANGES_METHOD, FeedTable};
 
 /// Method that reports an instance's load to its hub.
@@ -75,6 +77,9 @@
     /// Number of open requests to graded plain services.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub open_calls: BTreeMap<ServiceId, f64>,
+    /// Engines of graded services that are slow.
+    #[serde(default, skip_serializing_if = "SlowEngines::is_empty")]
+    pub slow_engines: SlowEngines,
 }
 
 impl LoadSummary {
@@ -111,6 +116,7 @@
                 .entry(ServiceId::clone(service))
                 .or_default() += open_calls;
         }
+        add_slow_engines(&mut self.slow_engines, &other.slow_engines);
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         for (endpoint, claim) in &other.rates {
             let mut claim = *claim;
@@ -123,7 +129,7 @@
 
 /// Report of an instance to its hub, or of a hub to another one.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct LoadReport {
+pub struct LoadReport {
     /// Id of the instance, or the failure domain that a hub reports for.
     from: InstanceId,
     work: LoadSummary,
@@ -178,6 +184,7 @@
     hub_state: Rc<RefCell<HubState>>,
     hubs: HubSelector<Time, Dialect>,
     feeds: FeedTable,
+    losses: LossExchange<Time, Dialect>,
 }
 
 impl<Time, Dialect> Clone for LoadExchange<Time, Dialect> {
@@ -188,6 +195,7 @@
             hub_state: Rc::clone(&self.hub_state),
             hubs: self.hubs.clone(),
             feeds: self.feeds.clone(),
+            losses: self.losses.clone(),
         }
     }
 }
@@ -199,12 +207,14 @@
 {
     /// Creates an exchange that does nothing until [`Self::run`].
     ///
-    /// `feeds` serves store changes to the members that use this instance as their hub.
+    /// `feeds` serves store changes to the members that use this instance as their hub, `losses`
+    /// notices of lost engines.
     pub fn new(
         context: RelayContext<Time, Dialect>,
         client: PeerClient,
         hubs: HubSelector<Time, Dialect>,
         feeds: FeedTable,
+        losses: LossExchange<Time, Dialect>,
     ) -> Self {
         Self {
             context,
@@ -212,6 +222,7 @@
             hub_state: Rc::default(),
             hubs,
             feeds,
+            losses,
         }
     }
 
@@ -247,6 +258,7 @@
         local.crashes = self.context.crashes().borrow().report(sent_at);
         local.rates = self.context.rates().borrow().report(sent_at);
         local.lost_links = self.context.links().report(&settings.id);
+        local.slow_engines = self.context.survey().slow_engines(sent_at);
         self.context.admission().write_report(&mut local, sent_at);
         let id = InstanceId::clone(&settings.id);
         let fleet = if hub.id == id {
@@ -269,6 +281,7 @@
             let crashes = self.context.crashes();
             crashes.borrow_mut().add_report(&fleet.crashes, now);
             self.context.links().set_fleet(&fleet.lost_links);
+            apply_slow_engines(&self.context, &fleet.slow_engines);
             set_fleet_rates(&self.context, &fleet.rates, &local.rates);
             self.context
                 .tracker()
@@ -348,12 +361,21 @@
     Time: Clock,
     Dialect: FleetDialect,
 {
-    const METHODS: &'static [&'static str] = &[REPORT_METHOD, EXCHANGE_METHOD, CHANGES_METHOD];
+    const METHODS: &'static [&'static str] = &[
+        REPORT_METHOD,
+        EXCHANGE_METHOD,
+        CHANGES_METHOD,
+        NOTICE_METHOD,
+        WATCH_METHOD,
+    ];
 
     async fn handle(&self, method: &'static str, body: Box<str>) -> Result<String, PeerError> {
         if method == CHANGES_METHOD {
             return self.feeds.answer_member(&self.context, &body).await;
         }
+        if method == NOTICE_METHOD || method == WATCH_METHOD {
+            return self.losses.handle(method, body).await;
+        }
         let refuse = |error: serde_json::Error| PeerError::refused(method, error.to_string());
         let report: LoadReport = serde_json::from_str(&body).map_err(refuse)?;
         let now = self.context.now();
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -22,8 +22,8 @@
 use crate::relay_context::RelayContext;
 use crate::relay_lifecycle::{LifecycleEvent, RelayLifecycle};
 use crate::relay_outcome::RelayOutcome;
-use crate::request_admission::RunningRequest;
 use crate::request_intake::RelayRequest;
+use crate::running_request::RunningRequest;
 
 /// Maximum number of endpoints that are tried when no connection can be made; nothing is sent to
 /// them.
@@ -66,9 +66,13 @@
         running.has_run = sent_attempts > 0;
     }
     drop(running);
+    let is_unanswered = !race.open_endpoints.is_empty();
     request.lifecycle = lifecycle;
     match end {
         RaceEnd::LinksLost => {
+            if is_unanswered {
+                request.lifecycle.mark_may_have_run();
+            }
             request.sent_attempts = sent_attempts;
             hand_over_plain(context, request).await
         }
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -21,15 +21,18 @@
 use crate::crash_watch::ProcessChecks;
 use crate::engine_calls::ReportCache;
 use crate::engine_check::EngineChecks;
+use crate::engine_survey::EngineSurvey;
 use crate::first_engine_health::FirstEngineHealth;
 use crate::fleet_view::FleetView;
 use crate::instance_registry::PeerInstance;
 use crate::link_monitor::LinkMonitor;
 use crate::load_tracker::LoadTracker;
+use crate::loss_board::LossBoard;
 use crate::relay_error::RelayError;
 use crate::relay_lifecycle::{LifecycleTable, lifecycle_table};
 use crate::relay_metrics::RelayMetrics;
 use crate::request_admission::RequestAdmission;
+use crate::silence_watch::SilenceWatch;
 
 /// Share of the slack that running instances use.
 ///
@@ -68,12 +71,15 @@
     budgets: RefCell<HashMap<ServiceId, RepeatWindow>>,
     random: RefCell<StdRng>,
     tracker: LoadTracker,
+    silences: SilenceWatch,
     report_cache: ReportCache,
     engine_checks: EngineChecks,
+    survey: EngineSurvey,
     first_engines: FirstEngineHealth,
     crashes: RefCell<CrashTable>,
     process_checks: ProcessChecks,
     links: LinkMonitor,
+    losses: LossBoard,
     peer_secret: SecretText,
     rates: RefCell<EndpointRates>,
     urgent_report: Notify,
@@ -124,12 +130,15 @@
             budgets: RefCell::default(),
             random: RefCell::new(StdRng::seed_from_u64(seed)),
             tracker: LoadTracker::default(),
+            silences: SilenceWatch::default(),
             report_cache: ReportCache::default(),
             engine_checks: EngineChecks::default(),
+            survey: EngineSurvey::default(),
             first_engines: FirstEngineHealth::default(),
             crashes: RefCell::default(),
             process_checks: ProcessChecks::default(),
             links: LinkMonitor::default(),
+            losses: LossBoard::default(),
             peer_secret: PeerSettings::default().secret,
             rates: RefCell::default(),
             urgent_report: Notify::new(),
@@ -182,6 +191,10 @@
         self.fleet().borrow_mut().set_services(&table, self.now());
         let mode = self.settings().grading.mode;
         self.admission().set_services(&table, mode, self.now());
+        let has_graded_model = table
+            .services()
+            .any(|rule| rule.engine.is_some() && self.admission().is_graded(&rule.id));
+        self.losses().set_shared(has_graded_model);
         let version = i64::try_from(table.version()).unwrap_or(i64::MAX);
         self.shared.metrics.config_version.set(version);
         self.shared.table.replace(Some(Arc::new(table)));
@@ -224,6 +237,11 @@
         &self.shared.tracker
     }
 
+    /// Returns the evidence on silent streams.
+    pub fn silences(&self) -> &SilenceWatch {
+        &self.shared.silences
+    }
+
     /// Returns the cache of engine reports.
     pub fn report_cache(&self) -> &ReportCache {
         &self.shared.report_cache
@@ -234,6 +252,11 @@
         &self.shared.engine_checks
     }
 
+    /// Returns the slowness that engines reported.
+    pub fn survey(&self) -> &EngineSurvey {
+        &self.shared.survey
+    }
+
     /// Returns the outcomes of attempts at the first engines of chains.
     pub fn first_engines(&self) -> &FirstEngineHealth {
         &self.shared.first_engines
@@ -254,6 +277,11 @@
         &self.shared.links
     }
 
+    /// Returns the losses of engines that are known.
+    pub fn losses(&self) -> &LossBoard {
+        &self.shared.losses
+    }
+
     /// Returns what is known of crashes under requests.
     pub fn crashes(&self) -> &RefCell<CrashTable> {
         &self.shared.crashes
--- a/crates/dandeliondeal_relay/src/request_admission.rs
+++ b/crates/dandeliondeal_relay/src/request_admission.rs
@@ -1,15 +1,15 @@
 //! Admission of requests to graded services: gates, waiting requests and their timer.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use dandeliondeal_config::GradingMode;
 use dandeliondeal_limit::admission_queue::TicketId;
-use dandeliondeal_limit::{AdmissionRank, DemandReport, GateAction, GateRequest, GateSettings};
+use dandeliondeal_limit::{AdmissionRank, GateAction, GateRequest, GateSettings};
 use dandeliondeal_route::RouteTable;
-use dandeliondeal_types::{Clock, RouteId, ServiceId};
+use dandeliondeal_types::{Clock, ServiceId};
 use rand::Rng;
 use tokio::sync::oneshot::{self, error::TryRecvError};
 
@@ -17,7 +17,6 @@
 use crate::load_exchange::LoadSummary;
 use crate::relay_context::RelayContext;
 use crate::request_intake::RelayRequest;
-use crate::route_deadlines::RouteDeadlines;
 use crate::service_gate::ServiceGate;
 
 /// Minimum time between two calls of a gate for the end of waits.
@@ -32,6 +31,16 @@
     NoRoom,
 }
 
+impl AdmissionQuestion {
+    /// Returns what the decision depends on, for logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::New => "share",
+            Self::NoRoom => "room",
+        }
+    }
+}
+
 /// Decision on a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum AdmissionVerdict {
@@ -46,8 +55,7 @@
 /// Gates of the graded services.
 #[derive(Debug, Default)]
 pub struct RequestAdmission {
-    services: RefCell<HashMap<ServiceId, ServiceGate>>,
-    deadlines: RefCell<RouteDeadlines>,
+    pub(crate) services: RefCell<HashMap<ServiceId, ServiceGate>>,
     last_ticket: Cell<TicketId>,
 }
 
@@ -64,10 +72,6 @@
             let new_gate = || ServiceGate::new(is_model, now);
             services.entry(service).or_insert_with(new_gate);
         }
-        let routes: HashSet<&RouteId> = table.routes().map(|route| &route.id).collect();
-        self.deadlines
-            .borrow_mut()
-            .retain(|route| routes.contains(route));
     }
 
     /// Returns whether a service is graded.
@@ -91,7 +95,15 @@
         }
     }
 
-    fn with_gate<Result, Use>(&self, service: &str, call: Use) -> Option<Result>
+    /// Returns the ticket of a new request.
+    pub(crate) fn new_ticket(&self) -> TicketId {
+        let ticket = self.last_ticket.get().wrapping_add(1);
+        self.last_ticket.set(ticket);
+        ticket
+    }
+
+    /// Calls `call` with the gate of a service; `None` if the service is not graded.
+    pub(crate) fn with_gate<Result, Use>(&self, service: &str, call: Use) -> Option<Result>
     where
         Use: FnOnce(&mut ServiceGate) -> Result,
     {
@@ -108,20 +120,22 @@
 
 /// Asks the gate of a request's service, and waits for its decision for at most `limit`.
 ///
+/// A request keeps its ticket, so that its waits together last no longer than one may.
+///
 /// Returns `None` if no gate decides: the service is not graded, or it has no usable endpoints and
 /// is refused for that.
 pub(crate) async fn decide<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     request: &RelayRequest,
     question: AdmissionQuestion,
-    work: f64,
+    (ticket, work): (TicketId, f64),
     limit: Duration,
 ) -> Option<AdmissionVerdict>
 where
     Time: Clock,
     Dialect: 'static,
 {
-    let mut pending = PendingRequest::submit(context, request, question, work)?;
+    let mut pending = PendingRequest::submit(context, request, question, (ticket, work))?;
     let action = match pending.receiver.try_recv() {
         Ok(action) => action,
         Err(TryRecvError::Closed) => GateAction::Admit(pending.ticket),
@@ -131,6 +145,9 @@
             match actix_rt::time::timeout(limit, &mut pending.receiver).await {
                 Ok(action) => action.unwrap_or(GateAction::Admit(pending.ticket)),
                 Err(_elapsed) => {
+                    context.admission().with_gate(&request.service, |entry| {
+                        entry.cancel(ticket);
+                    });
                     pending.finish("refuse", None);
                     return Some(AdmissionVerdict::TimedOut);
                 }
@@ -174,16 +191,14 @@
         context: &'request RelayContext<Time, Dialect>,
         request: &'request RelayRequest,
         question: AdmissionQuestion,
-        work: f64,
+        (ticket, work): (TicketId, f64),
     ) -> Option<Self> {
         let admission = context.admission();
         if !admission.is_graded(&request.service) {
             return None;
         }
         let now = context.now();
-        let gate_request = build_gate_request(context, request, work, now);
-        let ticket = admission.last_ticket.get().wrapping_add(1);
-        admission.last_ticket.set(ticket);
+        let gate_request = build_gate_request(request, work, now);
         let draw = context.with_rng(Rng::random::<f64>);
         let submitted = gate_request.clone();
         let receiver = admission.with_gate(&request.service, |entry| {
@@ -221,10 +236,10 @@
     /// Counts a decision, and logs it unless the request was admitted at once.
     fn record_decision(&mut self, decision: &str, retry_after: Option<Duration>) {
         let (request, service) = (self.request, &self.request.service);
-        let metrics = self.context.metrics();
+        let metrics = &self.context.metrics().admission;
         let urgency = request.route_match.urgency.to_string();
         let labels = [&**service, &*urgency, decision];
-        metrics.admission_decisions.with_label_values(&labels).inc();
+        metrics.decisions.with_label_values(&labels).inc();
         let now = self.context.now();
         let waited = now.saturating_duration_since(self.started);
         let is_plain_admission = decision == "admit" && !self.has_waited;
@@ -233,7 +248,7 @@
         } else {
             self.is_decided = true;
             if self.has_waited {
-                metrics.admission_wait.observe(waited.as_secs_f64());
+                metrics.wait.observe(waited.as_secs_f64());
             }
         }
         if is_plain_admission {
@@ -258,7 +273,7 @@
             share,
             fill = room.map(|room| room.fill()),
             news_age_ms = news_age.map(milliseconds),
-            is_admitted = self.question == AdmissionQuestion::NoRoom,
+            cause = self.question.name(),
             decision,
             waited_ms = milliseconds(waited),
             retry_after_ms = retry_after.map(milliseconds),
@@ -272,37 +287,24 @@
     Time: Clock,
 {
     fn drop(&mut self) {
+        if self.is_decided {
+            return;
+        }
+        self.record_decision("left", None);
         let admission = self.context.admission();
         let ticket = self.ticket;
-        if !self.is_decided {
-            self.record_decision("left", None);
-        }
-        // A gate ignores the ticket of a request that does not wait.
-        if self.has_waited {
-            admission.with_gate(&self.request.service, |entry| entry.cancel(ticket));
-        }
+        admission.with_gate(&self.request.service, |entry| entry.cancel(ticket));
     }
 }
 
-fn milliseconds(duration: Duration) -> u64 {
+pub(crate) fn milliseconds(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn build_gate_request<Time, Dialect>(
-    context: &RelayContext<Time, Dialect>,
-    request: &RelayRequest,
-    work: f64,
-    now: Instant,
-) -> GateRequest
-where
-    Time: Clock,
-{
+fn build_gate_request(request: &RelayRequest, work: f64, now: Instant) -> GateRequest {
     let route = &request.route_match.route;
-    let mut deadlines = context.admission().deadlines.borrow_mut();
-    let deadline = request.facts.deadline;
-    let used_before =
-        deadline.map(|deadline| deadlines.record(&route.id, deadline, request.arrived));
-    let used = now.saturating_duration_since(request.arrived) + used_before.unwrap_or_default();
+    // Callers choose their deadlines, so a shorter one does not show that a caller has returned.
+    let used = now.saturating_duration_since(request.arrived);
     let objective_left = route.latency_objective.saturating_sub(used);
     let max_retry_delay = GateSettings::default().max_retry_delay;
     GateRequest {
@@ -315,8 +317,10 @@
 }
 
 /// Starts the task that ends waits at a service's gate, unless it runs.
-fn start_ticker<Time, Dialect>(context: &RelayContext<Time, Dialect>, service: &ServiceId)
-where
+pub(crate) fn start_ticker<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    service: &ServiceId,
+) where
     Time: Clock,
     Dialect: 'static,
 {
@@ -357,143 +361,3 @@
         });
     }
 }
-
-/// Passes the totals of all instances on to the gates; `local` is the part of this instance in them.
-pub(crate) fn apply_news<Time, Dialect>(
-    context: &RelayContext<Time, Dialect>,
-    fleet: &LoadSummary,
-    local: &LoadSummary,
-) where
-    Time: Clock,
-    Dialect: 'static,
-{
-    let Some(table) = context.table() else {
-        return;
-    };
-    let now = context.now();
-    let no_demand = DemandReport::default();
-    let mut waiting_services = Vec::new();
-    for (service, entry) in context.admission().services.borrow_mut().iter_mut() {
-        let demand = fleet.demand.get(service);
-        // A hub of an earlier version drops the demand: there is no news of it.
-        if demand.is_none() && local.demand.contains_key(service) {
-            continue;
-        }
-        let view = context.fleet().borrow();
-        let rule = table.service(service);
-        let room = match rule.and_then(|rule| rule.engine.as_ref()) {
-            Some(profile) => {
-                let instance_count = context.instance_count();
-                view.model_room(service, profile, context.tracker(), instance_count, now)
-            }
-            None => {
-                let open_calls = fleet.open_calls.get(service).copied();
-                view.plain_room(service, open_calls.unwrap_or_default())
-            }
-        };
-        drop(view);
-        entry.has_capacity = room.capacity > 0.0;
-        let demand = demand.unwrap_or(&no_demand);
-        let draws = || context.with_rng(Rng::random::<f64>);
-        let actions = entry.gate.set_news(demand, room, draws, now);
-        entry.dispatch(&actions);
-        if entry.gate.next_tick().is_some() {
-            waiting_services.push(ServiceId::clone(service));
-        }
-    }
-    for service in waiting_services {
-        start_ticker(context, &service);
-    }
-}
-
-/// Updates the metrics of the gates, and logs the shares that changed.
-pub(crate) fn publish_shares<Time, Dialect>(context: &RelayContext<Time, Dialect>)
-where
-    Time: Clock,
-{
-    let now = context.now();
-    let metrics = context.metrics();
-    for (service, entry) in context.admission().services.borrow_mut().iter_mut() {
-        let state = entry.gate.describe(now);
-        let fill = state.room.map(|room| room.fill());
-        if let Some(fill) = fill {
-            let gauge = metrics.service_fill.with_label_values(&[&**service]);
-            gauge.set(fill);
-        }
-        let (previous, changes) = (entry.ranks(), entry.record_shares(&state));
-        for rank in previous.into_iter().chain(state.shares.keys().copied()) {
-            let share = state.shares.get(&rank).copied().unwrap_or(1.0);
-            let labels = [&**service, &*rank.to_string()];
-            metrics
-                .admission_share
-                .with_label_values(&labels)
-                .set(share);
-        }
-        for change in changes {
-            tracing::info!(
-                service = %service,
-                rank = change.rank,
-                from = change.from,
-                share = change.to,
-                fill,
-                supply = state.supply,
-                news_age_ms = state.news_age.map(milliseconds),
-                "admission share changed"
-            );
-        }
-    }
-}
-
-/// Request of a graded service that runs; its end is recorded when it is dropped.
-#[derive(Debug)]
-pub(crate) struct RunningRequest<Time, Dialect>
-where
-    Time: Clock,
-{
-    context: RelayContext<Time, Dialect>,
-    service: ServiceId,
-    started: Instant,
-    is_call: bool,
-    /// Whether its duration counts.
-    pub(crate) has_run: bool,
-}
-
-impl<Time, Dialect> RunningRequest<Time, Dialect>
-where
-    Time: Clock,
-{
-    /// Records the start of a request; `None` if its service is not graded. A request to a plain
-    /// service, `is_call`, is counted as open.
-    pub(crate) fn start(
-        context: &RelayContext<Time, Dialect>,
-        service: &ServiceId,
-        is_call: bool,
-    ) -> Option<Self> {
-        context.admission().with_gate(service, |entry| {
-            entry.open_calls += u32::from(is_call);
-        })?;
-        Some(Self {
-            context: context.clone(),
-            service: ServiceId::clone(service),
-            started: context.now(),
-            is_call,
-            has_run: true,
-        })
-    }
-}
-
-impl<Time, Dialect> Drop for RunningRequest<Time, Dialect>
-where
-    Time: Clock,
-{
-    fn drop(&mut self) {
-        let now = self.context.now();
-        let service_time = now.saturating_duration_since(self.started);
-        self.context.admission().with_gate(&self.service, |entry| {
-            entry.open_calls = entry.open_calls.saturating_sub(u32::from(self.is_call));
-            if self.has_run {
-                entry.gate.record_finished(service_time, now);
-            }
-        });
-    }
-}
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -14,6 +14,7 @@
 
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::engine_check::retest_engines;
+use crate::engine_survey::run_survey;
 use crate::fleet_sinks::{ConfigSink, EndpointSink};
 use crate::handover_entrance::HandoverEntrance;
 use crate::hub_selection::HubSelector;
@@ -21,6 +22,7 @@
 use crate::layout_controller::LayoutController;
 use crate::link_monitor::watch_links;
 use crate::load_exchange::LoadExchange;
+use crate::loss_exchange::LossExchange;
 use crate::quarantine_store::run_quarantine_store;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
@@ -28,6 +30,7 @@
 use crate::request_handler::handle_request;
 use crate::request_intake::RequestOrigin;
 use crate::shared_store::{FeedTable, SharedStore};
+use crate::silence_watch::watch_timer;
 use crate::store_watch::follow_kind;
 
 /// Name of the lease that allows sending layer orders.
@@ -114,10 +117,13 @@
             .unwrap_or(usize::MAX),
             ..ListenerSettings::default()
         };
-        let exchange = LoadExchange::new(context.clone(), peer_client, hubs, feeds);
+        tasks.push(actix_rt::spawn(run_survey(context.clone(), hubs.clone())));
+        let losses = LossExchange::new(context.clone(), peer_client.clone());
+        let exchange = LoadExchange::new(context.clone(), peer_client, hubs, feeds, losses.clone());
         let listener = std::net::TcpListener::bind(addresses.peers)?;
         let peers = PeerServer::start(listener, &peer_settings, exchange.clone())?;
         tasks.push(actix_rt::spawn(exchange.run()));
+        tasks.push(actix_rt::spawn(losses.run()));
         let handler_context = context.clone();
         let serve_caller = move |request: Request| {
             handle_request(handler_context.clone(), request, RequestOrigin::Caller)
@@ -159,6 +165,11 @@
         self.callers.address()
     }
 
+    /// Returns the address for requests that other instances hand over.
+    pub fn handover_address(&self) -> std::net::SocketAddr {
+        self.handover.address()
+    }
+
     /// Returns the address of the readiness check.
     pub fn readiness_address(&self) -> std::net::SocketAddr {
         self.readiness.address()
@@ -188,7 +199,7 @@
             actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
             let elapsed = self.context.now().saturating_duration_since(started);
             let open = self.context.metrics().open_requests.get();
-            let connections = self.callers.open_connections();
+            let connections = self.callers.open_connections() + self.handover.open_connections();
             if elapsed >= limit || (open <= 0 && connections == 0) {
                 self.context.record_exit();
                 tracing::info!(open, connections, elapsed_ms = %elapsed.as_millis(), "stopped");
@@ -254,6 +265,7 @@
         actix_rt::spawn(controller.run()),
         actix_rt::spawn(sweep(context.clone())),
         actix_rt::spawn(watch_links(context.clone())),
+        actix_rt::spawn(watch_timer(context.clone())),
     ])
 }
 
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -21,6 +21,7 @@
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::handover_stream::HandoverStream;
 use crate::link_monitor::{LinkUse, wait_for_lost_links};
+use crate::loss_board::check_broken;
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
@@ -187,8 +188,8 @@
                 Ok(RelayStep::Run(index, RunStep::Silent(cause))) => {
                     self.handle_silence(index, cause);
                 }
-                Ok(RelayStep::Run(index, RunStep::MoveEnded(cause, chain))) => {
-                    self.handle_move(index, &cause, chain);
+                Ok(RelayStep::Run(index, RunStep::MoveEnded(cause, result))) => {
+                    self.handle_move(index, cause, result);
                 }
                 Ok(RelayStep::Run(index, RunStep::Response(step))) => {
                     if let Some(events) = self.handle_response(index, step).await? {
@@ -318,6 +319,7 @@
         if error.is_invalid_answer() {
             self.record_failure(&run);
         } else {
+            check_broken(&self.context, run.first_engine());
             self.record_end(&run).await;
             // Behind lost links all runs break, which tells nothing about the engines.
             if !self.context.links().is_lost(&self.request.service) {
--- a/crates/dandeliondeal_relay/src/stream_start.rs
+++ b/crates/dandeliondeal_relay/src/stream_start.rs
@@ -7,6 +7,8 @@
 use crate::chain_selection::{ChainConstraints, select_chain};
 use crate::dialect::{AttemptFacts, FleetDialect, RequestDialect};
 use crate::endpoint_exchange::{ConnectionChoice, build_attempt, open_connection};
+use crate::loss_board::record_loss;
+use crate::loss_notice::LossEvidence;
 use crate::refusal::RefusalCause;
 use crate::relay_lifecycle::LifecycleEvent;
 use crate::stream_handover::LocalEnd;
@@ -80,6 +82,12 @@
         );
         let now = self.context.now();
         self.context.fleet().borrow_mut().mark_failed(engine, now);
+        let evidence = if error.is_refused() {
+            LossEvidence::Refused
+        } else {
+            LossEvidence::Silent
+        };
+        record_loss(&self.context, engine, evidence);
         self.context.first_engines().record(engine, false, now);
         self.excluded.push(EndpointId::clone(engine));
     }
@@ -104,7 +112,7 @@
         };
         let outbound = build_attempt(&self.context, &self.request, &facts);
         let reservation = self.context.tracker().reserve(&chain, self.demand.tokens());
-        let run = StreamRun::start(
+        let mut run = StreamRun::start(
             &self.context,
             connection,
             chain,
@@ -112,6 +120,7 @@
             (&outbound, &self.request.facts.request),
             self.last_event,
         )?;
+        run.set_grade(&self.request.route_match, &self.request.service);
         let now = self.context.now();
         let rates = self.context.rates();
         rates.borrow_mut().record_request(run.first_engine(), now);
@@ -135,6 +144,7 @@
         let constraints = ChainConstraints {
             current_chain,
             excluded: &self.excluded,
+            spread_key: None,
         };
         select_chain(
             &self.context,
