Hubs on the instances with most processor time; fewer calls to a store that no hub reaches

Cause: a hub on 0.12 of a core needs tens of milliseconds to answer the waiting calls of 30 members, and each member of a large fleet kept calling a store that was down. Change: instances register their processor time, and those with the most are selected as hubs first.

--- a/crates/dandeliondeal_config/src/router_settings.rs
+++ b/crates/dandeliondeal_config/src/router_settings.rs
@@ -120,15 +120,20 @@
 }
 
 /// Resources that the machine provides.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct MachineSettings {
     /// Maximum number of open file descriptors of the process.
     pub descriptors: u64,
+    /// Processor time that the process may use, in cores.
+    pub processor: f64,
 }
 
 impl Default for MachineSettings {
     fn default() -> Self {
-        Self { descriptors: 1_024 }
+        Self {
+            descriptors: 1_024,
+            processor: 1.0,
+        }
     }
 }
 
@@ -235,6 +240,13 @@
             1_048_576,
             "Maximum number of open file descriptors of the process."
         ),
+        setting_field!(
+            machine.processor,
+            0.001,
+            1_024.0,
+            "Processor time that the process may use, in cores. Instances with most of it serve as \
+             hubs."
+        ),
         setting_field!(
             grading.mode,
             "Which services admit requests by urgency: auto (where the configuration has requests \
--- a/crates/dandeliondeal_relay/src/hub_selection.rs
+++ b/crates/dandeliondeal_relay/src/hub_selection.rs
@@ -9,6 +9,7 @@
 use dandeliondeal_types::{Clock, InstanceId};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::hub_capacity::strong_members;
 use crate::instance_registry::PeerInstance;
 use crate::relay_context::RelayContext;
 
@@ -48,7 +49,8 @@
 
     /// Returns the hub of a failure domain.
     ///
-    /// All instances select the same one unless it does not answer some of them.
+    /// All instances select the same one unless it does not answer some of them. Instances with the
+    /// most processor time come first.
     pub fn hub_of(&self, domain: &str) -> Option<PeerInstance> {
         let now = self.context.now();
         let mut unresponsive = self.unresponsive.borrow_mut();
@@ -94,10 +96,17 @@
         Filter: Fn(&PeerInstance) -> bool,
     {
         let peers = self.context.peers();
-        let members: Vec<&PeerInstance> = peers
+        let mut members: Vec<&PeerInstance> = peers
             .iter()
-            .filter(|peer| *peer.failure_domain == *domain && is_candidate(peer))
+            .filter(|peer| *peer.failure_domain == *domain)
             .collect();
+        let mut strong = strong_members(&members);
+        strong.retain(|peer| is_candidate(peer));
+        if strong.is_empty() {
+            members.retain(|peer| is_candidate(peer));
+        } else {
+            members = strong;
+        }
         let names: Vec<&InstanceId> = members.iter().map(|peer| &peer.id).collect();
         let index = preferred_member(HUB_KEY, &names, Xxh3::new)?;
         Some(members[index].clone())
--- a/crates/dandeliondeal_relay/src/instance_registry.rs
+++ b/crates/dandeliondeal_relay/src/instance_registry.rs
@@ -33,6 +33,9 @@
     pub handover: Option<SocketAddr>,
     /// Failure domain of the instance.
     pub failure_domain: FailureDomain,
+    /// Processor time that the instance may use, in thousandths of a core; `None` for an earlier
+    /// version.
+    pub processor_milli: Option<u32>,
 }
 
 /// Registration of an instance, as stored.
@@ -42,6 +45,9 @@
     #[serde(default)]
     handover: Option<SocketAddr>,
     failure_domain: Arc<str>,
+    /// In thousandths of a core.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    processor_milli: Option<u32>,
 }
 
 /// Registers this instance and counts all instances until the task is dropped.
@@ -87,6 +93,7 @@
         address: entry.address,
         handover: entry.handover,
         failure_domain: entry.failure_domain,
+        processor_milli: entry.processor_milli,
     })
 }
 
@@ -105,6 +112,7 @@
         address: settings.endpoints.peers,
         handover: Some(settings.endpoints.handover),
         failure_domain: Arc::clone(&settings.instance.failure_domain),
+        processor_milli: Some((settings.machine.processor * 1_000.0).round() as u32),
     };
     let body: Arc<str> = serde_json::to_string(&entry).unwrap_or_default().into();
     let mut condition = PutCondition::Absent;
--- a/crates/dandeliondeal_relay/src/shared_store.rs
+++ b/crates/dandeliondeal_relay/src/shared_store.rs
@@ -4,7 +4,7 @@
 //! Each call to the store, including a waiting watch, counts towards an allowed call rate that does
 //! not grow with the fleet. A member watches the store itself if its hub does not answer in time or
 //! has no recent answer from the store. If the store does not answer either, the member asks the
-//! hubs of all failure domains.
+//! hubs of all failure domains. While no hub reaches the store, members call it only every few seconds.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -20,6 +20,7 @@
 use crate::change_feed::{ChangeFeed, FeedReply};
 use crate::hub_selection::HubSelector;
 use crate::instance_registry::PeerInstance;
+use crate::outage_probe::{HubAccess, OutageProbe};
 use crate::relay_context::RelayContext;
 
 /// Method that asks a hub for the changes of a kind.
@@ -55,6 +56,7 @@
     client: PeerClient,
     hubs: HubSelector<Time, Dialect>,
     feeds: FeedTable,
+    probes: Rc<RefCell<HashMap<String, OutageProbe>>>,
 }
 
 /// Change feeds by kind; clones share the state.
@@ -74,6 +76,7 @@
             client: self.client.clone(),
             hubs: self.hubs.clone(),
             feeds: self.feeds.clone(),
+            probes: Rc::clone(&self.probes),
         }
     }
 }
@@ -141,6 +144,7 @@
             client,
             hubs,
             feeds,
+            probes: Rc::default(),
         }
     }
 
@@ -196,12 +200,71 @@
         seen: Version,
         limit: Duration,
     ) -> Result<KindChanges, StoreError> {
-        let changes = self.store.changes(kind, seen, limit).await?;
+        let changes = self
+            .call_store(kind, self.store.changes(kind, seen, limit))
+            .await?;
         let now = self.context.now();
         self.feeds
             .with_feed(kind, |feed| feed.extend(seen, &changes, now));
         Ok(changes)
     }
+
+    /// Makes a call to the store, and records whether it was answered.
+    async fn call_store<Output, Call>(&self, kind: &str, call: Call) -> Result<Output, StoreError>
+    where
+        Call: Future<Output = Result<Output, StoreError>>,
+    {
+        let now = self.context.now();
+        self.with_probe(kind, |probe| probe.record_call(now));
+        let result = call.await;
+        let is_answered = match &result {
+            Ok(_) => true,
+            Err(error) => error.is_history_expired(),
+        };
+        self.with_probe(kind, |probe| probe.record_result(is_answered));
+        result
+    }
+
+    fn with_probe<Output, Use>(&self, kind: &str, call: Use) -> Output
+    where
+        Use: FnOnce(&mut OutageProbe) -> Output,
+    {
+        let mut probes = self.probes.borrow_mut();
+        call(probes.entry(kind.to_owned()).or_default())
+    }
+
+    /// Returns whether this instance may call the store, which did not answer its last call.
+    async fn may_call_store(&self, kind: &str) -> bool {
+        let own = &self.context.settings().instance;
+        let now = self.context.now();
+        if self.context.instance_count() < MIN_HUB_FLEET
+            || !self.with_probe(kind, |probe| probe.needs_hub(now))
+        {
+            return true;
+        }
+        let hubs = self.hubs.preferred_hubs(&own.failure_domain);
+        if hubs.is_empty() || hubs.iter().any(|hub| hub.id == own.id) {
+            return true;
+        }
+        let index = self.with_probe(kind, |probe| probe.next_hub(hubs.len()));
+        let request = FeedRequest {
+            kind: kind.to_owned(),
+            seen: Version::default(),
+        };
+        let address = hubs[index].address;
+        let reply =
+            self.client
+                .call_with_timeout(address, CHANGES_METHOD, &request, MEMBER_TIMEOUT);
+        let access = match reply.await {
+            Ok(FeedReply::Unproven) => HubAccess::Lost,
+            Ok(FeedReply::ReadStore | FeedReply::Changes(_)) => HubAccess::Reached,
+            Err(error) => {
+                tracing::debug!(hub = %hubs[index].id, kind, %error, "call to hub failed");
+                HubAccess::Unknown
+            }
+        };
+        OutageProbe::allows_call(access)
+    }
 }
 
 impl<Time, Dialect, Store> KindStore for SharedStore<Time, Dialect, Store>
@@ -215,7 +278,12 @@
         kind: &str,
         freshness: ReadFreshness,
     ) -> Result<KindSnapshot, StoreError> {
-        let snapshot = self.store.snapshot(kind, freshness).await?;
+        if !self.may_call_store(kind).await {
+            return Err(StoreError::unavailable(kind, "no hub reaches the store"));
+        }
+        let snapshot = self
+            .call_store(kind, self.store.snapshot(kind, freshness))
+            .await?;
         let now = self.context.now();
         self.feeds
             .with_feed(kind, |feed| feed.restart(snapshot.version, now));
--- a/crates/dandeliondeal_relay/tests/lease_contenders.rs
+++ b/crates/dandeliondeal_relay/tests/lease_contenders.rs
@@ -14,6 +14,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         handover: None,
         failure_domain: "didube".into(),
+        processor_milli: None,
     });
     peers.collect()
 }
--- a/crates/dandeliondeal_relay/tests/peer_choice.rs
+++ b/crates/dandeliondeal_relay/tests/peer_choice.rs
@@ -16,6 +16,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         handover: Some(SocketAddr::from(([127, 0, 0, 1], index + 2))),
         failure_domain: format!("domain-{}", index % 3).into(),
+        processor_milli: None,
     });
     peers.collect()
 }
