Hubs connect to the engines of their domain when they hear of a loss

Cause: an instance connects only to the first engines of chains. Change: the first hub of each domain connects once to each engine of its domain when a loss is relayed, at most once a second. A refused connection is a loss; no answer within 100 ms leads to a check.

--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod loss_board;
 pub mod loss_exchange;
 pub mod loss_notice;
+pub mod loss_sweep;
 pub mod move_order;
 pub mod outage_probe;
 pub mod peer_choice;
--- a/crates/dandeliondeal_relay/src/loss_board.rs
+++ b/crates/dandeliondeal_relay/src/loss_board.rs
@@ -222,15 +222,25 @@
     }
 }
 
-/// Finds out by a new connection whether the process of an engine that failed has ended, and records
-/// the loss.
+/// What a new connection to an engine shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ConnectionCheck {
+    /// The connection was refused: the process of the engine has ended.
+    Lost,
+    /// The connection was accepted, or failed for another reason.
+    Accepted,
+    /// There was no answer in time, or the engine is not registered.
+    Unanswered,
+}
+
+/// Finds out by a new connection whether the process of an engine has ended, and records the loss.
 ///
 /// `evidence` is the one if the connection is refused.
-pub(crate) async fn confirm_loss<Time, Dialect>(
+pub(crate) async fn check_connection<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     engine: &EndpointId,
     evidence: LossEvidence,
-) -> bool
+) -> ConnectionCheck
 where
     Time: Clock,
 {
@@ -239,18 +249,37 @@
         fleet.record(engine).map(|record| record.address)
     };
     let Some(address) = address else {
-        return false;
+        return ConnectionCheck::Unanswered;
     };
+    let started = context.now();
     let choice = ConnectionChoice::New;
     let opened = open_connection(context, engine, address, choice, CONNECT_LIMIT).await;
-    let is_refused = opened.is_err_and(|error| error.is_refused());
-    if is_refused {
-        let now = context.now();
+    let now = context.now();
+    if opened.as_ref().is_err_and(|error| error.is_refused()) {
         context.fleet().borrow_mut().mark_failed(engine, now);
         context.engine_checks().add_suspect(engine, now);
         record_loss(context, engine, evidence);
+        return ConnectionCheck::Lost;
+    }
+    let is_late = now.saturating_duration_since(started) >= CONNECT_LIMIT;
+    if opened.is_err() && is_late {
+        ConnectionCheck::Unanswered
+    } else {
+        ConnectionCheck::Accepted
     }
-    is_refused
+}
+
+/// Finds out by a new connection whether the process of an engine that failed has ended, and records
+/// the loss.
+pub(crate) async fn confirm_loss<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    engine: &EndpointId,
+    evidence: LossEvidence,
+) -> bool
+where
+    Time: Clock,
+{
+    check_connection(context, engine, evidence).await == ConnectionCheck::Lost
 }
 
 /// Starts [`confirm_loss`] for an engine that broke a connection, at most once a second.
--- a/crates/dandeliondeal_relay/src/loss_exchange.rs
+++ b/crates/dandeliondeal_relay/src/loss_exchange.rs
@@ -18,6 +18,7 @@
 use crate::hub_selection::HubSelector;
 use crate::instance_registry::PeerInstance;
 use crate::loss_notice::{LossNotice, MAX_MESSAGE_NOTICES, MessageRate};
+use crate::loss_sweep::{SweepTimer, sweep_engines, swept_engines};
 use crate::relay_context::RelayContext;
 
 /// Method that tells a hub of losses.
@@ -84,6 +85,7 @@
     /// Separate from the selection for load reports, whose time limit is longer.
     hubs: HubSelector<Time, Dialect>,
     relays: Rc<RelayQueue>,
+    sweeps: Rc<SweepTimer>,
 }
 
 /// Notices that other hubs have to be told.
@@ -100,6 +102,7 @@
             client: self.client.clone(),
             hubs: self.hubs.clone(),
             relays: Rc::clone(&self.relays),
+            sweeps: Rc::clone(&self.sweeps),
         }
     }
 }
@@ -116,6 +119,7 @@
             context,
             client,
             relays: Rc::default(),
+            sweeps: Rc::default(),
         }
     }
 
@@ -173,6 +177,7 @@
             for notice in &notices {
                 self.count(notice, "relayed");
             }
+            self.start_sweep(&notices);
             let message = NoticeMessage {
                 is_relayed: true,
                 notices,
@@ -321,6 +326,26 @@
         }
     }
 
+    /// Connects to the other engines of this domain if this instance is its first hub.
+    fn start_sweep(&self, notices: &[LossNotice]) {
+        let own = &self.context.settings().instance;
+        let Some(notice) = notices.first() else {
+            return;
+        };
+        let is_hub = self
+            .hubs
+            .hub_of(&own.failure_domain)
+            .is_some_and(|hub| hub.id == own.id);
+        if !is_hub || !self.sweeps.try_start(self.context.now()) {
+            return;
+        }
+        let engines = {
+            let fleet = self.context.fleet().borrow();
+            swept_engines(&fleet, &own.failure_domain, &notice.engine)
+        };
+        actix_rt::spawn(sweep_engines(self.context.clone(), engines));
+    }
+
     fn count(&self, notice: &LossNotice, direction: &str) {
         let evidence = notice.evidence.to_string();
         let counter = &self.context.metrics().loss_notices;
@@ -363,7 +388,9 @@
         }
         let message: NoticeMessage = serde_json::from_str(&body).map_err(refuse)?;
         let news = self.receive(message.notices);
-        if !message.is_relayed && !news.is_empty() {
+        if message.is_relayed {
+            self.start_sweep(&news);
+        } else if !news.is_empty() {
             self.queue_relay(&news);
         }
         serde_json::to_string(&NoticeReply::default()).map_err(refuse)
