Effective urgency, and plain services graded beside a model service

Cause: the urgency that an organisation states replaced that of its routes, so routes had no order where all organisations state the same one. Plain services beside a model service were not gated, because the gate took calls in the queues of their endpoints for overload.

Change: the pairs of organisation and route urgency of a service are numbered once per configuration (UrgencyScale). Admission, the order of moves and the urgency sent to endpoints of graded services use the number; the log line of an admission has urgency and route_urgency. The gate of a plain service admits up to the open calls that its endpoints answer within half of the shortest objective, by the smallest recent time of a call.

--- a/crates/dandeliondeal_limit/src/admission_gate.rs
+++ b/crates/dandeliondeal_limit/src/admission_gate.rs
@@ -14,10 +14,11 @@
 use crate::gate_settings::GateSettings;
 use crate::gate_state::GateState;
 use crate::retry_delay::retry_delay;
-use crate::service_room::ServiceRoom;
+use crate::service_room::{ServiceRoom, SupplyTerms};
+use crate::service_times::ServiceTimes;
 use crate::wait_queue::{WaitQueue, WaitReason, WaitingRequest};
 
-/// Weight of the newest sample in the mean service time and the mean time between news.
+/// Weight of the newest sample in the mean time between news.
 const SAMPLE_WEIGHT: f64 = 0.05;
 /// Time for which the end of a wait is kept after it; the request may still be looking for a chain.
 const RELEASE_GRACE: Duration = Duration::from_secs(1);
@@ -46,8 +47,9 @@
     news: Option<GateNews>,
     /// Mean time between news.
     news_interval: Duration,
-    mean_service_time: Duration,
-    service_samples: f64,
+    service_times: ServiceTimes,
+    /// Latency objective of a service whose endpoints queue.
+    queue_objective: Option<Duration>,
     /// Work that this instance admitted since the last news.
     admitted_work: f64,
     /// Time of the last release of requests that wait for room.
@@ -62,14 +64,14 @@
     /// Creates a gate without news, which admits all requests.
     ///
     /// `usual_service_time` counts until service times have been measured.
-    pub fn new(settings: GateSettings, usual_service_time: Duration, _now: Instant) -> Self {
+    pub fn new(settings: GateSettings, usual_service_time: Duration, now: Instant) -> Self {
         Self {
             demand: DemandMeter::new(settings.demand_window),
             waiting: WaitQueue::default(),
             news: None,
             news_interval: settings.news_interval,
-            mean_service_time: usual_service_time,
-            service_samples: 1.0,
+            service_times: ServiceTimes::new(usual_service_time, now),
+            queue_objective: None,
             admitted_work: 0.0,
             released_at: None,
             displaced: Vec::new(),
@@ -78,6 +80,14 @@
         }
     }
 
+    /// Sets the latency objective of a service whose endpoints queue requests beyond their places.
+    ///
+    /// Such a service is full when its endpoints cannot answer the open requests within
+    /// [`GateSettings::objective_share`] of the objective. `None`: they do not queue.
+    pub fn set_queue_objective(&mut self, objective: Option<Duration>) {
+        self.queue_objective = objective;
+    }
+
     /// Decides on a new request. `draw` is uniform in 0 to 1.
     ///
     /// The first action concerns the request; others refuse waiting requests in its favour.
@@ -186,7 +196,7 @@
             self.news_interval = Duration::from_secs_f64(mean.max(0.0));
         }
         self.news = room.checked().map(|room| {
-            let supply_rate = room.supply_rate(&self.settings, self.mean_service_time);
+            let supply_rate = room.supply_rate(self.supply_terms());
             let ranks = demand.ranks.keys();
             GateNews {
                 at: now,
@@ -242,12 +252,8 @@
     }
 
     /// Records the end of a request that ran.
-    pub fn record_finished(&mut self, service_time: Duration, _now: Instant) {
-        self.service_samples += 1.0;
-        let weight = (1.0 / self.service_samples).max(SAMPLE_WEIGHT);
-        let mean = self.mean_service_time.as_secs_f64();
-        let mean = mean + (service_time.as_secs_f64() - mean) * weight;
-        self.mean_service_time = Duration::from_secs_f64(mean.max(0.0));
+    pub fn record_finished(&mut self, service_time: Duration, now: Instant) {
+        self.service_times.record(service_time, now);
     }
 
     /// Returns the demand at this instance, for its report.
@@ -285,7 +291,7 @@
             room: news.map(|news| news.room),
             news_age: news.map(|news| now.saturating_duration_since(news.at)),
             waiting: self.waiting.len(),
-            mean_service_time: self.mean_service_time,
+            mean_service_time: self.service_times.mean(),
         }
     }
 
@@ -296,6 +302,11 @@
         (age < self.settings.news_limit).then_some(news)
     }
 
+    /// Returns how the supply follows from the room.
+    fn supply_terms(&self) -> SupplyTerms {
+        SupplyTerms::new(&self.settings, &self.service_times, self.queue_objective)
+    }
+
     /// Returns when news is expected next.
     fn next_news(&self, now: Instant) -> Instant {
         let expected = self.news.as_ref().map(|news| news.at + self.news_interval);
@@ -341,11 +352,11 @@
         }
         self.released_at = Some(now);
         let news = self.current_news(now);
+        let terms = self.supply_terms();
         let room = news.map(|news| {
-            let target = news.room.capacity * self.settings.target_fill;
-            let service_seconds = self.mean_service_time.as_secs_f64().max(1e-3);
-            let ending = (interval.as_secs_f64() / service_seconds).min(1.0);
-            (target - news.room.committed * (1.0 - ending), target)
+            let target = terms.target(&news.room);
+            let ending = terms.ending(&news.room, interval);
+            (target - news.room.committed + ending, target)
         });
         for ticket in self.waiting.tickets(WaitReason::Room) {
             let work = self
--- a/crates/dandeliondeal_limit/src/gate_settings.rs
+++ b/crates/dandeliondeal_limit/src/gate_settings.rs
@@ -7,6 +7,9 @@
 pub struct GateSettings {
     /// Part of the capacity at which the service counts as full.
     pub target_fill: f64,
+    /// Part of the latency objective within which the open calls of a service whose endpoints queue
+    /// are to be answered.
+    pub objective_share: f64,
     /// Part of the demand of each rank that is always admitted.
     pub floor_share: f64,
     /// Part of the remaining objective for which a request may wait.
@@ -37,6 +40,7 @@
     fn default() -> Self {
         Self {
             target_fill: 0.9,
+            objective_share: 0.5,
             floor_share: 0.1,
             wait_share: 0.5,
             min_wait_share: 0.5,
--- a/crates/dandeliondeal_limit/src/lib.rs
+++ b/crates/dandeliondeal_limit/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod rate_bucket;
 mod retry_delay;
 pub mod service_room;
+mod service_times;
 mod wait_queue;
 pub mod water_fill;
 
--- a/crates/dandeliondeal_limit/src/service_room.rs
+++ b/crates/dandeliondeal_limit/src/service_room.rs
@@ -5,6 +5,70 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gate_settings::GateSettings;
+use crate::service_times::ServiceTimes;
+
+/// Smallest time by which an amount is divided.
+const MIN_TIME: Duration = Duration::from_millis(1);
+
+/// How the supply of a service follows from its room.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SupplyTerms {
+    /// Work that may be committed, as a part of the capacity.
+    target_fill: f64,
+    /// Time for which a request holds its part of the capacity.
+    service_time: Duration,
+    /// Time for which the supply is computed.
+    horizon: Duration,
+    /// Whether requests beyond the capacity queue at the endpoints.
+    is_queueing: bool,
+}
+
+impl SupplyTerms {
+    /// Returns the terms for a service; with a `queue_objective`, its endpoints queue.
+    ///
+    /// Without a queue, a horizon beyond the service time would count places that are used again as
+    /// used, so it is cut to it.
+    pub(crate) fn new(
+        settings: &GateSettings,
+        times: &ServiceTimes,
+        queue_objective: Option<Duration>,
+    ) -> Self {
+        let Some(objective) = queue_objective else {
+            return Self {
+                target_fill: settings.target_fill,
+                service_time: times.mean().max(MIN_TIME),
+                horizon: settings.horizon.min(times.mean()),
+                is_queueing: false,
+            };
+        };
+        let service_time = times.smallest().max(MIN_TIME);
+        let time = objective.mul_f64(settings.objective_share.clamp(0.0, 1.0));
+        Self {
+            target_fill: time.div_duration_f64(service_time).max(1.0),
+            service_time,
+            horizon: settings.horizon,
+            is_queueing: true,
+        }
+    }
+
+    /// Returns the work that may be committed.
+    pub(crate) fn target(&self, room: &ServiceRoom) -> f64 {
+        room.capacity * self.target_fill
+    }
+
+    /// Returns the work that ends within `time`.
+    ///
+    /// Endpoints that queue use each place again at once, so they end work at the rate of all
+    /// places.
+    pub(crate) fn ending(&self, room: &ServiceRoom, time: Duration) -> f64 {
+        let rounds = time.div_duration_f64(self.service_time);
+        if self.is_queueing {
+            room.capacity * rounds
+        } else {
+            room.committed * rounds.min(1.0)
+        }
+    }
+}
 
 /// Room of a service, in tokens for a model and in places for a plain service.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -16,22 +80,15 @@
 }
 
 impl ServiceRoom {
-    /// Returns the work that can be admitted within `horizon`, if requests run for `service_time`.
+    /// Returns the work per second that can be admitted.
     ///
-    /// A horizon beyond the service time would count places that are used again as used, so it is
-    /// cut to it. Work committed beyond the target reduces the supply; otherwise a service that was
-    /// once overfilled would stay so as long as it is overloaded.
-    pub(crate) fn supply(&self, settings: &GateSettings, service_time: Duration) -> f64 {
-        let horizon = settings.horizon.min(service_time).as_secs_f64().max(1e-3);
-        let target = self.capacity * settings.target_fill;
-        let ending = self.committed * horizon / service_time.as_secs_f64().max(1e-3);
-        (target - self.committed + ending).max(0.0)
-    }
-
-    /// Returns the supply divided by the horizon.
-    pub(crate) fn supply_rate(&self, settings: &GateSettings, service_time: Duration) -> f64 {
-        let horizon = settings.horizon.min(service_time).as_secs_f64().max(1e-3);
-        self.supply(settings, service_time) / horizon
+    /// Work committed beyond the target reduces it; otherwise a service that was once overfilled
+    /// would stay so as long as it is overloaded.
+    pub(crate) fn supply_rate(&self, terms: SupplyTerms) -> f64 {
+        let horizon = terms.horizon.max(MIN_TIME);
+        let ending = terms.ending(self, horizon);
+        let supply = (terms.target(self) - self.committed + ending).max(0.0);
+        supply / horizon.as_secs_f64()
     }
 
     /// Returns the room with negative amounts raised to zero, or `None` if an amount is not finite.
--- a/crates/dandeliondeal_relay/src/graded_service.rs
+++ b/crates/dandeliondeal_relay/src/graded_service.rs
@@ -10,8 +10,9 @@
 ///
 /// In the mode `auto`, a model service is graded if its streaming routes differ in urgency, latency
 /// objective or pause objective, or if organisations differ in the urgency that they state. A plain
-/// service is graded only in a configuration without streams from models, by its own routes: its
-/// endpoints queue short calls, so that open calls beyond their places are no sign of overload.
+/// service is graded if a model service is. Only in a configuration without streams from models do
+/// its own routes decide: otherwise a deployment whose streams are all alike would be served in
+/// another way because of its plain routes.
 pub fn graded_services(table: &RouteTable, mode: GradingMode) -> HashSet<ServiceId> {
     let all = || table.services().map(|rule| ServiceId::clone(&rule.id));
     match mode {
@@ -31,9 +32,13 @@
         return graded.collect();
     }
     let models = models.into_iter();
-    models
+    let mut graded: HashSet<ServiceId> = models
         .filter(|service| is_graded(table, service, true))
-        .collect()
+        .collect();
+    if !graded.is_empty() {
+        graded.extend(plain);
+    }
+    graded
 }
 
 /// Returns whether the routes of a service, or its organisations, differ in what they need.
@@ -60,10 +65,6 @@
     service: &'table ServiceId,
     is_stream: bool,
 ) -> impl Iterator<Item = &'table RouteRule> {
-    let routes = table.routes().map(|route| &**route);
-    routes.filter(move |route| {
-        let mut shares = route.service_shares.iter();
-        route.repeat_class.is_stream() == is_stream
-            && shares.any(|share| share.service == *service && share.weight > 0)
-    })
+    let routes = table.routes_of(service);
+    routes.filter(move |route| route.repeat_class.is_stream() == is_stream)
 }
--- a/crates/dandeliondeal_relay/src/plain_attempt.rs
+++ b/crates/dandeliondeal_relay/src/plain_attempt.rs
@@ -152,7 +152,9 @@
         time_left: request.time_left(context.now()),
         last_event: None,
         chain: None,
-        urgency: request.route_match.urgency,
+        urgency: context
+            .admission()
+            .urgency(&request.service, &request.route_match),
     };
     let outbound = build_attempt(context, request, &facts);
     let id = &request.facts.request;
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -63,7 +63,9 @@
     let (lifecycle, last_failure) = (race.lifecycle, race.last_failure);
     let sent_attempts = race.sent_attempts;
     if let Some(running) = &mut running {
-        running.has_run = sent_attempts > 0;
+        // Only a successful answer shows how long an endpoint takes for a request.
+        running.has_run =
+            matches!(&end, RaceEnd::Answered(response) if response.status().is_success());
     }
     drop(running);
     let is_unanswered = !race.open_endpoints.is_empty();
--- a/crates/dandeliondeal_relay/src/request_admission.rs
+++ b/crates/dandeliondeal_relay/src/request_admission.rs
@@ -8,7 +8,7 @@
 use dandeliondeal_config::GradingMode;
 use dandeliondeal_limit::admission_queue::TicketId;
 use dandeliondeal_limit::{AdmissionRank, GateAction, GateRequest, GateSettings};
-use dandeliondeal_route::RouteTable;
+use dandeliondeal_route::{RouteMatch, RouteTable};
 use dandeliondeal_types::{Clock, ServiceId};
 use rand::Rng;
 use tokio::sync::oneshot::{self, error::TryRecvError};
@@ -69,8 +69,15 @@
         for service in graded {
             let rule = table.service(&service);
             let is_model = rule.is_some_and(|rule| rule.engine.is_some());
+            let urgencies = table.urgency_scale(&service);
+            let routes = table.routes_of(&service);
+            let objective = routes.map(|route| route.latency_objective).min();
             let new_gate = || ServiceGate::new(is_model, now);
-            services.entry(service).or_insert_with(new_gate);
+            let entry = services.entry(service).or_insert_with(new_gate);
+            entry.urgencies = urgencies;
+            if !is_model {
+                entry.gate.set_queue_objective(objective);
+            }
         }
     }
 
@@ -79,6 +86,16 @@
         self.services.borrow().contains_key(service)
     }
 
+    /// Returns the effective urgency of a request to a graded service, or the urgency of a request to
+    /// another one.
+    pub(crate) fn urgency(&self, service: &str, route_match: &RouteMatch) -> u8 {
+        let services = self.services.borrow();
+        let entry = services.get(service);
+        entry.map_or(route_match.urgency, |entry| {
+            entry.urgencies.level(route_match.urgency_pair())
+        })
+    }
+
     /// Writes the demand for graded services and their open plain requests into a report.
     pub(crate) fn write_report(&self, report: &mut LoadSummary, now: Instant) {
         for (service, entry) in self.services.borrow_mut().iter_mut() {
@@ -198,7 +215,8 @@
             return None;
         }
         let now = context.now();
-        let gate_request = build_gate_request(request, work, now);
+        let urgency = admission.urgency(&request.service, &request.route_match);
+        let gate_request = build_gate_request(request, (work, urgency), now);
         let draw = context.with_rng(Rng::random::<f64>);
         let submitted = gate_request.clone();
         let receiver = admission.with_gate(&request.service, |entry| {
@@ -237,7 +255,7 @@
     fn record_decision(&mut self, decision: &str, retry_after: Option<Duration>) {
         let (request, service) = (self.request, &self.request.service);
         let metrics = &self.context.metrics().admission;
-        let urgency = request.route_match.urgency.to_string();
+        let urgency = self.gate_request.rank.urgency().to_string();
         let labels = [&**service, &*urgency, decision];
         metrics.decisions.with_label_values(&labels).inc();
         let now = self.context.now();
@@ -267,6 +285,8 @@
             request = %request.facts.request,
             service = %service,
             organisation = organisation.as_deref(),
+            urgency = request.route_match.urgency,
+            route_urgency = request.route_match.route.urgency,
             rank = rank.value(),
             work = self.gate_request.work,
             objective_left_ms = milliseconds(self.gate_request.objective_left),
@@ -301,7 +321,11 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn build_gate_request(request: &RelayRequest, work: f64, now: Instant) -> GateRequest {
+fn build_gate_request(
+    request: &RelayRequest,
+    (work, urgency): (f64, u8),
+    now: Instant,
+) -> GateRequest {
     let route = &request.route_match.route;
     // Callers choose their deadlines, so a shorter one does not show that a caller has returned.
     let used = now.saturating_duration_since(request.arrived);
@@ -309,7 +333,7 @@
     let max_retry_delay = GateSettings::default().max_retry_delay;
     GateRequest {
         organisation: request.route_match.organisation.clone(),
-        rank: AdmissionRank::new(request.route_match.urgency, objective_left.is_zero()),
+        rank: AdmissionRank::new(urgency, objective_left.is_zero()),
         work,
         objective_left: objective_left.min(request.time_left(now)),
         max_retry_delay: max_retry_delay.min(request.max_retry_delay(now)),
--- a/crates/dandeliondeal_relay/src/service_gate.rs
+++ b/crates/dandeliondeal_relay/src/service_gate.rs
@@ -6,6 +6,7 @@
 
 use dandeliondeal_limit::admission_queue::TicketId;
 use dandeliondeal_limit::{AdmissionGate, GateAction, GateSettings, GateState};
+use dandeliondeal_route::UrgencyScale;
 use tokio::sync::{Notify, oneshot};
 
 /// Expected duration of a stream until durations are measured.
@@ -38,6 +39,8 @@
     pub(crate) has_ticker: bool,
     /// Whether the service has usable endpoints for all its layers, according to the last news.
     pub(crate) has_capacity: bool,
+    /// Order of the service's requests in the configuration in force.
+    pub(crate) urgencies: UrgencyScale,
     /// Number of open requests, for a plain service.
     pub(crate) open_calls: u32,
     waiting: HashMap<TicketId, oneshot::Sender<GateAction>>,
@@ -62,6 +65,7 @@
             changed: Rc::default(),
             has_ticker: false,
             has_capacity: true,
+            urgencies: UrgencyScale::default(),
             open_calls: 0,
             waiting: HashMap::new(),
             shares: BTreeMap::new(),
--- a/crates/dandeliondeal_relay/src/stream_run.rs
+++ b/crates/dandeliondeal_relay/src/stream_run.rs
@@ -137,7 +137,7 @@
         let evidence = StreamSilence::start(&self.context, service, &self.chain);
         self.grade = evidence.map(|evidence| RunGrade {
             evidence,
-            urgency: route_match.urgency,
+            urgency: self.context.admission().urgency(service, route_match),
             pause_objective: route_match.route.pause_objective,
         });
     }
--- a/crates/dandeliondeal_relay/src/stream_start.rs
+++ b/crates/dandeliondeal_relay/src/stream_start.rs
@@ -102,13 +102,14 @@
         connection: EndpointConnection,
         chain: EngineChain,
     ) -> Result<StreamRun<Time, Dialect>, ConnectionError> {
+        let (service, route_match) = (&self.request.service, &self.request.route_match);
         let facts = AttemptFacts {
             endpoint: &chain.hops[0].id,
             organisation: self.request.route_match.organisation.as_ref(),
             time_left: self.request.time_left(self.context.now()),
             last_event: self.last_event,
             chain: Some(&chain),
-            urgency: self.request.route_match.urgency,
+            urgency: self.context.admission().urgency(service, route_match),
         };
         let outbound = build_attempt(&self.context, &self.request, &facts);
         let reservation = self.context.tracker().reserve(&chain, self.demand.tokens());
--- a/crates/dandeliondeal_relay/tests/graded_service.rs
+++ b/crates/dandeliondeal_relay/tests/graded_service.rs
@@ -106,6 +106,22 @@
     assert_eq!(graded(config, GradingMode::Auto), ["drafting", "orders"]);
 }
 
+// Organisations with different urgencies make a model service graded, and those beside it.
+#[test]
+fn different_organisations() {
+    let mut other = organisation(Some(2));
+    other.id = "market".into();
+    other.keys = vec!["key-2".into()];
+    let mut config = config();
+    config.organisations = vec![organisation(Some(1)), other];
+    assert_eq!(
+        graded(config.clone(), GradingMode::Auto),
+        ["drafting", "orders"]
+    );
+    config.organisations[1].urgency = Some(1);
+    assert!(graded(config, GradingMode::Auto).is_empty());
+}
+
 // A route that sends no request to the model says nothing about its callers.
 #[test]
 fn unused_share() {
--- a/crates/dandeliondeal_route/src/lib.rs
+++ b/crates/dandeliondeal_route/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod repeat_window;
 pub mod route_config;
 pub mod route_table;
+pub mod urgency_scale;
 
 #[doc(inline)]
 pub use repeat_window::{RepeatWindow, WindowSettings};
@@ -16,3 +17,5 @@
 };
 #[doc(inline)]
 pub use route_table::{MatchError, RouteMatch, RouteTable};
+#[doc(inline)]
+pub use urgency_scale::{UrgencyPair, UrgencyScale};
--- a/crates/dandeliondeal_route/src/route_table.rs
+++ b/crates/dandeliondeal_route/src/route_table.rs
@@ -1,12 +1,13 @@
 //! The active configuration, indexed for lookups.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use dandeliondeal_types::{OrganisationId, ServiceId};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::route_config::{CallerLimits, RouteConfig, RouteRule, ServiceRule};
+use crate::urgency_scale::{UrgencyPair, UrgencyScale};
 
 /// Routes, API keys and services of one configuration version.
 #[derive(Debug, Default)]
@@ -29,7 +30,7 @@
     pub route: Arc<RouteRule>,
     /// The organisation that the API key belongs to; `None` without a known key.
     pub organisation: Option<OrganisationId>,
-    /// Urgency of the request.
+    /// Urgency of the organisation, or of the route if the organisation states none.
     pub urgency: u8,
 }
 
@@ -104,6 +105,34 @@
         self.services.values()
     }
 
+    /// Returns the routes that send requests to a service.
+    pub fn routes_of<'table>(
+        &'table self,
+        service: &'table str,
+    ) -> impl Iterator<Item = &'table RouteRule> {
+        let routes = self.routes().map(|route| &**route);
+        routes.filter(move |route| {
+            let mut shares = route.service_shares.iter();
+            shares.any(|share| *share.service == *service && share.weight > 0)
+        })
+    }
+
+    /// Returns the order of a service's requests by the urgencies of organisation and route.
+    pub fn urgency_scale(&self, service: &str) -> UrgencyScale {
+        let owners = self.key_owners.values();
+        let stated: BTreeSet<Option<u8>> = owners.map(|(_, urgency)| *urgency).collect();
+        let pairs = self.routes_of(service).flat_map(|route| {
+            let has_no_owner = route.is_public || !self.requires_keys;
+            let without_owner = has_no_owner.then_some(None);
+            let urgencies = stated.iter().copied().chain(without_owner);
+            urgencies.map(|urgency| UrgencyPair {
+                urgency: urgency.unwrap_or(route.urgency),
+                route_urgency: route.urgency,
+            })
+        });
+        UrgencyScale::new(pairs)
+    }
+
     /// Returns whether organisations with an API key differ in the urgency that they state.
     pub fn has_different_urgencies(&self) -> bool {
         let mut urgencies = self.key_owners.values().map(|(_, urgency)| urgency);
@@ -142,6 +171,16 @@
     }
 }
 
+impl RouteMatch {
+    /// Returns the urgencies that order the requests of a graded service.
+    pub fn urgency_pair(&self) -> UrgencyPair {
+        UrgencyPair {
+            urgency: self.urgency,
+            route_urgency: self.route.urgency,
+        }
+    }
+}
+
 impl RouteRule {
     /// Returns the service that handles a request, chosen by weight.
     ///
