Requests wait for the first list of endpoints

Cause: a started instance reads the configuration and the endpoints independently. A request waited for the configuration alone and was refused with 503 if the list of endpoints came later.

Change: the wait (up to 1 s, at most 0.4 of the caller's time) ends when both have been read once. An empty list is a list: requests do not wait for endpoints that do not exist.

--- a/crates/dandeliondeal_relay/src/fleet_sinks.rs
+++ b/crates/dandeliondeal_relay/src/fleet_sinks.rs
@@ -178,6 +178,7 @@
             let mut fleet = self.context.fleet().borrow_mut();
             fleet.replace(records, lapse_until, now)
         };
+        self.context.record_endpoint_list();
         self.confirm_ends(now);
         for change in &changes {
             self.publish_change(change, snapshot.version);
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -53,6 +53,13 @@
     Stopped,
 }
 
+/// What a new process has read from the store.
+#[derive(Clone, Copy, Debug, Default)]
+struct FirstReads {
+    has_config: bool,
+    has_endpoints: bool,
+}
+
 /// State shared by all requests of a router; clones share the state.
 #[derive(Debug)]
 pub struct RelayContext<Time, Dialect> {
@@ -65,7 +72,7 @@
     clock: Time,
     dialect: Dialect,
     table: RefCell<Option<Arc<RouteTable>>>,
-    is_configured: watch::Sender<bool>,
+    first_reads: watch::Sender<FirstReads>,
     fleet: RefCell<FleetView>,
     pool: RefCell<ConnectionPool<Time>>,
     budgets: RefCell<HashMap<ServiceId, RepeatWindow>>,
@@ -124,7 +131,7 @@
             clock,
             dialect,
             table: RefCell::default(),
-            is_configured: watch::Sender::new(false),
+            first_reads: watch::Sender::default(),
             fleet: RefCell::new(fleet),
             pool: RefCell::new(pool),
             budgets: RefCell::default(),
@@ -198,21 +205,31 @@
         let version = i64::try_from(table.version()).unwrap_or(i64::MAX);
         self.shared.metrics.config_version.set(version);
         self.shared.table.replace(Some(Arc::new(table)));
-        self.shared.is_configured.send_replace(true);
+        let first_reads = &self.shared.first_reads;
+        first_reads.send_modify(|reads| reads.has_config = true);
         true
     }
 
-    /// Returns the active configuration as soon as there is one, but not later than after `limit`.
+    /// Records that the list of endpoints has been read.
+    pub fn record_endpoint_list(&self) {
+        let first_reads = &self.shared.first_reads;
+        first_reads.send_if_modified(|reads| !std::mem::replace(&mut reads.has_endpoints, true));
+    }
+
+    /// Returns the active configuration as soon as there is one and the list of endpoints has been
+    /// read, but not later than after `limit`.
+    ///
+    /// The two are read independently: a configuration without the list refuses each request for
+    /// want of an endpoint.
     pub async fn wait_for_table(&self, limit: Duration) -> Option<Arc<RouteTable>> {
-        if let Some(table) = self.table() {
-            return Some(table);
-        }
-        let mut is_configured = self.shared.is_configured.subscribe();
-        let configured = is_configured.wait_for(|is_configured| *is_configured);
-        tokio::select! {
-            // The sender lives as long as this context, so the wait does not fail.
-            _ = actix_rt::time::timeout(limit, configured) => {}
-            () = self.wait_for_final_responses() => {}
+        if self.table().is_none() || self.fleet().borrow().is_empty() {
+            let mut first_reads = self.shared.first_reads.subscribe();
+            let complete = first_reads.wait_for(|reads| reads.has_config && reads.has_endpoints);
+            tokio::select! {
+                // The sender lives as long as this context, so the wait does not fail.
+                _ = actix_rt::time::timeout(limit, complete) => {}
+                () = self.wait_for_final_responses() => {}
+            }
         }
         self.table()
     }
--- a/crates/dandeliondeal_relay/src/request_intake.rs
+++ b/crates/dandeliondeal_relay/src/request_intake.rs
@@ -29,12 +29,12 @@
 /// Maximum retry delay after a refusal, as a share of the remaining time.
 const MAX_RETRY_DELAY_SHARE: f64 = 0.3;
 
-/// Maximum wait for the configuration of an instance that has just started.
+/// Maximum wait for the configuration and the endpoints of an instance that has just started.
 ///
-/// A started instance has it within a few hundred milliseconds while the store answers. A caller who
+/// A started instance has them within a few hundred milliseconds while the store answers. A caller who
 /// is refused at once returns before that and is lost.
 const MAX_CONFIG_WAIT: Duration = Duration::from_secs(1);
-/// Maximum wait for the configuration, as a share of the time that the caller allows.
+/// Maximum wait for the configuration and the endpoints, as a share of the time that the caller allows.
 const CONFIG_WAIT_SHARE: f64 = 0.4;
 
 /// Where a request comes from.
@@ -236,7 +236,7 @@
     })
 }
 
-/// Returns how long a request waits for the first configuration of this instance.
+/// Returns how long a request waits for the first configuration and endpoints of this instance.
 fn config_wait(facts: &CallerFacts) -> Duration {
     let deadline = facts.deadline.unwrap_or(DEFAULT_DEADLINE);
     deadline.mul_f64(CONFIG_WAIT_SHARE).min(MAX_CONFIG_WAIT)
