A late body does not time out a kept connection

Cause: bytes that arrive while no request is open start the timeout of the next head. A chunked body that arrives after the answer to its request started it as well, and no head followed in time.

Change: the timeout ends when the input ends with an empty line. That is the end of a chunked body; a head that is complete ends with one too. A body that stays incomplete is limited by the timeout as before.

Before the change unread_body and the new split_body failed.

--- a/crates/dandeliondeal_http/src/head_timer.rs
+++ b/crates/dandeliondeal_http/src/head_timer.rs
@@ -5,6 +5,10 @@
 //! handler receives the request. A head that begins while an earlier request is open is limited by
 //! the keep-alive timeout instead.
 //!
+//! The body of a request that was answered before its body arrived starts the timeout as well. It
+//! ends with the empty line that closes a chunked body. A complete head ends with an empty line too,
+//! so that no incomplete head escapes the timeout.
+//!
 //! When the listener closes, the library would discard requests that it has read or that wait in
 //! the socket. Instead, the connection reads as ended once no request is open and nothing more has
 //! arrived.
@@ -116,6 +120,24 @@
     }
 }
 
+/// Last bytes that arrived on a connection.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReceivedTail([u8; 4]);
+
+impl ReceivedTail {
+    fn extend(&mut self, bytes: &[u8]) {
+        let last = &bytes[bytes.len().saturating_sub(self.0.len())..];
+        self.0.rotate_left(last.len());
+        let kept = self.0.len() - last.len();
+        self.0[kept..].copy_from_slice(last);
+    }
+
+    /// Returns whether a head or a chunked body has just ended.
+    fn is_empty_line(self) -> bool {
+        self.0 == *b"\r\n\r\n"
+    }
+}
+
 /// Timeout of the head that is being received.
 struct HeadTimer {
     /// Number of requests started before this head; a higher count means that the head arrived.
@@ -131,6 +153,7 @@
     limit: Duration,
     open_requests: OpenRequests,
     timer: Option<HeadTimer>,
+    tail: ReceivedTail,
     closing: Pin<Box<WaitForCancellationFutureOwned>>,
     is_closing: bool,
 }
@@ -144,6 +167,7 @@
             limit,
             open_requests: OpenRequests::default(),
             timer: None,
+            tail: ReceivedTail::default(),
             closing: Box::pin(closing.cancelled_owned()),
             is_closing: false,
         }
@@ -215,7 +239,12 @@
         let filled_before = buffer.filled().len();
         let result = Pin::new(&mut this.stream).poll_read(context, buffer);
         if buffer.filled().len() > filled_before {
-            this.start_timer(context);
+            this.tail.extend(&buffer.filled()[filled_before..]);
+            if this.tail.is_empty_line() {
+                this.timer = None;
+            } else {
+                this.start_timer(context);
+            }
         } else if result.is_pending() && this.has_ended(context) {
             // A read without bytes is the end of the connection.
             return Poll::Ready(Ok(()));
--- a/crates/dandeliondeal_http/tests/head_timeout.rs
+++ b/crates/dandeliondeal_http/tests/head_timeout.rs
@@ -71,10 +71,7 @@
     read_until(&mut stream, "/first").await;
     actix_rt::time::sleep(HEAD_TIMEOUT * 2).await;
     send(&mut stream, "GET /next HTTP/1.1\r\n").await;
-    let mut buffer = [0; 512];
-    let read = actix_rt::time::timeout(HEAD_TIMEOUT * 4, stream.read(&mut buffer));
-    let length = read.await.expect("the connection ends").unwrap_or(0);
-    assert_eq!(length, 0);
+    check_end(stream).await;
 }
 
 #[actix_rt::test]
@@ -112,16 +109,59 @@
     assert!(text.len() > LARGE_BYTES);
 }
 
-// Guards against the end of a kept connection because the body of an answered request arrives late.
-#[actix_rt::test]
-async fn unread_body() {
-    let listener = start_listener().await;
-    let mut stream = connect(&listener).await;
+/// Returns a connection on which a request was answered before its chunked body was sent.
+async fn early_answer(listener: &HttpListener) -> TcpStream {
+    let mut stream = connect(listener).await;
     let head = "POST /first HTTP/1.1\r\nHost: desk\r\nTransfer-Encoding: chunked\r\n\r\n";
     send(&mut stream, head).await;
     read_until(&mut stream, "/first").await;
-    send(&mut stream, "4\r\nbody\r\n0\r\n\r\n").await;
+    stream
+}
+
+/// Checks that the connection is still used after an idle time.
+async fn check_reuse(mut stream: TcpStream) {
     actix_rt::time::sleep(HEAD_TIMEOUT * 2).await;
     send(&mut stream, "GET /next HTTP/1.1\r\nHost: desk\r\n\r\n").await;
     read_until(&mut stream, "/next").await;
 }
+
+/// Checks that the connection ends without an answer.
+async fn check_end(mut stream: TcpStream) {
+    let mut buffer = [0; 512];
+    let read = actix_rt::time::timeout(HEAD_TIMEOUT * 4, stream.read(&mut buffer));
+    let length = read.await.expect("the connection ends").unwrap_or(0);
+    assert_eq!(length, 0);
+}
+
+// Guards against the end of a kept connection because the body of an answered request arrives late.
+#[actix_rt::test]
+async fn unread_body() {
+    let listener = start_listener().await;
+    let mut stream = early_answer(&listener).await;
+    send(&mut stream, "4\r\nbody\r\n0\r\n\r\n").await;
+    check_reuse(stream).await;
+}
+
+// Guards against the same if the end of the late body arrives in parts.
+#[actix_rt::test]
+async fn split_body() {
+    let listener = start_listener().await;
+    let mut stream = early_answer(&listener).await;
+    for part in ["4\r\nbody\r\n0\r", "\n\r", "\n"] {
+        send(&mut stream, part).await;
+        actix_rt::time::sleep(HEAD_TIMEOUT / 5).await;
+    }
+    check_reuse(stream).await;
+}
+
+// Guards against an incomplete head that escapes the timeout because a late body came before it.
+#[actix_rt::test]
+async fn unfinished_next() {
+    let listener = start_listener().await;
+    let mut stream = early_answer(&listener).await;
+    for part in ["4\r\nbody\r\n0\r\n\r\n", "GET /next HTTP/1.1\r\n"] {
+        actix_rt::time::sleep(HEAD_TIMEOUT / 5).await;
+        send(&mut stream, part).await;
+    }
+    check_end(stream).await;
+}
