--- a/crates/dandeliondeal_relay/src/instance_registry.rs
+++ b/crates/dandeliondeal_relay/src/instance_registry.rs
@@ -82,6 +82,12 @@
     }
 }
 
+/// Converts cores to thousandths of a core.
+fn processor_milli(cores: f64) -> Option<u32> {
+    let duration = Duration::try_from_secs_f64(cores).ok()?;
+    u32::try_from(duration.as_millis()).ok()
+}
+
 fn decode_entry(object: &ObjectValue) -> Option<PeerInstance> {
     let entry: InstanceEntry = serde_json::from_str(&object.body)
         .inspect_err(
@@ -112,7 +118,7 @@
         address: settings.endpoints.peers,
         handover: Some(settings.endpoints.handover),
         failure_domain: Arc::clone(&settings.instance.failure_domain),
-        processor_milli: Some((settings.machine.processor * 1_000.0).round() as u32),
+        processor_milli: processor_milli(settings.machine.processor),
     };
     let body: Arc<str> = serde_json::to_string(&entry).unwrap_or_default().into();
     let mut condition = PutCondition::Absent;
--- a/crates/dandeliondeal_relay/src/loss_board.rs
+++ b/crates/dandeliondeal_relay/src/loss_board.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use dandeliondeal_http::ConnectionError;
 use dandeliondeal_layout::EngineChain;
 use dandeliondeal_types::{Clock, EndpointId, InstanceId};
 use tokio::sync::{Notify, watch};
@@ -255,7 +256,7 @@
     let choice = ConnectionChoice::New;
     let opened = open_connection(context, engine, address, choice, CONNECT_LIMIT).await;
     let now = context.now();
-    if opened.as_ref().is_err_and(|error| error.is_refused()) {
+    if opened.as_ref().is_err_and(ConnectionError::is_refused) {
         context.fleet().borrow_mut().mark_failed(engine, now);
         context.engine_checks().add_suspect(engine, now);
         record_loss(context, engine, evidence);
--- a/crates/dandeliondeal_relay/tests/loss_sweep.rs
+++ b/crates/dandeliondeal_relay/tests/loss_sweep.rs
@@ -79,5 +79,5 @@
     let timer = SweepTimer::default();
     assert!(timer.try_start(start));
     assert!(!timer.try_start(start + Duration::from_millis(900)));
-    assert!(timer.try_start(start + Duration::from_millis(1_000)));
+    assert!(timer.try_start(start + Duration::from_secs(1)));
 }
