A lone instance calls all endpoints of a plain service

Cause: an instance that is alone ranked plain endpoints by predicted completion times. The service time of an endpoint that was not called yet is assumed to be 20 ms. Fleets of several instances compare queues, as plain endpoints send no load reports.

Change: the monitor of plain endpoints compares queues at any number of instances. The settings of both monitors move to fleet_health.rs.

--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -5,8 +5,7 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_balance::{
-    CallResult, EndpointMonitor, EndpointProfile, FailureSignal, HealthSettings, HealthState,
-    MonitorSettings,
+    CallResult, EndpointMonitor, EndpointProfile, FailureSignal, HealthState,
 };
 use dandeliondeal_chart::ChartError;
 use dandeliondeal_layout::{
@@ -17,6 +16,7 @@
 use rand::Rng;
 
 pub use crate::fleet_change::FleetChange;
+use crate::fleet_health;
 use crate::load_tracker::LoadTracker;
 
 /// Time after a store outage for which missing registrations are kept.
@@ -60,38 +60,11 @@
     ///
     /// Returns [`ChartError`] if the health chart is invalid.
     pub fn new(instance: &InstanceId) -> Result<Self, ChartError> {
-        let plain = HealthSettings {
-            // Plain services fail a share of their calls in normal operation.
-            suspicion_share: 0.35,
-            failure_share: 0.75,
-            recovery_share: 0.2,
-            failure_run: 4,
-            suspicion_run: 3,
-            test_delay: Duration::from_millis(700),
-            max_test_delay: Duration::from_secs(3),
-            list_lag: Duration::ZERO,
-            ..HealthSettings::default()
-        };
-        let engines = HealthSettings {
-            // An engine is marked as failed only on evidence, so one failure is enough.
-            failure_run: 1,
-            suspicion_run: 1,
-            min_overdue_time: Duration::from_mins(1),
-            test_delay: Duration::from_millis(1_500),
-            // A check costs no request, so a recovery can be noticed soon.
-            max_test_delay: Duration::from_secs(3),
-            list_lag: Duration::ZERO,
-            ..HealthSettings::default()
-        };
-        let settings = |health| MonitorSettings {
-            health,
-            ..MonitorSettings::default()
-        };
         Ok(Self {
             records: HashMap::new(),
             lapsing: HashMap::new(),
-            plain: EndpointMonitor::new(Arc::clone(instance), settings(plain))?,
-            engines: EndpointMonitor::new(Arc::clone(instance), settings(engines))?,
+            plain: fleet_health::plain_monitor(instance)?,
+            engines: fleet_health::engine_monitor(instance)?,
             slowness: HashMap::new(),
             engine_services: HashSet::new(),
             excluded: HashMap::new(),
@@ -108,7 +81,7 @@
 
     /// Sets the number of instances.
     pub fn set_instance_count(&mut self, instance_count: usize) {
-        self.plain.set_instance_count(instance_count);
+        fleet_health::set_instance_count(&mut self.plain, instance_count);
     }
 
     /// Applies the full list of registrations; missing ones are kept until `lapse_until` if it is
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod event_splitter;
 pub mod first_engine_health;
 pub mod fleet_change;
+mod fleet_health;
 mod fleet_room;
 pub mod fleet_sinks;
 pub mod fleet_view;
--- a/crates/dandeliondeal_relay/tests/fleet_view.rs
+++ b/crates/dandeliondeal_relay/tests/fleet_view.rs
@@ -2,9 +2,12 @@
 
 use std::time::{Duration, Instant};
 
+use dandeliondeal_balance::CallResult;
 use dandeliondeal_relay::fleet_view::LAPSE_GRACE;
 use dandeliondeal_relay::{FleetChange, FleetView};
 use dandeliondeal_types::{EndpointRecord, LayerRange};
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
 
 fn record(id: &str, write_count: u64) -> EndpointRecord {
     EndpointRecord {
@@ -126,3 +129,29 @@
     view.update(record("a", 1), now);
     assert_eq!(view.update(record("a", 2), now), None);
 }
+
+// Guards against an endpoint that a lone instance never calls, because others were measured to be
+// faster than it is assumed to be.
+#[test]
+fn uncalled_endpoint() {
+    let now = Instant::now();
+    let mut view = view();
+    for (id, port) in [("a", 8_000), ("b", 8_001)] {
+        let mut record = record(id, 1);
+        record.address = ([127, 0, 0, 1], port).into();
+        view.update(record, now);
+    }
+    view.set_instance_count(1);
+    let called = "a".into();
+    for call in 0..100 {
+        let started = now + Duration::from_millis(call * 2);
+        view.call_started(&called, started);
+        let ended = started + Duration::from_millis(1);
+        view.call_finished(&called, started, CallResult::Answered, ended);
+    }
+    let mut random = StdRng::seed_from_u64(1);
+    let now = now + Duration::from_millis(200);
+    let best = (0..200).map(|_| view.ranked("desk", true, &mut random, now).remove(0).id);
+    let uncalled = best.filter(|id| **id == *"b").count();
+    assert!((60..=140).contains(&uncalled), "{uncalled} of 200");
+}
