An own write whose term has ended leaves the lease free

Cause: after a pause or an outage longer than its term, the last holder read its own last write and took its term for current. The term lapsed at the next clock reading, and the next read found the same write. Only another instance could take the lease; a lone one never held it again.

Change: an own write counts as a current term only before the end of that term. After it the lease is free, and the conditional write decides who takes it.

--- a/crates/dandeliondeal_store/src/lease_machine.rs
+++ b/crates/dandeliondeal_store/src/lease_machine.rs
@@ -253,7 +253,11 @@
             return LeaseTrigger::SeenFree;
         };
         let last_write = self.last_write.as_ref();
-        if last_write.is_some_and(|write| !write.is_release && write.stamp == body.stamp) {
+        let is_own_write =
+            last_write.is_some_and(|write| !write.is_release && write.stamp == body.stamp);
+        // An own write whose term has ended leaves the lease free. As a current term it would lapse
+        // at once, and the next read would find the same write again.
+        if is_own_write && self.own_term_end().is_some_and(|end| now < end) {
             return LeaseTrigger::SeenOwn;
         }
         let is_own_earlier_write = body.stamp.instance == self.settings.instance
@@ -291,11 +295,16 @@
 
     /// Starts a term, counted from just before the last write was sent.
     fn start_term(&mut self) {
+        self.term_end = self.own_term_end();
+    }
+
+    /// Returns the end of the term that the last write starts.
+    fn own_term_end(&self) -> Option<Instant> {
         let term = self
             .settings
             .term
             .saturating_sub(self.settings.clock_margin);
-        self.term_end = self.last_write.as_ref().map(|write| write.sent_at + term);
+        self.last_write.as_ref().map(|write| write.sent_at + term)
     }
 
     fn start_call(&mut self, now: Instant) -> Option<LeaseAction> {
--- a/crates/dandeliondeal_store/tests/random_leases.rs
+++ b/crates/dandeliondeal_store/tests/random_leases.rs
@@ -200,6 +200,40 @@
     assert!(pair.contenders[0].machine.fencing_number(time).is_some());
 }
 
+// Guards against a holder that never holds the lease again after its term ended while it was paused
+// or cut off: it read its own last write, and took the ended term for a current one.
+#[test]
+fn lapsed_holder() {
+    for gap in [Duration::from_secs(12), Duration::from_secs(1)] {
+        let mut pair = ContenderPair::new(false);
+        for _step in 0..6 {
+            pair.step(0);
+        }
+        pair.offline = Some(0);
+        // The longer gap is a pause; in steps of the shorter one the renewals fail.
+        while pair.elapsed < Duration::from_secs(12) {
+            pair.elapsed += gap;
+            pair.step(0);
+            pair.step(0);
+        }
+        let time = pair.time();
+        assert_eq!(pair.contenders[0].machine.fencing_number(time), None);
+        pair.offline = None;
+        let mut held = 0;
+        for _step in 0..40 {
+            pair.elapsed += Duration::from_millis(500);
+            pair.step(0);
+            let time = pair.time();
+            held += u32::from(pair.contenders[0].machine.fencing_number(time).is_some());
+        }
+        // A renewal interval until the next read, then the calls.
+        assert!(
+            held > 25,
+            "held in {held} of 40 steps after gaps of {gap:?}"
+        );
+    }
+}
+
 #[test]
 fn suspended_holder() {
     let mut pair = ContenderPair::new(false);
