Keep to stated limits after they lapse, and count the fleet's requests

Cause: a limit lapses three seconds (or three intervals) after the endpoint last stated it. Near one request a second, or after a pause, all instances then send as if there were no limit until an answer states it again and reports have spread it.

Change: requests keep to a lapsed limit for ten minutes, unless an answer without a limit came; reports carry the time of such an answer. Instances that hear of the others count the requests that all may send together, so that more instances may send at a low limit and excess is followed by a pause. Shares are computed once per endpoint and report. SenderShare states rank and number of instances; the tests of endpoint_rates are adapted to that, their checks are unchanged.

--- a/crates/dandeliondeal_limit/src/lib.rs
+++ b/crates/dandeliondeal_limit/src/lib.rs
@@ -14,6 +14,7 @@
 mod demand_meter;
 pub mod demand_report;
 pub mod drain_rate;
+pub mod endpoint_rate;
 pub mod endpoint_rates;
 pub mod gate_request;
 pub mod gate_settings;
@@ -25,6 +26,7 @@
 pub mod local_limit;
 mod organisation_queue;
 pub mod rate_bucket;
+pub mod rate_claim;
 mod retry_delay;
 pub mod service_room;
 mod wait_queue;
@@ -43,9 +45,9 @@
 #[doc(inline)]
 pub use demand_report::{DemandReport, RankDemand};
 #[doc(inline)]
-pub use endpoint_rates::{
-    EndpointRates, RateClaim, RateReport, RateSettings, SenderShare, sender_count,
-};
+pub use endpoint_rate::{SenderShare, sender_count};
+#[doc(inline)]
+pub use endpoint_rates::{EndpointRates, RateSettings};
 #[doc(inline)]
 pub use gate_request::{GateAction, GateRequest};
 #[doc(inline)]
@@ -65,4 +67,6 @@
 #[doc(inline)]
 pub use rate_bucket::RateBucket;
 #[doc(inline)]
+pub use rate_claim::{RateClaim, RateReport};
+#[doc(inline)]
 pub use service_room::ServiceRoom;
--- a/crates/dandeliondeal_limit/tests/endpoint_rates.rs
+++ b/crates/dandeliondeal_limit/tests/endpoint_rates.rs
@@ -48,10 +48,9 @@
         let mut random = StdRng::seed_from_u64(seed);
         let mut now = Instant::now() + Duration::from_mins(1);
         let mut tables = vec![EndpointRates::default(); self.instances];
-        let senders = sender_count(self.limit, self.instances);
         let share = |index: usize| SenderShare {
-            senders,
-            is_sender: index < senders,
+            rank: index,
+            instances: self.instances,
         };
         let mut late_totals: VecDeque<RateReport> = VecDeque::new();
         let mut result = RateResult {
@@ -116,7 +115,6 @@
             return;
         }
         let fleet = late_totals.pop_front().unwrap_or_default();
-        let senders = sender_count(self.limit, self.instances);
         for (index, table) in tables
             .iter_mut()
             .enumerate()
@@ -124,8 +122,8 @@
         {
             let local = table.report(now);
             let share = SenderShare {
-                senders,
-                is_sender: index < senders,
+                rank: index,
+                instances: self.instances,
             };
             table.set_fleet(&fleet, &local, |_, _| share, now);
         }
@@ -235,8 +233,8 @@
 fn ended_limit() {
     let endpoint: EndpointId = "engine".into();
     let share = SenderShare {
-        senders: 1,
-        is_sender: true,
+        rank: 0,
+        instances: 1,
     };
     let now = Instant::now();
     let mut rates = EndpointRates::default();
@@ -248,7 +246,7 @@
     assert_eq!(rates.limit(&endpoint, later), None);
     assert_eq!(rates.wait(&endpoint, later), Some(Duration::ZERO));
     rates.set_shares(|_, _| share, later);
-    assert!(rates.is_empty());
+    assert!(rates.is_empty(later));
 }
 
 /// Guards against values that would stop an endpoint for good or break the arithmetic.
@@ -256,8 +254,8 @@
 fn extreme_limits() {
     let endpoint: EndpointId = "engine".into();
     let share = SenderShare {
-        senders: 3,
-        is_sender: true,
+        rank: 0,
+        instances: 3,
     };
     let now = Instant::now();
     for limit in [0.0, 1e-300, 1e300, f64::INFINITY, f64::MAX] {
@@ -273,15 +271,15 @@
 #[test]
 fn bounded_endpoints() {
     let share = SenderShare {
-        senders: 1,
-        is_sender: true,
+        rank: 0,
+        instances: 1,
     };
     let now = Instant::now();
     let mut rates = EndpointRates::default();
     for index in 0..5_000 {
         rates.record_limit(&format!("engine-{index}").into(), 5.0, now, || share);
     }
-    assert_eq!(rates.len(), RateSettings::default().max_endpoints);
+    assert_eq!(rates.len(now), RateSettings::default().max_endpoints);
 }
 
 /// One step of a generated test case.
@@ -304,8 +302,8 @@
             let limit = f64::from(*limit).max(1.0) / 4.0;
             let endpoint: EndpointId = "engine".into();
             let share = SenderShare {
-                senders: 1,
-                is_sender: true,
+                rank: 0,
+                instances: 1,
             };
             let start = Instant::now();
             let mut now = start;
--- a/crates/dandeliondeal_relay/src/endpoint_limits.rs
+++ b/crates/dandeliondeal_relay/src/endpoint_limits.rs
@@ -2,18 +2,17 @@
 
 use std::time::Duration;
 
-use dandeliondeal_limit::{RateReport, SenderShare, sender_count};
+use dandeliondeal_limit::{RateReport, SenderShare};
 use dandeliondeal_types::rendezvous::member_rank;
 use dandeliondeal_types::{Clock, EndpointId, InstanceId, ServiceId};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::relay_context::RelayContext;
 
-/// Returns which instances send to an endpoint with a limit.
+/// Returns the place of this instance among those that may send to an endpoint with a limit.
 pub(crate) fn sender_share<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     endpoint: &EndpointId,
-    limit: f64,
 ) -> SenderShare
 where
     Time: Clock,
@@ -23,20 +22,20 @@
     if peers.is_empty() {
         // The instances are not counted yet, so that as many as possible are assumed.
         return SenderShare {
-            senders: sender_count(limit, usize::MAX),
-            is_sender: true,
+            rank: 0,
+            instances: usize::MAX,
         };
     }
     let others = peers.iter().map(|peer| &peer.id).filter(|id| *id != own_id);
     let others: Vec<&InstanceId> = others.collect();
-    let senders = sender_count(limit, others.len() + 1);
     SenderShare {
-        senders,
-        is_sender: member_rank(endpoint, own_id, &others, Xxh3::new) < senders,
+        rank: member_rank(endpoint, own_id, &others, Xxh3::new),
+        instances: others.len() + 1,
     }
 }
 
-/// Sets what all instances send to endpoints with limits; `local` is the part of this instance in it.
+/// Sets what all instances send to endpoints with limits, and which instances do; removes limits that
+/// have ended. `local` is the part of this instance in the report.
 pub(crate) fn set_fleet_rates<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     fleet: &RateReport,
@@ -45,21 +44,23 @@
     Time: Clock,
 {
     let now = context.now();
-    let share = |endpoint: &EndpointId, limit| sender_share(context, endpoint, limit);
+    let share = |endpoint: &EndpointId, _| sender_share(context, endpoint);
     let mut rates = context.rates().borrow_mut();
     rates.set_fleet(fleet, local, share, now);
+    count_limits(context, rates.len(now));
 }
 
-/// Updates which instances send to endpoints with limits, and removes limits that have ended.
+/// Sets which instances send to endpoints with limits when there is no report of the others, and
+/// removes limits that have ended.
 pub(crate) fn update_shares<Time, Dialect>(context: &RelayContext<Time, Dialect>)
 where
     Time: Clock,
 {
     let now = context.now();
-    let share = |endpoint: &EndpointId, limit| sender_share(context, endpoint, limit);
+    let share = |endpoint: &EndpointId, _| sender_share(context, endpoint);
     let mut rates = context.rates().borrow_mut();
     rates.set_shares(share, now);
-    count_limits(context, rates.len());
+    count_limits(context, rates.len(now));
 }
 
 /// Returns the time until an endpoint of a service has room for another request; `None` if no
@@ -86,7 +87,7 @@
     (!full.is_empty()).then(|| rates.reserve_return(service, &full, now))
 }
 
-/// Records the limit that an endpoint states in a response.
+/// Records the limit that an endpoint states in a response, or that it states none.
 pub(crate) fn record_limit<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     endpoint: &EndpointId,
@@ -94,16 +95,17 @@
 ) where
     Time: Clock,
 {
+    let now = context.now();
+    let mut rates = context.rates().borrow_mut();
     let Some(limit) = limit else {
+        rates.record_unstated(endpoint, now);
         return;
     };
-    let now = context.now();
-    let mut rates = context.rates().borrow_mut();
-    let share = || sender_share(context, endpoint, limit);
+    let share = || sender_share(context, endpoint);
     if rates.record_limit(endpoint, limit, now, share) {
         tracing::info!(%endpoint, limit, "endpoint states a request limit");
+        count_limits(context, rates.len(now));
     }
-    count_limits(context, rates.len());
 }
 
 fn count_limits<Time, Dialect>(context: &RelayContext<Time, Dialect>, count: usize)
--- a/crates/dandeliondeal_relay/src/load_exchange.rs
+++ b/crates/dandeliondeal_relay/src/load_exchange.rs
@@ -120,7 +120,7 @@
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         for (endpoint, claim) in &other.rates {
             let mut claim = *claim;
-            claim.age_ms = claim.age_ms.saturating_add(age_ms);
+            claim.add_age(age_ms);
             let total = self.rates.entry(EndpointId::clone(endpoint));
             total.and_modify(|total| total.add(&claim)).or_insert(claim);
         }
@@ -275,7 +275,9 @@
             self.call_hub(&hub, REPORT_METHOD, &report).await
         };
         self.context.crashes().borrow_mut().refresh(sent_at);
-        update_shares(&self.context);
+        if fleet.is_none() {
+            update_shares(&self.context);
+        }
         if let Some(fleet) = fleet {
             let now = self.context.now();
             let crashes = self.context.crashes();
