Lift only verdicts that were stored before the read

Cause: an instance that read the stored verdicts while another one wrote one, and heard from a report that it was stored before the read ended, did not find it in the answer, took it for deleted by an operator and served the crashing requests again.

Change: the keys of the stored verdicts are noted before the read, and only these can be lifted by it. run_quarantine_store is public for the test.

Measured: concurrent_write of tests/stored_verdicts.rs fails without the change (0 verdicts instead of 1) and passes with it; deleted_verdict and repeated_report pass with both.

--- a/crates/dandeliondeal_relay/src/quarantine_store.rs
+++ b/crates/dandeliondeal_relay/src/quarantine_store.rs
@@ -72,7 +72,7 @@
 }
 
 /// Reads the stored verdicts, then keeps them up to date until the task is dropped.
-pub(crate) async fn run_quarantine_store<Time, Dialect, Store>(
+pub async fn run_quarantine_store<Time, Dialect, Store>(
     context: RelayContext<Time, Dialect>,
     store: Store,
 ) where
@@ -134,7 +134,13 @@
     }
 
     /// Puts the stored verdicts in force, and lifts those that an operator deleted.
+    ///
+    /// Only verdicts that were known to be stored before the call are lifted: one that is written
+    /// meanwhile may be missing in the answer, although a report already says that it is stored.
     async fn read(&mut self) -> Result<(), StoreError> {
+        let held = self.context.crashes().borrow().verdicts();
+        let held = held.into_iter().filter(|verdict| verdict.is_stored);
+        let earlier: Vec<FeatureKey> = held.map(|verdict| verdict.key).collect();
         let freshness = ReadFreshness::Latest;
         let snapshot = self.store.snapshot(QUARANTINE_KIND, freshness).await?;
         let stored = snapshot.objects.iter().filter_map(decode_verdict);
@@ -145,10 +151,10 @@
             crashes.add_verdict(stored.to_verdict(now));
             crashes.mark_stored(&stored.key);
         }
-        for verdict in crashes.verdicts() {
-            if verdict.is_stored && !self.stored.contains_key(&verdict.key) {
-                tracing::info!(part = %verdict.key.feature, "verdict was deleted from the store");
-                crashes.lift(&verdict.key, now);
+        for key in earlier {
+            if !self.stored.contains_key(&key) {
+                tracing::info!(part = %key.feature, "verdict was deleted from the store");
+                crashes.lift(&key, now);
             }
         }
         drop(crashes);
