After a pause, earlier permissions are not relied on

Cause: a process that was paused used, until the next answers, what held before the pause. A request with a key that was revoked in the pause was served. An endpoint's stated limit counted as ended, as its statements are not read in a pause: 100 of 100 requests were allowed at once at a limit of one a second. Instances that started in the pause share the repeat slack: 63 repeats of 60.

Change: a gap of over 1 s between two looks at the clock is a pause. After a pause the limits are renewed, the slack is 0 until the instances are counted, and the configuration is read again in place of the watch under way. Requests wait for it within their bounds, but not later than 1 s after the pause; then the last known one is used, as in an outage of the store. The three share the detection, so they are one commit.

--- a/crates/dandeliondeal_relay/src/endpoint_limits.rs
+++ b/crates/dandeliondeal_relay/src/endpoint_limits.rs
@@ -1,6 +1,6 @@
 //! Request limits that endpoints state in their responses.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dandeliondeal_limit::{RateReport, SenderShare, sender_count};
 use dandeliondeal_types::rendezvous::member_rank;
@@ -106,6 +106,23 @@
     count_limits(context, rates.len());
 }
 
+/// Renews the limits that held at `seen_at`, before a pause of the process that ended at `now`.
+///
+/// Without a statement for some seconds a limit ends, but during a pause none is read.
+pub(crate) fn restate_limits<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    seen_at: Instant,
+    now: Instant,
+) where
+    Time: Clock,
+{
+    let mut rates = context.unchecked_rates().borrow_mut();
+    for (endpoint, claim) in rates.report(seen_at) {
+        let share = || sender_share(context, &endpoint, claim.limit);
+        rates.record_limit(&endpoint, claim.limit, now, share);
+    }
+}
+
 fn count_limits<Time, Dialect>(context: &RelayContext<Time, Dialect>, count: usize)
 where
     Time: Clock,
--- a/crates/dandeliondeal_relay/src/fleet_sinks.rs
+++ b/crates/dandeliondeal_relay/src/fleet_sinks.rs
@@ -77,6 +77,14 @@
             self.apply_config(&event.object);
         }
     }
+
+    fn record_answer(&self, started: Instant) {
+        self.context.pauses().record_config_read(started);
+    }
+
+    async fn wait_for_recheck(&self) {
+        self.context.pauses().wait_for_recheck().await;
+    }
 }
 
 /// Applies the registrations of endpoints.
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -23,11 +23,13 @@
 use crate::engine_check::EngineChecks;
 use crate::engine_survey::EngineSurvey;
 use crate::first_engine_health::FirstEngineHealth;
+use crate::first_reads::FirstReads;
 use crate::fleet_view::FleetView;
 use crate::instance_registry::PeerInstance;
 use crate::link_monitor::LinkMonitor;
 use crate::load_tracker::LoadTracker;
 use crate::loss_board::LossBoard;
+use crate::process_pause::ProcessPause;
 use crate::relay_error::RelayError;
 use crate::relay_lifecycle::{LifecycleTable, lifecycle_table};
 use crate::relay_metrics::RelayMetrics;
@@ -53,13 +55,6 @@
     Stopped,
 }
 
-/// What a new process has read from the store.
-#[derive(Clone, Copy, Debug, Default)]
-struct FirstReads {
-    has_config: bool,
-    has_endpoints: bool,
-}
-
 /// State shared by all requests of a router; clones share the state.
 #[derive(Debug)]
 pub struct RelayContext<Time, Dialect> {
@@ -99,6 +94,7 @@
     holds_lease: Cell<bool>,
     lease_holder_seen: Cell<Option<Instant>>,
     admission: RequestAdmission,
+    pauses: ProcessPause,
 }
 
 impl<Time, Dialect> Clone for RelayContext<Time, Dialect> {
@@ -158,6 +154,7 @@
             holds_lease: Cell::new(false),
             lease_holder_seen: Cell::new(None),
             admission: RequestAdmission::default(),
+            pauses: ProcessPause::default(),
         };
         Ok(Self {
             shared: Rc::new(shared),
@@ -210,28 +207,9 @@
         true
     }
 
-    /// Records that the list of endpoints has been read.
-    pub fn record_endpoint_list(&self) {
-        let first_reads = &self.shared.first_reads;
-        first_reads.send_if_modified(|reads| !std::mem::replace(&mut reads.has_endpoints, true));
-    }
-
-    /// Returns the active configuration as soon as there is one and the list of endpoints has been
-    /// read, but not later than after `limit`.
-    ///
-    /// The two are read independently: a configuration without the list refuses each request for
-    /// want of an endpoint.
-    pub async fn wait_for_table(&self, limit: Duration) -> Option<Arc<RouteTable>> {
-        if self.table().is_none() || self.fleet().borrow().is_empty() {
-            let mut first_reads = self.shared.first_reads.subscribe();
-            let complete = first_reads.wait_for(|reads| reads.has_config && reads.has_endpoints);
-            tokio::select! {
-                // The sender lives as long as this context, so the wait does not fail.
-                _ = actix_rt::time::timeout(limit, complete) => {}
-                () = self.wait_for_final_responses() => {}
-            }
-        }
-        self.table()
+    /// Returns what this process has read from the store.
+    pub(crate) fn first_reads(&self) -> &watch::Sender<FirstReads> {
+        &self.shared.first_reads
     }
 
     /// Returns the endpoints.
@@ -306,9 +284,20 @@
 
     /// Returns the request limits that endpoints state.
     pub fn rates(&self) -> &RefCell<EndpointRates> {
+        self.check_pause();
         &self.shared.rates
     }
 
+    /// Returns the request limits without a look at the clock.
+    pub(crate) fn unchecked_rates(&self) -> &RefCell<EndpointRates> {
+        &self.shared.rates
+    }
+
+    /// Returns the pauses of this process.
+    pub(crate) fn pauses(&self) -> &ProcessPause {
+        &self.shared.pauses
+    }
+
     /// Asks for a report to the other instances before the next regular one.
     pub fn request_report(&self) {
         self.shared.urgent_report.notify_one();
@@ -352,6 +341,12 @@
         self.fleet()
             .borrow_mut()
             .set_instance_count(instance_count.max(1));
+        self.pauses().record_count();
+        self.share_slack();
+    }
+
+    /// Updates this instance's part of the slack in all repeat budgets.
+    pub(crate) fn share_slack(&self) {
         let slack = self.slack();
         for budget in self.shared.budgets.borrow_mut().values_mut() {
             budget.set_slack(slack);
@@ -361,11 +356,11 @@
     /// Returns this instance's part of the repeat budget's slack.
     ///
     /// It is 0 until the instances are counted, because a new process does not know how many others
-    /// there are.
+    /// there are, nor does one that was paused.
     fn slack(&self) -> f64 {
         let instance_count = self.shared.instance_count.get();
         let slack = self.shared.settings.allowances.repeat_slack * USABLE_SLACK_SHARE;
-        if instance_count == 0 {
+        if instance_count == 0 || !self.pauses().is_counted() {
             return 0.0;
         }
         slack / instance_count as f64
@@ -436,6 +431,7 @@
 
     /// Takes one repeat from a service's budget; returns `false` if none is left.
     pub fn acquire_repeat(&self, service: &ServiceId, cause: &str) -> bool {
+        self.check_pause();
         let now = self.now();
         let is_allowed = self.with_budget(service, |budget| budget.try_record_repeat(now));
         if is_allowed {
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -276,6 +276,7 @@
 {
     loop {
         actix_rt::time::sleep(SWEEP_INTERVAL).await;
+        context.check_pause();
         context.pool().borrow_mut().close_expired();
         let now = context.now();
         let changes = context.fleet().borrow_mut().tick(now);
--- a/crates/dandeliondeal_relay/src/store_watch.rs
+++ b/crates/dandeliondeal_relay/src/store_watch.rs
@@ -47,6 +47,14 @@
 
     /// Applies changes; deleted objects may merely have expired if `lapse_until` is set.
     fn apply_changes(&self, changes: KindChanges, lapse_until: Option<Instant>);
+
+    /// Records that an answer to a call was applied that started at `started`.
+    fn record_answer(&self, _started: Instant) {}
+
+    /// Waits until a new list has to be read before the call under way ends.
+    fn wait_for_recheck(&self) -> impl Future<Output = ()> {
+        std::future::pending()
+    }
 }
 
 /// Tracks outages of the store from the results of calls.
@@ -116,20 +124,30 @@
     loop {
         let started = context.now();
         let is_start = std::mem::take(&mut is_first);
-        let result = match seen {
-            None => {
-                let freshness = if is_start {
-                    first_read
-                } else {
-                    ReadFreshness::Latest
-                };
-                let snapshot = store.snapshot(kind, freshness).await;
-                snapshot.map(KindUpdate::Snapshot)
+        let call = async {
+            match seen {
+                None => {
+                    let freshness = if is_start {
+                        first_read
+                    } else {
+                        ReadFreshness::Latest
+                    };
+                    let snapshot = store.snapshot(kind, freshness).await;
+                    snapshot.map(KindUpdate::Snapshot)
+                }
+                Some(version) => store
+                    .changes(kind, version, limit)
+                    .await
+                    .map(KindUpdate::Changes),
+            }
+        };
+        let result = tokio::select! {
+            biased;
+            () = sink.wait_for_recheck() => {
+                seen = None;
+                continue;
             }
-            Some(version) => store
-                .changes(kind, version, limit)
-                .await
-                .map(KindUpdate::Changes),
+            result = call => result,
         };
         let now = context.now();
         match result {
@@ -143,6 +161,7 @@
                 match update {
                     KindUpdate::Snapshot(snapshot) => {
                         sink.apply_snapshot(snapshot, lapse_until);
+                        sink.record_answer(started);
                         if is_start {
                             actix_rt::time::sleep(context.jitter(FIRST_WATCH_DELAY)).await;
                         }
