Callers of HTTP/1.0 get whole streams with a length

Cause: HTTP/1.0 has no chunks. A stream to such a caller had no length and ended with the connection, so that a part of it could be taken for the whole.

Before the change old_caller failed: the answer had no length.

--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -3,13 +3,14 @@
 use std::time::{Duration, Instant};
 
 use actix_http::header::{CACHE_CONTROL, HeaderValue};
-use actix_http::{ConnectionType, Request, Response, StatusCode};
-use bytes::Bytes;
+use actix_http::{ConnectionType, Request, Response, StatusCode, Version};
+use bytes::{Bytes, BytesMut};
 use dandeliondeal_types::{Clock, RequestId};
 use prometheus::IntGauge;
 use tokio::sync::mpsc;
 
 use crate::dialect::{FleetDialect, RequestDialect};
+use crate::endpoint_exchange::MAX_RESPONSE_BYTES;
 use crate::plain_relay;
 use crate::quarantine_store::TRIAL_DELAY;
 use crate::refusal::{RefusalCause, refusal_response};
@@ -54,6 +55,8 @@
 {
     let arrived = context.now();
     let open = OpenGauge::new(&context);
+    // HTTP/1.0 has no chunks.
+    let is_whole = request.head().version < Version::HTTP_11;
     let intake = read_request(&context, request, origin).await;
     let mut response = match intake {
         Err((facts, cause)) => {
@@ -62,7 +65,7 @@
             let max_delay = retry_delay.unwrap_or(PLAIN_RETRY_DELAY);
             record.finish_refused(cause, max_delay, None)
         }
-        Ok(request) => serve_request(&context, request, open).await,
+        Ok(request) => serve_request(&context, request, open, is_whole).await,
     };
     if context.is_stopping() {
         // The HTTP library ignores a `Connection` header set here and writes its own.
@@ -76,6 +79,7 @@
     context: &RelayContext<Time, Dialect>,
     mut request: RelayRequest,
     open: OpenGauge,
+    is_whole: bool,
 ) -> Response<RelayBody>
 where
     Time: Clock,
@@ -92,7 +96,7 @@
     let is_stream = request.route_match.route.repeat_class.is_stream();
     if let Some(profile) = request.engine_profile.clone().filter(|_| is_stream) {
         let relay = StreamRelay::new(context.clone(), request, profile);
-        return serve_stream(relay, record).await;
+        return serve_stream(relay, record, is_whole).await;
     }
     let max_delay = request.max_retry_delay(context.now());
     match plain_relay::relay_request(context, &mut request).await {
@@ -101,9 +105,13 @@
     }
 }
 
+/// Serves a stream; with `is_whole`, the response is sent when it is complete.
+///
+/// Without chunks, the end of a connection would make a part of a stream appear complete.
 async fn serve_stream<Time, Dialect>(
     mut relay: StreamRelay<Time, Dialect>,
     mut record: OpenRequest<Time, Dialect>,
+    is_whole: bool,
 ) -> Response<RelayBody>
 where
     Time: Clock,
@@ -112,7 +120,7 @@
     record.is_stream = true;
     let first_events = tokio::select! {
         biased;
-        first_events = relay.next_events() => first_events,
+        first_events = read_first(&mut relay, is_whole) => first_events,
         () = record.context.wait_for_final_responses() => Err(relay.end_timed_out()),
     };
     let max_delay = relay.request().max_retry_delay(record.context.now());
@@ -130,9 +138,12 @@
     response
         .headers_mut()
         .insert_if_absent(CACHE_CONTROL, "no-cache");
-    let Some(first) = first_events else {
-        record.record_end("answered", 200);
-        return response.set_body(RelayBody::Complete(Bytes::new()));
+    let first = match first_events {
+        Some(first) if !is_whole => first,
+        events => {
+            record.record_end("answered", 200);
+            return response.set_body(RelayBody::Complete(events.unwrap_or_default()));
+        }
     };
     let (sender, receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     // The queue is empty and open, so this send succeeds.
@@ -141,6 +152,29 @@
     response.set_body(RelayBody::Stream(receiver))
 }
 
+/// Returns the first events of a stream, or all of them if `is_whole` is set.
+async fn read_first<Time, Dialect>(
+    relay: &mut StreamRelay<Time, Dialect>,
+    is_whole: bool,
+) -> Result<Option<Bytes>, StreamEnd>
+where
+    Time: Clock,
+    Dialect: RequestDialect + FleetDialect,
+{
+    let first = relay.next_events().await?;
+    let mut events = match first {
+        Some(first) if is_whole => BytesMut::from(first),
+        first => return Ok(first),
+    };
+    while let Some(next) = relay.next_events().await? {
+        if events.len() + next.len() > MAX_RESPONSE_BYTES {
+            return Err(relay.end_timed_out());
+        }
+        events.extend_from_slice(&next);
+    }
+    Ok(Some(events.freeze()))
+}
+
 /// Forwards events until the stream ends or the caller disconnects.
 async fn forward_events<Time, Dialect>(
     mut relay: StreamRelay<Time, Dialect>,
