A closing listener waits for the first request of a new connection

Cause: a connection that was accepted while the listener closed counted as idle after 20 to 40 ms. A request that arrived later was reset.

Change: a connection without a request is kept until 0.5 s after it was opened. A kept connection that is used again as it closes still ends without an answer; late_reuse shows that such a request does not run.

--- a/crates/dandeliondeal_http/src/head_timer.rs
+++ b/crates/dandeliondeal_http/src/head_timer.rs
@@ -11,7 +11,8 @@
 //!
 //! When the listener closes, the library would discard requests that it has read or that wait in
 //! the socket. Instead, the connection reads as ended once no request is open and nothing more has
-//! arrived.
+//! arrived. A connection that was opened shortly before is kept until its first request has had time
+//! to arrive.
 
 use std::cell::{Cell, RefCell};
 use std::fmt::{self, Debug, Formatter};
@@ -22,12 +23,18 @@
 use std::time::Duration;
 
 use actix_http::body::{BodySize, MessageBody};
-use actix_rt::time::{Sleep, sleep};
+use actix_rt::time::{Instant, Sleep, sleep, sleep_until};
 use bytes::Bytes;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
 
+/// Time from the opening of a connection in which its first request may arrive although the listener
+/// closes.
+///
+/// A caller sends it one round trip after the connection is accepted, or later over a slow link.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
 /// Counters of the requests on one connection, shared with the handlers of the requests.
 #[derive(Clone, Debug, Default)]
 pub struct OpenRequests(Rc<RequestCounts>);
@@ -156,6 +163,9 @@
     tail: ReceivedTail,
     closing: Pin<Box<WaitForCancellationFutureOwned>>,
     is_closing: bool,
+    opened_at: Instant,
+    /// End of the wait for the first request, once the listener closes.
+    first_request: Option<Pin<Box<Sleep>>>,
 }
 
 impl TimedStream {
@@ -170,6 +180,8 @@
             tail: ReceivedTail::default(),
             closing: Box::pin(closing.cancelled_owned()),
             is_closing: false,
+            opened_at: Instant::now(),
+            first_request: None,
         }
     }
 
@@ -198,6 +210,15 @@
             self.open_requests.wake_when_empty(context);
             return false;
         }
+        if self.open_requests.started() == 0 {
+            let due_at = self.opened_at + FIRST_REQUEST_TIME;
+            let wait = self
+                .first_request
+                .get_or_insert_with(|| Box::pin(sleep_until(due_at)));
+            if wait.as_mut().poll(context).is_pending() {
+                return false;
+            }
+        }
         // A head that has begun is still read; its timeout limits it.
         self.timer.is_none()
     }
--- a/crates/dandeliondeal_http/tests/listener_close.rs
+++ b/crates/dandeliondeal_http/tests/listener_close.rs
@@ -15,6 +15,8 @@
 const SLOW_TIME: Duration = Duration::from_millis(300);
 /// Time for which the process is busy, longer than the callers' tolerance for a lost request.
 const BUSY_TIME: Duration = Duration::from_millis(250);
+/// Time after the close at which a request arrives.
+const LATE_TIME: Duration = Duration::from_millis(150);
 /// Maximum time for a connection to end.
 const READ_LIMIT: Duration = Duration::from_secs(3);
 
@@ -180,3 +182,31 @@
     assert_eq!(listener.open_connections(), 0);
     assert!(answer.starts_with("HTTP/1.1 502 "), "answer: {answer:?}");
 }
+
+// Guards against the reset of a connection that was accepted while the listener closed and whose
+// request arrives later, as over a slow link.
+#[actix_rt::test]
+async fn late_request() {
+    let listener = start_listener().await;
+    let mut stream = connect(&listener).await;
+    listener.close();
+    actix_rt::time::sleep(LATE_TIME).await;
+    let request = request_text("/next");
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let answer = read_to_end(&mut stream).await;
+    assert!(answer.ends_with("/next"), "answer: {answer:?}");
+    assert!(answer.contains("connection: close"), "answer: {answer}");
+}
+
+// Shows that a kept connection may close under the next request, which then has not run: no handler
+// sees it, and no part of an answer arrives.
+#[actix_rt::test]
+async fn late_reuse() {
+    let listener = start_listener().await;
+    let mut stream = used_connection(&listener).await;
+    listener.close();
+    actix_rt::time::sleep(LATE_TIME).await;
+    let request = request_text("/panic");
+    drop(stream.write_all(request.as_bytes()).await);
+    assert_eq!(read_to_end(&mut stream).await, "");
+}
