--- a/crates/dandeliondeal_relay/src/endpoint_limits.rs
+++ b/crates/dandeliondeal_relay/src/endpoint_limits.rs
@@ -120,7 +120,7 @@
 {
     let mut rates = context.unchecked_rates().borrow_mut();
     for (endpoint, claim) in rates.report(seen_at) {
-        let share = || sender_share(context, &endpoint, claim.limit);
+        let share = || sender_share(context, &endpoint);
         rates.record_limit(&endpoint, claim.limit, now, share);
     }
 }
