--- a/crates/dandeliondeal_relay/tests/process_pause.rs
+++ b/crates/dandeliondeal_relay/tests/process_pause.rs
@@ -28,8 +28,8 @@
     let context = context(clock);
     let endpoint = EndpointId::from("desk-1");
     let share = || SenderShare {
-        senders: 1,
-        is_sender: true,
+        rank: 0,
+        instances: 1,
     };
     let mut rates = context.rates().borrow_mut();
     rates.record_limit(&endpoint, 1.0, clock.now(), share);
@@ -43,6 +43,7 @@
         address: ([127, 0, 0, 1], 8_000).into(),
         handover: None,
         failure_domain: "didube".into(),
+        processor_milli: None,
     };
     (0..count).map(peer).collect()
 }
