Silence reports between instances, suspicions published by hubs

Cause: each instance inferred a silent engine from its own four streams, so that the median instance needed 0.65 to 2 s and the last one 2.8 s.

Change: instances with silent streams, and those that their hub asks, send `silence-report` to the first hub of their failure domain; the hubs exchange the sums and publish suspicions as notices (`silent`, inferred). A receiver with streams on the engine checks it, and its silent streams leave it at once; the others avoid it for 300 ms. A first sign of life ends the suspicion and removes the notice. Signs of life are kept by the way on which they were learned, so that hubs do not return them to each other.

--- a/crates/dandeliondeal_balance/src/silence_inference.rs
+++ b/crates/dandeliondeal_balance/src/silence_inference.rs
@@ -4,11 +4,14 @@
 //! at the rate that is measured on sound chains, or the loss of other engines. Silences that a
 //! suspected engine explains no longer count against others.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use dandeliondeal_types::{EndpointId, InstanceId};
 
+use crate::engine_life::{EngineLife, LifeSource};
+use crate::inference_settings::InferenceSettings;
+use crate::reported_silences::ObserverEvidence;
 use crate::silence_odds::{CauseWeights, sound_probability};
 use crate::silence_report::{SilenceReport, SilentChain, Suspicion};
 
@@ -16,97 +19,24 @@
 pub type StreamKey = u64;
 
 /// Maximum number of streams, and of engines, about which evidence is kept.
-const MAX_ENTRIES: usize = 8_192;
-/// Maximum number of observers whose reports are kept.
-const MAX_OBSERVERS: usize = 2_048;
+pub(crate) const MAX_ENTRIES: usize = 8_192;
 /// Maximum number of silent chains in a report, and of engines in each.
-const MAX_REPORTED_CHAINS: usize = 64;
+pub(crate) const MAX_REPORTED_CHAINS: usize = 64;
 /// Weight of the latest interval in a stream's mean interval.
 const INTERVAL_WEIGHT: f64 = 0.25;
 /// Maximum number of silences that are weighed at a time.
-const MAX_SILENCES: usize = 1_024;
-
-/// Parameters of the inference.
-#[derive(Clone, Copy, Debug)]
-pub struct InferenceSettings {
-    /// Minimum time without an event after which a stream counts as silent.
-    pub silence_limit: Duration,
-    /// Maximum of that time.
-    pub max_silence_limit: Duration,
-    /// Multiple of a stream's mean interval between events after which it counts as silent.
-    ///
-    /// A sound chain's interval is at most 60 ms, so it matters only for slow chains.
-    pub interval_factor: f64,
-    /// Time for which a delivery shows that the engines of its chain are alive.
-    pub delivery_window: Duration,
-    /// Time by which a delivery has to follow a stream's last event to clear its engines of the
-    /// stream's silence.
-    ///
-    /// An event can pass an engine one interval before its delivery, and the silent stream's last
-    /// event one interval before the loss. An interval is at most 60 ms.
-    pub clearing_delay: Duration,
-    /// Delay of the own timer above which the observer counts as paused.
-    pub timer_limit: Duration,
-    /// Time after a pause for which the observer accuses nobody.
-    pub pause_recovery: Duration,
-    /// Maximum age of reported silences; observers with silent streams report every 100 ms.
-    pub silence_age: Duration,
-    /// Maximum age of reports.
-    pub report_age: Duration,
-    /// Prior probability that a given engine was lost, if any stream is silent.
-    pub loss_probability: f64,
-    /// Probability that an engine is sound below which it is suspected.
-    pub error_rate: f64,
-    /// Probability that a stream of a sound chain is silent at a given time, until it is measured,
-    /// and the minimum of the measured one.
-    pub min_silent_share: f64,
-    /// Time over which the silent share is measured; weight of the initial value.
-    pub measurement_time: Duration,
-}
-
-impl Default for InferenceSettings {
-    fn default() -> Self {
-        Self {
-            silence_limit: Duration::from_millis(100),
-            max_silence_limit: Duration::from_millis(400),
-            interval_factor: 1.6,
-            delivery_window: Duration::from_millis(60),
-            clearing_delay: Duration::from_millis(120),
-            timer_limit: Duration::from_millis(100),
-            pause_recovery: Duration::from_millis(250),
-            silence_age: Duration::from_millis(250),
-            report_age: Duration::from_secs(1),
-            loss_probability: 0.005,
-            error_rate: 0.01,
-            min_silent_share: 0.005,
-            measurement_time: Duration::from_mins(1),
-        }
-    }
-}
+pub(crate) const MAX_SILENCES: usize = 1_024;
 
 /// Stream that has delivered an event.
 #[derive(Clone, Debug)]
-struct StreamEvidence {
-    chain: Vec<EndpointId>,
+pub(crate) struct StreamEvidence {
+    pub(crate) chain: Vec<EndpointId>,
     delivered_at: Instant,
     /// Mean of the recent intervals between events; 0 before the second event.
-    mean_interval: Duration,
+    pub(crate) mean_interval: Duration,
     is_silent: bool,
 }
 
-/// Silence that an observer reported.
-#[derive(Clone, Debug)]
-struct ReportedSilence {
-    chain: Vec<EndpointId>,
-    since: Instant,
-}
-
-#[derive(Clone, Debug)]
-struct ObserverEvidence {
-    received_at: Instant,
-    silences: Vec<ReportedSilence>,
-}
-
 /// Share of the stream time of sound chains that is silent, over a decaying window.
 #[derive(Clone, Copy, Debug)]
 struct SilentShare {
@@ -117,14 +47,16 @@
 /// Evidence of one observer, or the sum of several observers.
 #[derive(Clone, Debug)]
 pub struct SilenceInference {
-    settings: InferenceSettings,
-    streams: HashMap<StreamKey, StreamEvidence>,
+    pub(crate) settings: InferenceSettings,
+    pub(crate) streams: HashMap<StreamKey, StreamEvidence>,
     silent_count: usize,
     /// Last delivery of any stream of this observer.
     delivered_at: Option<Instant>,
-    /// Last sign of life of each engine.
-    alive: HashMap<EndpointId, Instant>,
-    observers: HashMap<InstanceId, ObserverEvidence>,
+    /// Last signs of life of each engine.
+    pub(crate) alive: HashMap<EndpointId, EngineLife>,
+    /// Engines that another instance suspects, with the time at which this one was told.
+    pub(crate) told: HashMap<EndpointId, Instant>,
+    pub(crate) observers: HashMap<InstanceId, ObserverEvidence>,
     silent_share: SilentShare,
     paused_until: Option<Instant>,
 }
@@ -145,6 +77,7 @@
             silent_count: 0,
             delivered_at: None,
             alive: HashMap::new(),
+            told: HashMap::new(),
             observers: HashMap::new(),
             silent_share: SilentShare {
                 silent_seconds: total_seconds * settings.min_silent_share,
@@ -211,10 +144,18 @@
 
     /// Records a sign of life of an engine, such as its report.
     pub fn record_alive(&mut self, engine: &EndpointId, now: Instant) {
-        if let Some(at) = self.alive.get_mut(engine) {
-            *at = now.max(*at);
+        self.record_life(engine, LifeSource::Own, now);
+        if self.told.get(engine).is_some_and(|told_at| *told_at < now) {
+            self.told.remove(engine);
+        }
+    }
+
+    pub(crate) fn record_life(&mut self, engine: &EndpointId, source: LifeSource, at: Instant) {
+        if let Some(life) = self.alive.get_mut(engine) {
+            life.record(source, at);
         } else if self.alive.len() < MAX_ENTRIES {
-            self.alive.insert(EndpointId::clone(engine), now);
+            let life = EngineLife::new(source, at);
+            self.alive.insert(EndpointId::clone(engine), life);
         }
     }
 
@@ -234,51 +175,17 @@
         }
     }
 
-    /// Adds the evidence of another observer, which replaces its earlier one.
-    pub fn add_report(&mut self, observer: InstanceId, report: &SilenceReport, now: Instant) {
-        let before = |age_ms: u32| now.checked_sub(Duration::from_millis(u64::from(age_ms)));
-        for (engine, age_ms) in report.alive.iter().take(MAX_ENTRIES) {
-            if let Some(at) = before(*age_ms) {
-                self.record_alive(engine, at);
-            }
-        }
-        let chains = report.silent.iter().take(MAX_REPORTED_CHAINS);
-        let silences = chains.filter_map(|silent| {
-            let engines = silent.engines.iter().take(MAX_REPORTED_CHAINS);
-            Some(ReportedSilence {
-                chain: engines.cloned().collect(),
-                since: before(silent.age_ms)?,
-            })
-        });
-        let evidence = ObserverEvidence {
-            received_at: now,
-            silences: silences.collect(),
-        };
-        if self.observers.len() >= MAX_OBSERVERS && !self.observers.contains_key(&observer) {
-            return;
-        }
-        self.observers.insert(observer, evidence);
-    }
-
     /// Returns the evidence of this observer's own streams.
     pub fn report(&self, now: Instant) -> SilenceReport {
-        let age_ms = |at: Instant| {
-            let age = now.saturating_duration_since(at).as_millis();
-            u32::try_from(age).unwrap_or(u32::MAX)
-        };
-        let recent = |at: &Instant| now.saturating_duration_since(*at) < self.settings.report_age;
         let silences = self.own_silences(now).take(MAX_REPORTED_CHAINS);
-        let alive = self.alive.iter().filter(|(_, at)| recent(at));
         SilenceReport {
             silent: silences
                 .map(|(chain, since)| SilentChain {
                     engines: chain.to_vec(),
-                    age_ms: age_ms(since),
+                    age_ms: age_ms(since, now),
                 })
                 .collect(),
-            alive: alive
-                .map(|(engine, at)| (EndpointId::clone(engine), age_ms(*at)))
-                .collect(),
+            alive: self.recent_life(now, EngineLife::own),
         }
     }
 
@@ -307,7 +214,8 @@
     pub fn suspects(&mut self, now: Instant) -> Vec<Suspicion> {
         let report_age = self.settings.report_age;
         let is_recent = |at: Instant| now.saturating_duration_since(at) <= report_age;
-        self.alive.retain(|_, at| is_recent(*at));
+        self.alive
+            .retain(|_, life| life.latest().is_some_and(is_recent));
         self.observers
             .retain(|_, evidence| is_recent(evidence.received_at));
         let mut engines: Vec<&EndpointId> = Vec::new();
@@ -404,9 +312,11 @@
     ///
     /// A delivery of another stream has to show that this observer still received events when the
     /// silent stream's next one was due.
-    fn own_silences(&self, now: Instant) -> impl Iterator<Item = (&[EndpointId], Instant)> {
-        let is_paused = self.paused_until.is_some_and(|until| now < until);
-        let may_accuse = !is_paused && self.silent_count < self.streams.len();
+    pub(crate) fn own_silences(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&[EndpointId], Instant)> {
+        let may_accuse = !self.is_paused(now) && self.silent_count < self.streams.len();
         let window = self.settings.delivery_window;
         let is_witnessed = move |since: Instant| {
             let delivered_at = self.delivered_at.filter(|_| may_accuse);
@@ -418,23 +328,51 @@
         silent.map(|stream| (&*stream.chain, stream.delivered_at))
     }
 
-    fn all_silences(&self, now: Instant) -> impl Iterator<Item = (&[EndpointId], Instant)> {
-        let max_age = self.settings.silence_age;
-        let recent = self
-            .observers
-            .values()
-            .filter(move |evidence| now.saturating_duration_since(evidence.received_at) <= max_age);
+    pub(crate) fn all_silences(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&[EndpointId], Instant)> {
+        let observers = self.observers.values();
+        let recent = observers.filter(move |evidence| self.is_current(evidence, now));
         let reported = recent.flat_map(|evidence| evidence.silences.iter());
         let reported = reported.map(|silence| (&*silence.chain, silence.since));
         self.own_silences(now).chain(reported)
     }
 
+    pub(crate) fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
+    }
+
+    pub(crate) fn recent_life<Source>(
+        &self,
+        now: Instant,
+        source: Source,
+    ) -> BTreeMap<EndpointId, u32>
+    where
+        Source: Fn(&EngineLife) -> Option<Instant>,
+    {
+        let max_age = self.settings.reported_life_age;
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) <= max_age;
+        let alive = self.alive.iter();
+        alive
+            .filter_map(|(engine, life)| {
+                let at = source(life).filter(is_recent)?;
+                Some((EndpointId::clone(engine), age_ms(at, now)))
+            })
+            .collect()
+    }
+
     /// Returns whether the loss of an engine may explain a silence that began at `since`.
-    fn may_explain(&self, engine: &EndpointId, since: Instant, now: Instant) -> bool {
-        let Some(alive_at) = self.alive.get(engine) else {
+    pub(crate) fn may_explain(&self, engine: &EndpointId, since: Instant, now: Instant) -> bool {
+        let Some(alive_at) = self.alive.get(engine).and_then(EngineLife::latest) else {
             return true;
         };
-        now.saturating_duration_since(*alive_at) > self.settings.delivery_window
+        now.saturating_duration_since(alive_at) > self.settings.delivery_window
             && alive_at.saturating_duration_since(since) <= self.settings.clearing_delay
     }
 }
+
+pub(crate) fn age_ms(at: Instant, now: Instant) -> u32 {
+    let age = now.saturating_duration_since(at).as_millis();
+    u32::try_from(age).unwrap_or(u32::MAX)
+}
--- a/crates/dandeliondeal_balance/src/silence_report.rs
+++ b/crates/dandeliondeal_balance/src/silence_report.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use dandeliondeal_types::EndpointId;
+use dandeliondeal_types::{EndpointId, InstanceId};
 use serde::{Deserialize, Serialize};
 
 /// Chain of a silent stream.
@@ -19,10 +19,10 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SilenceReport {
     /// Chains of silent streams; empty if the observer accuses nobody.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub silent: Vec<SilentChain>,
     /// Milliseconds since the last sign of life of each engine.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub alive: BTreeMap<EndpointId, u32>,
 }
 
@@ -33,6 +33,18 @@
     }
 }
 
+/// Evidence of one observer that a hub passes on.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ObserverReport {
+    /// The observer.
+    pub observer: InstanceId,
+    /// Milliseconds since the hub received the report.
+    #[serde(default)]
+    pub age_ms: u32,
+    /// The evidence, with ages at the time at which the hub received it.
+    pub report: SilenceReport,
+}
+
 /// Engine that is probably lost.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Suspicion {
--- a/crates/dandeliondeal_relay/src/chain_watch.rs
+++ b/crates/dandeliondeal_relay/src/chain_watch.rs
@@ -81,7 +81,11 @@
                 return SilenceCause::Suspected(engine);
             }
             if silence < SILENCE_LIMIT {
-                let first_wait = SUSPICION_LIMIT.saturating_sub(silence);
+                let first_wait = if evidence.find_told().is_some() {
+                    SUSPICION_INTERVAL
+                } else {
+                    SUSPICION_LIMIT.saturating_sub(silence)
+                };
                 wait_for_loss(&mut losses, first_wait.max(SUSPICION_INTERVAL)).await;
                 continue;
             }
@@ -139,6 +143,12 @@
     Time: Clock,
     Dialect: FleetDialect,
 {
+    if let Some(engine) = evidence.find_told()
+        && silence >= evidence.told_limit()
+    {
+        count_silence(context, "told-suspicion");
+        return Some(engine);
+    }
     if silence < SUSPICION_LIMIT {
         return None;
     }
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -65,6 +65,8 @@
 mod running_request;
 mod service_gate;
 pub mod shared_store;
+mod silence_board;
+mod silence_exchange;
 pub mod silence_watch;
 pub mod store_watch;
 mod stream_admission;
--- a/crates/dandeliondeal_relay/src/load_exchange.rs
+++ b/crates/dandeliondeal_relay/src/load_exchange.rs
@@ -32,6 +32,7 @@
 use crate::loss_exchange::{LossExchange, NOTICE_METHOD, WATCH_METHOD};
 use crate::relay_context::RelayContext;
 use crate::shared_store::{CHANGES_METHOD, FeedTable};
+use crate::silence_exchange::SILENCE_METHOD;
 
 /// Method that reports an instance's load to its hub.
 const REPORT_METHOD: &str = "load-report";
@@ -367,13 +368,14 @@
         CHANGES_METHOD,
         NOTICE_METHOD,
         WATCH_METHOD,
+        SILENCE_METHOD,
     ];
 
     async fn handle(&self, method: &'static str, body: Box<str>) -> Result<String, PeerError> {
         if method == CHANGES_METHOD {
             return self.feeds.answer_member(&self.context, &body).await;
         }
-        if method == NOTICE_METHOD || method == WATCH_METHOD {
+        if matches!(method, NOTICE_METHOD | WATCH_METHOD | SILENCE_METHOD) {
             return self.losses.handle(method, body).await;
         }
         let refuse = |error: serde_json::Error| PeerError::refused(method, error.to_string());
--- a/crates/dandeliondeal_relay/src/loss_board.rs
+++ b/crates/dandeliondeal_relay/src/loss_board.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use dandeliondeal_balance::Suspicion;
 use dandeliondeal_layout::EngineChain;
 use dandeliondeal_types::{Clock, EndpointId, InstanceId};
 use tokio::sync::{Notify, watch};
@@ -104,6 +105,11 @@
         }
     }
 
+    /// Wakes the streams, so that they look at the suspected engines of their chains.
+    pub(crate) fn wake_streams(&self) {
+        self.losses.send_modify(|count| *count += 1);
+    }
+
     /// Subscribes to the sequence number of the latest notice.
     pub(crate) fn subscribe_arrivals(&self) -> watch::Receiver<u64> {
         self.arrivals.subscribe()
@@ -178,20 +184,59 @@
     if !context.losses().is_shared() {
         return;
     }
-    let observed = {
-        let fleet = context.fleet().borrow();
-        let record = fleet.record(engine).filter(|record| !record.is_draining);
-        record
-            .filter(|record| fleet.is_engine(record))
-            .filter(|record| !context.links().is_lost(&record.service))
-            .map(|record| record.started_at_ms)
-    };
-    // A process that drains was stopped, and behind lost links all engines look lost.
-    if let Some(incarnation) = observed {
+    if let Some(incarnation) = observed_incarnation(context, engine) {
         publish_loss(context, engine, Some(incarnation), evidence);
     }
 }
 
+/// Returns the incarnation of an engine whose loss this instance may state.
+///
+/// A process that drains was stopped, and behind lost links all engines look lost.
+fn observed_incarnation<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    engine: &EndpointId,
+) -> Option<u64>
+where
+    Time: Clock,
+{
+    let fleet = context.fleet().borrow();
+    let record = fleet.record(engine).filter(|record| !record.is_draining)?;
+    let is_observed = fleet.is_engine(record) && !context.links().is_lost(&record.service);
+    is_observed.then_some(record.started_at_ms)
+}
+
+/// Publishes a suspicion that this hub infers; returns the notice if it is news.
+pub(crate) fn publish_suspicion<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    suspicion: &Suspicion,
+) -> Option<LossNotice>
+where
+    Time: Clock,
+{
+    let engine = &suspicion.engine;
+    let notice = LossNotice {
+        engine: EndpointId::clone(engine),
+        incarnation: Some(observed_incarnation(context, engine)?),
+        evidence: LossEvidence::Silent,
+        observer: InstanceId::clone(&context.settings().instance.id),
+        age_ms: 0,
+        is_inferred: true,
+    };
+    let is_sent = context.losses().publish(notice.clone(), context.now());
+    if !is_sent {
+        return None;
+    }
+    tracing::info!(
+        %engine,
+        silent_streams = suspicion.silent_streams,
+        sound_probability = suspicion.sound_probability,
+        "engine suspected; streams of several instances are silent"
+    );
+    let counter = &context.metrics().loss_notices;
+    counter.with_label_values(&["silent", "published"]).inc();
+    Some(notice)
+}
+
 /// Records the end of the process of `engine` with this incarnation.
 pub(crate) fn publish_loss<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
@@ -208,6 +253,7 @@
         evidence,
         observer: InstanceId::clone(&context.settings().instance.id),
         age_ms: 0,
+        is_inferred: false,
     };
     let board = context.losses();
     let is_sent = board.publish(notice, now);
--- a/crates/dandeliondeal_relay/src/loss_exchange.rs
+++ b/crates/dandeliondeal_relay/src/loss_exchange.rs
@@ -3,12 +3,12 @@
 //! The observer tells two hubs of its failure domain, which tell the hubs of all domains. Each instance
 //! keeps a call open at two hubs of its domain, which they answer once there is news.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
 use dandeliondeal_peer::{PeerClient, PeerError, PeerHandler};
-use dandeliondeal_types::{Clock, InstanceId};
+use dandeliondeal_types::{Clock, FailureDomain, InstanceId};
 use futures_util::future::join_all;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -19,13 +19,14 @@
 use crate::instance_registry::PeerInstance;
 use crate::loss_notice::{LossNotice, MAX_MESSAGE_NOTICES, MessageRate};
 use crate::relay_context::RelayContext;
+use crate::silence_exchange::SILENCE_METHOD;
 
 /// Method that tells a hub of losses.
 pub(crate) const NOTICE_METHOD: &str = "loss-notice";
 /// Method that waits for notices at a hub.
 pub(crate) const WATCH_METHOD: &str = "loss-watch";
 /// Time in which a hub has to answer.
-const HUB_TIMEOUT: Duration = Duration::from_millis(100);
+pub(crate) const HUB_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum time for which a hub delays its reply while there is no news.
 const WATCH_HOLD_TIME: Duration = Duration::from_millis(600);
 /// Time for which an instance that does not know the methods is not called.
@@ -57,6 +58,12 @@
 struct WatchRequest {
     #[serde(default)]
     seen: u64,
+    /// Instance that waits, if it reports silences.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    observer: Option<InstanceId>,
+    /// Number of the last ask for silence reports that the instance knows.
+    #[serde(default)]
+    asks_seen: u64,
 }
 
 /// Notices of a hub.
@@ -66,6 +73,12 @@
     sequence: u64,
     #[serde(default)]
     notices: Vec<LossNotice>,
+    /// Number of the hub's last ask for silence reports.
+    #[serde(default)]
+    asks: u64,
+    /// Interval in milliseconds at which the hub asks for silence reports; absent if it needs none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    asked_ms: Option<u64>,
 }
 
 /// Returns whether instances tell one another of lost engines under the configuration in force.
@@ -123,7 +136,30 @@
     pub async fn run(self) {
         let watches = (0..HUBS_PER_DOMAIN).map(|index| self.watch_hubs(index));
         let watches = join_all(watches);
-        futures_util::join!(self.send_notices(), self.relay_notices(), watches);
+        futures_util::join!(
+            self.send_notices(),
+            self.relay_notices(),
+            watches,
+            self.report_silences(),
+            self.publish_suspicions()
+        );
+    }
+
+    /// Returns the state that all requests share.
+    pub(crate) fn context(&self) -> &RelayContext<Time, Dialect> {
+        &self.context
+    }
+
+    /// Returns the selection of hubs for notices and silence reports.
+    pub(crate) fn hubs(&self) -> &HubSelector<Time, Dialect> {
+        &self.hubs
+    }
+
+    /// Returns the failure domains that have instances.
+    pub(crate) fn domains(&self) -> BTreeSet<FailureDomain> {
+        let peers = self.context.peers();
+        let domains = peers.iter().map(|peer| &peer.failure_domain);
+        domains.cloned().collect()
     }
 
     /// Publishes a notice of this instance; returns whether it is news.
@@ -177,10 +213,7 @@
                 is_relayed: true,
                 notices,
             };
-            let peers = self.context.peers();
-            let mut domains: Vec<&str> = peers.iter().map(|peer| &*peer.failure_domain).collect();
-            domains.sort_unstable();
-            domains.dedup();
+            let domains = self.domains();
             let calls = domains
                 .iter()
                 .map(|domain| self.tell_domain(domain, &message));
@@ -209,7 +242,7 @@
 
     /// Keeps a call open at the hub with this place in the order of preference.
     async fn watch_hubs(&self, index: usize) {
-        let mut seen: HashMap<InstanceId, u64> = HashMap::new();
+        let mut seen: HashMap<InstanceId, (u64, u64)> = HashMap::new();
         let mut rate = MessageRate::default();
         loop {
             let own = &self.context.settings().instance;
@@ -222,8 +255,11 @@
             };
             actix_rt::time::sleep(rate.reserve(self.context.now())).await;
             seen.retain(|id, _| *id == hub.id);
+            let (last_notice, asks_seen) = seen.get(&hub.id).copied().unwrap_or_default();
             let request = WatchRequest {
-                seen: seen.get(&hub.id).copied().unwrap_or(0),
+                seen: last_notice,
+                observer: Some(InstanceId::clone(&own.id)),
+                asks_seen,
             };
             let limit = WATCH_HOLD_TIME + HUB_TIMEOUT;
             let reply: Option<WatchReply> = self.call(&hub, WATCH_METHOD, &request, limit).await;
@@ -233,12 +269,17 @@
                 actix_rt::time::sleep(FAILURE_PAUSE).await;
                 continue;
             };
-            seen.insert(InstanceId::clone(&hub.id), reply.sequence);
+            let known = (reply.sequence, reply.asks);
+            seen.insert(InstanceId::clone(&hub.id), known);
+            if let Some(asked_ms) = reply.asked_ms {
+                self.answer_ask(asked_ms);
+            }
             self.receive(reply.notices);
         }
     }
 
-    async fn call<Body, Reply>(
+    /// Calls a hub; excludes it for a while if it does not answer in time.
+    pub(crate) async fn call<Body, Reply>(
         &self,
         hub: &PeerInstance,
         method: &'static str,
@@ -314,7 +355,9 @@
             return;
         }
         let is_usable = self.context.fleet().borrow().is_usable(&notice.engine);
-        if notice.evidence.is_certain() {
+        if notice.is_inferred {
+            self.apply_suspicion(notice);
+        } else if notice.evidence.is_certain() {
             check_engine(&self.context, &notice.engine, CheckCause::Notice);
         } else if is_usable {
             check_engine(&self.context, &notice.engine, CheckCause::Suspicion);
@@ -329,19 +372,36 @@
 
     async fn answer_watch(&self, request: &WatchRequest) -> WatchReply {
         let board = self.context.losses();
+        let silences = self.context.silences().board();
+        if let Some(observer) = &request.observer {
+            let now = self.context.now();
+            silences.hub().borrow_mut().record_member(observer, now);
+        }
         let mut arrivals = board.subscribe_arrivals();
+        let mut asks = silences.subscribe_asks();
         let until = actix_rt::time::sleep(WATCH_HOLD_TIME);
         tokio::pin!(until);
+        let mut is_held = true;
         loop {
             let now = self.context.now();
             let (notices, sequence) = board.notices().borrow_mut().since(request.seen, now);
-            if !notices.is_empty() {
-                return WatchReply { sequence, notices };
+            let last_ask = *asks.borrow_and_update();
+            let asked_ms = self
+                .asked_ms()
+                .filter(|_| last_ask != request.asks_seen && request.observer.is_some());
+            if !notices.is_empty() || asked_ms.is_some() || !is_held {
+                return WatchReply {
+                    sequence,
+                    notices,
+                    asks: last_ask,
+                    asked_ms,
+                };
             }
             tokio::select! {
-                // The sender lives as long as the context.
+                // The senders live as long as the context.
                 _changed = arrivals.changed() => {}
-                () = &mut until => return WatchReply { sequence, notices },
+                _changed = asks.changed() => {}
+                () = &mut until => is_held = false,
             }
         }
     }
@@ -352,7 +412,7 @@
     Time: Clock,
     Dialect: FleetDialect,
 {
-    const METHODS: &'static [&'static str] = &[NOTICE_METHOD, WATCH_METHOD];
+    const METHODS: &'static [&'static str] = &[NOTICE_METHOD, WATCH_METHOD, SILENCE_METHOD];
 
     async fn handle(&self, method: &'static str, body: Box<str>) -> Result<String, PeerError> {
         let refuse = |error: serde_json::Error| PeerError::refused(method, error.to_string());
@@ -361,6 +421,10 @@
             let reply = self.answer_watch(&request).await;
             return serde_json::to_string(&reply).map_err(refuse);
         }
+        if method == SILENCE_METHOD {
+            let message = serde_json::from_str(&body).map_err(refuse)?;
+            return serde_json::to_string(&self.receive_silences(&message)).map_err(refuse);
+        }
         let message: NoticeMessage = serde_json::from_str(&body).map_err(refuse)?;
         let news = self.receive(message.notices);
         if !message.is_relayed && !news.is_empty() {
--- a/crates/dandeliondeal_relay/src/loss_notice.rs
+++ b/crates/dandeliondeal_relay/src/loss_notice.rs
@@ -59,6 +59,20 @@
     /// Time since the observation in milliseconds.
     #[serde(default)]
     pub age_ms: u64,
+    /// Whether a hub infers the loss from the silent streams of several instances.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_inferred: bool,
+}
+
+impl LossNotice {
+    /// Returns how certain the loss is; a notice is news if it is more certain than an earlier one.
+    fn certainty(&self) -> u8 {
+        match (self.evidence.is_certain(), self.is_inferred) {
+            (true, _) => 2,
+            (false, false) => 1,
+            (false, true) => 0,
+        }
+    }
 }
 
 /// Engine and incarnation.
@@ -76,8 +90,8 @@
 pub struct NoticeTable {
     last_sequence: u64,
     entries: VecDeque<NoticeEntry>,
-    /// Time of the latest observation, and whether it was certain.
-    latest: HashMap<LossKey, (Instant, bool)>,
+    /// Time of the latest observation, and its certainty.
+    latest: HashMap<LossKey, (Instant, u8)>,
 }
 
 impl NoticeTable {
@@ -93,14 +107,14 @@
             return false;
         };
         let key = (EndpointId::clone(&notice.engine), notice.incarnation);
-        let is_certain = notice.evidence.is_certain();
-        if let Some((latest, was_certain)) = self.latest.get(&key)
+        let certainty = notice.certainty();
+        if let Some((latest, known)) = self.latest.get(&key)
             && observed_at < *latest + NOTICE_INTERVAL
-            && (*was_certain || !is_certain)
+            && certainty <= *known
         {
             return false;
         }
-        self.latest.insert(key, (observed_at, is_certain));
+        self.latest.insert(key, (observed_at, certainty));
         self.last_sequence += 1;
         self.entries.push_back(NoticeEntry {
             sequence: self.last_sequence,
@@ -136,6 +150,12 @@
         (notices.collect(), last)
     }
 
+    /// Removes the inferred notices of an engine that has given a sign of life since.
+    pub fn withdraw(&mut self, engine: &EndpointId) {
+        self.entries
+            .retain(|entry| !entry.notice.is_inferred || entry.notice.engine != *engine);
+    }
+
     /// Returns the sequence number of the latest notice.
     pub fn last_sequence(&self) -> u64 {
         self.last_sequence
--- a/crates/dandeliondeal_relay/src/silence_watch.rs
+++ b/crates/dandeliondeal_relay/src/silence_watch.rs
@@ -4,13 +4,14 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use dandeliondeal_balance::{SilenceInference, SilenceReport, StreamKey, Suspicion};
+use dandeliondeal_balance::{SilenceInference, StreamKey, Suspicion};
 use dandeliondeal_layout::EngineChain;
 use dandeliondeal_types::{Clock, EndpointId, ServiceId};
 use tokio::sync::oneshot;
 
 use crate::move_order::{MoveNeed, MoveQueue};
 use crate::relay_context::RelayContext;
+use crate::silence_board::SilenceBoard;
 
 /// Time for which suspicions are reused; bounds their cost when many streams are silent.
 const SUSPICION_REUSE_TIME: Duration = Duration::from_millis(5);
@@ -32,16 +33,33 @@
     services: RefCell<HashMap<ServiceId, ServiceSilence>>,
     next_key: Cell<StreamKey>,
     moves: RefCell<MoveQueue<oneshot::Sender<()>>>,
+    board: SilenceBoard,
 }
 
 impl SilenceWatch {
-    /// Returns the evidence of this instance by service, for its hub.
-    pub fn reports(&self, now: Instant) -> Vec<(ServiceId, SilenceReport)> {
-        let services = self.services.borrow();
-        let entries = services.iter();
-        entries
-            .map(|(service, silence)| (ServiceId::clone(service), silence.inference.report(now)))
-            .collect()
+    /// Returns the state of the exchange with other instances.
+    pub(crate) fn board(&self) -> &SilenceBoard {
+        &self.board
+    }
+
+    /// Returns the engines of a service that this instance or a hub suspects now.
+    pub fn suspected_engines(&self, service: &str, now: Instant) -> Vec<EndpointId> {
+        let suspicions = self.suspicions(service, now).into_iter();
+        let mut engines: Vec<EndpointId> = suspicions.map(|suspicion| suspicion.engine).collect();
+        if let Some(silence) = self.services.borrow().get(service) {
+            engines.extend(silence.inference.told_suspects(now).cloned());
+        }
+        engines
+    }
+
+    /// Calls `call` for the evidence on each service.
+    pub(crate) fn for_each<Call>(&self, mut call: Call)
+    where
+        Call: FnMut(&ServiceId, &mut SilenceInference),
+    {
+        for (service, silence) in self.services.borrow_mut().iter_mut() {
+            call(service, &mut silence.inference);
+        }
     }
 
     /// Records by how much a timer of this instance was late.
@@ -73,17 +91,17 @@
         silence.suspicions.clone()
     }
 
-    fn with_inference<Call>(&self, service: &ServiceId, call: Call)
+    /// Calls `call` for the evidence on one service.
+    pub(crate) fn with_inference<Call, Output>(&self, service: &ServiceId, call: Call) -> Output
     where
-        Call: FnOnce(&mut SilenceInference),
+        Call: FnOnce(&mut SilenceInference) -> Output,
     {
         let mut services = self.services.borrow_mut();
         if let Some(silence) = services.get_mut(service) {
-            call(&mut silence.inference);
-            return;
+            return call(&mut silence.inference);
         }
         let silence = services.entry(ServiceId::clone(service)).or_default();
-        call(&mut silence.inference);
+        call(&mut silence.inference)
     }
 }
 
@@ -202,11 +220,30 @@
         if !is_silent {
             return None;
         }
+        watch.board.notify_silence();
         let suspicions = watch.suspicions(&self.service, now).into_iter();
         let mut own = suspicions.filter(|suspicion| self.engines.contains(&suspicion.engine));
         own.next()
     }
 
+    /// Returns the engine of the stream's chain that a hub suspects, if any.
+    pub fn find_told(&self) -> Option<EndpointId> {
+        self.delivered_at.get()?;
+        let now = self.context.now();
+        let watch = self.context.silences();
+        watch.with_inference(&self.service, |inference| {
+            let mut told = inference.told_suspects(now);
+            let engine = told.find(|engine| self.engines.contains(engine));
+            engine.cloned()
+        })
+    }
+
+    /// Returns the time without an event after which the stream leaves an engine that a hub suspects.
+    pub fn told_limit(&self) -> Duration {
+        let watch = self.context.silences();
+        watch.with_inference(&self.service, |inference| inference.told_limit(self.key))
+    }
+
     fn remove(&self) {
         let watch = self.context.silences();
         watch.with_inference(&self.service, |inference| inference.remove_stream(self.key));
--- a/crates/dandeliondeal_relay/src/stream_replacement.rs
+++ b/crates/dandeliondeal_relay/src/stream_replacement.rs
@@ -212,12 +212,8 @@
     /// Returns the engines that are suspected now; none if the service is not graded.
     fn suspected_engines(&self) -> Vec<EndpointId> {
         let now = self.context.now();
-        let suspicions = self
-            .context
-            .silences()
-            .suspicions(&self.request.service, now);
-        let suspicions = suspicions.into_iter();
-        suspicions.map(|suspicion| suspicion.engine).collect()
+        let silences = self.context.silences();
+        silences.suspected_engines(&self.request.service, now)
     }
 
     /// Reserves the room that a move takes on the engines that are new to the run.
--- a/crates/dandeliondeal_relay/tests/loss_notice.rs
+++ b/crates/dandeliondeal_relay/tests/loss_notice.rs
@@ -14,6 +14,7 @@
         evidence,
         observer: observer.into(),
         age_ms: 0,
+        is_inferred: false,
     }
 }
 
@@ -21,6 +22,13 @@
     notice(engine, LossEvidence::Refused, "router-1")
 }
 
+fn inferred(engine: &str) -> LossNotice {
+    LossNotice {
+        is_inferred: true,
+        ..notice(engine, LossEvidence::Silent, "router-1")
+    }
+}
+
 /// Guards against passing on what several instances observe of one loss.
 #[test]
 fn duplicate_notices() {
@@ -147,3 +155,40 @@
     assert_eq!(read.evidence, LossEvidence::Silent);
     assert_eq!(read.incarnation, None);
 }
+
+/// Guards against an inferred suspicion that hides the failed check that confirms it.
+#[test]
+fn confirmed_suspicion() {
+    let now = Instant::now();
+    let mut table = NoticeTable::default();
+    let inferred = inferred("a");
+    assert!(table.add(inferred.clone(), now));
+    assert!(!table.add(inferred, now + Duration::from_millis(100)));
+    let failed_check = notice("a", LossEvidence::Silent, "router-2");
+    assert!(table.add(failed_check, now + Duration::from_millis(300)));
+    assert_eq!(table.since(0, now + Duration::from_millis(300)).0.len(), 2);
+}
+
+/// Guards against passing on a suspicion of an engine that has delivered since, and against another
+/// notice of it within a second.
+#[test]
+fn withdrawn_suspicion() {
+    let now = Instant::now();
+    let mut table = NoticeTable::default();
+    let inferred = inferred("a");
+    table.add(inferred.clone(), now);
+    table.add(refused("b"), now);
+    table.withdraw(&"a".into());
+    let (notices, _) = table.since(0, now);
+    assert_eq!(notices, [refused("b")]);
+    assert!(!table.add(inferred, now + Duration::from_millis(400)));
+}
+
+/// Guards against a notice that an earlier version cannot read, or whose new field it lacks.
+#[test]
+fn earlier_version() {
+    let text = serde_json::to_string(&refused("a")).expect("JSON");
+    assert!(!text.contains("is_inferred"), "{text}");
+    let read: LossNotice = serde_json::from_str(&text).expect("a notice");
+    assert!(!read.is_inferred);
+}
