--- a/crates/dandeliondeal_relay/src/hub_selection.rs
+++ b/crates/dandeliondeal_relay/src/hub_selection.rs
@@ -17,6 +17,11 @@
 /// Key of the rendezvous hash that selects hubs.
 const HUB_KEY: &str = "load-hub";
 
+/// Returns the index of the instance that is the hub of these members of a failure domain.
+pub fn preferred_hub(members: &[&InstanceId]) -> Option<usize> {
+    preferred_member(HUB_KEY, members, Xxh3::new)
+}
+
 /// Selects hubs; clones share the list of unresponsive instances.
 #[derive(Debug)]
 pub struct HubSelector<Time, Dialect> {
@@ -99,7 +104,7 @@
             .filter(|peer| *peer.failure_domain == *domain && is_candidate(peer))
             .collect();
         let names: Vec<&InstanceId> = members.iter().map(|peer| &peer.id).collect();
-        let index = preferred_member(HUB_KEY, &names, Xxh3::new)?;
+        let index = preferred_hub(&names)?;
         Some(members[index].clone())
     }
 
