Admission holds its target in steep bursts

Cause: the total demand is 0.3 to 0.5 s old and a mean over 0.5 s, and streams that had just started counted as ending. In a burst the pool was filled above the target, and urgent requests found no engine either. Callers told to return within the burst were refused again.

--- a/crates/dandeliondeal_limit/src/admission_gate.rs
+++ b/crates/dandeliondeal_limit/src/admission_gate.rs
@@ -9,17 +9,21 @@
 use crate::admission_rank::AdmissionRank;
 use crate::admission_share::AdmissionShare;
 use crate::demand_meter::DemandMeter;
-use crate::demand_report::DemandReport;
+use crate::demand_report::{DemandReport, total_work};
+use crate::demand_trend::DemandTrend;
 use crate::gate_request::{GateAction, GateRequest};
 use crate::gate_settings::GateSettings;
 use crate::gate_state::GateState;
 use crate::retry_delay::retry_delay;
+use crate::room_forecast::RoomForecast;
 use crate::service_room::{ServiceRoom, SupplyTerms};
 use crate::service_times::ServiceTimes;
 use crate::wait_queue::{WaitQueue, WaitReason, WaitingRequest};
 
 /// Weight of the newest sample in the mean time between news.
 const SAMPLE_WEIGHT: f64 = 0.05;
+/// Smallest mean service time in a calculation.
+const MIN_SERVICE_TIME: Duration = Duration::from_millis(1);
 /// Time for which the end of a wait is kept after it; the request may still be looking for a chain.
 const RELEASE_GRACE: Duration = Duration::from_secs(1);
 /// Tolerance for rounding when the shares of several requests add up to the work of one.
@@ -30,7 +34,12 @@
 struct GateNews {
     at: Instant,
     room: ServiceRoom,
+    /// Room when the news arrived.
+    forecast: ServiceRoom,
+    terms: SupplyTerms,
     supply_rate: f64,
+    /// Work per second that is turned away, as a part of the capacity.
+    refused_rate: f64,
     ranks: Vec<AdmissionRank>,
     shares: AdmissionShare,
 }
@@ -45,6 +54,8 @@
     demand: DemandMeter,
     waiting: WaitQueue,
     news: Option<GateNews>,
+    forecast: RoomForecast,
+    trend: DemandTrend,
     /// Mean time between news.
     news_interval: Duration,
     service_times: ServiceTimes,
@@ -69,6 +80,8 @@
             demand: DemandMeter::new(settings.demand_window),
             waiting: WaitQueue::default(),
             news: None,
+            forecast: RoomForecast::default(),
+            trend: DemandTrend::new(settings.demand_window),
             news_interval: settings.news_interval,
             service_times: ServiceTimes::new(usual_service_time, now),
             queue_objective: None,
@@ -195,19 +208,7 @@
             let mean = mean + (interval - mean) * SAMPLE_WEIGHT;
             self.news_interval = Duration::from_secs_f64(mean.max(0.0));
         }
-        self.news = room.checked().map(|room| {
-            let supply_rate = room.supply_rate(self.supply_terms());
-            let ranks = demand.ranks.keys();
-            GateNews {
-                at: now,
-                room,
-                supply_rate,
-                ranks: ranks
-                    .filter_map(|&rank| AdmissionRank::from_value(rank))
-                    .collect(),
-                shares: AdmissionShare::new(demand, supply_rate, self.settings.floor_share),
-            }
-        });
+        self.news = room.checked().map(|room| self.read_news(demand, room, now));
         self.admitted_work = 0.0;
         self.waiting
             .forget_ended(RELEASE_GRACE, self.settings.max_waiting, now);
@@ -302,6 +303,42 @@
         (age < self.settings.news_limit).then_some(news)
     }
 
+    /// Computes the shares that follow from a total.
+    fn read_news(&mut self, demand: &DemandReport, room: ServiceRoom, now: Instant) -> GateNews {
+        let GateSettings {
+            news_age,
+            growth_factor,
+            floor_share,
+            reserve_share,
+            ..
+        } = self.settings;
+        let service_time = self.service_times.mean().max(MIN_SERVICE_TIME);
+        let ending = self.forecast.ending_work(&room, service_time, now);
+        let terms = self.supply_terms().with_ending_work(ending);
+        let demand = self.trend.follow(demand, growth_factor, now);
+        let forecast = self
+            .forecast
+            .project(&room, &demand.ranks, terms, news_age, now);
+        let supply_rate = forecast.supply_rate(terms);
+        let reserve_rate = terms.rate(reserve_share * room.capacity);
+        let shares = AdmissionShare::new(&demand, (supply_rate, reserve_rate), floor_share);
+        self.forecast.push(shares.clone(), news_age, now);
+        let ranks = demand.ranks.keys();
+        let admitted = shares.admitted_rate(&demand.ranks);
+        GateNews {
+            at: now,
+            room,
+            forecast,
+            terms,
+            supply_rate,
+            refused_rate: (total_work(&demand.ranks) - admitted) / room.capacity.max(1.0),
+            ranks: ranks
+                .filter_map(|&rank| AdmissionRank::from_value(rank))
+                .collect(),
+            shares,
+        }
+    }
+
     /// Returns how the supply follows from the room.
     fn supply_terms(&self) -> SupplyTerms {
         SupplyTerms::new(&self.settings, &self.service_times, self.queue_objective)
@@ -321,9 +358,11 @@
         now: Instant,
     ) -> GateAction {
         let share = self.share(request.rank, request.organisation.as_ref(), now);
+        let refused_rate = self.current_news(now).map_or(0.0, |news| news.refused_rate);
+        let load = (share, refused_rate);
         GateAction::Refuse {
             ticket,
-            retry_after: retry_delay(&self.settings, share, spread, request.max_retry_delay),
+            retry_after: retry_delay(&self.settings, load, spread, request.max_retry_delay),
         }
     }
 
@@ -352,11 +391,10 @@
         }
         self.released_at = Some(now);
         let news = self.current_news(now);
-        let terms = self.supply_terms();
         let room = news.map(|news| {
-            let target = terms.target(&news.room);
-            let ending = terms.ending(&news.room, interval);
-            (target - news.room.committed + ending, target)
+            let target = news.terms.target(&news.room);
+            let ending = news.terms.ending(&news.forecast, interval);
+            (target - news.forecast.committed + ending, target)
         });
         for ticket in self.waiting.tickets(WaitReason::Room) {
             let work = self
--- a/crates/dandeliondeal_limit/src/demand_report.rs
+++ b/crates/dandeliondeal_limit/src/demand_report.rs
@@ -65,6 +65,12 @@
     work.is_finite() && work > 0.0
 }
 
+/// Returns the sum of the amounts that can be used in a calculation.
+pub(crate) fn total_work(ranks: &RankDemand) -> f64 {
+    let amounts = ranks.values().filter(|work| is_amount(**work));
+    amounts.sum::<f64>().min(f64::MAX)
+}
+
 fn is_rank(rank: u8) -> bool {
     usize::from(rank) < AdmissionRank::COUNT
 }
--- a/crates/dandeliondeal_limit/src/gate_settings.rs
+++ b/crates/dandeliondeal_limit/src/gate_settings.rs
@@ -18,6 +18,13 @@
     pub min_wait_share: f64,
     /// Time for which the supply is computed.
     pub horizon: Duration,
+    /// Usual age of news when it arrives.
+    pub news_age: Duration,
+    /// Growth between two reports from which the recent rate counts instead of the mean.
+    pub growth_factor: f64,
+    /// Part of the capacity that is kept from the least urgent requests; it is not used if all have
+    /// the same urgency.
+    pub reserve_share: f64,
     /// Age from which news is not used.
     pub news_limit: Duration,
     /// Expected time between news, until it is measured.
@@ -45,6 +52,9 @@
             wait_share: 0.5,
             min_wait_share: 0.5,
             horizon: Duration::from_millis(500),
+            news_age: Duration::from_millis(300),
+            growth_factor: 1.5,
+            reserve_share: 0.04,
             news_limit: Duration::from_millis(1_200),
             news_interval: Duration::from_millis(200),
             demand_window: Duration::from_millis(500),
--- a/crates/dandeliondeal_limit/src/service_room.rs
+++ b/crates/dandeliondeal_limit/src/service_room.rs
@@ -21,6 +21,8 @@
     horizon: Duration,
     /// Whether requests beyond the capacity queue at the endpoints.
     is_queueing: bool,
+    /// Committed work whose end counts: work that has just started does not end yet.
+    ending_work: f64,
 }
 
 impl SupplyTerms {
@@ -39,6 +41,7 @@
                 service_time: times.mean().max(MIN_TIME),
                 horizon: settings.horizon.min(times.mean()),
                 is_queueing: false,
+                ending_work: f64::INFINITY,
             };
         };
         let service_time = times.smallest().max(MIN_TIME);
@@ -48,9 +51,21 @@
             service_time,
             horizon: settings.horizon,
             is_queueing: true,
+            ending_work: f64::INFINITY,
         }
     }
 
+    /// Sets the committed work whose end counts.
+    pub(crate) fn with_ending_work(mut self, work: f64) -> Self {
+        self.ending_work = work;
+        self
+    }
+
+    /// Returns the work per second that uses `amount` within the horizon.
+    pub(crate) fn rate(&self, amount: f64) -> f64 {
+        amount / self.horizon.max(MIN_TIME).as_secs_f64()
+    }
+
     /// Returns the work that may be committed.
     pub(crate) fn target(&self, room: &ServiceRoom) -> f64 {
         room.capacity * self.target_fill
@@ -65,7 +80,7 @@
         if self.is_queueing {
             room.capacity * rounds
         } else {
-            room.committed * rounds.min(1.0)
+            room.committed.min(self.ending_work) * rounds.min(1.0)
         }
     }
 }
@@ -85,10 +100,8 @@
     /// Work committed beyond the target reduces it; otherwise a service that was once overfilled
     /// would stay so as long as it is overloaded.
     pub(crate) fn supply_rate(&self, terms: SupplyTerms) -> f64 {
-        let horizon = terms.horizon.max(MIN_TIME);
-        let ending = terms.ending(self, horizon);
-        let supply = (terms.target(self) - self.committed + ending).max(0.0);
-        supply / horizon.as_secs_f64()
+        let ending = terms.ending(self, terms.horizon.max(MIN_TIME));
+        terms.rate((terms.target(self) - self.committed + ending).max(0.0))
     }
 
     /// Returns the room with negative amounts raised to zero, or `None` if an amount is not finite.
