Moves after a loss stay in their failure domain where they can

Cause: all instances move streams at the same moment. A prompt that is sent to another domain takes 47 ms of a shared link (900 tokens of 18 kB at 2,720 Mbit/s), and the tokens of all streams that cross it wait behind it. Each instance knew only its own transfers, so that 88 of them sent a prompt each at once. Change: the search for a move of a graded service counts the links as loaded by 0.3 more, and a change of domain between two engines that keep the request's KV cache costs nothing. Result: test kept_crossing; to be measured.

--- a/crates/dandeliondeal_layout/src/chain_graph.rs
+++ b/crates/dandeliondeal_layout/src/chain_graph.rs
@@ -38,6 +38,8 @@
     pub required_first: Option<EndpointId>,
     /// Engines that already hold the request's KV cache and do not process the prompt again.
     pub reused_engines: Vec<EndpointId>,
+    /// Whether a change of failure domain between two reused engines costs nothing.
+    pub keeps_crossings: bool,
     /// Number of prompt tokens to process.
     pub prompt_tokens: f64,
     /// Number of output tokens to generate.
@@ -264,7 +266,12 @@
     ) -> Option<PathEnd> {
         let prefixes = previous_nodes?.iter().filter_map(|index| {
             let path_end = path_ends.get(index)?;
-            let is_crossing = self.nodes[*index].failure_domain != node.failure_domain;
+            // Between two engines that hold the request's KV cache no prompt is sent again.
+            let is_kept = query.keeps_crossings
+                && [&self.nodes[*index], node]
+                    .into_iter()
+                    .all(|node| query.reused_engines.contains(&node.id));
+            let is_crossing = !is_kept && self.nodes[*index].failure_domain != node.failure_domain;
             if is_crossing && query.link_utilisation > MAX_LINK_UTILISATION {
                 return None;
             }
--- a/crates/dandeliondeal_layout/tests/chain_search.rs
+++ b/crates/dandeliondeal_layout/tests/chain_search.rs
@@ -24,6 +24,7 @@
     ChainQuery {
         required_first: None,
         reused_engines: Vec::new(),
+        keeps_crossings: false,
         prompt_tokens: 800.0,
         output_tokens: 200.0,
         prompt_crossing_seconds: 0.01,
@@ -109,6 +110,34 @@
     assert_eq!(ids, ["a", "b", "c"]);
 }
 
+// Guards against a move that sends the prompt to other engines because the chain crosses domains.
+#[test]
+fn kept_crossing() {
+    let graph = ChainGraph::new(
+        16,
+        vec![
+            node("a", "one", 0, 4),
+            node("b", "two", 4, 8),
+            node("other-b", "one", 4, 8),
+            node("c", "one", 8, 12),
+            node("d", "one", 12, 16),
+        ],
+    );
+    let found = |keeps_crossings| {
+        let query = ChainQuery {
+            required_first: Some("a".into()),
+            reused_engines: vec!["a".into(), "b".into(), "c".into()],
+            keeps_crossings,
+            link_utilisation: 0.1,
+            ..query()
+        };
+        let chain = graph.find(&query).expect("a chain");
+        chain.hops[1].id.to_string()
+    };
+    assert_eq!(found(false), "other-b");
+    assert_eq!(found(true), "b");
+}
+
 #[test]
 fn avoids_slow_engine() {
     let mut slow = node("b", "one", 4, 8);
--- a/crates/dandeliondeal_relay/src/chain_selection.rs
+++ b/crates/dandeliondeal_relay/src/chain_selection.rs
@@ -32,6 +32,11 @@
 /// change in that time, so requests are spread over several engines.
 const ENGINE_TIME_FACTORS: std::ops::Range<f64> = 0.6..1.4;
 
+/// Utilisation of the links between failure domains that the moves after a loss are expected to add.
+const MOVE_LINK_LOAD: f64 = 0.3;
+/// Utilisation up to which it is added; above 0.4 no request crosses domains at all.
+const MAX_MOVE_LINK_LOAD: f64 = 0.35;
+
 /// Resources that one request needs from a chain.
 #[derive(Clone, Copy, Debug)]
 pub struct ChainDemand {
@@ -73,6 +78,19 @@
     pub spread_key: Option<&'request str>,
 }
 
+/// Returns the utilisation of the links between failure domains that a search counts with.
+///
+/// After a loss all instances move streams within tens of milliseconds. Each prompt that is sent to
+/// another domain takes tens of milliseconds of a shared link, and the tokens of all streams that
+/// cross it wait behind them.
+fn expected_link_load(current: f64, is_move: bool) -> f64 {
+    if is_move {
+        current.max((current + MOVE_LINK_LOAD).min(MAX_MOVE_LINK_LOAD))
+    } else {
+        current
+    }
+}
+
 /// Selects the cheapest chain for a new request, or for one that moves to another chain.
 pub fn select_chain<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
@@ -116,13 +134,15 @@
         context.with_rng(|random| graph.scale_costs(|| random.random_range(ENGINE_TIME_FACTORS)));
     }
     let crossing_seconds = profile.crossing_time(demand.prompt_tokens).as_secs_f64();
+    let link_load = tracker.link_utilisation(tracker.fleet_ratio(instance_count, now), now);
     let query = ChainQuery {
         required_first: first_engine,
         reused_engines: current_engines,
+        keeps_crossings: constraints.spread_key.is_some(),
         prompt_tokens: f64::from(demand.prompt_tokens),
         output_tokens: demand.output_tokens,
         prompt_crossing_seconds: crossing_seconds,
-        link_utilisation: tracker.link_utilisation(tracker.fleet_ratio(instance_count, now), now),
+        link_utilisation: expected_link_load(link_load, constraints.spread_key.is_some()),
         token_crossing_seconds: CROSSING_SECONDS_PER_TOKEN,
         max_running_requests: MAX_RUNNING_REQUESTS,
         max_memory_fill: if constraints.current_chain.is_some() {
--- a/crates/dandeliondeal_relay/tests/move_conflicts.rs
+++ b/crates/dandeliondeal_relay/tests/move_conflicts.rs
@@ -102,6 +102,7 @@
         graph.find(&ChainQuery {
             required_first: Some(engine_id(stream.chain[0])),
             reused_engines: kept.copied().map(engine_id).collect(),
+            keeps_crossings: true,
             prompt_tokens: PROMPT_TOKENS,
             output_tokens: OUTPUT_TOKENS,
             prompt_crossing_seconds: 0.01,
