--- a/crates/dandeliondeal_relay/src/load_exchange.rs
+++ b/crates/dandeliondeal_relay/src/load_exchange.rs
@@ -32,6 +32,7 @@
 use crate::loss_exchange::{LossExchange, NOTICE_METHOD, WATCH_METHOD};
 use crate::relay_context::RelayContext;
 use crate::shared_store::{CHANGES_METHOD, FeedTable};
+use crate::silence_exchange::SILENCE_METHOD;
 
 /// Method that reports an instance's load to its hub.
 const REPORT_METHOD: &str = "load-report";
@@ -120,7 +121,7 @@
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         for (endpoint, claim) in &other.rates {
             let mut claim = *claim;
-            claim.age_ms = claim.age_ms.saturating_add(age_ms);
+            claim.add_age(age_ms);
             let total = self.rates.entry(EndpointId::clone(endpoint));
             total.and_modify(|total| total.add(&claim)).or_insert(claim);
         }
@@ -275,7 +276,9 @@
             self.call_hub(&hub, REPORT_METHOD, &report).await
         };
         self.context.crashes().borrow_mut().refresh(sent_at);
-        update_shares(&self.context);
+        if fleet.is_none() {
+            update_shares(&self.context);
+        }
         if let Some(fleet) = fleet {
             let now = self.context.now();
             let crashes = self.context.crashes();
@@ -367,13 +370,14 @@
         CHANGES_METHOD,
         NOTICE_METHOD,
         WATCH_METHOD,
+        SILENCE_METHOD,
     ];
 
     async fn handle(&self, method: &'static str, body: Box<str>) -> Result<String, PeerError> {
         if method == CHANGES_METHOD {
             return self.feeds.answer_member(&self.context, &body).await;
         }
-        if method == NOTICE_METHOD || method == WATCH_METHOD {
+        if matches!(method, NOTICE_METHOD | WATCH_METHOD | SILENCE_METHOD) {
             return self.losses.handle(method, body).await;
         }
         let refuse = |error: serde_json::Error| PeerError::refused(method, error.to_string());
