Read and log the pauses that endpoints ask for

Cause: a rejection with 503 may carry the time for which the endpoint wants nothing from this instance. The adapter had no field for it, so that no log could tell whether a pause was asked for or broken.

Change: ResponseFacts::backoff; a table of pauses by endpoint and process; lines "endpoint asks for a pause" and "request sent within an endpoint's pause"; dandeliondeal_endpoint_backoffs_total, dandeliondeal_backoff_breaches_total and dandeliondeal_backed_off_endpoints. No choice depends on it yet.

--- a/crates/dandeliondeal_limit/src/lib.rs
+++ b/crates/dandeliondeal_limit/src/lib.rs
@@ -3,7 +3,8 @@
 //! This crate makes decisions and performs no I/O. [`AdmissionQueue`] shares the capacity of one
 //! instance among organisations. [`AdmissionGate`] shares the room of a graded service by urgency.
 //! [`GrantOwner`] and [`GrantHolder`] share an organisation's limit among instances.
-//! [`EndpointRates`] shares limits that endpoints state. [`LocalLimit`] applies an instance's share
+//! [`EndpointRates`] shares limits that endpoints state, and [`EndpointBackoffs`] keeps the pauses that
+//! they ask for. [`LocalLimit`] applies an instance's share
 //! of the limit to single requests.
 
 pub mod admission_gate;
@@ -15,6 +16,7 @@
 pub mod demand_report;
 mod demand_trend;
 pub mod drain_rate;
+pub mod endpoint_backoffs;
 pub mod endpoint_rate;
 pub mod endpoint_rates;
 pub mod gate_request;
@@ -48,6 +50,8 @@
 #[doc(inline)]
 pub use demand_report::{DemandReport, RankDemand};
 #[doc(inline)]
+pub use endpoint_backoffs::{BackoffSettings, EndpointBackoffs};
+#[doc(inline)]
 pub use endpoint_rate::{SenderShare, sender_count};
 #[doc(inline)]
 pub use endpoint_rates::{EndpointRates, RateSettings};
--- a/crates/dandeliondeal_relay/src/dialect.rs
+++ b/crates/dandeliondeal_relay/src/dialect.rs
@@ -83,6 +83,9 @@
     /// Number of requests a second that the endpoint takes from all instances together; `None` if it
     /// states none, or a value that is no number or negative.
     pub request_limit: Option<f64>,
+    /// Time for which the endpoint wants no further requests from this instance; `None` if it asks
+    /// for none, or if its value is invalid.
+    pub backoff: Option<Duration>,
     /// Whether the body has a content encoding, so that it differs from what the endpoint signed.
     pub is_encoded: bool,
 }
--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -11,6 +11,7 @@
 use dandeliondeal_layout::{
     ChainGraph, ChainHop, EngineChain, EngineNode, EngineProfile, EngineState,
 };
+use dandeliondeal_limit::EndpointBackoffs;
 use dandeliondeal_route::RouteTable;
 use dandeliondeal_types::{EndpointId, EndpointRecord, InstanceId, ServiceId};
 use rand::Rng;
@@ -44,6 +45,8 @@
     /// Registrations of processes in whose place another one has started since
     /// [`Self::take_superseded`].
     superseded: Vec<EndpointRecord>,
+    /// Pauses that endpoints asked this instance to make.
+    pub(crate) backoffs: EndpointBackoffs,
 }
 
 /// Maximum time for which an engine's own statement overrides its registration, which is about one
@@ -69,6 +72,7 @@
             engine_services: HashSet::new(),
             excluded: HashMap::new(),
             superseded: Vec::new(),
+            backoffs: EndpointBackoffs::default(),
         })
     }
 
@@ -273,6 +277,13 @@
         self.records.get(id)
     }
 
+    /// Returns the start time of an endpoint's process in milliseconds; 0 if it is unknown.
+    pub(crate) fn process_start(&self, id: &str) -> u64 {
+        self.records
+            .get(id)
+            .map_or(0, |record| record.started_at_ms)
+    }
+
     /// Returns whether an endpoint belongs to a service that runs on engines.
     pub fn is_engine(&self, record: &EndpointRecord) -> bool {
         self.engine_services.contains(&record.service)
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod change_feed;
 mod crash_watch;
 pub mod dialect;
+mod endpoint_backoff;
 pub mod endpoint_exchange;
 mod endpoint_limits;
 pub mod engine_absence;
--- a/crates/dandeliondeal_relay/src/plain_attempt.rs
+++ b/crates/dandeliondeal_relay/src/plain_attempt.rs
@@ -12,6 +12,7 @@
 
 use crate::call_guard::CallGuard;
 use crate::dialect::{AttemptFacts, RequestDialect};
+use crate::endpoint_backoff::record_backoff;
 use crate::endpoint_exchange::{
     ConnectionChoice, MAX_RESPONSE_BYTES, build_attempt, exchange, open_connection,
 };
@@ -160,6 +161,7 @@
     let id = &request.facts.request;
     let (head, facts) = exchange(context.dialect(), connection, &outbound, id).await?;
     record_limit(context, &endpoint.id, facts.request_limit);
+    record_backoff(context, id, &endpoint.id, facts.backoff);
     if facts.is_not_run && !head.status.is_success() {
         // The head states all that matters; the body only decides whether the connection is reusable.
         let body = connection.read_body(MAX_RESPONSE_BYTES);
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -13,6 +13,7 @@
 use futures_util::stream::FuturesUnordered;
 
 use crate::dialect::{FleetDialect, RequestDialect};
+use crate::endpoint_backoff::record_send;
 use crate::handover::{build_response, hand_over_plain};
 use crate::link_monitor::{LinkUse, check_handover, needs_handover, wait_for_lost_links};
 use crate::plain_admission::admit_call;
@@ -279,6 +280,7 @@
             .rates()
             .borrow_mut()
             .record_request(&endpoint.id, now);
+        record_send(self.context, &self.request.facts.request, &endpoint.id);
         let links = self.context.links();
         links.record_request(&self.request.service, &endpoint.id);
         self.open_endpoints.push(EndpointId::clone(&endpoint.id));
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -44,6 +44,12 @@
     pub loss_notices: IntCounterVec,
     /// Number of endpoints that state a request limit.
     pub limited_endpoints: IntGauge,
+    /// Number of endpoints whose pause is not over.
+    pub backed_off_endpoints: IntGauge,
+    /// Number of answers that asked for a pause.
+    pub backoffs: IntCounter,
+    /// Number of requests that were sent to an endpoint within its pause; anything but 0 is a fault.
+    pub backoff_breaches: IntCounter,
     /// Number of requests in progress.
     pub open_requests: IntGauge,
     /// Number of log lines dropped under load.
@@ -137,6 +143,18 @@
             "dandeliondeal_limited_endpoints",
             "Endpoints that state a request limit.",
         )?;
+        let backed_off_endpoints = gauge(
+            "dandeliondeal_backed_off_endpoints",
+            "Endpoints that asked for a pause that is not over.",
+        )?;
+        let backoffs = counter(
+            "dandeliondeal_endpoint_backoffs_total",
+            "Answers of endpoints that asked for a pause.",
+        )?;
+        let backoff_breaches = counter(
+            "dandeliondeal_backoff_breaches_total",
+            "Requests sent to an endpoint within the pause that it asked for.",
+        )?;
         let admission = AdmissionMetrics::new(&registry)?;
         let open_requests = gauge("dandeliondeal_open_requests", "Requests that are open.")?;
         Ok(Self {
@@ -155,6 +173,9 @@
             handovers,
             loss_notices,
             limited_endpoints,
+            backed_off_endpoints,
+            backoffs,
+            backoff_breaches,
             open_requests,
             dropped_logs,
             admission,
--- a/crates/dandeliondeal_relay/src/run_source.rs
+++ b/crates/dandeliondeal_relay/src/run_source.rs
@@ -7,10 +7,11 @@
     BodyFraming, ConnectionError, EndpointConnection, OutboundRequest, ResponseHead,
 };
 use dandeliondeal_layout::EngineChain;
-use dandeliondeal_types::{Clock, EndpointId};
+use dandeliondeal_types::{Clock, EndpointId, RequestId};
 
 use crate::call_guard::CallGuard;
 use crate::dialect::{FleetDialect, RequestDialect, ResponseFacts};
+use crate::endpoint_backoff::record_backoff;
 use crate::endpoint_exchange::PendingExchange;
 use crate::endpoint_limits::record_limit;
 use crate::event_splitter::EventSplitter;
@@ -41,6 +42,7 @@
 {
     context: RelayContext<Time, Dialect>,
     pub(crate) connection: EndpointConnection,
+    request: RequestId,
     first_engine: EndpointId,
     /// Call record of the attempt, until the chain delivers its first event.
     attempt: Option<CallGuard<Time, Dialect>>,
@@ -80,6 +82,7 @@
         Ok(Self {
             context: context.clone(),
             connection,
+            request: id.into(),
             first_engine: EndpointId::clone(&chain.hops[0].id),
             attempt: Some(attempt),
             exchange: Some(exchange),
@@ -109,6 +112,12 @@
         let (head, facts) = response.await?;
         self.exchange = None;
         record_limit(&self.context, &self.first_engine, facts.request_limit);
+        record_backoff(
+            &self.context,
+            &self.request,
+            &self.first_engine,
+            facts.backoff,
+        );
         if let Some(load) = facts.load {
             let now = self.context.now();
             let tracker = self.context.tracker();
--- a/crates/dandeliondeal_relay/src/stream_start.rs
+++ b/crates/dandeliondeal_relay/src/stream_start.rs
@@ -6,6 +6,7 @@
 
 use crate::chain_selection::{ChainConstraints, select_chain};
 use crate::dialect::{AttemptFacts, FleetDialect, RequestDialect};
+use crate::endpoint_backoff::record_send;
 use crate::endpoint_exchange::{ConnectionChoice, build_attempt, open_connection};
 use crate::loss_board::record_loss;
 use crate::loss_notice::LossEvidence;
@@ -125,6 +126,11 @@
         let now = self.context.now();
         let rates = self.context.rates();
         rates.borrow_mut().record_request(run.first_engine(), now);
+        record_send(
+            &self.context,
+            &self.request.facts.request,
+            run.first_engine(),
+        );
         let links = self.context.links();
         links.record_request(&self.request.service, run.first_engine());
         self.record_running();
