A request makes no progress once its caller has left

What callers see: nothing; endpoints worked for callers that had left, and others waited behind them (GONE).

Cause: the HTTP library reads a connection as far as it can, decodes its requests, polls their handlers, and only then acts on the end of the connection that it has read with them. A busy instance finds request and end in the socket together. For a new connection the event loop tells of the end only after the first read. A handler with a kept connection to an endpoint sends the request in its first polls.

Change: the stream of a connection notes its end, also one that waits behind the bytes just read, and a handler is not polled after it. All listeners do so: callers, handover, operators.

Ruled out: waiting for one turn of the event loop before each request, which would add a whole run queue of delay just when the instance is busy.

--- a/crates/dandeliondeal_http/src/head_timer.rs
+++ b/crates/dandeliondeal_http/src/head_timer.rs
@@ -17,6 +17,7 @@
 use std::cell::{Cell, RefCell};
 use std::fmt::{self, Debug, Formatter};
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
@@ -25,6 +26,7 @@
 use actix_http::body::{BodySize, MessageBody};
 use actix_rt::time::{Instant, Sleep, sleep, sleep_until};
 use bytes::Bytes;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
@@ -45,6 +47,8 @@
     open: Cell<usize>,
     /// Requests started since the connection was opened.
     started: Cell<u64>,
+    /// Whether the caller has ended or reset the connection.
+    has_ended: Cell<bool>,
     /// Task to wake when no request is open any more.
     waker: RefCell<Option<Waker>>,
 }
@@ -62,6 +66,12 @@
         self.0.open.get()
     }
 
+    /// Returns whether the caller has ended or reset the connection, so that nobody waits for a
+    /// response.
+    pub fn has_ended(&self) -> bool {
+        self.0.has_ended.get()
+    }
+
     fn is_empty(&self) -> bool {
         self.count() == 0
     }
@@ -247,6 +257,14 @@
     }
 }
 
+/// Returns whether the next read of a connection finds its end.
+fn has_peer_left(stream: &TcpStream) -> bool {
+    match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() == io::ErrorKind::ConnectionReset,
+    }
+}
+
 impl AsyncRead for TimedStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -257,9 +275,16 @@
         if this.has_timed_out(context) {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
-        let filled_before = buffer.filled().len();
+        let (filled_before, has_room) = (buffer.filled().len(), buffer.remaining() > 0);
         let result = Pin::new(&mut this.stream).poll_read(context, buffer);
-        if buffer.filled().len() > filled_before {
+        let has_bytes = buffer.filled().len() > filled_before;
+        let is_end = result.is_ready() && has_room && !has_bytes;
+        // The end may be behind the bytes although no event has told of it yet.
+        let is_drained = has_bytes && buffer.remaining() > 0;
+        if is_end || (is_drained && has_peer_left(&this.stream)) {
+            this.open_requests.0.has_ended.set(true);
+        }
+        if has_bytes {
             this.tail.extend(&buffer.filled()[filled_before..]);
             if this.tail.is_empty_line() {
                 this.timer = None;
--- a/crates/dandeliondeal_http/src/http_listener.rs
+++ b/crates/dandeliondeal_http/src/http_listener.rs
@@ -15,6 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+use crate::caller_bound::run_for_caller;
 use crate::head_timer::{GuardedBody, OpenRequests, TimedStream};
 
 /// Limits of an [`HttpListener`].
@@ -138,8 +139,10 @@
         })
         .h1(fn_service(move |request: Request| {
             let open_requests = request.conn_data::<OpenRequests>().cloned();
-            let guard = open_requests.unwrap_or_default().start_request();
+            let open_requests = open_requests.unwrap_or_default();
+            let guard = open_requests.start_request();
             let response = AssertUnwindSafe(handler(request)).catch_unwind();
+            let response = run_for_caller(response, open_requests);
             let is_closing = is_closing.clone();
             async move {
                 let mut response = response.await.map_err(|_panic| {
--- a/crates/dandeliondeal_http/src/lib.rs
+++ b/crates/dandeliondeal_http/src/lib.rs
@@ -5,6 +5,7 @@
 //! client libraries hide: whether any byte was written, how a body ended, and whether bytes were
 //! left over. [`ConnectionPool`] stores idle connections for reuse.
 
+mod caller_bound;
 pub mod connection_error;
 pub mod connection_pool;
 pub mod endpoint_connection;
