Keep the pauses that endpoints ask for

What callers see: endpoints that want nothing from an instance for a while got its requests all the same and rejected them (BUDGET).

Cause: the time was not read, so that only the rejection counted: a plain endpoint was ranked a little lower, an engine was left out for three seconds. The class: a statement of a peer that is decoded in part, and read as less than it says.

Change: an endpoint is left out until the longest pause that its process asked this instance for is over. That holds for first and repeated requests, the last resort of the choice of endpoints, chains (also for an engine on whose behalf the first one speaks), replacement runs, the new engines of moves, and requests that other instances hand over; it is looked at again when a connection is open. Then one request at a time finds out whether the endpoint takes requests. Where no other endpoint can take a request, it is refused at once as backed-off, with the time until the first pause ends or what the caller can wait. Surveys, retests and the check after a rejection leave such engines alone; checks of lost engines and orders do not. Other instances and other processes at the address are not affected.

Ruled out: telling other instances, as only one was asked.

--- a/crates/dandeliondeal_limit/src/endpoint_backoffs.rs
+++ b/crates/dandeliondeal_limit/src/endpoint_backoffs.rs
@@ -143,6 +143,15 @@
         (now < free_at).then(|| free_at.saturating_duration_since(now))
     }
 
+    /// Returns the endpoints to which nothing may be sent now, with the start times of the processes
+    /// that asked for it and the time left.
+    pub fn waiting(&self, now: Instant) -> impl Iterator<Item = (&EndpointId, u64, Duration)> {
+        self.entries.iter().filter_map(move |(endpoint, entry)| {
+            let wait = self.wait(endpoint, entry.started_at_ms, now)?;
+            Some((endpoint, entry.started_at_ms, wait))
+        })
+    }
+
     /// Returns whether no pause is remembered.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/crates/dandeliondeal_relay/src/chain_selection.rs
+++ b/crates/dandeliondeal_relay/src/chain_selection.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 
 use crate::dialect::CallerFacts;
+use crate::endpoint_backoff::backed_off_endpoints;
 use crate::move_order::move_factor;
 use crate::relay_context::RelayContext;
 
@@ -125,6 +126,9 @@
     if first_engine.is_none() {
         excluded.extend(context.rates().borrow().full_endpoints(now));
     }
+    // Engines of the current chain go on with the request.
+    let backed_off = backed_off_endpoints(context).into_iter();
+    excluded.extend(backed_off.filter(|engine| !current_engines.contains(engine)));
     let mut graph = fleet.chain_graph(service, profile, tracker, instance_count, &excluded, now);
     if let Some(key) = constraints.spread_key {
         graph.scale_each(|node| {
--- a/crates/dandeliondeal_relay/src/endpoint_backoff.rs
+++ b/crates/dandeliondeal_relay/src/endpoint_backoff.rs
@@ -1,9 +1,11 @@
 //! Pauses that endpoints ask for in their responses.
 
-use std::time::Duration;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
 
-use dandeliondeal_types::{Clock, EndpointId, RequestId};
+use dandeliondeal_types::{Clock, EndpointId, LayerRange, RequestId, ServiceId};
 
+use crate::fleet_view::FleetView;
 use crate::relay_context::RelayContext;
 
 /// Records the pause that an endpoint asks for in its response to a request, or that it asks for none.
@@ -17,21 +19,23 @@
 {
     let now = context.now();
     let mut fleet = context.fleet().borrow_mut();
-    let Some(pause) = backoff else {
-        fleet.backoffs.record_answer(endpoint, now);
+    if let Some(pause) = backoff {
+        let started_at_ms = fleet.process_start(endpoint);
+        let earlier_pause = fleet
+            .backoffs
+            .record_backoff(endpoint, started_at_ms, pause, now);
+        context.metrics().backoffs.requested.inc();
+        tracing::info!(
+            %request, %endpoint, pause_ms = as_ms(pause), earlier_ms = as_ms(earlier_pause),
+            "endpoint asks for a pause"
+        );
+    } else if fleet.backoffs.is_empty() {
         return;
-    };
-    let started_at_ms = fleet.process_start(endpoint);
-    let earlier_pause = fleet
-        .backoffs
-        .record_backoff(endpoint, started_at_ms, pause, now);
-    context.metrics().backoffs.inc();
-    tracing::info!(
-        %request, %endpoint, pause_ms = as_ms(pause), earlier_ms = as_ms(earlier_pause),
-        "endpoint asks for a pause"
-    );
+    } else {
+        fleet.backoffs.record_answer(endpoint, now);
+    }
     let count = fleet.backoffs.len(now);
-    let gauge = &context.metrics().backed_off_endpoints;
+    let gauge = &context.metrics().backoffs.endpoints;
     gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
 }
 
@@ -50,7 +54,7 @@
     }
     let started_at_ms = fleet.process_start(endpoint);
     if let Some(left) = fleet.backoffs.pause_left(endpoint, started_at_ms, now) {
-        context.metrics().backoff_breaches.inc();
+        context.metrics().backoffs.breaches.inc();
         tracing::warn!(
             %request, %endpoint, left_ms = as_ms(left), "request sent within an endpoint's pause"
         );
@@ -58,6 +62,85 @@
     fleet.backoffs.record_request(endpoint, now);
 }
 
+/// Returns the endpoints to which no request may be sent now because of a pause.
+pub(crate) fn backed_off_endpoints<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+) -> Vec<EndpointId>
+where
+    Time: Clock,
+{
+    let fleet = context.fleet().borrow();
+    let waiting = waiting_processes(&fleet, context.now());
+    waiting
+        .map(|(endpoint, _)| EndpointId::clone(endpoint))
+        .collect()
+}
+
+/// Returns whether no request may be sent to an endpoint now because of a pause.
+pub(crate) fn is_backed_off<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    endpoint: &EndpointId,
+) -> bool
+where
+    Time: Clock,
+{
+    let fleet = context.fleet().borrow();
+    let started_at_ms = fleet.process_start(endpoint);
+    let wait = fleet.backoffs.wait(endpoint, started_at_ms, context.now());
+    wait.is_some()
+}
+
+/// Returns the time until a service's first paused endpoint may be sent a request; `None` if none is
+/// paused, or if the engines that are not paused hold all `layers` of the model.
+pub(crate) fn pause_end<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    service: &ServiceId,
+    layers: Option<u32>,
+) -> Option<Duration>
+where
+    Time: Clock,
+{
+    let fleet = context.fleet().borrow();
+    let paused: HashMap<&EndpointId, Duration> = waiting_processes(&fleet, context.now()).collect();
+    let members = || {
+        fleet
+            .records()
+            .filter(|record| record.service == *service && !record.is_draining)
+    };
+    let first_end = members()
+        .filter_map(|record| paused.get(&record.id))
+        .min()?;
+    let ranges = members()
+        .filter(|record| !paused.contains_key(&record.id))
+        .filter_map(|record| record.layers);
+    let is_covered = layers.is_some_and(|layers| has_all_layers(ranges.collect(), layers));
+    (!is_covered).then_some(*first_end)
+}
+
+/// Returns the running processes to which no request may be sent now, with the time left.
+fn waiting_processes(
+    fleet: &FleetView,
+    now: Instant,
+) -> impl Iterator<Item = (&EndpointId, Duration)> {
+    let waiting = fleet.backoffs.waiting(now);
+    let current = waiting
+        .filter(|(endpoint, started_at_ms, _)| fleet.process_start(endpoint) == *started_at_ms);
+    current.map(|(endpoint, _, wait)| (endpoint, wait))
+}
+
+/// Returns whether ranges together contain each of the first `layers` layers.
+fn has_all_layers(mut ranges: Vec<LayerRange>, layers: u32) -> bool {
+    ranges.sort_unstable_by_key(|range| range.start);
+    let covered = ranges.iter().fold(0, |covered, range| {
+        if range.start <= covered {
+            range.end.max(covered)
+        } else {
+            covered
+        }
+    });
+    covered >= layers
+}
+
 /// Returns a duration in milliseconds, for logs.
 fn as_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/crates/dandeliondeal_relay/src/engine_check.rs
+++ b/crates/dandeliondeal_relay/src/engine_check.rs
@@ -13,6 +13,7 @@
 use dandeliondeal_types::{Clock, EndpointId};
 
 use crate::dialect::{EngineReport, FleetDialect};
+use crate::endpoint_backoff::is_backed_off;
 use crate::engine_calls::REPORT_TIMEOUT;
 use crate::loss_board::{confirm_loss, record_loss};
 use crate::loss_notice::LossEvidence;
@@ -130,6 +131,9 @@
 {
     let due_engines = context.fleet().borrow().engines_due_for_check();
     for engine in due_engines {
+        if is_backed_off(context, &engine) {
+            continue;
+        }
         check_engine(context, &engine, CheckCause::Retest);
     }
 }
--- a/crates/dandeliondeal_relay/src/engine_survey.rs
+++ b/crates/dandeliondeal_relay/src/engine_survey.rs
@@ -11,6 +11,7 @@
 use dandeliondeal_types::{Clock, EndpointId};
 
 use crate::dialect::FleetDialect;
+use crate::endpoint_backoff::backed_off_endpoints;
 use crate::hub_selection::HubSelector;
 use crate::relay_context::RelayContext;
 
@@ -120,12 +121,14 @@
         return Vec::new();
     }
     let admission = context.admission();
+    let paused = backed_off_endpoints(context);
     let fleet = context.fleet().borrow();
     let engines = fleet.records().filter(|record| {
         record.failure_domain == own.failure_domain
             && record.layers.is_some_and(|layers| !layers.is_empty())
             && admission.is_graded(&record.service)
             && fleet.is_usable(&record.id)
+            && !paused.contains(&record.id)
     });
     engines
         .map(|record| EndpointId::clone(&record.id))
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission_metrics;
 mod admission_news;
+pub mod backoff_metrics;
 pub mod call_guard;
 pub mod chain_selection;
 pub mod chain_watch;
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -13,7 +13,7 @@
 use futures_util::stream::FuturesUnordered;
 
 use crate::dialect::{FleetDialect, RequestDialect};
-use crate::endpoint_backoff::record_send;
+use crate::endpoint_backoff::{backed_off_endpoints, is_backed_off, pause_end, record_send};
 use crate::handover::{build_response, hand_over_plain};
 use crate::link_monitor::{LinkUse, check_handover, needs_handover, wait_for_lost_links};
 use crate::plain_admission::admit_call;
@@ -171,7 +171,9 @@
                     next_attempt = Some(context.now());
                 }
                 Some((endpoint, opened)) = connecting.next() => match opened {
-                    Ok(_) if self.is_late() => next_attempt = Some(context.now()),
+                    Ok(_) if self.is_late() || is_backed_off(context, &endpoint.id) => {
+                        next_attempt = Some(context.now());
+                    }
                     Ok(connection) => {
                         let overdue_time = self.record_offer(&endpoint);
                         next_attempt = overdue_time.map(|time| context.now() + time);
@@ -223,11 +225,15 @@
         let mut excluded = self.tried.clone();
         let now = self.context.now();
         excluded.extend(self.context.rates().borrow().full_endpoints(now));
+        excluded.extend(backed_off_endpoints(context));
         let endpoint = (self.failed_connections < MAX_CONNECT_ATTEMPTS)
             .then(|| select_endpoint(self.context, self.request, self.is_repeatable, &excluded))
             .flatten();
         let Some(endpoint) = endpoint else {
-            let is_lost = !self.is_handover_denied && check_handover(context, service).await;
+            // Links are not in doubt while an endpoint is only left out because of its pause.
+            let is_paused = pause_end(context, service, None).is_some();
+            let is_lost =
+                !self.is_handover_denied && !is_paused && check_handover(context, service).await;
             return Err(if is_lost && self.may_hand_over() {
                 RaceEnd::LinksLost
             } else {
--- a/crates/dandeliondeal_relay/src/refusal.rs
+++ b/crates/dandeliondeal_relay/src/refusal.rs
@@ -30,6 +30,8 @@
     Overloaded,
     /// The endpoints state request limits, and no other has room.
     Limited,
+    /// Endpoints asked this instance for a pause, and no other can take the request.
+    BackedOff,
     /// Copies of the request, or prompts with a part that it has, crash endpoints.
     Quarantined,
     /// The endpoint stated that it did not execute the request.
@@ -50,6 +52,7 @@
             | Self::NoEndpoint
             | Self::Overloaded
             | Self::Limited
+            | Self::BackedOff
             | Self::Quarantined
             | Self::Rejected
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -69,7 +72,7 @@
     }
 
     /// All causes.
-    const ALL: [Self; 14] = [
+    const ALL: [Self; 15] = [
         Self::NoConfig,
         Self::NoRoute,
         Self::UnknownKey,
@@ -79,6 +82,7 @@
         Self::NoEndpoint,
         Self::Overloaded,
         Self::Limited,
+        Self::BackedOff,
         Self::Quarantined,
         Self::Rejected,
         Self::LateUnsent,
@@ -103,6 +107,7 @@
             Self::NoEndpoint => "no-endpoint",
             Self::Overloaded => "overloaded",
             Self::Limited => "limited",
+            Self::BackedOff => "backed-off",
             Self::Quarantined => "quarantined",
             Self::Rejected => "rejected",
             Self::LateUnsent => "late-unsent",
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::admission_metrics::AdmissionMetrics;
+use crate::backoff_metrics::BackoffMetrics;
 
 /// Upper bounds of the latency buckets in seconds, around the latency objectives of callers.
 const LATENCY_BUCKETS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 20.0];
@@ -44,18 +45,14 @@
     pub loss_notices: IntCounterVec,
     /// Number of endpoints that state a request limit.
     pub limited_endpoints: IntGauge,
-    /// Number of endpoints whose pause is not over.
-    pub backed_off_endpoints: IntGauge,
-    /// Number of answers that asked for a pause.
-    pub backoffs: IntCounter,
-    /// Number of requests that were sent to an endpoint within its pause; anything but 0 is a fault.
-    pub backoff_breaches: IntCounter,
     /// Number of requests in progress.
     pub open_requests: IntGauge,
     /// Number of log lines dropped under load.
     pub dropped_logs: IntCounter,
     /// Admission to graded services.
     pub admission: AdmissionMetrics,
+    /// Pauses that endpoints ask for.
+    pub backoffs: BackoffMetrics,
 }
 
 impl RelayMetrics {
@@ -143,21 +140,10 @@
             "dandeliondeal_limited_endpoints",
             "Endpoints that state a request limit.",
         )?;
-        let backed_off_endpoints = gauge(
-            "dandeliondeal_backed_off_endpoints",
-            "Endpoints that asked for a pause that is not over.",
-        )?;
-        let backoffs = counter(
-            "dandeliondeal_endpoint_backoffs_total",
-            "Answers of endpoints that asked for a pause.",
-        )?;
-        let backoff_breaches = counter(
-            "dandeliondeal_backoff_breaches_total",
-            "Requests sent to an endpoint within the pause that it asked for.",
-        )?;
-        let admission = AdmissionMetrics::new(&registry)?;
         let open_requests = gauge("dandeliondeal_open_requests", "Requests that are open.")?;
         Ok(Self {
+            admission: AdmissionMetrics::new(&registry)?,
+            backoffs: BackoffMetrics::new(&registry)?,
             registry,
             outcomes,
             latency,
@@ -173,12 +159,8 @@
             handovers,
             loss_notices,
             limited_endpoints,
-            backed_off_endpoints,
-            backoffs,
-            backoff_breaches,
             open_requests,
             dropped_logs,
-            admission,
         })
     }
 
@@ -202,13 +184,21 @@
 }
 
 /// Creates and registers a counter.
-fn register_counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, Error> {
+pub(crate) fn register_counter(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> Result<IntCounter, Error> {
     let counter = IntCounter::new(name, help)?;
     registry.register(Box::new(counter.clone()))?;
     Ok(counter)
 }
 
-fn register_gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, Error> {
+pub(crate) fn register_gauge(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> Result<IntGauge, Error> {
     let gauge = IntGauge::new(name, help)?;
     registry.register(Box::new(gauge.clone()))?;
     Ok(gauge)
--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -365,9 +365,10 @@
         };
         let retry_delay = match (cause, room_delay) {
             (RefusalCause::Quarantined, _) => Some(QUARANTINE_RETRY_DELAY),
-            (RefusalCause::Limited | RefusalCause::Overloaded, Some(room_delay)) => {
-                Some(room_delay.min(max_delay))
-            }
+            (
+                RefusalCause::Limited | RefusalCause::BackedOff | RefusalCause::Overloaded,
+                Some(room_delay),
+            ) => Some(room_delay.min(max_delay)),
             _ => cause
                 .states_not_run()
                 .then(|| self.context.jitter(base_delay).min(max_delay)),
--- a/crates/dandeliondeal_relay/src/request_intake.rs
+++ b/crates/dandeliondeal_relay/src/request_intake.rs
@@ -14,6 +14,7 @@
 use futures_util::StreamExt;
 
 use crate::dialect::{CallerFacts, RequestDialect};
+use crate::endpoint_backoff::pause_end;
 use crate::endpoint_limits::reserve_room;
 use crate::handover_entrance::OpenCount;
 use crate::handover_wire::HandoverFacts;
@@ -102,11 +103,16 @@
     where
         Time: Clock,
     {
+        let layers = self.engine_profile.as_ref().map(|profile| profile.layers);
+        let pause_end = pause_end(context, &self.service, layers);
         self.room_delay = reserve_room(context, &self.service);
-        if self.room_delay.is_some() {
-            RefusalCause::Limited
-        } else {
-            RefusalCause::NoEndpoint
+        match (pause_end, self.room_delay) {
+            (Some(pause_end), room_delay) if room_delay.is_none_or(|room| pause_end < room) => {
+                self.room_delay = Some(pause_end);
+                RefusalCause::BackedOff
+            }
+            (_, Some(_)) => RefusalCause::Limited,
+            (_, None) => RefusalCause::NoEndpoint,
         }
     }
 }
--- a/crates/dandeliondeal_relay/src/stream_rejection.rs
+++ b/crates/dandeliondeal_relay/src/stream_rejection.rs
@@ -5,6 +5,7 @@
 use dandeliondeal_types::{Clock, EndpointId};
 
 use crate::dialect::{FleetDialect, RequestDialect, ResponseFacts};
+use crate::endpoint_backoff::record_backoff;
 use crate::endpoint_exchange::MAX_RESPONSE_BYTES;
 use crate::engine_check::{CheckCause, check_engine, estimated_fill};
 use crate::refusal::RefusalCause;
@@ -81,12 +82,18 @@
             .faulty_engine
             .and_then(|address| hops.iter().find(|hop| hop.address == address));
         let engine = EndpointId::clone(&named.unwrap_or(&hops[0]).id);
+        let is_first = engine == hops[0].id;
+        if facts.backoff.is_some() && !is_first {
+            // The first engine speaks for the one at fault, whose pause is kept as well.
+            let request = &self.request.facts.request;
+            record_backoff(&self.context, request, &engine, facts.backoff);
+        }
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             let mut fleet = self.context.fleet().borrow_mut();
             fleet.exclude_mismatched(&engine, now);
-        } else {
+        } else if facts.backoff.is_none() || !is_first {
             // The engine has failed, is leaving, gives up its layers or lacks memory; its report
-            // shows which.
+            // shows which. An engine that answers for itself and asks for a pause is not asked.
             check_engine(&self.context, &engine, CheckCause::Rejection);
         }
         engine
--- a/crates/dandeliondeal_relay/src/stream_replacement.rs
+++ b/crates/dandeliondeal_relay/src/stream_replacement.rs
@@ -145,6 +145,10 @@
         let Some(pending) = self.pending_connection.take() else {
             return;
         };
+        if opened.is_ok() && self.is_backed_off(&pending.chain) {
+            // The repeat that is still held is used by the next run.
+            return;
+        }
         let engine = EndpointId::clone(&pending.chain.hops[0].id);
         let run = opened.and_then(|connection| self.send_request(connection, pending.chain));
         match run {
--- a/crates/dandeliondeal_relay/src/stream_start.rs
+++ b/crates/dandeliondeal_relay/src/stream_start.rs
@@ -6,7 +6,7 @@
 
 use crate::chain_selection::{ChainConstraints, select_chain};
 use crate::dialect::{AttemptFacts, FleetDialect, RequestDialect};
-use crate::endpoint_backoff::record_send;
+use crate::endpoint_backoff::{is_backed_off, record_send};
 use crate::endpoint_exchange::{ConnectionChoice, build_attempt, open_connection};
 use crate::loss_board::record_loss;
 use crate::loss_notice::LossEvidence;
@@ -47,6 +47,8 @@
             let choice = self.connection_choice();
             let opened = open_connection(&self.context, &hop.id, hop.address, choice, time_left);
             let error = match opened.await {
+                // An engine has asked for a pause meanwhile.
+                Ok(_) if self.is_backed_off(&chain) => continue,
                 Ok(connection) => match self.send_request(connection, chain) {
                     Ok(run) => return Ok(run),
                     Err(error) => error,
@@ -147,6 +149,12 @@
 where
     Time: Clock,
 {
+    /// Returns whether no request may be sent through a chain now because of an engine's pause.
+    pub(crate) fn is_backed_off(&self, chain: &EngineChain) -> bool {
+        let mut hops = chain.hops.iter();
+        hops.any(|hop| is_backed_off(&self.context, &hop.id))
+    }
+
     pub(crate) fn select_chain(&self, current_chain: Option<&EngineChain>) -> Option<EngineChain> {
         let constraints = ChainConstraints {
             current_chain,
