A stream that goes on does not end in a text or an early close

Cause: a response that ends with its connection and has no event with an id counted as the end of a stream that is continued, and events without an id before it were passed on. A failed engine that answers with status 200 and a text, or closes the connection, looked like one that had nothing left to send. Failures with another status were not passed on before either.

Change: without an event with an id, a response that is delimited only by its connection is broken, and one with a length ends a continued stream only if it is empty or an event stream.

--- a/crates/dandeliondeal_relay/src/run_source.rs
+++ b/crates/dandeliondeal_relay/src/run_source.rs
@@ -1,6 +1,6 @@
 //! Reads the response of one run of a stream.
 
-use actix_http::header::HeaderMap;
+use actix_http::header::{CONTENT_TYPE, HeaderMap};
 use bytes::Bytes;
 use dandeliondeal_balance::CallResult;
 use dandeliondeal_http::{
@@ -17,6 +17,9 @@
 use crate::event_splitter::EventSplitter;
 use crate::relay_context::RelayContext;
 
+/// Content type of a stream of events.
+const EVENT_STREAM_TYPE: &str = "text/event-stream";
+
 /// Progress of a response.
 #[derive(Debug)]
 pub(crate) enum SourceStep {
@@ -53,8 +56,8 @@
     splitter: EventSplitter,
     /// Whether the response has ended regularly.
     is_ended: bool,
-    /// Whether the response has at least one event; a run that continues may have none left.
-    must_have_events: bool,
+    /// Whether the run goes on after the events of an earlier one.
+    is_continued: bool,
     /// Whether the response ends with its connection.
     is_unframed: bool,
 }
@@ -89,7 +92,7 @@
             headers: HeaderMap::new(),
             splitter: EventSplitter::starting_after(last_event),
             is_ended: false,
-            must_have_events: last_event.is_none(),
+            is_continued: last_event.is_some(),
             is_unframed: false,
         })
     }
@@ -153,11 +156,8 @@
                 }
                 self.is_ended = true;
                 let rest = self.splitter.take_rest();
+                self.check_end(&rest)?;
                 if rest.is_empty() {
-                    if self.is_unframed && self.must_have_events && !self.has_events() {
-                        let problem = "the connection closed before the first event";
-                        return Err(ConnectionError::after_write(problem));
-                    }
                     return Ok(SourceStep::Complete);
                 }
                 self.record_answer();
@@ -172,6 +172,29 @@
         }
     }
 
+    /// Checks that a response without an event with an id is the end of a stream.
+    ///
+    /// An engine that has failed may close the connection, or send a text, where the rest of a stream
+    /// is due. Only the end of a stream may have no such event, if it is framed as one.
+    fn check_end(&self, rest: &Bytes) -> Result<(), ConnectionError> {
+        let is_whole_answer = !self.is_continued && !rest.is_empty();
+        if self.has_events() || is_whole_answer {
+            return Ok(());
+        }
+        if self.is_unframed {
+            let problem = "the connection closed before the first event";
+            return Err(ConnectionError::after_write(problem));
+        }
+        let content_type = self.headers.get(CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
+        let is_event_stream = content_type.is_some_and(|text| text.starts_with(EVENT_STREAM_TYPE));
+        if !rest.is_empty() && !is_event_stream {
+            let problem = "a text follows the events of an earlier run";
+            return Err(ConnectionError::invalid_answer(&problem));
+        }
+        Ok(())
+    }
+
     /// Records the first event of the run.
     fn record_answer(&mut self) {
         if let Some(guard) = self.attempt.take() {
