Keep the pause of a process whose registration comes later

Cause, found by reading: a restarted endpoint may ask for a pause before its new registration is known here. The pause was held under the former process and dropped when the registration came.

Change: pauses are held by endpoint. A new registration ends a pause only if it was asked for three seconds or more before.

--- a/crates/dandeliondeal_http/src/caller_bound.rs
+++ b/crates/dandeliondeal_http/src/caller_bound.rs
@@ -19,17 +19,17 @@
     Handler: Future,
 {
     let mut handler = pin!(handler);
-    let (mut has_started, mut is_stopped) = (false, false);
+    let mut is_known = false;
     poll_fn(|context| {
         if connection.has_ended() {
-            if !is_stopped {
-                is_stopped = true;
-                tracing::info!(has_started, "request stopped: its caller has left");
+            if !is_known {
+                tracing::info!("request not served: its caller left before it was read");
             }
+            is_known = true;
             // The library drops the handler in its next turn.
             return Poll::Pending;
         }
-        has_started = true;
+        is_known = true;
         handler.as_mut().poll(context)
     })
     .await
--- a/crates/dandeliondeal_limit/src/endpoint_backoffs.rs
+++ b/crates/dandeliondeal_limit/src/endpoint_backoffs.rs
@@ -16,6 +16,9 @@
     /// Time for which the first request after a pause is alone; another one follows if it has no
     /// answer by then.
     pub probe_time: Duration,
+    /// Time by which the registration of a process may follow its start: a pause that was asked for
+    /// within this time may be that of the new process.
+    pub registration_lag: Duration,
     /// Time after a pause for which its end is remembered.
     pub memory_time: Duration,
     /// Maximum number of endpoints.
@@ -27,17 +30,17 @@
         Self {
             max_pause: Duration::from_hours(1),
             probe_time: Duration::from_millis(500),
+            registration_lag: Duration::from_secs(3),
             memory_time: Duration::from_mins(10),
             max_endpoints: 4_096,
         }
     }
 }
 
-/// Pause that one process of an endpoint asked for.
+/// Pause that an endpoint asked for.
 #[derive(Clone, Copy, Debug)]
 struct EndpointBackoff {
-    /// Start time of the process in milliseconds, as it registered.
-    started_at_ms: u64,
+    asked_at: Instant,
     until: Instant,
     /// Time of the last request after the pause.
     probed_at: Option<Instant>,
@@ -54,11 +57,9 @@
 ///
 /// let (endpoint, now) = ("desk-1".into(), Instant::now());
 /// let mut backoffs = EndpointBackoffs::default();
-/// backoffs.record_backoff(&endpoint, 1_000, Duration::from_secs(2), now);
+/// backoffs.record_backoff(&endpoint, Duration::from_secs(2), now);
 /// let later = now + Duration::from_millis(500);
-/// assert_eq!(backoffs.wait(&endpoint, 1_000, later), Some(Duration::from_millis(1_500)));
-/// // Another process at the endpoint has asked for nothing.
-/// assert_eq!(backoffs.wait(&endpoint, 2_000, later), None);
+/// assert_eq!(backoffs.wait(&endpoint, later), Some(Duration::from_millis(1_500)));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct EndpointBackoffs {
@@ -75,27 +76,34 @@
         }
     }
 
-    /// Records that a process asked for a pause; an earlier one that ends later still holds.
+    /// Records that an endpoint asked for a pause; an earlier one that ends later still holds.
     ///
     /// Returns the time that was left of an earlier pause; zero if there is none.
     pub fn record_backoff(
         &mut self,
         endpoint: &EndpointId,
-        started_at_ms: u64,
         pause: Duration,
         now: Instant,
     ) -> Duration {
-        let earlier = self.entry(endpoint, started_at_ms);
-        let earlier_end = earlier.map_or(now, |entry| entry.until.max(now));
-        let until = earlier_end.max(now + pause.min(self.settings.max_pause));
+        let earlier_left = self.pause_left(endpoint, now).unwrap_or_default();
+        let pause = pause.min(self.settings.max_pause).max(earlier_left);
         self.make_room(endpoint, now);
         let entry = EndpointBackoff {
-            started_at_ms,
-            until,
+            asked_at: now,
+            until: now + pause,
             probed_at: None,
         };
         self.entries.insert(EndpointId::clone(endpoint), entry);
-        earlier_end.saturating_duration_since(now)
+        earlier_left
+    }
+
+    /// Records that another process of an endpoint is registered, which keeps no pause of the former.
+    pub fn record_restart(&mut self, endpoint: &EndpointId, now: Instant) {
+        let lag = self.settings.registration_lag;
+        let entry = self.entries.get(endpoint);
+        if entry.is_some_and(|entry| entry.asked_at + lag <= now) {
+            self.entries.remove(endpoint);
+        }
     }
 
     /// Records a request to an endpoint.
@@ -119,37 +127,23 @@
         }
     }
 
-    /// Returns the rest of the pause that a process asked for; `None` if there is none.
-    pub fn pause_left(
-        &self,
-        endpoint: &EndpointId,
-        started_at_ms: u64,
-        now: Instant,
-    ) -> Option<Duration> {
-        let entry = self.entry(endpoint, started_at_ms)?;
-        (now < entry.until).then(|| entry.until.saturating_duration_since(now))
+    /// Returns the rest of the pause that an endpoint asked for; `None` if there is none.
+    pub fn pause_left(&self, endpoint: &EndpointId, now: Instant) -> Option<Duration> {
+        let entry = self.entries.get(endpoint)?;
+        time_left(entry.until, now)
     }
 
-    /// Returns the time until a process may be sent a request; `None` if it may be now.
-    pub fn wait(
-        &self,
-        endpoint: &EndpointId,
-        started_at_ms: u64,
-        now: Instant,
-    ) -> Option<Duration> {
-        let entry = self.entry(endpoint, started_at_ms)?;
+    /// Returns the time until an endpoint may be sent a request; `None` if it may be now.
+    pub fn wait(&self, endpoint: &EndpointId, now: Instant) -> Option<Duration> {
+        let entry = self.entries.get(endpoint)?;
         let probe_end = entry.probed_at.map(|at| at + self.settings.probe_time);
-        let free_at = probe_end.unwrap_or(entry.until);
-        (now < free_at).then(|| free_at.saturating_duration_since(now))
+        time_left(probe_end.unwrap_or(entry.until), now)
     }
 
-    /// Returns the endpoints to which nothing may be sent now, with the start times of the processes
-    /// that asked for it and the time left.
-    pub fn waiting(&self, now: Instant) -> impl Iterator<Item = (&EndpointId, u64, Duration)> {
-        self.entries.iter().filter_map(move |(endpoint, entry)| {
-            let wait = self.wait(endpoint, entry.started_at_ms, now)?;
-            Some((endpoint, entry.started_at_ms, wait))
-        })
+    /// Returns the endpoints to which nothing may be sent now, with the time left.
+    pub fn waiting(&self, now: Instant) -> impl Iterator<Item = (&EndpointId, Duration)> {
+        let endpoints = self.entries.keys();
+        endpoints.filter_map(move |endpoint| Some((endpoint, self.wait(endpoint, now)?)))
     }
 
     /// Returns whether no pause is remembered.
@@ -163,11 +157,6 @@
         entries.filter(|entry| now < entry.until).count()
     }
 
-    fn entry(&self, endpoint: &EndpointId, started_at_ms: u64) -> Option<&EndpointBackoff> {
-        let entry = self.entries.get(endpoint)?;
-        (entry.started_at_ms == started_at_ms).then_some(entry)
-    }
-
     /// Removes pauses that ended long ago, and the one that ends first if the table is full.
     fn make_room(&mut self, endpoint: &EndpointId, now: Instant) {
         let memory_time = self.settings.memory_time;
@@ -182,3 +171,9 @@
         }
     }
 }
+
+/// Returns the time until `end`; `None` if it has passed.
+fn time_left(end: Instant, now: Instant) -> Option<Duration> {
+    let left = end.saturating_duration_since(now);
+    (!left.is_zero()).then_some(left)
+}
--- a/crates/dandeliondeal_relay/src/endpoint_backoff.rs
+++ b/crates/dandeliondeal_relay/src/endpoint_backoff.rs
@@ -1,11 +1,10 @@
 //! Pauses that endpoints ask for in their responses.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dandeliondeal_types::{Clock, EndpointId, LayerRange, RequestId, ServiceId};
 
-use crate::fleet_view::FleetView;
 use crate::relay_context::RelayContext;
 
 /// Records the pause that an endpoint asks for in its response to a request, or that it asks for none.
@@ -20,10 +19,7 @@
     let now = context.now();
     let mut fleet = context.fleet().borrow_mut();
     if let Some(pause) = backoff {
-        let started_at_ms = fleet.process_start(endpoint);
-        let earlier_pause = fleet
-            .backoffs
-            .record_backoff(endpoint, started_at_ms, pause, now);
+        let earlier_pause = fleet.backoffs.record_backoff(endpoint, pause, now);
         context.metrics().backoffs.requested.inc();
         tracing::info!(
             %request, %endpoint, pause_ms = as_ms(pause), earlier_ms = as_ms(earlier_pause),
@@ -52,8 +48,7 @@
     if fleet.backoffs.is_empty() {
         return;
     }
-    let started_at_ms = fleet.process_start(endpoint);
-    if let Some(left) = fleet.backoffs.pause_left(endpoint, started_at_ms, now) {
+    if let Some(left) = fleet.backoffs.pause_left(endpoint, now) {
         context.metrics().backoffs.breaches.inc();
         tracing::warn!(
             %request, %endpoint, left_ms = as_ms(left), "request sent within an endpoint's pause"
@@ -70,7 +65,7 @@
     Time: Clock,
 {
     let fleet = context.fleet().borrow();
-    let waiting = waiting_processes(&fleet, context.now());
+    let waiting = fleet.backoffs.waiting(context.now());
     waiting
         .map(|(endpoint, _)| EndpointId::clone(endpoint))
         .collect()
@@ -85,9 +80,7 @@
     Time: Clock,
 {
     let fleet = context.fleet().borrow();
-    let started_at_ms = fleet.process_start(endpoint);
-    let wait = fleet.backoffs.wait(endpoint, started_at_ms, context.now());
-    wait.is_some()
+    fleet.backoffs.wait(endpoint, context.now()).is_some()
 }
 
 /// Returns the time until a service's first paused endpoint may be sent a request; `None` if none is
@@ -101,7 +94,7 @@
     Time: Clock,
 {
     let fleet = context.fleet().borrow();
-    let paused: HashMap<&EndpointId, Duration> = waiting_processes(&fleet, context.now()).collect();
+    let paused: HashMap<&EndpointId, Duration> = fleet.backoffs.waiting(context.now()).collect();
     let members = || {
         fleet
             .records()
@@ -117,17 +110,6 @@
     (!is_covered).then_some(*first_end)
 }
 
-/// Returns the running processes to which no request may be sent now, with the time left.
-fn waiting_processes(
-    fleet: &FleetView,
-    now: Instant,
-) -> impl Iterator<Item = (&EndpointId, Duration)> {
-    let waiting = fleet.backoffs.waiting(now);
-    let current = waiting
-        .filter(|(endpoint, started_at_ms, _)| fleet.process_start(endpoint) == *started_at_ms);
-    current.map(|(endpoint, _, wait)| (endpoint, wait))
-}
-
 /// Returns whether ranges together contain each of the first `layers` layers.
 fn has_all_layers(mut ranges: Vec<LayerRange>, layers: u32) -> bool {
     ranges.sort_unstable_by_key(|range| range.start);
--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -102,7 +102,7 @@
             .map(|record| EndpointId::clone(&record.id))
             .collect();
         for record in records {
-            changes.extend(self.insert(record));
+            changes.extend(self.insert(record, now));
         }
         let missing: Vec<EndpointId> = self
             .records
@@ -119,7 +119,7 @@
 
     /// Applies one registration.
     pub fn update(&mut self, record: EndpointRecord, now: Instant) -> Option<FleetChange> {
-        let change = self.insert(record);
+        let change = self.insert(record, now);
         self.rebuild(now);
         change
     }
@@ -140,7 +140,7 @@
         change
     }
 
-    fn insert(&mut self, record: EndpointRecord) -> Option<FleetChange> {
+    fn insert(&mut self, record: EndpointRecord, now: Instant) -> Option<FleetChange> {
         let id = EndpointId::clone(&record.id);
         let previous = self.records.get(&id);
         if previous.is_some_and(|previous| record.is_older_than(previous)) {
@@ -157,6 +157,7 @@
             previous.is_some_and(|previous| previous.started_at_ms != record.started_at_ms);
         if is_new_start {
             self.slowness.remove(&id);
+            self.backoffs.record_restart(&id, now);
             self.superseded.extend(previous.cloned());
         }
         self.excluded.remove(&id);
@@ -277,13 +278,6 @@
         self.records.get(id)
     }
 
-    /// Returns the start time of an endpoint's process in milliseconds; 0 if it is unknown.
-    pub(crate) fn process_start(&self, id: &str) -> u64 {
-        self.records
-            .get(id)
-            .map_or(0, |record| record.started_at_ms)
-    }
-
     /// Returns whether an endpoint belongs to a service that runs on engines.
     pub fn is_engine(&self, record: &EndpointRecord) -> bool {
         self.engine_services.contains(&record.service)
