A check asks an engine anew

Cause: a check took a report of up to 0.3 s before for its own, for example one of the hub's survey.

Change: ReportCache::fetch_new counts only calls that were made since. The survey and the watch of silent chains still share reports of 0.3 s. A late answer to an earlier call does not replace a later one.

Measured: loss_notices cached_report fails without the change of engine_check.rs and passes with it.

--- a/crates/dandeliondeal_relay/src/engine_calls.rs
+++ b/crates/dandeliondeal_relay/src/engine_calls.rs
@@ -36,8 +36,14 @@
 
 /// State of an engine's most recent report call.
 #[derive(Clone, Debug)]
-enum ReportEntry {
-    Pending(Instant),
+struct ReportEntry {
+    asked_at: Instant,
+    state: ReportState,
+}
+
+#[derive(Clone, Debug)]
+enum ReportState {
+    Pending,
     Received(Instant, Rc<EngineReport>),
     Failed(Instant),
 }
@@ -57,6 +63,38 @@
         engine: &EndpointId,
         address: SocketAddr,
     ) -> Option<Rc<EngineReport>>
+    where
+        Time: Clock,
+        Dialect: FleetDialect,
+    {
+        self.fetch_since(context, engine, address, None).await
+    }
+
+    /// Returns a report that the engine is asked for now; `None` if it does not answer.
+    ///
+    /// An earlier report does not show whether the engine still answers.
+    pub async fn fetch_new<Time, Dialect>(
+        &self,
+        context: &RelayContext<Time, Dialect>,
+        engine: &EndpointId,
+        address: SocketAddr,
+    ) -> Option<Rc<EngineReport>>
+    where
+        Time: Clock,
+        Dialect: FleetDialect,
+    {
+        let now = context.now();
+        self.fetch_since(context, engine, address, Some(now)).await
+    }
+
+    /// Returns a report that is at most `REPORT_CACHE_TIME` old and was not asked for before `since`.
+    async fn fetch_since<Time, Dialect>(
+        &self,
+        context: &RelayContext<Time, Dialect>,
+        engine: &EndpointId,
+        address: SocketAddr,
+        since: Option<Instant>,
+    ) -> Option<Rc<EngineReport>>
     where
         Time: Clock,
         Dialect: FleetDialect,
@@ -64,42 +102,48 @@
         loop {
             let now = context.now();
             let entry = self.entries.borrow().get(engine).cloned();
-            match entry {
-                Some(ReportEntry::Received(at, report)) if now - at < REPORT_CACHE_TIME => {
+            let entry = entry.filter(|entry| since.is_none_or(|since| entry.asked_at >= since));
+            match entry.map(|entry| (entry.asked_at, entry.state)) {
+                Some((_, ReportState::Received(at, report))) if now - at < REPORT_CACHE_TIME => {
                     return Some(report);
                 }
-                Some(ReportEntry::Failed(at)) if now - at < REPORT_CACHE_TIME => return None,
-                Some(ReportEntry::Pending(at)) if now - at < REPORT_TIMEOUT * 2 => {
+                Some((_, ReportState::Failed(at))) if now - at < REPORT_CACHE_TIME => return None,
+                Some((asked_at, ReportState::Pending)) if now - asked_at < REPORT_TIMEOUT * 2 => {
                     actix_rt::time::sleep(REPORT_POLL_INTERVAL).await;
                 }
                 _ => break,
             }
         }
-        let sent_at = context.now();
-        self.insert(engine, ReportEntry::Pending(sent_at));
+        let asked_at = context.now();
+        let insert = |state| self.insert(engine, ReportEntry { asked_at, state });
+        insert(ReportState::Pending);
         let report = request_report(context, engine, address).await;
         let now = context.now();
         match report {
             Ok(report) => {
                 let report = Rc::new(report);
-                self.insert(engine, ReportEntry::Received(now, Rc::clone(&report)));
+                insert(ReportState::Received(now, Rc::clone(&report)));
                 let mut fleet = context.fleet().borrow_mut();
                 fleet.set_slowness(engine, report.slowness, now);
                 drop(fleet);
-                context.silences().record_alive(engine, sent_at);
+                context.silences().record_alive(engine, asked_at);
                 Some(report)
             }
             Err(error) => {
                 tracing::info!(%engine, %error, "engine report failed");
-                self.insert(engine, ReportEntry::Failed(now));
+                insert(ReportState::Failed(now));
                 None
             }
         }
     }
 
+    /// Records the state of a call, unless a later call has been made.
     fn insert(&self, engine: &EndpointId, entry: ReportEntry) {
         let mut entries = self.entries.borrow_mut();
-        entries.insert(EndpointId::clone(engine), entry);
+        let latest = entries.get(engine).map(|latest| latest.asked_at);
+        if latest.is_none_or(|latest| latest <= entry.asked_at) {
+            entries.insert(EndpointId::clone(engine), entry);
+        }
     }
 
     /// Removes an engine that is gone.
--- a/crates/dandeliondeal_relay/src/engine_check.rs
+++ b/crates/dandeliondeal_relay/src/engine_check.rs
@@ -157,7 +157,8 @@
         return;
     }
     let started = context.now();
-    let report = context.report_cache().fetch(context, engine, address).await;
+    let reports = context.report_cache();
+    let report = reports.fetch_new(context, engine, address).await;
     let now = context.now();
     let Some(report) = report else {
         context.fleet().borrow_mut().mark_failed(engine, now);
