Keep pauses from responses of attempts that were given up

An endpoint that had asked an instance for a pause got all requests that came at once from it within the pause.

Cause: a pause was recorded only from the response that ended an attempt.

Ruled out: a slow process.

Change: EndpointExchange owns the connection until the headers are read. It records a pause from each response that it decodes, and reads what has arrived when it is dropped.

Not covered: a rejection that is still on its way when the connection closes.

--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -1,7 +1,8 @@
 //! A connection to an endpoint that carries one request at a time.
 
-use std::io;
+use std::io::{self, Read};
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::time::{Duration, Instant};
 
 use actix_http::body::BodySize;
@@ -25,6 +26,8 @@
 const MAX_INTERIM_HEADS: usize = 8;
 /// Maximum size in bytes of chunk sizes, chunk extensions and trailers beyond the usual size.
 const MAX_EXTRA_FRAMING_BYTES: usize = 16 * 1024;
+/// Maximum number of bytes that are read from a connection that is about to be closed; it fits a head.
+const ARRIVED_BYTES: usize = 4 * 1024;
 /// Usual maximum size in bytes of the framing of one chunk.
 const USUAL_FRAMING_BYTES: usize = 256;
 
@@ -403,6 +406,23 @@
         })
     }
 
+    /// Reads the bytes that have arrived, without waiting for more, and drops what is not written yet;
+    /// returns whether there is something to decode.
+    ///
+    /// Meant for a connection that is about to be closed. The socket is read even if the runtime has
+    /// not noticed yet that it is readable.
+    pub fn read_arrived(&mut self) -> bool {
+        self.unwritten.clear();
+        if let Ok(socket) = self.stream.as_fd().try_clone_to_owned() {
+            let mut socket = std::net::TcpStream::from(socket);
+            let mut bytes = [0; ARRIVED_BYTES];
+            // An error means that nothing has arrived or that the connection broke.
+            let count = socket.read(&mut bytes).unwrap_or(0);
+            self.buffer.extend_from_slice(&bytes[..count]);
+        }
+        !self.buffer.is_empty()
+    }
+
     /// Keeps the connection from being used for another request.
     pub fn forbid_reuse(&mut self) {
         self.is_keep_alive = false;
--- a/crates/dandeliondeal_relay/src/endpoint_exchange.rs
+++ b/crates/dandeliondeal_relay/src/endpoint_exchange.rs
@@ -7,8 +7,10 @@
     BodyFraming, ConnectionError, EndpointConnection, OutboundRequest, ResponseHead,
 };
 use dandeliondeal_types::{Clock, EndpointId, RequestId};
+use futures_util::FutureExt;
 
 use crate::dialect::{AttemptFacts, RequestDialect, ResponseFacts};
+use crate::endpoint_backoff::record_backoff;
 use crate::relay_context::RelayContext;
 use crate::request_intake::RelayRequest;
 
@@ -71,68 +73,68 @@
     }
 }
 
-/// Sends a request and reads the headers of the response that belongs to it.
-///
-/// # Errors
+/// Request on a connection that waits for the headers of its response.
 ///
-/// Returns [`ConnectionError`] if the connection broke or no response to this request was received.
-pub async fn exchange<Dialect>(
-    dialect: &Dialect,
-    connection: &mut EndpointConnection,
-    request: &OutboundRequest,
-    id: &str,
-) -> Result<(ResponseHead, ResponseFacts), ConnectionError>
+/// Pauses that the endpoint asks for are recorded from every response that arrives, also from late
+/// ones to other requests, and from one that has arrived when the exchange is dropped.
+#[derive(Debug)]
+pub struct EndpointExchange<Time, Dialect>
 where
+    Time: Clock,
     Dialect: RequestDialect,
 {
-    let mut exchange = PendingExchange::start(connection, request, id)?;
-    exchange.read_response(dialect, connection).await
-}
-
-/// Request on a connection that waits for the headers of its response.
-#[derive(Debug)]
-pub struct PendingExchange {
+    context: RelayContext<Time, Dialect>,
+    endpoint: EndpointId,
     request: RequestId,
+    /// The connection, until the headers of the response were read.
+    connection: Option<EndpointConnection>,
     late_responses: usize,
     /// Bytes of a late response's body that were skipped; `None` if no body is being skipped.
     skipped_bytes: Option<usize>,
 }
 
-impl PendingExchange {
-    /// Queues a request on a connection; [`Self::read_response`] writes it.
+impl<Time, Dialect> EndpointExchange<Time, Dialect>
+where
+    Time: Clock,
+    Dialect: RequestDialect,
+{
+    /// Queues a request on a connection to `endpoint`; [`Self::read_response`] writes it.
     ///
     /// # Errors
     ///
     /// Returns [`ConnectionError`] if the request cannot be encoded; nothing was sent.
     pub fn start(
-        connection: &mut EndpointConnection,
-        request: &OutboundRequest,
-        id: &str,
+        context: &RelayContext<Time, Dialect>,
+        endpoint: &EndpointId,
+        mut connection: EndpointConnection,
+        outbound: &OutboundRequest,
+        request: &RequestId,
     ) -> Result<Self, ConnectionError> {
-        connection.queue_request(request)?;
+        connection.queue_request(outbound)?;
         Ok(Self {
-            request: id.into(),
+            context: context.clone(),
+            endpoint: EndpointId::clone(endpoint),
+            request: RequestId::clone(request),
+            connection: Some(connection),
             late_responses: 0,
             skipped_bytes: None,
         })
     }
 
-    /// Reads the headers of the response that belongs to the request. Cancel safe: a later call
-    /// continues.
+    /// Reads the headers of the response that belongs to the request, and returns them with the
+    /// connection, on which the body comes next. Cancel safe: a later call continues.
     ///
     /// # Errors
     ///
     /// Returns [`ConnectionError`] if the connection broke or no response to the request was
     /// received.
-    pub async fn read_response<Dialect>(
+    pub async fn read_response(
         &mut self,
-        dialect: &Dialect,
-        connection: &mut EndpointConnection,
-    ) -> Result<(ResponseHead, ResponseFacts), ConnectionError>
-    where
-        Dialect: RequestDialect,
-    {
+    ) -> Result<(ResponseHead, ResponseFacts, EndpointConnection), ConnectionError> {
         loop {
+            let Some(connection) = &mut self.connection else {
+                return Err(ConnectionError::after_write("the response was read before"));
+            };
             while let Some(skipped_bytes) = &mut self.skipped_bytes {
                 let Some(chunk) = connection.read_chunk().await? else {
                     connection.expect_next_response();
@@ -145,15 +147,25 @@
                 }
             }
             let head = connection.read_head().await?;
-            let facts = dialect.read_response(head.status, &head.headers);
+            let facts = self
+                .context
+                .dialect()
+                .read_response(head.status, &head.headers);
             let response_to = facts.request.as_ref();
             let is_late = response_to.is_some_and(|response_to| *response_to != self.request);
+            // A late response does not show that the endpoint takes requests again.
+            if !is_late || facts.backoff.is_some() {
+                record_backoff(&self.context, &self.request, &self.endpoint, facts.backoff);
+            }
             if !is_late {
                 if response_to.is_none() {
                     // A second copy of this response could not be told from the next one.
                     connection.forbid_reuse();
                 }
-                return Ok((head, facts));
+                let connection = self.connection.take();
+                let connection = connection
+                    .ok_or_else(|| ConnectionError::after_write("the response was read before"))?;
+                return Ok((head, facts, connection));
             }
             self.late_responses += 1;
             let is_last = self.late_responses > MAX_LATE_RESPONSES;
@@ -166,3 +178,27 @@
         }
     }
 }
+
+impl<Time, Dialect> Drop for EndpointExchange<Time, Dialect>
+where
+    Time: Clock,
+    Dialect: RequestDialect,
+{
+    fn drop(&mut self) {
+        let Some(connection) = &mut self.connection else {
+            return;
+        };
+        if !connection.read_arrived() {
+            return;
+        }
+        let response = self.read_response().now_or_never();
+        if let Some(Ok((head, facts, _))) = response
+            && facts.backoff.is_some()
+        {
+            tracing::info!(
+                request = %self.request, endpoint = %self.endpoint, status = head.status.as_u16(),
+                "pause was read after its attempt had been given up"
+            );
+        }
+    }
+}
--- a/crates/dandeliondeal_relay/src/plain_attempt.rs
+++ b/crates/dandeliondeal_relay/src/plain_attempt.rs
@@ -12,9 +12,8 @@
 
 use crate::call_guard::CallGuard;
 use crate::dialect::{AttemptFacts, RequestDialect};
-use crate::endpoint_backoff::record_backoff;
 use crate::endpoint_exchange::{
-    ConnectionChoice, MAX_RESPONSE_BYTES, build_attempt, exchange, open_connection,
+    ConnectionChoice, EndpointExchange, MAX_RESPONSE_BYTES, build_attempt, open_connection,
 };
 use crate::endpoint_limits::record_limit;
 use crate::relay_context::RelayContext;
@@ -92,7 +91,7 @@
     context: &RelayContext<Time, Dialect>,
     request: &RelayRequest,
     endpoint: EndpointRecord,
-    mut connection: EndpointConnection,
+    connection: EndpointConnection,
     overdue_time: Option<Duration>,
 ) -> (EndpointRecord, AttemptResult)
 where
@@ -103,7 +102,7 @@
     let mut guard = CallGuard::start(context, vec![EndpointId::clone(&endpoint.id)]);
     let limit = request.time_left(context.now());
     let response = {
-        let attempt = send_attempt(context, request, &endpoint, &mut connection);
+        let attempt = send_attempt(context, request, &endpoint, connection);
         let mut response = pin!(timeout(limit, attempt));
         tokio::select! {
             biased;
@@ -114,10 +113,10 @@
             }
         }
     };
-    let result = match response {
-        Ok(Ok(result)) => result,
-        Ok(Err(error)) => AttemptResult::Lost(Some(error)),
-        Err(_elapsed) => AttemptResult::Lost(None),
+    let (result, connection) = match response {
+        Ok(Ok((result, connection))) => (result, Some(connection)),
+        Ok(Err(error)) => (AttemptResult::Lost(Some(error)), None),
+        Err(_elapsed) => (AttemptResult::Lost(None), None),
     };
     guard.end(match &result {
         AttemptResult::Complete(..) => CallResult::Answered,
@@ -131,7 +130,7 @@
         let has_begun = true;
         request.record_end(context, &endpoint.id, has_begun).await;
     }
-    if !matches!(result, AttemptResult::Lost(_)) {
+    if let Some(connection) = connection {
         context.pool().borrow_mut().put(&endpoint.id, connection);
     }
     (endpoint, result)
@@ -141,8 +140,8 @@
     context: &RelayContext<Time, Dialect>,
     request: &RelayRequest,
     endpoint: &EndpointRecord,
-    connection: &mut EndpointConnection,
-) -> Result<AttemptResult, ConnectionError>
+    connection: EndpointConnection,
+) -> Result<(AttemptResult, EndpointConnection), ConnectionError>
 where
     Time: Clock,
     Dialect: RequestDialect,
@@ -159,16 +158,16 @@
     };
     let outbound = build_attempt(context, request, &facts);
     let id = &request.facts.request;
-    let (head, facts) = exchange(context.dialect(), connection, &outbound, id).await?;
+    let mut exchange = EndpointExchange::start(context, &endpoint.id, connection, &outbound, id)?;
+    let (head, facts, mut connection) = exchange.read_response().await?;
     record_limit(context, &endpoint.id, facts.request_limit);
-    record_backoff(context, id, &endpoint.id, facts.backoff);
     if facts.is_not_run && !head.status.is_success() {
         // The head states all that matters; the body only decides whether the connection is reusable.
         let body = connection.read_body(MAX_RESPONSE_BYTES);
         if timeout(REJECTION_BODY_TIMEOUT, body).await.is_err() {
             tracing::debug!(request = %id, "body of a rejection did not arrive");
         }
-        return Ok(AttemptResult::NotRun);
+        return Ok((AttemptResult::NotRun, connection));
     }
     let body = connection.read_body(MAX_RESPONSE_BYTES).await?;
     let is_verified = facts.is_signed && !facts.is_encoded && facts.request.is_some();
@@ -177,7 +176,7 @@
             "response lacks the endpoint's signature",
         ));
     }
-    Ok(AttemptResult::Complete(head, body))
+    Ok((AttemptResult::Complete(head, body), connection))
 }
 
 fn record_call<Time, Dialect>(
--- a/crates/dandeliondeal_relay/src/run_source.rs
+++ b/crates/dandeliondeal_relay/src/run_source.rs
@@ -11,8 +11,7 @@
 
 use crate::call_guard::CallGuard;
 use crate::dialect::{FleetDialect, RequestDialect, ResponseFacts};
-use crate::endpoint_backoff::record_backoff;
-use crate::endpoint_exchange::PendingExchange;
+use crate::endpoint_exchange::EndpointExchange;
 use crate::endpoint_limits::record_limit;
 use crate::event_splitter::EventSplitter;
 use crate::relay_context::RelayContext;
@@ -37,20 +36,31 @@
     Broken(ConnectionError),
 }
 
-/// Connection to the first engine of a run, with the state of the response on it.
+/// Connection to the first engine of a run.
+#[derive(Debug)]
+enum SourceConnection<Time, Dialect>
+where
+    Time: Clock,
+    Dialect: RequestDialect,
+{
+    /// The headers of the response come next.
+    Head(EndpointExchange<Time, Dialect>),
+    /// The headers were received.
+    Body(EndpointConnection),
+}
+
+/// Response of a run, as far as it was received.
 #[derive(Debug)]
 pub(crate) struct RunSource<Time, Dialect>
 where
     Time: Clock,
+    Dialect: RequestDialect,
 {
     context: RelayContext<Time, Dialect>,
-    pub(crate) connection: EndpointConnection,
-    request: RequestId,
+    connection: SourceConnection<Time, Dialect>,
     first_engine: EndpointId,
     /// Call record of the attempt, until the chain delivers its first event.
     attempt: Option<CallGuard<Time, Dialect>>,
-    /// Wait for the headers of the response; `None` once they were received.
-    exchange: Option<PendingExchange>,
     /// Headers for the caller.
     headers: HeaderMap,
     splitter: EventSplitter,
@@ -74,21 +84,20 @@
     /// Returns [`ConnectionError`] if the request cannot be encoded; nothing was sent.
     pub(crate) fn start(
         context: &RelayContext<Time, Dialect>,
-        mut connection: EndpointConnection,
+        connection: EndpointConnection,
         chain: &EngineChain,
-        request: (&OutboundRequest, &str),
+        request: (&OutboundRequest, &RequestId),
         last_event: Option<u64>,
     ) -> Result<Self, ConnectionError> {
         let (outbound, id) = request;
-        let exchange = PendingExchange::start(&mut connection, outbound, id)?;
+        let engine = &chain.hops[0].id;
+        let exchange = EndpointExchange::start(context, engine, connection, outbound, id)?;
         let attempt = CallGuard::start_chain(context, chain);
         Ok(Self {
             context: context.clone(),
-            connection,
-            request: id.into(),
-            first_engine: EndpointId::clone(&chain.hops[0].id),
+            connection: SourceConnection::Head(exchange),
+            first_engine: EndpointId::clone(engine),
             attempt: Some(attempt),
-            exchange: Some(exchange),
             headers: HeaderMap::new(),
             splitter: EventSplitter::starting_after(last_event),
             is_ended: false,
@@ -99,28 +108,21 @@
 
     /// Waits for the next step. Cancel safe: a later call continues.
     pub(crate) async fn next_step(&mut self) -> SourceStep {
-        let step = match self.exchange {
-            Some(_) => self.read_head().await,
-            None => self.read_events().await,
+        let step = match self.connection {
+            SourceConnection::Head(_) => self.read_head().await,
+            SourceConnection::Body(_) => self.read_events().await,
         };
         step.unwrap_or_else(SourceStep::Broken)
     }
 
     async fn read_head(&mut self) -> Result<SourceStep, ConnectionError> {
-        let Some(exchange) = &mut self.exchange else {
+        let SourceConnection::Head(exchange) = &mut self.connection else {
             return Ok(SourceStep::Started);
         };
+        let (head, facts, connection) = exchange.read_response().await?;
+        self.connection = SourceConnection::Body(connection);
         let dialect = self.context.dialect();
-        let response = exchange.read_response(dialect, &mut self.connection);
-        let (head, facts) = response.await?;
-        self.exchange = None;
         record_limit(&self.context, &self.first_engine, facts.request_limit);
-        record_backoff(
-            &self.context,
-            &self.request,
-            &self.first_engine,
-            facts.backoff,
-        );
         if let Some(load) = facts.load {
             let now = self.context.now();
             let tracker = self.context.tracker();
@@ -146,10 +148,13 @@
         if self.is_ended {
             return Ok(SourceStep::Complete);
         }
+        let SourceConnection::Body(connection) = &mut self.connection else {
+            return Ok(SourceStep::Started);
+        };
         let earlier_error = self.splitter.check();
         earlier_error.map_err(|error| ConnectionError::invalid_answer(&error))?;
         loop {
-            let Some(chunk) = self.connection.read_chunk().await? else {
+            let Some(chunk) = connection.read_chunk().await? else {
                 if self.splitter.is_partial() {
                     let problem = "the stream ended within an event";
                     return Err(ConnectionError::after_write(problem));
@@ -209,7 +214,24 @@
 impl<Time, Dialect> RunSource<Time, Dialect>
 where
     Time: Clock,
+    Dialect: RequestDialect,
 {
+    /// Returns the connection once the headers of the response were received.
+    pub(crate) fn connection(&mut self) -> Option<&mut EndpointConnection> {
+        match &mut self.connection {
+            SourceConnection::Head(_) => None,
+            SourceConnection::Body(connection) => Some(connection),
+        }
+    }
+
+    /// Returns the connection if the headers of the response were received, and closes it otherwise.
+    pub(crate) fn into_connection(self) -> Option<EndpointConnection> {
+        match self.connection {
+            SourceConnection::Head(_) => None,
+            SourceConnection::Body(connection) => Some(connection),
+        }
+    }
+
     /// Returns the engine that received the request.
     pub(crate) fn first_engine(&self) -> &EndpointId {
         &self.first_engine
@@ -222,7 +244,7 @@
 
     /// Returns whether the head of the response was received.
     pub(crate) fn has_head(&self) -> bool {
-        self.exchange.is_none()
+        matches!(self.connection, SourceConnection::Body(_))
     }
 
     /// Returns the id of the last event that was received.
--- a/crates/dandeliondeal_relay/src/stream_rejection.rs
+++ b/crates/dandeliondeal_relay/src/stream_rejection.rs
@@ -122,7 +122,7 @@
         }
         let time_left = self.request.time_left(self.context.now());
         let run = &mut self.runs[index];
-        let body = run.connection().read_body(MAX_RESPONSE_BYTES);
+        let body = run.read_body(MAX_RESPONSE_BYTES);
         let body = match actix_rt::time::timeout(time_left, body).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => return self.leave_run(index, &error).await,
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -56,6 +56,7 @@
 pub struct StreamRelay<Time, Dialect>
 where
     Time: Clock,
+    Dialect: RequestDialect,
 {
     pub(crate) context: RelayContext<Time, Dialect>,
     pub(crate) request: RelayRequest,
@@ -300,8 +301,9 @@
         self.request.lifecycle.apply(LifecycleEvent::Complete);
         if let Some(run) = self.runs.pop() {
             let id = EndpointId::clone(run.first_engine());
-            let connection = run.into_connection();
-            self.context.pool().borrow_mut().put(&id, connection);
+            if let Some(connection) = run.into_connection() {
+                self.context.pool().borrow_mut().put(&id, connection);
+            }
         }
     }
 
--- a/crates/dandeliondeal_relay/src/stream_run.rs
+++ b/crates/dandeliondeal_relay/src/stream_run.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::header::HeaderMap;
+use bytes::Bytes;
 use dandeliondeal_http::{ConnectionError, EndpointConnection, OutboundRequest};
 use dandeliondeal_layout::EngineChain;
 use dandeliondeal_route::RouteMatch;
@@ -69,6 +70,7 @@
 pub(crate) struct StreamRun<Time, Dialect>
 where
     Time: Clock,
+    Dialect: RequestDialect,
 {
     context: RelayContext<Time, Dialect>,
     request: RequestId,
@@ -188,6 +190,7 @@
 impl<Time, Dialect> StreamRun<Time, Dialect>
 where
     Time: Clock,
+    Dialect: RequestDialect,
 {
     /// Returns the chain that runs the request.
     pub(crate) fn chain(&self) -> &EngineChain {
@@ -223,14 +226,21 @@
         self.source.headers()
     }
 
-    /// Returns the connection to the first engine.
-    pub(crate) fn connection(&mut self) -> &mut EndpointConnection {
-        &mut self.source.connection
+    /// Reads the body of a failure response, of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectionError`] if the response broke off or its headers were not received.
+    pub(crate) async fn read_body(&mut self, limit: usize) -> Result<Bytes, ConnectionError> {
+        match self.source.connection() {
+            Some(connection) => connection.read_body(limit).await,
+            None => Err(ConnectionError::after_write("no response was received")),
+        }
     }
 
-    /// Ends the run and returns its connection.
-    pub(crate) fn into_connection(self) -> EndpointConnection {
-        self.source.connection
+    /// Ends the run; returns its connection if the headers of the response were received.
+    pub(crate) fn into_connection(self) -> Option<EndpointConnection> {
+        self.source.into_connection()
     }
 
     /// Measures the silence of the chain from `since`.
--- a/crates/dandeliondeal_relay/src/stream_start.rs
+++ b/crates/dandeliondeal_relay/src/stream_start.rs
@@ -148,6 +148,7 @@
 impl<Time, Dialect> StreamRelay<Time, Dialect>
 where
     Time: Clock,
+    Dialect: RequestDialect,
 {
     /// Returns whether no request may be sent through a chain now because of an engine's pause.
     pub(crate) fn is_backed_off(&self, chain: &EngineChain) -> bool {
