Give final responses also in a short grace period

Callers of requests that were open at the end of a grace period of 2 s saw their connections end without an answer.

Cause: the stop waits for the load balancer (2.5 s, or the whole time until the exit if that is shorter) before it looks at the time. With a grace period of less than 3.2 s the final responses came late; at 2 s they never came, as the exit was due first.

Change: the wait ends when the final responses are due.

Evidence: planned_stop::final_response_short fails before (no answer) and passes now. short_grace, which asserts that open requests are not cut before the last sixth, passed before only because of that wait: its stream ended at 2.41 s by its route's timeout of 2.5 s. It now has a route with a long timeout and the same bound.

--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -191,7 +191,8 @@
         self.context.request_stop();
         let grace = self.context.settings().allowances.grace;
         let limit = grace.saturating_sub(GRACE_MARGIN.min(grace / GRACE_MARGIN_DIVISOR));
-        actix_rt::time::sleep(BALANCER_LAG.min(limit)).await;
+        let response_limit = limit.saturating_sub(RESPONSE_WRITE_TIME);
+        actix_rt::time::sleep(BALANCER_LAG.min(response_limit)).await;
         self.callers.close();
         self.handover.close();
         loop {
@@ -205,7 +206,7 @@
                 tracing::info!(open, connections, elapsed_ms = %elapsed.as_millis(), "stopped");
                 break;
             }
-            let is_ending = elapsed >= limit.saturating_sub(RESPONSE_WRITE_TIME);
+            let is_ending = elapsed >= response_limit;
             if is_ending && self.context.request_final_responses() {
                 tracing::info!(open, connections, "requests without a response are ended");
             }
