A stopping instance refuses requests that would outlast it

Callers whose requests came late in the grace of a planned stop were served until the exit: a deposit that takes 0.6 s and came with 0.3 s to go got 504, outcome unknown; a stream that may not be resumed broke off; a request whose body was still due ended without an answer, or as 400.

Cause: a stopping instance took every request that reached it and did not ask whether it can end in time.

Change: RunTimes learns the time per expected output token or call of each service. A request that is not sent yet and is expected to end after the final responses are due (at least its route's objective is assumed) is refused with 503, "stopping", and a return after about 50 ms, as other instances serve it. It is looked at again when a connection is open. A body that is still due then gets the same answer.

Streams that may be resumed are still taken, unless they cannot even begin.

--- a/crates/dandeliondeal_limit/src/lib.rs
+++ b/crates/dandeliondeal_limit/src/lib.rs
@@ -4,7 +4,7 @@
 //! instance among organisations. [`AdmissionGate`] shares the room of a graded service by urgency.
 //! [`GrantOwner`] and [`GrantHolder`] share an organisation's limit among instances.
 //! [`EndpointRates`] shares limits that endpoints state, and [`EndpointBackoffs`] keeps the pauses that
-//! they ask for. [`LocalLimit`] applies an instance's share of the limit to single requests.
+//! they ask for. [`RunTimes`] tells how long requests take. [`LocalLimit`] applies an instance's share of the limit to single requests.
 
 pub mod admission_gate;
 pub mod admission_queue;
@@ -31,6 +31,7 @@
 pub mod rate_claim;
 mod retry_delay;
 mod room_forecast;
+pub mod run_times;
 pub mod service_room;
 mod service_times;
 mod wait_queue;
@@ -75,4 +76,6 @@
 #[doc(inline)]
 pub use rate_claim::{RateClaim, RateReport};
 #[doc(inline)]
+pub use run_times::RunTimes;
+#[doc(inline)]
 pub use service_room::ServiceRoom;
--- a/crates/dandeliondeal_relay/src/handover_entrance.rs
+++ b/crates/dandeliondeal_relay/src/handover_entrance.rs
@@ -76,7 +76,9 @@
             Some(RefusalCause::NoEndpoint) if self.context.links().has_lost() => {
                 refuse(HandoverRefusal::NotTaken)
             }
-            Some(RefusalCause::NoConfig) => refuse(HandoverRefusal::NotTaken),
+            Some(RefusalCause::NoConfig | RefusalCause::Stopping) => {
+                refuse(HandoverRefusal::NotTaken)
+            }
             Some(cause) => {
                 HandoverRefusal::Ended(cause).write(response.headers_mut());
                 response
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -76,6 +76,7 @@
 mod silence_board;
 mod silence_exchange;
 pub mod silence_watch;
+mod stop_admission;
 pub mod store_watch;
 mod stream_admission;
 mod stream_handover;
--- a/crates/dandeliondeal_relay/src/plain_admission.rs
+++ b/crates/dandeliondeal_relay/src/plain_admission.rs
@@ -11,7 +11,7 @@
 use crate::request_intake::RelayRequest;
 
 /// Work of a request to a plain service: one place.
-const CALL_WORK: f64 = 1.0;
+pub(crate) const CALL_WORK: f64 = 1.0;
 
 /// Asks for admission before the first attempt; returns how the request ends if it is not admitted.
 ///
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -16,7 +16,7 @@
 use crate::endpoint_backoff::{backed_off_endpoints, is_backed_off, pause_end, record_send};
 use crate::handover::{build_response, hand_over_plain};
 use crate::link_monitor::{LinkUse, check_handover, needs_handover, wait_for_lost_links};
-use crate::plain_admission::admit_call;
+use crate::plain_admission::{CALL_WORK, admit_call};
 use crate::plain_attempt::{AttemptResult, connect_endpoint, run_attempt, select_endpoint};
 use crate::refusal::RefusalCause;
 use crate::relay_body::RelayBody;
@@ -25,6 +25,7 @@
 use crate::relay_outcome::RelayOutcome;
 use crate::request_intake::RelayRequest;
 use crate::running_request::RunningRequest;
+use crate::stop_admission::outlasts_process;
 
 /// Maximum number of endpoints that are tried when no connection can be made; nothing is sent to
 /// them.
@@ -171,7 +172,10 @@
                     next_attempt = Some(context.now());
                 }
                 Some((endpoint, opened)) = connecting.next() => match opened {
-                    Ok(_) if self.is_late() || is_backed_off(context, &endpoint.id) => {
+                    Ok(_) if self.is_late()
+                        || self.is_stopping()
+                        || is_backed_off(context, &endpoint.id) =>
+                    {
                         next_attempt = Some(context.now());
                     }
                     Ok(connection) => {
@@ -206,6 +210,9 @@
         if self.is_late() {
             return Err(RaceEnd::TimedOut);
         }
+        if self.is_stopping() {
+            return Err(RaceEnd::Unanswered(RefusalCause::Stopping));
+        }
         let may_repeat = self.is_repeatable || self.lifecycle.is_proven_not_run();
         if self.sent_attempts > 0 && !(may_repeat && self.has_attempts_left()) {
             return Err(RaceEnd::Unanswered(RefusalCause::LostAnswer));
@@ -254,6 +261,11 @@
         self.request.time_left(self.context.now()).is_zero()
     }
 
+    /// Returns whether the process exits before an attempt that starts now is expected to end.
+    fn is_stopping(&self) -> bool {
+        outlasts_process(self.context, self.request, CALL_WORK)
+    }
+
     fn has_attempts_left(&self) -> bool {
         self.sent_attempts < self.request.max_attempts()
     }
--- a/crates/dandeliondeal_relay/src/refusal.rs
+++ b/crates/dandeliondeal_relay/src/refusal.rs
@@ -32,6 +32,8 @@
     Limited,
     /// Endpoints asked this instance for a pause, and no other can take the request.
     BackedOff,
+    /// This process exits before the request is expected to end.
+    Stopping,
     /// Copies of the request, or prompts with a part that it has, crash endpoints.
     Quarantined,
     /// The endpoint stated that it did not execute the request.
@@ -53,6 +55,7 @@
             | Self::Overloaded
             | Self::Limited
             | Self::BackedOff
+            | Self::Stopping
             | Self::Quarantined
             | Self::Rejected
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -72,7 +75,7 @@
     }
 
     /// All causes.
-    const ALL: [Self; 15] = [
+    const ALL: [Self; 16] = [
         Self::NoConfig,
         Self::NoRoute,
         Self::UnknownKey,
@@ -83,6 +86,7 @@
         Self::Overloaded,
         Self::Limited,
         Self::BackedOff,
+        Self::Stopping,
         Self::Quarantined,
         Self::Rejected,
         Self::LateUnsent,
@@ -108,6 +112,7 @@
             Self::Overloaded => "overloaded",
             Self::Limited => "limited",
             Self::BackedOff => "backed-off",
+            Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
             Self::Rejected => "rejected",
             Self::LateUnsent => "late-unsent",
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -9,7 +9,7 @@
 use dandeliondeal_config::{RouterSettings, SecretText};
 use dandeliondeal_http::{ConnectionPool, PoolSettings};
 use dandeliondeal_layout::{LayoutPlanner, LayoutSettings};
-use dandeliondeal_limit::EndpointRates;
+use dandeliondeal_limit::{EndpointRates, RunTimes};
 use dandeliondeal_peer::PeerSettings;
 use dandeliondeal_quarantine::CrashTable;
 use dandeliondeal_route::{RepeatWindow, RouteTable, WindowSettings};
@@ -91,6 +91,9 @@
     instance_count: Cell<usize>,
     peers: RefCell<Rc<Vec<PeerInstance>>>,
     stop_phase: watch::Sender<StopPhase>,
+    /// Time of the final responses, once the process has been asked to stop.
+    exit_at: Cell<Option<Instant>>,
+    run_times: RefCell<RunTimes>,
     holds_lease: Cell<bool>,
     lease_holder_seen: Cell<Option<Instant>>,
     admission: RequestAdmission,
@@ -151,6 +154,8 @@
             instance_count: Cell::new(0),
             peers: RefCell::default(),
             stop_phase: watch::Sender::new(StopPhase::Running),
+            exit_at: Cell::new(None),
+            run_times: RefCell::default(),
             holds_lease: Cell::new(false),
             lease_holder_seen: Cell::new(None),
             admission: RequestAdmission::default(),
@@ -195,6 +200,8 @@
         self.fleet().borrow_mut().set_services(&table, self.now());
         let mode = self.settings().grading.mode;
         self.admission().set_services(&table, mode, self.now());
+        let is_known = |service: &ServiceId| table.service(service).is_some();
+        self.run_times().borrow_mut().retain(is_known);
         let has_graded_model = table
             .services()
             .any(|rule| rule.engine.is_some() && self.admission().is_graded(&rule.id));
@@ -371,11 +378,25 @@
         *self.shared.stop_phase.borrow() >= StopPhase::Draining
     }
 
-    /// Records that the process has been asked to stop.
-    pub fn request_stop(&self) {
+    /// Records that the process has been asked to stop; requests without a response get a final one
+    /// at `exit_at`.
+    pub fn request_stop(&self, exit_at: Instant) {
+        self.shared.exit_at.set(Some(exit_at));
         self.shared.stop_phase.send_replace(StopPhase::Draining);
     }
 
+    /// Returns the time until requests without a response get a final one; `None` if the process has
+    /// not been asked to stop.
+    pub fn time_until_exit(&self) -> Option<Duration> {
+        let exit_at = self.shared.exit_at.get()?;
+        Some(exit_at.saturating_duration_since(self.now()))
+    }
+
+    /// Returns the times that requests of each service take.
+    pub fn run_times(&self) -> &RefCell<RunTimes> {
+        &self.shared.run_times
+    }
+
     /// Ends the open requests that have no response yet, because the grace period is over; returns
     /// `false` if that was requested before.
     pub fn request_final_responses(&self) -> bool {
--- a/crates/dandeliondeal_relay/src/request_handler.rs
+++ b/crates/dandeliondeal_relay/src/request_handler.rs
@@ -11,6 +11,7 @@
 
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::endpoint_exchange::MAX_RESPONSE_BYTES;
+use crate::plain_admission::CALL_WORK;
 use crate::plain_relay;
 use crate::quarantine_store::TRIAL_DELAY;
 use crate::refusal::{RefusalCause, refusal_response};
@@ -40,6 +41,9 @@
 /// Retry delay after a request that found no configuration although it waited for it: the store is
 /// away, and a caller who returns earlier is refused again.
 const CONFIG_RETRY_DELAY: Duration = Duration::from_millis(2_500);
+/// Retry delay after a request that this process would not end before it exits: other instances can
+/// serve it at once.
+const STOP_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Retry delay after a refused request to a plain service, in which other requests end.
 const PLAIN_RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -98,6 +102,7 @@
         let relay = StreamRelay::new(context.clone(), request, profile);
         return serve_stream(relay, record, is_whole).await;
     }
+    record.work = Some(CALL_WORK);
     let max_delay = request.max_retry_delay(context.now());
     match plain_relay::relay_request(context, &mut request).await {
         RelayOutcome::Answered(response) => record.finish_answered(response),
@@ -118,6 +123,7 @@
     Dialect: RequestDialect + FleetDialect,
 {
     record.is_stream = true;
+    record.work = relay.expected_output();
     let first_events = tokio::select! {
         biased;
         first_events = read_first(&mut relay, is_whole) => first_events,
@@ -270,6 +276,8 @@
     chain: String,
     progress: RequestProgress,
     is_stream: bool,
+    /// Work of the request, if its time shows how long others take.
+    work: Option<f64>,
     is_ended: bool,
     _open: OpenGauge,
 }
@@ -294,6 +302,7 @@
             chain: String::new(),
             progress: RequestProgress::default(),
             is_stream: false,
+            work: None,
             is_ended: false,
             _open: open,
         }
@@ -319,6 +328,13 @@
     fn record_end(&mut self, outcome: &str, status: u16) {
         self.is_ended = true;
         let total = self.context.now().saturating_duration_since(self.arrived);
+        if let Some(work) = self
+            .work
+            .filter(|_| outcome == "answered" && (200..300).contains(&status))
+        {
+            let mut times = self.context.run_times().borrow_mut();
+            times.record(&self.service, work, total);
+        }
         let metrics = self.context.metrics();
         metrics
             .outcomes
@@ -359,6 +375,7 @@
     ) -> Response<RelayBody> {
         let base_delay = match cause {
             RefusalCause::NoConfig => CONFIG_RETRY_DELAY,
+            RefusalCause::Stopping => STOP_RETRY_DELAY,
             _ if !self.is_stream => PLAIN_RETRY_DELAY,
             RefusalCause::Rejected => REJECTED_RETRY_DELAY,
             _ => STREAM_RETRY_DELAY,
--- a/crates/dandeliondeal_relay/src/request_intake.rs
+++ b/crates/dandeliondeal_relay/src/request_intake.rs
@@ -202,7 +202,12 @@
     let deadline = arrived + caller_timeout.min(route_match.route.timeout);
     let max_body = table.limits().body_bytes;
     let time_left = deadline.saturating_duration_since(arrived);
-    let body = match actix_rt::time::timeout(time_left, read_body(&mut payload, max_body)).await {
+    let body = tokio::select! {
+        biased;
+        body = actix_rt::time::timeout(time_left, read_body(&mut payload, max_body)) => body,
+        () = context.wait_for_final_responses() => Ok(Err(RefusalCause::Stopping)),
+    };
+    let body = match body {
         Ok(Ok(body)) => body,
         Ok(Err(cause)) => return Err((facts, cause)),
         Err(_elapsed) => return Err((facts, RefusalCause::LostBody)),
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -182,16 +182,17 @@
 
     /// Shuts down gracefully.
     ///
-    /// Readiness ends at once, but requests are still served until the load balancer notices. Then
+    /// Readiness ends at once, but requests that are likely to end in time are still served until the
+    /// load balancer notices. Then
     /// no new connections are accepted, and open requests may finish within the grace period. A
     /// response that a caller has not read yet is an open request. Shortly before the grace period
     /// ends, requests without a response get a final one.
     pub async fn stop(self) {
         let started = self.context.now();
-        self.context.request_stop();
         let grace = self.context.settings().allowances.grace;
         let limit = grace.saturating_sub(GRACE_MARGIN.min(grace / GRACE_MARGIN_DIVISOR));
         let response_limit = limit.saturating_sub(RESPONSE_WRITE_TIME);
+        self.context.request_stop(started + response_limit);
         actix_rt::time::sleep(BALANCER_LAG.min(response_limit)).await;
         self.callers.close();
         self.handover.close();
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -129,6 +129,12 @@
         &self.request
     }
 
+    /// Returns the expected number of output tokens; `None` if the caller has some of them already.
+    pub fn expected_output(&self) -> Option<f64> {
+        let is_whole = self.request.facts.last_event.is_none();
+        is_whole.then_some(self.demand.output_tokens)
+    }
+
     /// Returns the engines and layers of the leading run's chain, for logs.
     pub fn describe_chain(&self) -> String {
         let leading = self.runs.first();
--- a/crates/dandeliondeal_relay/src/stream_start.rs
+++ b/crates/dandeliondeal_relay/src/stream_start.rs
@@ -12,6 +12,7 @@
 use crate::loss_notice::LossEvidence;
 use crate::refusal::RefusalCause;
 use crate::relay_lifecycle::LifecycleEvent;
+use crate::stop_admission::outlasts_process;
 use crate::stream_handover::LocalEnd;
 use crate::stream_relay::StreamRelay;
 use crate::stream_run::StreamRun;
@@ -30,6 +31,11 @@
         loop {
             let time_left = self.time_left()?;
             self.ask_admission(time_left).await?;
+            if self.is_unsent()
+                && outlasts_process(&self.context, &self.request, self.demand.output_tokens)
+            {
+                return Err(self.refuse(RefusalCause::Stopping).into());
+            }
             if !self.is_admitted() {
                 return Err(self.refuse(RefusalCause::Quarantined).into());
             }
@@ -66,6 +72,11 @@
         }
     }
 
+    /// Returns whether the request has neither run nor begun to be answered.
+    fn is_unsent(&self) -> bool {
+        self.response_headers.is_none() && self.request.lifecycle.is_proven_not_run()
+    }
+
     /// Returns the kind of connection for the next run.
     pub(crate) fn connection_choice(&self) -> ConnectionChoice {
         // A repeated run must not fail because an idle connection was closed without notice, and
