--- a/crates/dandeliondeal_limit/src/lib.rs
+++ b/crates/dandeliondeal_limit/src/lib.rs
@@ -4,7 +4,8 @@
 //! instance among organisations. [`AdmissionGate`] shares the room of a graded service by urgency.
 //! [`GrantOwner`] and [`GrantHolder`] share an organisation's limit among instances.
 //! [`EndpointRates`] shares limits that endpoints state, and [`EndpointBackoffs`] keeps the pauses that
-//! they ask for. [`RunTimes`] tells how long requests take. [`LocalLimit`] applies an instance's share of the limit to single requests.
+//! they ask for. [`LocalLimit`] applies an instance's share of the limit to single requests.
+//! [`RunTimes`] estimates how long requests take.
 
 pub mod admission_gate;
 pub mod admission_queue;
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -173,7 +173,7 @@
                 }
                 Some((endpoint, opened)) = connecting.next() => match opened {
                     Ok(_) if self.is_late()
-                        || self.is_stopping()
+                        || self.outlasts_process()
                         || is_backed_off(context, &endpoint.id) =>
                     {
                         next_attempt = Some(context.now());
@@ -210,7 +210,7 @@
         if self.is_late() {
             return Err(RaceEnd::TimedOut);
         }
-        if self.is_stopping() {
+        if self.outlasts_process() {
             return Err(RaceEnd::Unanswered(RefusalCause::Stopping));
         }
         let may_repeat = self.is_repeatable || self.lifecycle.is_proven_not_run();
@@ -262,7 +262,7 @@
     }
 
     /// Returns whether the process exits before an attempt that starts now is expected to end.
-    fn is_stopping(&self) -> bool {
+    fn outlasts_process(&self) -> bool {
         outlasts_process(self.context, self.request, CALL_WORK)
     }
 
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -91,7 +91,8 @@
     instance_count: Cell<usize>,
     peers: RefCell<Rc<Vec<PeerInstance>>>,
     stop_phase: watch::Sender<StopPhase>,
-    /// Time of the final responses, once the process has been asked to stop.
+    /// Time at which requests without a response get a final one, once the process has been asked to
+    /// stop.
     exit_at: Cell<Option<Instant>>,
     run_times: RefCell<RunTimes>,
     holds_lease: Cell<bool>,
