--- a/crates/dandeliondeal_relay/src/endpoint_backoff.rs
+++ b/crates/dandeliondeal_relay/src/endpoint_backoff.rs
@@ -124,6 +124,6 @@
 }
 
 /// Returns a duration in milliseconds, for logs.
-fn as_ms(duration: Duration) -> u64 {
+pub(crate) fn as_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -183,10 +183,9 @@
     /// Shuts down gracefully.
     ///
     /// Readiness ends at once, but requests that are likely to end in time are still served until the
-    /// load balancer notices. Then
-    /// no new connections are accepted, and open requests may finish within the grace period. A
-    /// response that a caller has not read yet is an open request. Shortly before the grace period
-    /// ends, requests without a response get a final one.
+    /// load balancer notices. Then no new connections are accepted, and open requests may finish within
+    /// the grace period. A response that a caller has not read yet is an open request. Shortly before
+    /// the grace period ends, requests without a response get a final one.
     pub async fn stop(self) {
         let started = self.context.now();
         let grace = self.context.settings().allowances.grace;
--- a/crates/dandeliondeal_relay/src/stop_admission.rs
+++ b/crates/dandeliondeal_relay/src/stop_admission.rs
@@ -3,6 +3,7 @@
 use dandeliondeal_route::RepeatClass;
 use dandeliondeal_types::Clock;
 
+use crate::endpoint_backoff::as_ms;
 use crate::relay_context::RelayContext;
 use crate::request_intake::RelayRequest;
 
@@ -31,9 +32,7 @@
     if is_late {
         tracing::info!(
             request = %request.facts.request,
-            left_ms = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX),
-            expected_ms = expected_time
-                .map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
+            left_ms = as_ms(time_left), expected_ms = expected_time.map(as_ms),
             "request would outlast the process"
         );
     }
