--- a/review/stand_in/leaving.rs
+++ b/review/stand_in/leaving.rs
@@ -20,7 +20,7 @@
 pub fn play(path: &str, has_trouble: bool) -> Verdict {
     let record = Record::new();
     let store = Store::new();
-    store.write("config", "main", &plain_config(7));
+    store.write("config", "main", &plain_config(7, "order-desk"));
     let work = Duration::from_millis(100);
     let replicas: Vec<Replica> = [("i-1", "didube"), ("i-2", "saburtalo"), ("i-3", "isani")]
         .map(|(id, zone)| Replica::start(id, "order-desk", zone, work, &record, &store))
--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -2,7 +2,9 @@
 
 mod http;
 mod json;
+mod lapse;
 mod leaving;
+mod silent;
 mod site;
 mod store;
 
@@ -21,6 +23,8 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
     let verdict = match case {
         "leaving" => leaving::play(record, has_trouble),
+        "silent" => silent::play(record, has_trouble),
+        "lapse" => lapse::play(record, has_trouble),
         _ => {
             eprintln!("unknown case {case}");
             Verdict::NotRun
--- a/review/stand_in/site.rs
+++ b/review/stand_in/site.rs
@@ -67,7 +67,7 @@
         let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
         let process = u64::from(std::process::id());
         let ip = format!("127.{}.{}.{}", 1 + process / 250 % 250, 1 + process % 250, number);
-        let ports: Vec<u16> = (0..4).map(|_| free_port(&ip)).collect();
+        let ports = free_ports(&ip);
         let fields = [
             ("node", name.to_owned()),
             ("zone", zone.to_owned()),
@@ -142,9 +142,14 @@
 
 static NEXT_ADDRESS: AtomicU64 = AtomicU64::new(1);
 
-fn free_port(ip: &str) -> u16 {
-    let listener = TcpListener::bind(format!("{ip}:0")).expect("a free port");
-    listener.local_addr().expect("an address").port()
+/// Returns four free ports below the range from which the system takes ports of its own accord.
+fn free_ports(ip: &str) -> Vec<u16> {
+    let first = 20_000 + u16::try_from(std::process::id() % 9_000).expect("a port");
+    let listeners = (first..30_000).filter_map(|port| TcpListener::bind((ip, port)).ok());
+    // All are held until four are found, so that none is returned twice.
+    let listeners: Vec<TcpListener> = listeners.take(4).collect();
+    let addresses = listeners.iter().map(|listener| listener.local_addr().expect("an address"));
+    addresses.map(|address| address.port()).collect()
 }
 
 /// Request that reached a replica.
@@ -168,6 +173,7 @@
     store: Store,
     is_leaving: Arc<AtomicBool>,
     has_ended: Arc<AtomicBool>,
+    is_deregistered: Arc<AtomicBool>,
     writes: Arc<AtomicU64>,
     running: Arc<AtomicU64>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
@@ -191,6 +197,7 @@
             store: store.clone(),
             is_leaving: Arc::default(),
             has_ended: Arc::default(),
+            is_deregistered: Arc::default(),
             writes: Arc::default(),
             running: Arc::default(),
             streams: Arc::default(),
@@ -218,6 +225,9 @@
 
     /// Writes the entry of the replica into the store.
     fn register(&self) {
+        if self.is_deregistered.load(Ordering::SeqCst) {
+            return;
+        }
         let seq = self.writes.fetch_add(1, Ordering::SeqCst) + 1;
         let is_leaving = self.is_leaving.load(Ordering::SeqCst);
         let state = if is_leaving { "draining" } else { "ready" };
@@ -235,6 +245,13 @@
         self.register();
     }
 
+    /// Removes the entry of the replica without a report that it drains; it goes on serving.
+    pub fn deregister(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+        self.is_deregistered.store(true, Ordering::SeqCst);
+        self.store.delete("servers", &self.id);
+    }
+
     /// Ends the replica: its entry is removed, and its connections are closed.
     pub fn end(&self) {
         self.has_ended.store(true, Ordering::SeqCst);
@@ -360,24 +377,33 @@
     }
 }
 
-/// Configuration of a small deployment with one plain service.
-pub fn plain_config(version: u64) -> String {
+/// Configuration of a small deployment with two plain services.
+///
+/// Its routes lead to `service`, one of the two.
+pub fn plain_config(version: u64, service: &str) -> String {
     let route = |prefix: &str, kind: &str, attempts: u32| {
         format!(
             "{{\"name\":\"r{}\",\"host\":\"desk.example\",\"path-prefix\":\"{prefix}\",\
              \"kind\":\"{kind}\",\"timeout-ms\":800,\"slo-ms\":100,\"priority\":2,\
-             \"service\":\"order-desk\",\"attempts\":{attempts},\"public\":false,\"sticky\":false,\
+             \"service\":\"{service}\",\"attempts\":{attempts},\"public\":false,\"sticky\":false,\
              \"resumable\":false}}",
             prefix.trim_matches('/')
         )
     };
+    let rule = |name: &str| {
+        format!(
+            "{{\"name\":\"{name}\",\"health-path\":\"/health\",\"max-conns\":110,\
+             \"protocol\":\"h1\",\"tls\":false}}"
+        )
+    };
     format!(
-        "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{{\"name\":\"order-desk\",\
-         \"health-path\":\"/health\",\"max-conns\":110,\"protocol\":\"h1\",\"tls\":false}}],\
+        "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{},{}],\
          \"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\
          \"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}},\
          \"tenants\":[{{\"name\":\"workshop\",\"api-keys\":[\"key-1\"],\"priority\":1}}]}}",
         route("/deposit/", "unsafe", 1),
-        route("/status/", "safe", 2)
+        route("/status/", "safe", 2),
+        rule("order-desk"),
+        rule("order-desk-b")
     )
 }
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -37,9 +37,26 @@
 pub struct Door {
     pub address: SocketAddr,
     is_cut: Arc<AtomicBool>,
+    /// Number of connections so far.
+    connections: Arc<AtomicU64>,
+    /// Connections with a lower number have gone silent for good.
+    first_sound: Arc<AtomicU64>,
+    /// Kinds that were watched, in the order in which the calls arrived.
+    watches: Arc<Mutex<Vec<String>>>,
 }
 
 impl Door {
+    /// Lets all open connections go silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        let first_sound = self.connections.load(Ordering::SeqCst);
+        self.first_sound.store(first_sound, Ordering::SeqCst);
+    }
+
+    /// Returns how many watches of a kind have arrived.
+    pub fn watch_count(&self, kind: &str) -> usize {
+        self.watches.lock().unwrap().iter().filter(|watched| *watched == kind).count()
+    }
+
     pub fn set_cut(&self, is_cut: bool) {
         self.is_cut.store(is_cut, Ordering::SeqCst);
     }
@@ -107,22 +124,36 @@
         let door = Door {
             address: listener.local_addr().expect("an address"),
             is_cut: Arc::default(),
+            connections: Arc::default(),
+            first_sound: Arc::default(),
+            watches: Arc::default(),
         };
-        let (store, is_cut) = (self.clone(), Arc::clone(&door.is_cut));
+        let (store, opened) = (self.clone(), door.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (store, is_cut) = (store.clone(), Arc::clone(&is_cut));
-                thread::spawn(move || store.serve(stream, &is_cut));
+                let number = opened.connections.fetch_add(1, Ordering::SeqCst);
+                let (store, opened) = (store.clone(), opened.clone());
+                thread::spawn(move || store.serve(stream, &opened, number));
             }
         });
         door
     }
 
-    fn serve(&self, stream: TcpStream, is_cut: &AtomicBool) {
+    fn serve(&self, stream: TcpStream, door: &Door, number: u64) {
+        let is_cut = &door.is_cut;
         let mut wire = Wire::new(stream);
         while let Ok(Some(request)) = wire.read() {
             let (method, target) = request.target();
+            if let Some((path, _)) = target.split_once("?watch=") {
+                let kind = path.trim_start_matches("/objects/").to_owned();
+                door.watches.lock().unwrap().push(kind);
+            }
             let (status, body) = self.answer(method, target, &request.body);
+            if number < door.first_sound.load(Ordering::SeqCst) {
+                // Nothing comes back on this connection any more; the caller has to close it.
+                while let Ok(Some(_)) = wire.read() {}
+                return;
+            }
             if is_cut.load(Ordering::SeqCst) {
                 // A connection on which an answer was lost returns nothing further.
                 while is_cut.load(Ordering::SeqCst) {
