--- a/review/stand_in/lapse.rs
+++ b/review/stand_in/lapse.rs
@@ -47,6 +47,9 @@
         })
         .collect();
     thread::sleep(Duration::from_secs(4));
+    // A watch lasts up to 3 s; this is any moment of its first 2.8 s.
+    door.wait_for_watch("servers");
+    thread::sleep(Duration::from_millis(300));
     if has_trouble {
         door.silence_connections();
     }
--- a/review/stand_in/silent.rs
+++ b/review/stand_in/silent.rs
@@ -58,13 +58,7 @@
     thread::sleep(Duration::from_secs(4));
     // The router watches the configuration for seconds at a time; the connections go silent early in
     // one of these calls.
-    let count = door.watch_count("config");
-    for _ in 0..800 {
-        if door.watch_count("config") > count {
-            break;
-        }
-        thread::sleep(Duration::from_millis(10));
-    }
+    door.wait_for_watch("config");
     thread::sleep(Duration::from_millis(50));
     if has_trouble {
         door.silence_connections();
--- a/review/stand_in/site.rs
+++ b/review/stand_in/site.rs
@@ -174,6 +174,7 @@
     is_leaving: Arc<AtomicBool>,
     has_ended: Arc<AtomicBool>,
     is_deregistered: Arc<AtomicBool>,
+    is_drain_written: Arc<AtomicBool>,
     writes: Arc<AtomicU64>,
     running: Arc<AtomicU64>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
@@ -198,6 +199,7 @@
             is_leaving: Arc::default(),
             has_ended: Arc::default(),
             is_deregistered: Arc::default(),
+            is_drain_written: Arc::default(),
             writes: Arc::default(),
             running: Arc::default(),
             streams: Arc::default(),
@@ -223,13 +225,16 @@
         replica
     }
 
-    /// Writes the entry of the replica into the store.
+    /// Writes the entry of the replica into the store, which changes only with more than `seq`.
     fn register(&self) {
         if self.is_deregistered.load(Ordering::SeqCst) {
             return;
         }
         let seq = self.writes.fetch_add(1, Ordering::SeqCst) + 1;
         let is_leaving = self.is_leaving.load(Ordering::SeqCst);
+        if seq > 1 && self.is_drain_written.swap(is_leaving, Ordering::SeqCst) == is_leaving {
+            return;
+        }
         let state = if is_leaving { "draining" } else { "ready" };
         let spec = format!(
             "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":6,\
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -52,9 +52,16 @@
         self.first_sound.store(first_sound, Ordering::SeqCst);
     }
 
-    /// Returns how many watches of a kind have arrived.
-    pub fn watch_count(&self, kind: &str) -> usize {
-        self.watches.lock().unwrap().iter().filter(|watched| *watched == kind).count()
+    /// Waits until the router begins its next watch of a kind.
+    pub fn wait_for_watch(&self, kind: &str) {
+        let count = || self.watches.lock().unwrap().iter().filter(|watched| *watched == kind).count();
+        let known = count();
+        for _ in 0..800 {
+            if count() > known {
+                return;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
     }
 
     pub fn set_cut(&self, is_cut: bool) {
