--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -4,6 +4,7 @@
 mod json;
 mod lapse;
 mod leaving;
+mod restored;
 mod silent;
 mod site;
 mod store;
@@ -23,6 +24,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
     let verdict = match case {
         "leaving" => leaving::play(record, has_trouble),
+        "restored" => restored::play(record, has_trouble),
         "silent" => silent::play(record, has_trouble),
         "lapse" => lapse::play(record, has_trouble),
         _ => {
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -19,9 +19,11 @@
     spec: String,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
     revision: u64,
+    /// Rises by one each time the store comes back from a copy.
+    era: u64,
     objects: BTreeMap<(String, String), Object>,
     /// Revision, kind, object as text, and whether it was deleted.
     events: Vec<(u64, String, String, bool)>,
@@ -32,6 +34,9 @@
     state: Arc<Mutex<State>>,
 }
 
+/// State of the store at an earlier time.
+pub struct Copy(State);
+
 /// Address of the store for one router.
 #[derive(Clone)]
 pub struct Door {
@@ -43,6 +48,8 @@
     first_sound: Arc<AtomicU64>,
     /// Kinds that were watched, in the order in which the calls arrived.
     watches: Arc<Mutex<Vec<String>>>,
+    is_away: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Door {
@@ -52,6 +59,14 @@
         self.first_sound.store(first_sound, Ordering::SeqCst);
     }
 
+    /// Lets the store be away: open connections are reset, and new ones are closed at once.
+    pub fn set_away(&self, is_away: bool) {
+        self.is_away.store(is_away, Ordering::SeqCst);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
     /// Waits until the router begins its next watch of a kind.
     pub fn wait_for_watch(&self, kind: &str) {
         let count = || self.watches.lock().unwrap().iter().filter(|watched| *watched == kind).count();
@@ -126,6 +141,18 @@
         self.state.lock().unwrap().delete(kind, name);
     }
 
+    /// Copies the store.
+    pub fn copy(&self) -> Copy {
+        Copy(self.state.lock().unwrap().clone())
+    }
+
+    /// Comes back from a copy: what was written since is gone, and revisions go back.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.state.lock().unwrap();
+        let era = state.era + 1;
+        *state = State { era, ..copy.0 };
+    }
+
     pub fn open_door(&self) -> Door {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let door = Door {
@@ -134,10 +161,18 @@
             connections: Arc::default(),
             first_sound: Arc::default(),
             watches: Arc::default(),
+            is_away: Arc::default(),
+            streams: Arc::default(),
         };
         let (store, opened) = (self.clone(), door.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if opened.is_away.load(Ordering::SeqCst) {
+                    continue;
+                }
+                if let Ok(stream) = stream.try_clone() {
+                    opened.streams.lock().unwrap().push(stream);
+                }
                 let number = opened.connections.fetch_add(1, Ordering::SeqCst);
                 let (store, opened) = (store.clone(), opened.clone());
                 thread::spawn(move || store.serve(stream, &opened, number));
@@ -169,7 +204,8 @@
                 return;
             }
             thread::sleep(Duration::from_millis(4));
-            let headers = [("Content-Type", "application/json".to_owned())];
+            let era = self.state.lock().unwrap().era.to_string();
+            let headers = [("Content-Type", "application/json".to_owned()), ("Store-Era", era)];
             let start = format!("HTTP/1.1 {status} X");
             if wire.send(&encode(&start, &headers, body.as_bytes())).is_err() {
                 return;
