--- a/review/stand_in/lapse.rs
+++ b/review/stand_in/lapse.rs
@@ -1,4 +1,6 @@
 //! Open connections to the store go silent, and a replica leaves without a report that it drains.
+//!
+//! Three routers; the connections go silent at a moment that is not chosen.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -7,7 +9,7 @@
 
 use crate::Verdict;
 use crate::site::{Outcome, Record, Replica, Router, plain_config, run_caller};
-use crate::store::Store;
+use crate::store::{Door, Store};
 
 /// `drain-ms` of the deployment.
 const DRAIN_S: f64 = 2.0;
@@ -25,33 +27,35 @@
     let replicas: Vec<Replica> = [("i-1", "didube"), ("i-2", "saburtalo"), ("i-3", "isani")]
         .map(|(id, zone)| Replica::start(id, "order-desk", zone, work, &record, &store))
         .into();
-    let door = store.open_door();
-    let router = Router::start("front-didube-1", "didube", &door);
-    if !router.wait_until_ready() {
-        record.add(format!("the router is not ready\n{}", router.log()));
+    let zones = ["didube", "saburtalo", "isani"];
+    let doors = zones.map(|_| store.open_door());
+    let routers: Vec<Router> = zones
+        .iter()
+        .zip(&doors)
+        .map(|(zone, door)| Router::start(&format!("front-{zone}-1"), zone, door))
+        .collect();
+    if let Some(router) = routers.iter().find(|router| !router.wait_until_ready()) {
+        record.add(format!("a router is not ready\n{}", router.log()));
         record.write(path);
         return Verdict::NotRun;
     }
-    record.add("the router is ready".to_owned());
+    record.add("the routers are ready".to_owned());
     let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
     let is_over: Arc<AtomicBool> = Arc::default();
     let callers: Vec<_> = (0..CALLERS)
         .map(|index| {
             let (record, outcomes, is_over) = (record.clone(), Arc::clone(&outcomes), Arc::clone(&is_over));
-            let address = router.callers;
+            let router = index % routers.len();
+            let (address, name) = (routers[router].callers, format!("r{}c{index}", router + 1));
             thread::spawn(move || {
-                let pause = Duration::from_millis(140);
-                let line = "POST /deposit/2f HTTP/1.1";
-                run_caller(address, &format!("a{index}"), line, pause, &record, &outcomes, &is_over);
+                let (pause, line) = (Duration::from_millis(140), "POST /deposit/2f HTTP/1.1");
+                run_caller(address, &name, line, pause, &record, &outcomes, &is_over);
             })
         })
         .collect();
     thread::sleep(Duration::from_secs(4));
-    // A watch lasts up to 3 s; this is any moment of its first 2.8 s.
-    door.wait_for_watch("servers");
-    thread::sleep(Duration::from_millis(300));
     if has_trouble {
-        door.silence_connections();
+        doors.iter().for_each(Door::silence_connections);
     }
     let silent_at = record.add("open connections to the store go silent; new ones work".to_owned());
     thread::sleep(Duration::from_millis(300));
--- a/review/stand_in/site.rs
+++ b/review/stand_in/site.rs
@@ -13,12 +13,6 @@
 use crate::http::{Message, Wire, call, encode};
 use crate::store::{Door, Store};
 
-unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
-pub const SIGTERM: i32 = 15;
-
 /// Record of what was sent, answered and run, with seconds since the start.
 #[derive(Clone)]
 pub struct Record {
@@ -106,12 +100,6 @@
         Self { child, callers: address(ports[0]), readiness: address(ports[1]), folder }
     }
 
-    pub fn signal(&self, signal: i32) {
-        let pid = i32::try_from(self.child.id()).expect("a process id");
-        // SAFETY: the process was started by this test and has not been waited for.
-        unsafe { kill(pid, signal) };
-    }
-
     /// Waits until the router says that it is ready.
     pub fn wait_until_ready(&self) -> bool {
         let request = encode("GET /ready HTTP/1.1", &[("Host", "router".to_owned())], b"");
@@ -164,7 +152,7 @@
 #[derive(Clone)]
 pub struct Replica {
     pub id: String,
-    service: String,
+    pub service: String,
     zone: String,
     pub address: SocketAddr,
     born: u64,
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -46,8 +46,6 @@
     connections: Arc<AtomicU64>,
     /// Connections with a lower number have gone silent for good.
     first_sound: Arc<AtomicU64>,
-    /// Kinds that were watched, in the order in which the calls arrived.
-    watches: Arc<Mutex<Vec<String>>>,
     is_away: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
@@ -67,18 +65,6 @@
         }
     }
 
-    /// Waits until the router begins its next watch of a kind.
-    pub fn wait_for_watch(&self, kind: &str) {
-        let count = || self.watches.lock().unwrap().iter().filter(|watched| *watched == kind).count();
-        let known = count();
-        for _ in 0..800 {
-            if count() > known {
-                return;
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-    }
-
     pub fn set_cut(&self, is_cut: bool) {
         self.is_cut.store(is_cut, Ordering::SeqCst);
     }
@@ -160,7 +146,6 @@
             is_cut: Arc::default(),
             connections: Arc::default(),
             first_sound: Arc::default(),
-            watches: Arc::default(),
             is_away: Arc::default(),
             streams: Arc::default(),
         };
@@ -186,10 +171,6 @@
         let mut wire = Wire::new(stream);
         while let Ok(Some(request)) = wire.read() {
             let (method, target) = request.target();
-            if let Some((path, _)) = target.split_once("?watch=") {
-                let kind = path.trim_start_matches("/objects/").to_owned();
-                door.watches.lock().unwrap().push(kind);
-            }
             let (status, body) = self.answer(method, target, &request.body);
             if number < door.first_sound.load(Ordering::SeqCst) {
                 // Nothing comes back on this connection any more; the caller has to close it.
