--- a/review/stand_in/http.rs
+++ b/review/stand_in/http.rs
@@ -16,7 +16,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -28,7 +31,11 @@
 
     /// Status code of a response.
     pub fn status(&self) -> u16 {
-        self.start.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+        self.start
+            .split(' ')
+            .nth(1)
+            .and_then(|code| code.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -45,7 +52,10 @@
 impl Wire {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     pub fn connect(address: SocketAddr) -> io::Result<Self> {
@@ -90,7 +100,11 @@
         loop {
             let line = self.line()?.ok_or_else(|| broken("the head ended early"))?;
             if line.is_empty() {
-                return Ok(Some(Message { start, headers, body: Vec::new() }));
+                return Ok(Some(Message {
+                    start,
+                    headers,
+                    body: Vec::new(),
+                }));
             }
             if let Some((name, value)) = line.split_once(':') {
                 headers.push((name.trim().to_owned(), value.trim().to_owned()));
@@ -100,11 +114,14 @@
 
     /// Reads one chunk of a chunked body; empty at its end.
     pub fn read_chunk(&mut self) -> io::Result<Vec<u8>> {
-        let line = self.line()?.ok_or_else(|| broken("the chunks ended early"))?;
+        let line = self
+            .line()?
+            .ok_or_else(|| broken("the chunks ended early"))?;
         let size = line.split(';').next().unwrap_or("").trim();
         let size = usize::from_str_radix(size, 16).map_err(|_| broken("not a chunk"))?;
         let chunk = self.exactly(size)?;
-        self.line()?.ok_or_else(|| broken("the chunks ended early"))?;
+        self.line()?
+            .ok_or_else(|| broken("the chunks ended early"))?;
         Ok(chunk)
     }
 
@@ -113,7 +130,9 @@
         let Some(mut message) = self.read_head()? else {
             return Ok(None);
         };
-        let length = message.header("content-length").and_then(|text| text.parse().ok());
+        let length = message
+            .header("content-length")
+            .and_then(|text| text.parse().ok());
         if let Some(length) = length {
             message.body = self.exactly(length)?;
         } else if message.header("transfer-encoding").is_some() {
@@ -150,5 +169,6 @@
     let mut wire = Wire::connect(address)?;
     wire.stream.set_read_timeout(Some(limit))?;
     wire.send(request)?;
-    wire.read()?.ok_or_else(|| broken("closed without an answer"))
+    wire.read()?
+        .ok_or_else(|| broken("closed without an answer"))
 }
--- a/review/stand_in/lapse.rs
+++ b/review/stand_in/lapse.rs
@@ -44,7 +44,8 @@
     let is_over: Arc<AtomicBool> = Arc::default();
     let callers: Vec<_> = (0..CALLERS)
         .map(|index| {
-            let (record, outcomes, is_over) = (record.clone(), Arc::clone(&outcomes), Arc::clone(&is_over));
+            let (record, outcomes, is_over) =
+                (record.clone(), Arc::clone(&outcomes), Arc::clone(&is_over));
             let router = index % routers.len();
             let (address, name) = (routers[router].callers, format!("r{}c{index}", router + 1));
             thread::spawn(move || {
@@ -61,7 +62,10 @@
     thread::sleep(Duration::from_millis(300));
     let leaver = &replicas[0];
     leaver.deregister();
-    let gone = record.add(format!("the store has removed the entry of {}, which goes on serving", leaver.id));
+    let gone = record.add(format!(
+        "the store has removed the entry of {}, which goes on serving",
+        leaver.id
+    ));
     thread::sleep(Duration::from_secs_f64(DRAIN_S) + LONGER);
     leaver.end();
     record.add(format!("{} exits", leaver.id));
@@ -73,14 +77,33 @@
     let outcomes = outcomes.lock().unwrap();
     // DRAIN: a request reaches a replica later than `drain-ms` after the store acknowledged that it is gone,
     // taken from the caller and sent on by a machine in touch.
-    let in_touch = if has_trouble { silent_at + STABLE_S } else { silent_at };
+    let in_touch = if has_trouble {
+        silent_at + STABLE_S
+    } else {
+        silent_at
+    };
     let from = (gone + DRAIN_S).max(in_touch) + 0.02;
     let arrivals = leaver.arrivals.lock().unwrap();
-    let sent_at = |id: &str| outcomes.iter().find(|outcome| outcome.id == id).map(|outcome| outcome.sent_at);
-    let late = arrivals.iter().filter(|arrival| sent_at(&arrival.id).is_some_and(|at| at > from)).count();
-    let last = arrivals.iter().map(|arrival| arrival.at).max_by(f64::total_cmp).unwrap_or(0.0);
+    let sent_at = |id: &str| {
+        outcomes
+            .iter()
+            .find(|outcome| outcome.id == id)
+            .map(|outcome| outcome.sent_at)
+    };
+    let late = arrivals
+        .iter()
+        .filter(|arrival| sent_at(&arrival.id).is_some_and(|at| at > from))
+        .count();
+    let last = arrivals
+        .iter()
+        .map(|arrival| arrival.at)
+        .max_by(f64::total_cmp)
+        .unwrap_or(0.0);
     let lost = arrivals.iter().filter(|arrival| !arrival.has_ended).count();
-    let served = outcomes.iter().filter(|outcome| outcome.status == 200).count();
+    let served = outcomes
+        .iter()
+        .filter(|outcome| outcome.status == 200)
+        .count();
     record.add(format!(
         "entry removed at {gone:.3}, in touch from {in_touch:.3}; {late} of {} requests at {} were sent from \
          {from:.3} on, the last one reached it {:.3} s after the removal; {lost} requests that it ran were cut \
@@ -92,5 +115,9 @@
     if served == 0 {
         return Verdict::NotRun;
     }
-    if late == 0 { Verdict::Held } else { Verdict::Broken }
+    if late == 0 {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
 }
--- a/review/stand_in/leaving.rs
+++ b/review/stand_in/leaving.rs
@@ -37,12 +37,21 @@
     let is_over: Arc<AtomicBool> = Arc::default();
     let callers: Vec<_> = (0..CALLERS)
         .map(|index| {
-            let (record, outcomes, is_over) = (record.clone(), Arc::clone(&outcomes), Arc::clone(&is_over));
+            let (record, outcomes, is_over) =
+                (record.clone(), Arc::clone(&outcomes), Arc::clone(&is_over));
             let address = router.callers;
             thread::spawn(move || {
                 let pause = Duration::from_millis(140);
                 let line = "POST /deposit/2f HTTP/1.1";
-                run_caller(address, &format!("a{index}"), line, pause, &record, &outcomes, &is_over);
+                run_caller(
+                    address,
+                    &format!("a{index}"),
+                    line,
+                    pause,
+                    &record,
+                    &outcomes,
+                    &is_over,
+                );
             })
         })
         .collect();
@@ -77,7 +86,10 @@
 /// DRAIN: no request that a caller sent later than `drain-ms` after the router had passed on an answer
 /// with `Server-Leaving` may reach that replica.
 fn judge(record: &Record, leaver: &Replica, outcomes: &[Outcome]) -> Verdict {
-    let served = outcomes.iter().filter(|outcome| outcome.status == 200).count();
+    let served = outcomes
+        .iter()
+        .filter(|outcome| outcome.status == 200)
+        .count();
     let told = outcomes
         .iter()
         .filter(|outcome| {
@@ -87,12 +99,23 @@
         .map(|outcome| outcome.ended_at)
         .min_by(f64::total_cmp);
     let Some(told) = told else {
-        record.add(format!("no answer with Server-Leaving was passed on; {served} served"));
+        record.add(format!(
+            "no answer with Server-Leaving was passed on; {served} served"
+        ));
         // The router may have known of the leave before the replica could say so.
-        return if served > 0 { Verdict::Held } else { Verdict::NotRun };
+        return if served > 0 {
+            Verdict::Held
+        } else {
+            Verdict::NotRun
+        };
     };
     let arrivals = leaver.arrivals.lock().unwrap();
-    let sent_at = |id: &str| outcomes.iter().find(|outcome| outcome.id == id).map(|outcome| outcome.sent_at);
+    let sent_at = |id: &str| {
+        outcomes
+            .iter()
+            .find(|outcome| outcome.id == id)
+            .map(|outcome| outcome.sent_at)
+    };
     let late: Vec<&str> = arrivals
         .iter()
         .filter(|arrival| sent_at(&arrival.id).is_some_and(|sent_at| sent_at > told + DRAIN_S))
@@ -104,5 +127,9 @@
          {DRAIN_S} s later; {lost} requests that it ran were cut off by its exit; {served} served: {}",
         late.len(), arrivals.len(), leaver.id, late.join(" ")
     ));
-    if late.is_empty() { Verdict::Held } else { Verdict::Broken }
+    if late.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
 }
--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -20,7 +20,10 @@
 
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().collect();
-    let (case, record) = (words.get(1).map_or("", String::as_str), words.get(2).map_or("record.txt", String::as_str));
+    let (case, record) = (
+        words.get(1).map_or("", String::as_str),
+        words.get(2).map_or("record.txt", String::as_str),
+    );
     let has_trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
     let verdict = match case {
         "leaving" => leaving::play(record, has_trouble),
--- a/review/stand_in/restored.rs
+++ b/review/stand_in/restored.rs
@@ -43,12 +43,21 @@
     let is_over: Arc<AtomicBool> = Arc::default();
     let callers: Vec<_> = (0..CALLERS)
         .map(|index| {
-            let (record, outcomes, is_over) = (record.clone(), Arc::clone(&outcomes), Arc::clone(&is_over));
+            let (record, outcomes, is_over) =
+                (record.clone(), Arc::clone(&outcomes), Arc::clone(&is_over));
             let address = router.callers;
             thread::spawn(move || {
                 let pause = Duration::from_millis(140);
                 let line = "POST /deposit/2f HTTP/1.1";
-                run_caller(address, &format!("a{index}"), line, pause, &record, &outcomes, &is_over);
+                run_caller(
+                    address,
+                    &format!("a{index}"),
+                    line,
+                    pause,
+                    &record,
+                    &outcomes,
+                    &is_over,
+                );
             })
         })
         .collect();
@@ -57,7 +66,10 @@
     let copy = store.copy();
     thread::sleep(COPY_AGE - AWAY - KNOWN);
     leaver.deregister();
-    let gone = record.add(format!("the store has removed the entry of {}, which goes on serving", leaver.id));
+    let gone = record.add(format!(
+        "the store has removed the entry of {}, which goes on serving",
+        leaver.id
+    ));
     thread::sleep(KNOWN);
     if has_trouble {
         record.add("the store is away".to_owned());
@@ -89,12 +101,29 @@
     let known = gone + KNOWN.as_secs_f64();
     let from = known + DRAIN_S;
     let arrivals = leaver.arrivals.lock().unwrap();
-    let sent_at = |id: &str| outcomes.iter().find(|outcome| outcome.id == id).map(|outcome| outcome.sent_at);
-    let late = arrivals.iter().filter(|arrival| sent_at(&arrival.id).is_some_and(|at| at > from)).count();
-    let last = arrivals.iter().map(|arrival| arrival.at).max_by(f64::total_cmp).unwrap_or(0.0);
+    let sent_at = |id: &str| {
+        outcomes
+            .iter()
+            .find(|outcome| outcome.id == id)
+            .map(|outcome| outcome.sent_at)
+    };
+    let late = arrivals
+        .iter()
+        .filter(|arrival| sent_at(&arrival.id).is_some_and(|at| at > from))
+        .count();
+    let last = arrivals
+        .iter()
+        .map(|arrival| arrival.at)
+        .max_by(f64::total_cmp)
+        .unwrap_or(0.0);
     let lost = arrivals.iter().filter(|arrival| !arrival.has_ended).count();
-    let served = outcomes.iter().filter(|outcome| outcome.status == 200).count();
-    let away = arrivals.iter().filter(|arrival| (gone + 0.3..known + AWAY.as_secs_f64()).contains(&arrival.at));
+    let served = outcomes
+        .iter()
+        .filter(|outcome| outcome.status == 200)
+        .count();
+    let away = arrivals
+        .iter()
+        .filter(|arrival| (gone + 0.3..known + AWAY.as_secs_f64()).contains(&arrival.at));
     let away = away.count();
     record.add(format!(
         "entry removed at {gone:.3}, read by the router before {known:.3}; {away} requests reached {} between 0.3 s \
@@ -107,5 +136,9 @@
     if served == 0 || away > 0 {
         return Verdict::NotRun;
     }
-    if late == 0 { Verdict::Held } else { Verdict::Broken }
+    if late == 0 {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
 }
--- a/review/stand_in/silent.rs
+++ b/review/stand_in/silent.rs
@@ -41,7 +41,14 @@
         .flat_map(|service| ["didube", "saburtalo", "isani"].map(|zone| (service, zone)))
         .map(|(service, zone)| {
             let work = Duration::from_millis(15);
-            Replica::start(&format!("{service}-{zone}"), service, zone, work, &record, &store)
+            Replica::start(
+                &format!("{service}-{zone}"),
+                service,
+                zone,
+                work,
+                &record,
+                &store,
+            )
         })
         .collect();
     let doors: Vec<Door> = (0..ROUTERS).map(|_| store.open_door()).collect();
@@ -51,7 +58,11 @@
         .enumerate()
         .map(|(index, door)| {
             let zone = zones[index % zones.len()];
-            Router::start(&format!("front-{zone}-{}", 1 + index / zones.len()), zone, door)
+            Router::start(
+                &format!("front-{zone}-{}", 1 + index / zones.len()),
+                zone,
+                door,
+            )
         })
         .collect();
     if let Some(router) = routers.iter().find(|router| !router.wait_until_ready()) {
@@ -65,7 +76,8 @@
     let mut callers = Vec::new();
     for (index, router) in routers.iter().enumerate() {
         for caller in 0..CALLERS_PER_ROUTER {
-            let (record, outcomes, is_over) = (record.clone(), Arc::clone(&outcomes), Arc::clone(&is_over));
+            let (record, outcomes, is_over) =
+                (record.clone(), Arc::clone(&outcomes), Arc::clone(&is_over));
             let (address, name) = (router.callers, format!("r{}c{caller}", index + 1));
             callers.push(thread::spawn(move || {
                 let (pause, line) = (Duration::from_millis(100), "POST /deposit/2f HTTP/1.1");
@@ -86,20 +98,42 @@
     verdict
 }
 
-fn play_round(round: u64, has_trouble: bool, record: &Record, store: &Store, doors: &[Door]) -> Round {
+fn play_round(
+    round: u64,
+    has_trouble: bool,
+    record: &Record,
+    store: &Store,
+    doors: &[Door],
+) -> Round {
     if has_trouble {
         doors.iter().for_each(Door::silence_connections);
     }
     let silent_at = record.add("open connections to the store go silent; new ones work".to_owned());
     thread::sleep(Duration::from_millis(200));
     let services = ["order-desk", "order-desk-b"];
-    let (old_service, new_service) = if round % 2 == 0 { (services[0], services[1]) } else { (services[1], services[0]) };
+    let (old_service, new_service) = if round % 2 == 0 {
+        (services[0], services[1])
+    } else {
+        (services[1], services[0])
+    };
     let version = 8 + round;
     store.write("config", "main", &plain_config(version, new_service));
-    let acknowledged = record.add(format!("the store has accepted version {version}: routes lead to {new_service}"));
+    let acknowledged = record.add(format!(
+        "the store has accepted version {version}: routes lead to {new_service}"
+    ));
     thread::sleep(Duration::from_millis(ROUND_MS[round as usize] - 200));
-    let in_touch = if has_trouble { silent_at + STABLE_S } else { silent_at };
-    Round { version, old_service, acknowledged, in_touch, ended: record.now() }
+    let in_touch = if has_trouble {
+        silent_at + STABLE_S
+    } else {
+        silent_at
+    };
+    Round {
+        version,
+        old_service,
+        acknowledged,
+        in_touch,
+        ended: record.now(),
+    }
 }
 
 /// CONFIG: no request that is sent later than `config-apply-ms` after the acknowledgement of a version is
@@ -114,16 +148,26 @@
     let (mut late_count, mut sound_count) = (0, 0);
     for round in rounds {
         let from = round.in_touch.max(round.acknowledged + APPLY_S) + 0.02;
-        let checked = outcomes.iter().filter(|outcome| (from..round.ended).contains(&outcome.sent_at));
+        let checked = outcomes
+            .iter()
+            .filter(|outcome| (from..round.ended).contains(&outcome.sent_at));
         let run = checked.filter_map(|outcome| Some((outcome, *run_by.get(&outcome.id)?)));
-        let (late, sound): (Vec<_>, Vec<_>) = run.partition(|(_, service)| *service == round.old_service);
-        let late: Vec<&str> = late.iter().map(|(outcome, _)| outcome.id.as_str()).collect();
+        let (late, sound): (Vec<_>, Vec<_>) =
+            run.partition(|(_, service)| *service == round.old_service);
+        let late: Vec<&str> = late
+            .iter()
+            .map(|(outcome, _)| outcome.id.as_str())
+            .collect();
         let mut routers: Vec<&str> = late.iter().map(|id| &id[..2]).collect();
         routers.dedup();
         routers.sort_unstable();
         routers.dedup();
-        let last = outcomes.iter().filter(|outcome| late.contains(&outcome.id.as_str()));
-        let last = last.map(|outcome| outcome.sent_at - round.in_touch).fold(0.0, f64::max);
+        let last = outcomes
+            .iter()
+            .filter(|outcome| late.contains(&outcome.id.as_str()));
+        let last = last
+            .map(|outcome| outcome.sent_at - round.in_touch)
+            .fold(0.0, f64::max);
         record.add(format!(
             "version {} acknowledged at {:.3}, in touch from {:.3}: of requests sent from {from:.3} on, {} were run \
              by the old service, at routers {routers:?}, the last one sent {last:.3} s after they were in touch, and \
--- a/review/stand_in/site.rs
+++ b/review/stand_in/site.rs
@@ -22,7 +22,10 @@
 
 impl Record {
     pub fn new() -> Self {
-        Self { started: Instant::now(), lines: Arc::default() }
+        Self {
+            started: Instant::now(),
+            lines: Arc::default(),
+        }
     }
 
     pub fn now(&self) -> f64 {
@@ -38,8 +41,10 @@
     pub fn write(&self, path: &str) {
         let mut lines = self.lines.lock().unwrap().clone();
         lines.sort_by(|one, other| one.0.total_cmp(&other.0));
-        let text: String =
-            lines.iter().map(|(at, line)| format!("{at:8.3}  {line}\n")).collect();
+        let text: String = lines
+            .iter()
+            .map(|(at, line)| format!("{at:8.3}  {line}\n"))
+            .collect();
         fs::write(path, text).expect("the record is written");
     }
 }
@@ -60,7 +65,12 @@
         // The metrics port is fixed, so that each router has a loopback address of its own.
         let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
         let process = u64::from(std::process::id());
-        let ip = format!("127.{}.{}.{}", 1 + process / 250 % 250, 1 + process % 250, number);
+        let ip = format!(
+            "127.{}.{}.{}",
+            1 + process / 250 % 250,
+            1 + process % 250,
+            number
+        );
         let ports = free_ports(&ip);
         let fields = [
             ("node", name.to_owned()),
@@ -85,7 +95,10 @@
         for (field, value) in &fields {
             text = text.replace(&format!("{{{{{field}}}}}"), value);
         }
-        assert!(!text.contains("{{"), "a field of the template is unknown:\n{text}");
+        assert!(
+            !text.contains("{{"),
+            "a field of the template is unknown:\n{text}"
+        );
         let settings = folder.join("settings.ini");
         fs::write(&settings, text).expect("the settings are written");
         let log = fs::File::create(folder.join("log")).expect("a log");
@@ -97,7 +110,12 @@
             .spawn()
             .expect("the router starts; build it first");
         let address = |port: u16| format!("{ip}:{port}").parse().expect("an address");
-        Self { child, callers: address(ports[0]), readiness: address(ports[1]), folder }
+        Self {
+            child,
+            callers: address(ports[0]),
+            readiness: address(ports[1]),
+            folder,
+        }
     }
 
     /// Waits until the router says that it is ready.
@@ -136,7 +154,9 @@
     let listeners = (first..30_000).filter_map(|port| TcpListener::bind((ip, port)).ok());
     // All are held until four are found, so that none is returned twice.
     let listeners: Vec<TcpListener> = listeners.take(4).collect();
-    let addresses = listeners.iter().map(|listener| listener.local_addr().expect("an address"));
+    let addresses = listeners
+        .iter()
+        .map(|listener| listener.local_addr().expect("an address"));
     addresses.map(|address| address.port()).collect()
 }
 
@@ -172,9 +192,19 @@
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 
 impl Replica {
-    pub fn start(id: &str, service: &str, zone: &str, work: Duration, record: &Record, store: &Store) -> Self {
+    pub fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        work: Duration,
+        record: &Record,
+        store: &Store,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("a time")
+            .as_millis();
         let replica = Self {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -281,21 +311,29 @@
         }
         let expected = request.header("expect-replica");
         if expected.is_some_and(|expected| expected != self.id) {
-            self.record.add(format!("{} rejects {id}: another replica is expected", self.id));
+            self.record.add(format!(
+                "{} rejects {id}: another replica is expected",
+                self.id
+            ));
             headers.push(("Not-Executed", "1".to_owned()));
             return encode("HTTP/1.1 421 Misdirected Request", &headers, b"");
         }
         let at = self.record.add(format!("{} runs {id}", self.id));
         let index = {
             let mut arrivals = self.arrivals.lock().unwrap();
-            arrivals.push(Arrival { at, id: id.clone(), has_ended: false });
+            arrivals.push(Arrival {
+                at,
+                id: id.clone(),
+                has_ended: false,
+            });
             arrivals.len() - 1
         };
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
         thread::sleep(self.work);
         self.running.fetch_sub(1, Ordering::SeqCst);
         if self.has_ended.load(Ordering::SeqCst) {
-            self.record.add(format!("{} has ended while it ran {id}", self.id));
+            self.record
+                .add(format!("{} has ended while it ran {id}", self.id));
             return Vec::new();
         }
         self.arrivals.lock().unwrap()[index].has_ended = true;
@@ -308,7 +346,11 @@
             }
             headers.push(("Connection", "close".to_owned()));
         }
-        encode("HTTP/1.1 200 OK", &headers, format!("done by {}", self.id).as_bytes())
+        encode(
+            "HTTP/1.1 200 OK",
+            &headers,
+            format!("done by {}", self.id).as_bytes(),
+        )
     }
 }
 
@@ -325,8 +367,13 @@
 
 /// Sends requests one after the other over a kept connection until `is_over` is set.
 pub fn run_caller(
-    router: SocketAddr, name: &str, start_line: &str, pause: Duration, record: &Record,
-    outcomes: &Mutex<Vec<Outcome>>, is_over: &AtomicBool,
+    router: SocketAddr,
+    name: &str,
+    start_line: &str,
+    pause: Duration,
+    record: &Record,
+    outcomes: &Mutex<Vec<Outcome>>,
+    is_over: &AtomicBool,
 ) {
     let mut kept: Option<Wire> = None;
     let mut number = 0;
@@ -343,11 +390,14 @@
         let connection = kept.take().map_or_else(|| Wire::connect(router), Ok);
         let sent_at = record.add(format!("caller sends {id}"));
         let answer = connection.and_then(|mut wire| {
-            wire.stream.set_read_timeout(Some(Duration::from_millis(1600)))?;
+            wire.stream
+                .set_read_timeout(Some(Duration::from_millis(1600)))?;
             wire.send(&request)?;
             let answer = wire.read()?;
             let closes = |answer: &Message| {
-                answer.header("connection").is_some_and(|text| text.eq_ignore_ascii_case("close"))
+                answer
+                    .header("connection")
+                    .is_some_and(|text| text.eq_ignore_ascii_case("close"))
             };
             if answer.as_ref().is_some_and(|answer| !closes(answer)) {
                 kept = Some(wire);
@@ -363,9 +413,19 @@
             .map(|(name, value)| (name.to_ascii_lowercase(), value))
             .collect();
         let of = headers.get("replica-id").map_or("-", String::as_str);
-        let leaving = if headers.contains_key("server-leaving") { ", Server-Leaving" } else { "" };
+        let leaving = if headers.contains_key("server-leaving") {
+            ", Server-Leaving"
+        } else {
+            ""
+        };
         let ended_at = record.add(format!("caller gets {status} for {id} of {of}{leaving}"));
-        outcomes.lock().unwrap().push(Outcome { id, sent_at, ended_at, status, headers });
+        outcomes.lock().unwrap().push(Outcome {
+            id,
+            sent_at,
+            ended_at,
+            status,
+            headers,
+        });
         thread::sleep(pause);
     }
 }
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -74,7 +74,10 @@
     format!(
         "{{\"meta\":{{\"name\":{},\"revision\":{},\"create-revision\":{},\"finalizers\":[],\
          \"deleting\":false}},\"spec\":{},\"status\":null}}",
-        json::quote(name), object.revision, object.created, object.spec
+        json::quote(name),
+        object.revision,
+        object.created,
+        object.spec
     )
 }
 
@@ -94,7 +97,8 @@
         };
         let text = object_text(name, &object);
         self.objects.insert(key, object);
-        self.events.push((self.revision, kind.to_owned(), text.clone(), false));
+        self.events
+            .push((self.revision, kind.to_owned(), text.clone(), false));
         text
     }
 
@@ -103,19 +107,27 @@
         if let Some(object) = self.objects.remove(&key) {
             self.revision += 1;
             let text = object_text(name, &object);
-            self.events.push((self.revision, kind.to_owned(), text, true));
+            self.events
+                .push((self.revision, kind.to_owned(), text, true));
         }
     }
 
     fn find(&self, kind: &str, name: &str) -> Option<Object> {
-        self.objects.get(&(kind.to_owned(), name.to_owned())).cloned()
+        self.objects
+            .get(&(kind.to_owned(), name.to_owned()))
+            .cloned()
     }
 }
 
 impl Store {
     pub fn new() -> Self {
-        let state = State { revision: 400, ..State::default() };
-        Self { state: Arc::new(Mutex::new(state)) }
+        let state = State {
+            revision: 400,
+            ..State::default()
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+        }
     }
 
     /// Writes as an operator or a replica does; returns once the store has accepted it.
@@ -186,9 +198,15 @@
             }
             thread::sleep(Duration::from_millis(4));
             let era = self.state.lock().unwrap().era.to_string();
-            let headers = [("Content-Type", "application/json".to_owned()), ("Store-Era", era)];
+            let headers = [
+                ("Content-Type", "application/json".to_owned()),
+                ("Store-Era", era),
+            ];
             let start = format!("HTTP/1.1 {status} X");
-            if wire.send(&encode(&start, &headers, body.as_bytes())).is_err() {
+            if wire
+                .send(&encode(&start, &headers, body.as_bytes()))
+                .is_err()
+            {
                 return;
             }
         }
@@ -200,7 +218,9 @@
         let (kind, name) = path.split_once('/').unwrap_or((path, ""));
         let parameter = |key: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(name, _)| *name == key).map(|(_, value)| value.to_owned())
+            pairs
+                .find(|(name, _)| *name == key)
+                .map(|(_, value)| value.to_owned())
         };
         let body = String::from_utf8_lossy(body).into_owned();
         let meta = json::field(&body, "meta").unwrap_or_default();
@@ -208,7 +228,9 @@
         let spec = json::field(&body, "spec").unwrap_or_else(|| "null".to_owned());
         if method == "GET" && name.is_empty() {
             if let Some(seen) = parameter("watch").and_then(|text| text.parse().ok()) {
-                let wait = parameter("wait-ms").and_then(|text| text.parse().ok()).unwrap_or(0);
+                let wait = parameter("wait-ms")
+                    .and_then(|text| text.parse().ok())
+                    .unwrap_or(0);
                 return self.watch(kind, seen, Duration::from_millis(wait));
             }
         }
@@ -216,11 +238,13 @@
         match (method, name.is_empty()) {
             ("GET", true) => {
                 let items = state.objects.iter().filter(|((of, _), _)| of == kind);
-                let items: Vec<String> =
-                    items.map(|((_, name), object)| object_text(name, object)).collect();
+                let items: Vec<String> = items
+                    .map(|((_, name), object)| object_text(name, object))
+                    .collect();
                 let text = format!(
                     "{{\"items\":[{}],\"more-pages\":false,\"store-revision\":{}}}",
-                    items.join(","), state.revision
+                    items.join(","),
+                    state.revision
                 );
                 (200, text)
             }
@@ -268,7 +292,8 @@
                 if !events.is_empty() || Instant::now() >= until {
                     let text = format!(
                         "{{\"events\":[{}],\"store-revision\":{}}}",
-                        events.join(","), state.revision
+                        events.join(","),
+                        state.revision
                     );
                     return (200, text);
                 }
