DRAIN: a dead connection to the store is no outage

Cause: a watch whose connection stopped responding counted as an outage since the start of the watch, so longer than 0.7 s, and endpoints that the list after it lacked were kept for 2.2 s more as merely expired.

Ruled out: the timeout of the watch alone.

Change: a lost response counts as an outage only if the next call, which uses a new connection, fails as well, or if the store refuses a call. A loss of the connection alone does not end an earlier grace period. A call over budget is delayed and is no failure.

Evidence: `store lost` has the cause and the time waited, `store answers over a new connection` ends a loss of the connection alone, and dandeliondeal_store_failures_total has the label `cause`.

--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -29,7 +29,7 @@
     pub silences: IntCounterVec,
     /// Number of runs of streams that broke, by how far the response had come.
     pub stream_breaks: IntCounterVec,
-    /// Number of failed calls to the platform's store, by kind.
+    /// Number of failed calls to the platform's store, by kind and by what failed.
     pub store_failures: IntCounterVec,
     /// Number of orders to engines by reply.
     pub orders: IntCounterVec,
@@ -90,8 +90,8 @@
         )?;
         let store_failures = counters(
             "dandeliondeal_store_failures_total",
-            "Calls to the platform's store that failed, by kind.",
-            &["kind"],
+            "Calls to the platform's store that failed, by kind and by what failed.",
+            &["kind", "cause"],
         )?;
         let orders = counters(
             "dandeliondeal_orders_total",
--- a/crates/dandeliondeal_relay/src/store_watch.rs
+++ b/crates/dandeliondeal_relay/src/store_watch.rs
@@ -57,36 +57,90 @@
     }
 }
 
+/// What a failed call shows about the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FailureEvidence {
+    /// No response arrived; the connection alone may be dead.
+    Connection,
+    /// The store refused the call, or no connection to it could be made.
+    Store,
+}
+
+impl FailureEvidence {
+    fn of_error(error: &StoreError) -> Self {
+        match error {
+            StoreError::Unavailable { .. } => Self::Store,
+            _ => Self::Connection,
+        }
+    }
+
+    fn label(self) -> &'static str {
+        match self {
+            Self::Connection => "connection",
+            Self::Store => "store",
+        }
+    }
+}
+
+/// Time without answers from the store.
+#[derive(Clone, Copy, Debug)]
+struct StoreLoss {
+    since: Instant,
+    /// Whether a call failed that cannot have been lost with an old connection.
+    is_outage: bool,
+}
+
 /// Tracks outages of the store from the results of calls.
+///
+/// A response that does not arrive may be due to a connection that stopped responding while the
+/// store works. The client discards its connections then, so that only a second failure in a row, or
+/// a refusal, shows an outage. Registrations do not expire because of a connection.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OutageTracker {
-    unreachable_since: Option<Instant>,
+    loss: Option<StoreLoss>,
     lapse_until: Option<Instant>,
 }
 
 impl OutageTracker {
     /// Records a failed call that started at `started` with the time limit `limit`; returns `true`
-    /// if it is the first of an outage.
-    pub fn record_failure(&mut self, started: Instant, now: Instant, limit: Duration) -> bool {
-        if self.unreachable_since.is_some() {
+    /// if it is the first since the last answer.
+    pub fn record_failure(
+        &mut self,
+        started: Instant,
+        now: Instant,
+        limit: Duration,
+        evidence: FailureEvidence,
+    ) -> bool {
+        if let Some(loss) = &mut self.loss {
+            loss.is_outage = true;
             return false;
         }
         // A call that timed out does not show when the outage began; assume the start of the call.
         let is_timed_out = now.saturating_duration_since(started) > limit;
-        self.unreachable_since = Some(if is_timed_out { started } else { now });
-        self.lapse_until = None;
+        self.loss = Some(StoreLoss {
+            since: if is_timed_out { started } else { now },
+            is_outage: evidence == FailureEvidence::Store,
+        });
         true
     }
 
     /// Records a successful call; returns the duration of the outage that it ends.
+    ///
+    /// A lost connection is no outage, and returns `None`.
     pub fn record_success(&mut self, now: Instant) -> Option<Duration> {
-        let duration = now.saturating_duration_since(self.unreachable_since.take()?);
+        let loss = self.loss.take().filter(|loss| loss.is_outage)?;
+        let duration = now.saturating_duration_since(loss.since);
         // The grace period starts at the end of the outage, not at each deletion. A later deletion
         // is a planned leave, and its endpoint must not be used any longer.
         self.lapse_until = (duration >= MIN_OUTAGE).then(|| now + LAPSE_GRACE);
         Some(duration)
     }
 
+    /// Returns whether calls have failed since the last answer.
+    pub fn is_lost(&self) -> bool {
+        self.loss.is_some()
+    }
+
     /// Returns the time until which an endpoint may merely have expired whose deletion is reported
     /// now, after the store's return; `None` if it is gone.
     pub fn deletion_lapse_until(&self, now: Instant) -> Option<Instant> {
@@ -152,8 +206,11 @@
         let now = context.now();
         match result {
             Ok(update) => {
+                let was_lost = tracker.is_lost();
                 if let Some(duration) = tracker.record_success(now) {
                     tracing::info!(kind, lasted_ms = %duration.as_millis(), "store regained");
+                } else if was_lost {
+                    tracing::info!(kind, "store answers over a new connection");
                 }
                 let lapse_until = tracker.lapse_until(now);
                 backoff = INITIAL_BACKOFF;
@@ -177,15 +234,22 @@
                 tracing::info!(kind, seen, "change history is gone; reading a new list");
                 seen = None;
             }
+            Err(StoreError::OverBudget { wait }) => {
+                tracing::debug!(kind, wait_ms = %wait.as_millis(), "store call delayed");
+                actix_rt::time::sleep(wait).await;
+            }
             Err(error) => {
                 // Changes may have been missed while the call failed, and their history may be
                 // dropped before the next watch reports that. A new list shows them at once.
                 seen = None;
-                if tracker.record_failure(started, now, limit) {
-                    tracing::warn!(kind, %error, "store lost");
+                let evidence = FailureEvidence::of_error(&error);
+                let cause = evidence.label();
+                let waited_ms = now.saturating_duration_since(started).as_millis();
+                if tracker.record_failure(started, now, limit, evidence) {
+                    tracing::warn!(kind, %error, cause, %waited_ms, "store lost");
                 }
                 let failures = &context.metrics().store_failures;
-                failures.with_label_values(&[kind]).inc();
+                failures.with_label_values(&[kind, cause]).inc();
                 actix_rt::time::sleep(context.jitter(backoff)).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
             }
