DRAIN: grace after an outage counts from the last failed call

Cause: after an outage of the store, registrations that are missing were kept for 2.2 s from the next answer. That answer may come up to 1.8 s after the store's return, while an instance counts as connected 3 s after it: an endpoint that left before or during the outage, or during a partition, was used for longer than allowed.

Change: the grace ends 2.6 s after the start of the last failed call at the latest. The store returns after that start, so that renewed registrations, which are back within 2 s, are still waited for.

--- a/crates/dandeliondeal_relay/src/store_watch.rs
+++ b/crates/dandeliondeal_relay/src/store_watch.rs
@@ -22,6 +22,12 @@
 /// seconds without a renewal.
 const MIN_OUTAGE: Duration = Duration::from_millis(700);
 
+/// Maximum time after the last failed call of an outage for which missing registrations are kept.
+///
+/// The store may have returned right after that call, long before the next one. An endpoint that left
+/// before or during the outage has to be given up before this instance counts as connected again.
+const MAX_LAPSE_AFTER_FAILURE: Duration = Duration::from_millis(2_600);
+
 /// Maximum time for which an endpoint is kept whose deletion is reported after the store's return.
 ///
 /// Such a deletion may also be a leave without notice, after which the endpoint must soon get no
@@ -86,6 +92,8 @@
 #[derive(Clone, Copy, Debug)]
 struct StoreLoss {
     since: Instant,
+    /// Start of the last failed call; the store did not answer then.
+    failed_at: Instant,
     /// Whether a call failed that cannot have been lost with an old connection.
     is_outage: bool,
 }
@@ -113,12 +121,14 @@
     ) -> bool {
         if let Some(loss) = &mut self.loss {
             loss.is_outage = true;
+            loss.failed_at = started;
             return false;
         }
         // A call that timed out does not show when the outage began; assume the start of the call.
         let is_timed_out = now.saturating_duration_since(started) > limit;
         self.loss = Some(StoreLoss {
             since: if is_timed_out { started } else { now },
+            failed_at: started,
             is_outage: evidence == FailureEvidence::Store,
         });
         true
@@ -132,7 +142,8 @@
         let duration = now.saturating_duration_since(loss.since);
         // The grace period starts at the end of the outage, not at each deletion. A later deletion
         // is a planned leave, and its endpoint must not be used any longer.
-        self.lapse_until = (duration >= MIN_OUTAGE).then(|| now + LAPSE_GRACE);
+        let until = (now + LAPSE_GRACE).min(loss.failed_at + MAX_LAPSE_AFTER_FAILURE);
+        self.lapse_until = (duration >= MIN_OUTAGE).then_some(until);
         Some(duration)
     }
 
