CONFIG: notice silent connections to the store within the contact window

Cause: nothing but its timeout shows that the connection of a watch stopped responding. The watch (3 s), the timeout (0.6 s), the pause between watches and the backoff add up to more than the 3 s after which an instance counts as connected. After the start, and in calls that are rare, an idle connection that was silent for long was used for one more call.

Change: a watch lasts 1.5 s. Idle connections to the store are used for 0.5 s. StoreSettings::max_staleness has the sum; settings with which it exceeds the new setting store.contact_window (3 s) are refused at the start.

Weighed: restarting watches when any other call loses its response. It saves nothing where only one connection is silent, and causes calls by all kinds while the store loses answers.

--- a/crates/dandeliondeal_config/src/lib.rs
+++ b/crates/dandeliondeal_config/src/lib.rs
@@ -62,8 +62,8 @@
 pub use rollout_machine::{RevisionSource, RolloutAction, RolloutEvent, RolloutMachine};
 #[doc(inline)]
 pub use router_settings::{
-    AllowanceSettings, GradingMode, GradingSettings, MachineSettings, RouterListen, RouterSettings,
-    StoreSettings,
+    AllowanceSettings, CHANGE_PAUSE, FIRST_BACKOFF, GradingMode, GradingSettings, MachineSettings,
+    RouterListen, RouterSettings, StoreSettings,
 };
 #[doc(inline)]
 pub use secret_text::SecretText;
--- a/crates/dandeliondeal_config/src/router_settings.rs
+++ b/crates/dandeliondeal_config/src/router_settings.rs
@@ -68,6 +68,14 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
+/// Delay between changes that were received from the store and the next watch, so that one call
+/// returns several changes.
+pub const CHANGE_PAUSE: Duration = Duration::from_millis(350);
+/// Mean delay before the first call after one without a response; it varies by half of it.
+pub const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// Time to read the objects of a kind over a new connection while the store works.
+const LIST_TIME: Duration = Duration::from_millis(300);
+
 /// Connection to the platform's store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoreSettings {
@@ -77,6 +85,9 @@
     pub timeout: Duration,
     /// Maximum duration of one watch call.
     pub watch_limit: Duration,
+    /// Time after a loss of its connections within which an instance has to know what has changed in
+    /// the store.
+    pub contact_window: Duration,
     /// Maximum reads per second of all instances together.
     pub reads_per_second: f64,
     /// Maximum writes per second of all instances together.
@@ -88,13 +99,25 @@
         Self {
             address: loopback(8090),
             timeout: Duration::from_millis(600),
-            watch_limit: Duration::from_secs(3),
+            watch_limit: Duration::from_millis(1_500),
+            contact_window: Duration::from_secs(3),
             reads_per_second: 1_000.0,
             writes_per_second: 200.0,
         }
     }
 }
 
+impl StoreSettings {
+    /// Returns the longest time for which a change remains unknown after all open connections to the
+    /// store stopped responding, while the store and new connections work.
+    ///
+    /// The next watch starts up to [`CHANGE_PAUSE`] later on such a connection. Only its timeout shows
+    /// that the connection is dead; then the objects are read over a new one.
+    pub fn max_staleness(&self) -> Duration {
+        CHANGE_PAUSE + self.watch_limit + self.timeout + FIRST_BACKOFF * 3 / 2 + LIST_TIME
+    }
+}
+
 /// Limits on repeated requests and on the time to stop.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AllowanceSettings {
@@ -196,7 +219,14 @@
             store.watch_limit,
             MILLISECOND * 100,
             MINUTE,
-            "Maximum duration of one watch call."
+            "Maximum duration of one watch call. It ends, with the timeout and pauses, within the \
+             contact window."
+        ),
+        setting_field!(
+            store.contact_window,
+            SECOND,
+            MINUTE,
+            "Time after a loss of connections within which changes in the store are known."
         ),
         setting_field!(
             store.reads_per_second,
@@ -253,4 +283,17 @@
              that differ in urgency or objective), on (all) or off (none)."
         ),
     ];
+
+    fn validate(&self) -> Result<(), [&'static str; 4]> {
+        if self.store.max_staleness() > self.store.contact_window {
+            return Err([
+                "store",
+                "watch_limit",
+                "too long: a connection that stops responding is noticed only after the contact \
+                 window",
+                "with the timeout and 0.8 s for pauses and a list at most the contact window",
+            ]);
+        }
+        Ok(())
+    }
 }
--- a/crates/dandeliondeal_relay/src/store_watch.rs
+++ b/crates/dandeliondeal_relay/src/store_watch.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use dandeliondeal_config::{CHANGE_PAUSE, FIRST_BACKOFF};
 use dandeliondeal_types::{
     Clock, KindChanges, KindSnapshot, KindStore, ReadFreshness, StoreError, Version,
 };
@@ -9,8 +10,6 @@
 use crate::fleet_view::LAPSE_GRACE;
 use crate::relay_context::RelayContext;
 
-/// First delay before the next call while the store does not answer; it doubles with each failure.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// Maximum delay between two calls while the store does not answer.
 ///
 /// All instances reconnect within this time, but at different moments. Refused calls are charged
@@ -34,11 +33,6 @@
 /// more requests. The report itself is up to half a second late.
 const DELETION_GRACE: Duration = Duration::from_millis(1_300);
 
-/// Delay between received changes and the next watch, so that one call returns several changes.
-///
-/// Each call is charged, and a draining endpoint still accepts requests for seconds.
-const BATCH_DELAY: Duration = Duration::from_millis(350);
-
 /// Mean delay between the first list after the start and the first watch.
 ///
 /// Within it, the instances of a large fleet have counted one another, so that most of them ask
@@ -184,7 +178,7 @@
     let limit = context.settings().store.watch_limit;
     let mut seen: Option<Version> = None;
     let mut tracker = OutageTracker::default();
-    let mut backoff = INITIAL_BACKOFF;
+    let mut backoff = FIRST_BACKOFF;
     let mut is_first = true;
     loop {
         let started = context.now();
@@ -224,7 +218,7 @@
                     tracing::info!(kind, "store answers over a new connection");
                 }
                 let lapse_until = tracker.lapse_until(now);
-                backoff = INITIAL_BACKOFF;
+                backoff = FIRST_BACKOFF;
                 seen = Some(update.version());
                 match update {
                     KindUpdate::Snapshot(snapshot) => {
@@ -237,7 +231,7 @@
                     KindUpdate::Changes(changes) if changes.events.is_empty() => {}
                     KindUpdate::Changes(changes) => {
                         sink.apply_changes(changes, tracker.deletion_lapse_until(now));
-                        actix_rt::time::sleep(BATCH_DELAY).await;
+                        actix_rt::time::sleep(CHANGE_PAUSE).await;
                     }
                 }
             }
--- a/crates/dandeliondeal_store/src/platform_client.rs
+++ b/crates/dandeliondeal_store/src/platform_client.rs
@@ -21,6 +21,12 @@
 use crate::send_failure::SendFailure;
 use crate::store_dialect::{HttpAnswer, HttpCall, StoreDialect, StoreRequest};
 
+/// Maximum time for which an idle connection is kept for another call.
+///
+/// A connection may stop responding without being closed, which only a timeout shows. A call that
+/// starts later than this after that moment uses a new connection.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(500);
+
 /// Settings of the platform client.
 #[derive(Clone, Debug)]
 pub struct PlatformSettings {
@@ -414,7 +420,9 @@
 }
 
 fn http_client(settings: &PlatformSettings) -> Client {
-    let connector = Connector::new().timeout(settings.connect_timeout);
+    let connector = Connector::new()
+        .timeout(settings.connect_timeout)
+        .conn_keep_alive(MAX_IDLE_TIME);
     Client::builder()
         .connector(connector)
         .disable_redirects()
