CONFIG, DRAIN: a hub opens a new connection before it asks other hubs

Cause: a hub whose watch got no response asked the hubs of all other failure domains, one after the other and over connections that may be dead as well, 0.9 to 1 s each, before it opened a new connection to the store. With five domains its members relied on knowledge over 5 s old.

Change: after a lost response the watch is tried once over a new connection.

--- a/crates/dandeliondeal_relay/src/shared_store.rs
+++ b/crates/dandeliondeal_relay/src/shared_store.rs
@@ -34,6 +34,8 @@
 ///
 /// It is short so that a hub that is not cut off always has a recent answer from the store.
 const HUB_WATCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum duration of the watch over a new connection after one without a response.
+const RETRY_WATCH_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum time for which a hub delays its reply to a member while nothing changes.
 const MEMBER_HOLD_TIME: Duration = Duration::from_millis(600);
 /// Maximum wait of a member for its hub's reply.
@@ -304,7 +306,14 @@
         {
             return Ok(changes);
         }
-        match self.watch_store(kind, since, HUB_WATCH_TIMEOUT).await {
+        let mut result = self.watch_store(kind, since, HUB_WATCH_TIMEOUT).await;
+        if matches!(result, Err(StoreError::ResponseLost { .. })) {
+            // The connection alone may be dead, and those to other hubs as well. Asking each of them
+            // would take longer than a new connection to the store.
+            tracing::info!(kind, "no response from the store; trying a new connection");
+            result = self.watch_store(kind, since, RETRY_WATCH_TIMEOUT).await;
+        }
+        match result {
             Err(error) if !error.is_history_expired() => {
                 let changes = self.changes_from_hubs(kind, since).await;
                 changes.ok_or(error)
