BUDGET: a retry budget that restarts and long slots cannot exceed

What endpoints saw: with real processes (three routers, ratio 0.2, slack 60, window 10 s, four replicas that reject all requests after 12 s of calm), each router restarted in turn 1 s apart: 448 repeats of 339 allowed in the worst window with SIGKILL, 465 of 339 with SIGTERM.

Cause: two faults of RepeatWindow. It starts empty after a restart, but the process before may just have sent what it had earned in the past window, and the new one earns on new requests and gets a whole share of the slack. And slots are kept for one slot more than the window, so that credit of 11 s is spent against a limit of 10 s.

Change: RetryBudget serves routers as well, and RepeatWindow is gone. A budget starts empty, each request adds to it, and it saves at most the instance's part of the slack, 0.7 of it over all. In a window of any length the repeats of all instances are then at most the ratio of the requests in that window and the slack, without shared state and over any number of restarts. The part of a new process grows over its first window, until the others have counted it. In the entry instance the budget starts with one retry in place of 20.

Callers lose: at the first moment of a failure an instance repeats no more than its part of the slack at once; after that, one request in five. Before, it spent what ten seconds had earned as well.

Evidence: dandeliondeal_relay_repeats_total and repeat_denials_total by service, dandeliondeal_saved_repeats{service}.

Tests: repeat_restarts (real processes; before: as above; after: within the limit), retry_fleet (random schedules of requests, failures, restarts, joins and leaves, every window, requests of that window alone). retry_fleet replaces repeat_window::sliding_windows, which checked one instance and counted requests over two windows. Test sites get a high ratio: a new process has saved nothing, and what these tests check is not the budget; second_unaffordable uses a ratio of 0 in place of taking all repeats.

--- a/crates/dandeliondeal_balance/src/retry_budget.rs
+++ b/crates/dandeliondeal_balance/src/retry_budget.rs
@@ -11,6 +11,8 @@
     pub retries_per_request: f64,
     /// Maximum number of retries that can accumulate.
     pub max_saved_retries: f64,
+    /// Retries of a process that has not counted a request yet; each restart grants them again.
+    pub initial_retries: f64,
     /// Delay before the first retry, before jitter. It doubles with each further retry.
     pub base_delay: Duration,
     /// Maximum delay before a retry.
@@ -22,16 +24,19 @@
         Self {
             retries_per_request: 0.1,
             max_saved_retries: 20.0,
+            initial_retries: 1.0,
             base_delay: Duration::from_millis(20),
             max_delay: Duration::from_secs(1),
         }
     }
 }
 
-/// Limits the retries of this instance to a share of its requests.
+/// Limits the retries of one instance to a share of its requests.
 ///
-/// The budget grows with requests rather than with time, so that a long outage doesn't accumulate
-/// retries that would all run at its end.
+/// The budget grows with requests and is bounded. In a window of any length, an instance therefore
+/// sends at most its share of the requests in that window and the maximum that it can save. Where a
+/// restart grants nothing, the sum over all instances needs no shared state and holds over any number
+/// of restarts.
 ///
 /// # Examples
 ///
@@ -41,14 +46,15 @@
 /// let settings = RetrySettings {
 ///     retries_per_request: 0.5,
 ///     max_saved_retries: 1.0,
+///     initial_retries: 0.0,
 ///     ..Default::default()
 /// };
 /// let mut budget = RetryBudget::new(settings);
-/// assert!(budget.try_take());
 /// assert!(!budget.try_take());
 /// budget.record_request();
 /// budget.record_request();
 /// assert!(budget.try_take());
+/// assert!(!budget.try_take());
 /// ```
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -57,14 +63,25 @@
 }
 
 impl RetryBudget {
-    /// Creates a budget with the maximum number of accumulated retries.
+    /// Creates the budget of a new process.
     pub fn new(settings: RetrySettings) -> Self {
         Self {
             settings,
-            saved_retries: settings.max_saved_retries,
+            saved_retries: settings.initial_retries,
         }
     }
 
+    /// Sets the maximum number of retries that can accumulate; what exceeds it is lost.
+    pub fn set_max_saved(&mut self, max_saved_retries: f64) {
+        self.settings.max_saved_retries = max_saved_retries;
+        self.saved_retries = self.saved_retries.min(max_saved_retries);
+    }
+
+    /// Returns the number of accumulated retries.
+    pub fn saved_retries(&self) -> f64 {
+        self.saved_retries
+    }
+
     /// Counts the first attempt of a request, which adds to the budget.
     pub fn record_request(&mut self) {
         self.saved_retries = (self.saved_retries + self.settings.retries_per_request)
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod relay_lifecycle;
 pub mod relay_metrics;
 pub mod relay_outcome;
+mod repeat_allowance;
 pub mod request_admission;
 pub mod request_handler;
 pub mod request_intake;
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -1,7 +1,6 @@
 //! State shared by all requests of a router.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -12,7 +11,7 @@
 use dandeliondeal_limit::{EndpointRates, RunTimes};
 use dandeliondeal_peer::PeerSettings;
 use dandeliondeal_quarantine::CrashTable;
-use dandeliondeal_route::{RepeatWindow, RouteTable, WindowSettings};
+use dandeliondeal_route::RouteTable;
 use dandeliondeal_types::{Clock, ServiceId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -33,15 +32,10 @@
 use crate::relay_error::RelayError;
 use crate::relay_lifecycle::{LifecycleTable, lifecycle_table};
 use crate::relay_metrics::RelayMetrics;
+use crate::repeat_allowance::RepeatAllowance;
 use crate::request_admission::RequestAdmission;
 use crate::silence_watch::SilenceWatch;
 
-/// Share of the slack that running instances use.
-///
-/// The rest is reserved for instances that restart within a budget window and have lost their
-/// record of used repeats.
-const USABLE_SLACK_SHARE: f64 = 0.7;
-
 /// Progress of a shutdown.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum StopPhase {
@@ -70,7 +64,7 @@
     first_reads: watch::Sender<FirstReads>,
     fleet: RefCell<FleetView>,
     pool: RefCell<ConnectionPool<Time>>,
-    budgets: RefCell<HashMap<ServiceId, RepeatWindow>>,
+    repeats: RepeatAllowance,
     random: RefCell<StdRng>,
     tracker: LoadTracker,
     silences: SilenceWatch,
@@ -126,6 +120,7 @@
     ) -> Result<Self, RelayError> {
         let fleet = FleetView::new(&settings.instance.id)?;
         let pool = ConnectionPool::new(PoolSettings::default(), clock.clone());
+        let repeats = RepeatAllowance::new(clock.now());
         let shared = SharedState {
             settings,
             clock,
@@ -134,7 +129,7 @@
             first_reads: watch::Sender::default(),
             fleet: RefCell::new(fleet),
             pool: RefCell::new(pool),
-            budgets: RefCell::default(),
+            repeats,
             random: RefCell::new(StdRng::seed_from_u64(seed)),
             tracker: LoadTracker::default(),
             silences: SilenceWatch::default(),
@@ -353,25 +348,16 @@
         self.share_slack();
     }
 
-    /// Updates this instance's part of the slack in all repeat budgets.
-    pub(crate) fn share_slack(&self) {
-        let slack = self.slack();
-        for budget in self.shared.budgets.borrow_mut().values_mut() {
-            budget.set_slack(slack);
-        }
+    /// Returns the number of registered instances; `None` until they are counted since the start or the
+    /// last pause.
+    pub(crate) fn counted_instances(&self) -> Option<usize> {
+        let instance_count = self.shared.instance_count.get();
+        (instance_count > 0 && self.pauses().is_counted()).then_some(instance_count)
     }
 
-    /// Returns this instance's part of the repeat budget's slack.
-    ///
-    /// It is 0 until the instances are counted, because a new process does not know how many others
-    /// there are, nor does one that was paused.
-    fn slack(&self) -> f64 {
-        let instance_count = self.shared.instance_count.get();
-        let slack = self.shared.settings.allowances.repeat_slack * USABLE_SLACK_SHARE;
-        if instance_count == 0 || !self.pauses().is_counted() {
-            return 0.0;
-        }
-        slack / instance_count as f64
+    /// Returns the repeat budgets.
+    pub(crate) fn repeats(&self) -> &RepeatAllowance {
+        &self.shared.repeats
     }
 
     /// Returns whether the process has been asked to stop.
@@ -445,42 +431,6 @@
         self.shared.lease_holder_seen.get()
     }
 
-    /// Counts a request towards a service's repeat budget.
-    pub fn count_request(&self, service: &ServiceId) {
-        let now = self.now();
-        self.with_budget(service, |budget| budget.record_request(now));
-    }
-
-    /// Takes one repeat from a service's budget; returns `false` if none is left.
-    pub fn acquire_repeat(&self, service: &ServiceId, cause: &str) -> bool {
-        self.check_pause();
-        let now = self.now();
-        let is_allowed = self.with_budget(service, |budget| budget.try_record_repeat(now));
-        if is_allowed {
-            self.metrics().repeats.with_label_values(&[cause]).inc();
-        } else {
-            self.metrics().budget_denials.inc();
-        }
-        is_allowed
-    }
-
-    fn with_budget<Result, Use>(&self, service: &ServiceId, call: Use) -> Result
-    where
-        Use: FnOnce(&mut RepeatWindow) -> Result,
-    {
-        let allowances = &self.shared.settings.allowances;
-        let settings = WindowSettings {
-            window: allowances.repeat_window,
-            ratio: allowances.repeat_ratio,
-            slack: self.slack(),
-        };
-        let mut budgets = self.shared.budgets.borrow_mut();
-        let budget = budgets
-            .entry(ServiceId::clone(service))
-            .or_insert_with(|| RepeatWindow::new(settings));
-        call(budget)
-    }
-
     /// Calls `draw` with the random number generator.
     pub fn with_rng<Result, Draw>(&self, draw: Draw) -> Result
     where
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Error, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Error, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 
 use crate::admission_metrics::AdmissionMetrics;
@@ -21,10 +21,12 @@
     pub outcomes: IntCounterVec,
     /// Time until the complete response, or until the first event of a stream, in seconds.
     pub latency: HistogramVec,
-    /// Number of attempts beyond the first of a request, by cause.
+    /// Number of attempts beyond the first of a request, by service and cause.
     pub repeats: IntCounterVec,
-    /// Number of repeats that the budget denied.
-    pub budget_denials: IntCounter,
+    /// Number of repeats that the budget denied, by service.
+    pub budget_denials: IntCounterVec,
+    /// Number of repeats left in the budget, by service.
+    pub saved_repeats: GaugeVec,
     /// Number of checks of streams without events, by what was found.
     pub silences: IntCounterVec,
     /// Number of runs of streams that broke, by how far the response had come.
@@ -75,8 +77,8 @@
         )?;
         let repeats = counters(
             "dandeliondeal_relay_repeats_total",
-            "Attempts beyond the first of a request, by cause.",
-            &["cause"],
+            "Attempts beyond the first of a request, by service and cause.",
+            &["service", "cause"],
         )?;
         let silences = counters(
             "dandeliondeal_relay_silences_total",
@@ -105,10 +107,17 @@
         let latency = HistogramVec::new(options.buckets(LATENCY_BUCKETS.to_vec()), &["service"])?;
         registry.register(Box::new(latency.clone()))?;
         let counter = |name, help| register_counter(&registry, name, help);
-        let budget_denials = counter(
+        let budget_denials = counters(
             "dandeliondeal_repeat_denials_total",
-            "Repeats that the budget did not allow.",
+            "Repeats that the budget did not allow, by service.",
+            &["service"],
         )?;
+        let options = Opts::new(
+            "dandeliondeal_saved_repeats",
+            "Repeats that are left in the budget, by service.",
+        );
+        let saved_repeats = GaugeVec::new(options, &["service"])?;
+        registry.register(Box::new(saved_repeats.clone()))?;
         let dropped_logs = counter(
             "dandeliondeal_dropped_log_lines_total",
             "Log lines that were left out under load.",
@@ -149,6 +158,7 @@
             latency,
             repeats,
             budget_denials,
+            saved_repeats,
             silences,
             stream_breaks,
             store_failures,
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -306,6 +306,7 @@
 where
     Time: Clock,
 {
+    context.update_repeat_metrics();
     let (status, text) = match context.metrics().encode() {
         Ok(text) => (StatusCode::OK, text),
         Err(error) => {
--- a/crates/dandeliondeal_relay/tests/process_pause.rs
+++ b/crates/dandeliondeal_relay/tests/process_pause.rs
@@ -49,7 +49,21 @@
 }
 
 /// Returns the number of repeats that the budget allows at once.
+/// Lets the window of repeats pass without a pause.
+fn run_for_window(clock: &ManualClock, contexts: &[&RelayContext<ManualClock, ()>]) {
+    for _ in 0..20 {
+        clock.advance(AllowanceSettings::default().repeat_window / 20);
+        for context in contexts {
+            context.check_pause();
+        }
+    }
+}
+
+/// Counts requests until the budget holds all that it can save, then takes what it holds.
 fn repeats(context: &RelayContext<ManualClock, ()>) -> usize {
+    for _ in 0..1_000 {
+        context.count_request(&"desk".into());
+    }
     (0..100)
         .take_while(|_| context.acquire_repeat(&"desk".into(), "answer"))
         .count()
@@ -92,11 +106,13 @@
     let clock = ManualClock::default();
     let paused = context(&clock);
     paused.set_peers(peers(1));
+    run_for_window(&clock, &[&paused]);
     clock.advance(PAUSE);
     let started = context(&clock);
+    run_for_window(&clock, &[&paused, &started]);
     started.set_peers(peers(2));
     let total = repeats(&paused) + repeats(&started);
     assert!(total <= 60, "{total} repeats");
     paused.set_peers(peers(2));
-    assert!(repeats(&paused) > 0);
+    assert!(repeats(&paused) > 1);
 }
--- a/crates/dandeliondeal_route/src/lib.rs
+++ b/crates/dandeliondeal_route/src/lib.rs
@@ -1,16 +1,12 @@
 //! Request routing, API keys and the active configuration.
 //!
 //! [`RouteConfig`] is one version of the operators' configuration. [`RouteTable`] looks up the
-//! route, the organisation and the service of a request. [`RepeatWindow`] limits repeats of
-//! requests to the share that operators allow.
+//! route, the organisation and the service of a request.
 
-pub mod repeat_window;
 pub mod route_config;
 pub mod route_table;
 pub mod urgency_scale;
 
-#[doc(inline)]
-pub use repeat_window::{RepeatWindow, WindowSettings};
 #[doc(inline)]
 pub use route_config::{
     CallerLimits, OrganisationRule, RepeatClass, RouteConfig, RouteRule, ServiceRule, ServiceShare,
