BUDGET: charge a hand-over after a rejection

Cause: where an endpoint has rejected a request and its instance turns out to have lost its links, another instance got the request without a charge, although endpoints receive it once more.

Change: a hand-over is free only if nothing was sent.

Test: handed_over::rejected_before (before: answered by a second endpoint with a budget of zero; 200 in place of 503).

--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -247,11 +247,8 @@
                 RaceEnd::Unanswered(RefusalCause::NoEndpoint)
             });
         };
-        if self.sent_attempts > 0 && !self.holds_repeat {
-            self.holds_repeat = self.context.acquire_repeat(&self.request.service, "answer");
-            if !self.holds_repeat {
-                return Err(RaceEnd::Unanswered(RefusalCause::Overloaded));
-            }
+        if self.sent_attempts > 0 && !self.acquire_repeat("answer") {
+            return Err(RaceEnd::Unanswered(RefusalCause::Overloaded));
         }
         self.tried.push(EndpointId::clone(&endpoint.id));
         Ok(endpoint)
@@ -272,18 +269,23 @@
 
     /// Returns whether another instance may serve the request, and charges the repeat budget if this
     /// one has sent it.
+    ///
+    /// A rejected attempt is charged as well: endpoints receive the request once more.
     fn may_hand_over(&mut self) -> bool {
-        if self.sent_attempts == 0 || self.lifecycle.is_proven_not_run() {
+        if self.sent_attempts == 0 {
             return true;
         }
         let standing = self.request.standing(self.context);
-        let may_repeat = self.is_repeatable && standing == RequestStanding::Sound;
-        may_repeat
-            && self.has_attempts_left()
-            && (self.holds_repeat
-                || self
-                    .context
-                    .acquire_repeat(&self.request.service, "lost-links"))
+        let may_repeat = self.lifecycle.is_proven_not_run()
+            || self.is_repeatable && standing == RequestStanding::Sound && self.has_attempts_left();
+        may_repeat && self.acquire_repeat("lost-links")
+    }
+
+    /// Charges the repeat budget for an attempt, unless one that was charged is not sent yet.
+    fn acquire_repeat(&mut self, cause: &str) -> bool {
+        let service = &self.request.service;
+        self.holds_repeat = self.holds_repeat || self.context.acquire_repeat(service, cause);
+        self.holds_repeat
     }
 
     /// Records that the request is sent to an endpoint.
