Bound the memory of response bodies over all connections

What happened: an endpoint that sends a body without end can end the process. Each response is bounded (8 MiB), their sum was not: with 60 such responses at once the resident memory of a router rose to 602 MiB (debug build), where machines have 160 to 512.

Change: BodyMemory limits what all bodies together hold while they are read to an eighth of the new setting machine.memory_mb (160). An attempt beyond the limit ends with a cause of its own in log and metrics, and counts as one whose response was lost.

Not covered: events of streams, request bodies of callers, and answers of the store keep the limits of each.

--- a/crates/dandeliondeal_config/src/router_settings.rs
+++ b/crates/dandeliondeal_config/src/router_settings.rs
@@ -149,6 +149,8 @@
     pub descriptors: u64,
     /// Processor time that the process may use, in cores.
     pub processor: f64,
+    /// Memory that the process may use, in mebibytes.
+    pub memory_mb: u64,
 }
 
 impl Default for MachineSettings {
@@ -156,6 +158,7 @@
         Self {
             descriptors: 1_024,
             processor: 1.0,
+            memory_mb: 160,
         }
     }
 }
@@ -277,6 +280,12 @@
             "Processor time that the process may use, in cores. Instances with most of it serve as \
              hubs."
         ),
+        setting_field!(
+            machine.memory_mb,
+            16,
+            1_048_576,
+            "Memory that the process may use, in mebibytes; an eighth of it holds bodies of responses."
+        ),
         setting_field!(
             grading.mode,
             "Which services admit requests by urgency: auto (where the configuration has requests \
--- a/crates/dandeliondeal_http/src/lib.rs
+++ b/crates/dandeliondeal_http/src/lib.rs
@@ -5,6 +5,7 @@
 //! client libraries hide: whether any byte was written, how a body ended, and whether bytes were
 //! left over. [`ConnectionPool`] stores idle connections for reuse.
 
+pub mod body_memory;
 mod caller_bound;
 pub mod connection_error;
 pub mod connection_pool;
@@ -13,6 +14,8 @@
 pub mod http_listener;
 pub mod response_body;
 
+#[doc(inline)]
+pub use body_memory::BodyMemory;
 #[doc(inline)]
 pub use connection_error::ConnectionError;
 #[doc(inline)]
--- a/crates/dandeliondeal_relay/src/handover.rs
+++ b/crates/dandeliondeal_relay/src/handover.rs
@@ -66,7 +66,8 @@
             Ok(open) => open,
             Err(cause) => return request.end_unanswered(cause, None),
         };
-        let body = open.connection.read_body(MAX_RESPONSE_BYTES);
+        let memory = context.body_memory();
+        let body = open.connection.read_body_within(MAX_RESPONSE_BYTES, memory);
         let error = match timeout(request.time_left(context.now()), body).await {
             Ok(Ok(body)) => {
                 request.lifecycle.apply(LifecycleEvent::Start);
--- a/crates/dandeliondeal_relay/src/handover_stream.rs
+++ b/crates/dandeliondeal_relay/src/handover_stream.rs
@@ -132,7 +132,9 @@
         }
         request.lifecycle.mark_may_have_run();
         let time_left = request.time_left(context.now());
-        let body = timeout(time_left, open.connection.read_body(MAX_RESPONSE_BYTES)).await;
+        let memory = context.body_memory();
+        let body = open.connection.read_body_within(MAX_RESPONSE_BYTES, memory);
+        let body = timeout(time_left, body).await;
         let Ok(Ok(body)) = body else {
             return Err(refuse(request, RefusalCause::LostAnswer));
         };
--- a/crates/dandeliondeal_relay/src/plain_attempt.rs
+++ b/crates/dandeliondeal_relay/src/plain_attempt.rs
@@ -163,13 +163,15 @@
     record_limit(context, &endpoint.id, facts.request_limit);
     if facts.is_not_run && !head.status.is_success() {
         // The head states all that matters; the body only decides whether the connection is reusable.
-        let body = connection.read_body(MAX_RESPONSE_BYTES);
+        let body = connection.read_body_within(MAX_RESPONSE_BYTES, context.body_memory());
         if timeout(REJECTION_BODY_TIMEOUT, body).await.is_err() {
             tracing::debug!(request = %id, "body of a rejection did not arrive");
         }
         return Ok((AttemptResult::NotRun, connection));
     }
-    let body = connection.read_body(MAX_RESPONSE_BYTES).await?;
+    let body = connection
+        .read_body_within(MAX_RESPONSE_BYTES, context.body_memory())
+        .await?;
     let is_verified = facts.is_signed && !facts.is_encoded && facts.request.is_some();
     if head.status.is_success() && !is_verified {
         return Err(ConnectionError::after_write(
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_config::{RouterSettings, SecretText};
-use dandeliondeal_http::{ConnectionPool, PoolSettings};
+use dandeliondeal_http::{BodyMemory, ConnectionPool, PoolSettings};
 use dandeliondeal_layout::{LayoutPlanner, LayoutSettings};
 use dandeliondeal_limit::{EndpointRates, RunTimes};
 use dandeliondeal_peer::PeerSettings;
@@ -36,6 +36,11 @@
 use crate::request_admission::RequestAdmission;
 use crate::silence_watch::SilenceWatch;
 
+/// Part of the process's memory that bodies may take while they are read, as a divisor.
+///
+/// The buffers of bodies grow to twice their content.
+const BODY_MEMORY_DIVISOR: usize = 8;
+
 /// Progress of a shutdown.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum StopPhase {
@@ -65,6 +70,7 @@
     fleet: RefCell<FleetView>,
     pool: RefCell<ConnectionPool<Time>>,
     repeats: RepeatAllowance,
+    body_memory: BodyMemory,
     random: RefCell<StdRng>,
     tracker: LoadTracker,
     silences: SilenceWatch,
@@ -121,6 +127,9 @@
         let fleet = FleetView::new(&settings.instance.id)?;
         let pool = ConnectionPool::new(PoolSettings::default(), clock.clone());
         let repeats = RepeatAllowance::new(clock.now());
+        let memory_bytes = settings.machine.memory_mb.saturating_mul(1024 * 1024);
+        let memory_bytes = usize::try_from(memory_bytes).unwrap_or(usize::MAX);
+        let body_memory = BodyMemory::new(memory_bytes / BODY_MEMORY_DIVISOR);
         let shared = SharedState {
             settings,
             clock,
@@ -130,6 +139,7 @@
             fleet: RefCell::new(fleet),
             pool: RefCell::new(pool),
             repeats,
+            body_memory,
             random: RefCell::new(StdRng::seed_from_u64(seed)),
             tracker: LoadTracker::default(),
             silences: SilenceWatch::default(),
@@ -355,6 +365,11 @@
         (instance_count > 0 && self.pauses().is_counted()).then_some(instance_count)
     }
 
+    /// Returns the memory for bodies of responses that are being read.
+    pub fn body_memory(&self) -> &BodyMemory {
+        &self.shared.body_memory
+    }
+
     /// Returns the repeat budgets.
     pub(crate) fn repeats(&self) -> &RepeatAllowance {
         &self.shared.repeats
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -31,6 +31,10 @@
     pub silences: IntCounterVec,
     /// Number of runs of streams that broke, by how far the response had come.
     pub stream_breaks: IntCounterVec,
+    /// Number of bytes of response bodies that are being read.
+    pub body_bytes: IntGauge,
+    /// Number of response bodies that were given up for want of memory.
+    pub body_denials: IntGauge,
     /// Number of failed calls to the platform's store, by kind and by what failed.
     pub store_failures: IntCounterVec,
     /// Number of orders to engines by reply.
@@ -145,6 +149,14 @@
             "dandeliondeal_quarantined_parts",
             "Parts of prompts that are refused because they crash engines.",
         )?;
+        let body_bytes = gauge(
+            "dandeliondeal_body_bytes",
+            "Bytes of response bodies that are being read.",
+        )?;
+        let body_denials = gauge(
+            "dandeliondeal_body_denials",
+            "Response bodies that were given up for want of memory.",
+        )?;
         let limited_endpoints = gauge(
             "dandeliondeal_limited_endpoints",
             "Endpoints that state a request limit.",
@@ -161,6 +173,8 @@
             saved_repeats,
             silences,
             stream_breaks,
+            body_bytes,
+            body_denials,
             store_failures,
             orders,
             config_version,
--- a/crates/dandeliondeal_relay/src/stream_run.rs
+++ b/crates/dandeliondeal_relay/src/stream_run.rs
@@ -233,7 +233,10 @@
     /// Returns [`ConnectionError`] if the response broke off or its headers were not received.
     pub(crate) async fn read_body(&mut self, limit: usize) -> Result<Bytes, ConnectionError> {
         match self.source.connection() {
-            Some(connection) => connection.read_body(limit).await,
+            Some(connection) => {
+                let memory = self.context.body_memory();
+                connection.read_body_within(limit, memory).await
+            }
             None => Err(ConnectionError::after_write("no response was received")),
         }
     }
