--- a/crates/dandeliondeal_balance/tests/retry_fleet.rs
+++ b/crates/dandeliondeal_balance/tests/retry_fleet.rs
@@ -48,18 +48,15 @@
 
 impl SimulatedFleet {
     fn new(count: usize) -> Self {
-        let mut fleet = Self {
+        Self {
             now: WINDOW * 3,
-            instances: Vec::new(),
+            instances: vec![Self::new_budget(count); count],
             requests: Vec::new(),
             retries: Vec::new(),
-        };
-        let budget = fleet.new_budget(count);
-        fleet.instances = vec![budget; count];
-        fleet
+        }
     }
 
-    fn new_budget(&self, count: usize) -> RetryBudget {
+    fn new_budget(count: usize) -> RetryBudget {
         RetryBudget::new(RetrySettings {
             retries_per_request: RATIO,
             max_saved_retries: SLACK / count as f64,
@@ -101,10 +98,10 @@
             }
             FleetStep::Restart(instance) => {
                 let index = self.index(instance);
-                self.instances[index] = self.new_budget(self.instances.len());
+                self.instances[index] = Self::new_budget(self.instances.len());
             }
             FleetStep::Join => {
-                let budget = self.new_budget(self.instances.len() + 1);
+                let budget = Self::new_budget(self.instances.len() + 1);
                 self.instances.push(budget);
                 self.count_instances();
             }
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission_metrics;
 mod admission_news;
 pub mod backoff_metrics;
+pub mod body_metrics;
 pub mod call_guard;
 pub mod chain_selection;
 pub mod chain_watch;
@@ -64,6 +65,7 @@
 pub mod relay_metrics;
 pub mod relay_outcome;
 mod repeat_allowance;
+pub mod repeat_metrics;
 pub mod request_admission;
 pub mod request_handler;
 pub mod request_intake;
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Error, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry, TextEncoder,
+    Encoder, Error, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::admission_metrics::AdmissionMetrics;
 use crate::backoff_metrics::BackoffMetrics;
+use crate::body_metrics::BodyMetrics;
+use crate::repeat_metrics::RepeatMetrics;
 
 /// Upper bounds of the latency buckets in seconds, around the latency objectives of callers.
 const LATENCY_BUCKETS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 20.0];
@@ -21,20 +23,14 @@
     pub outcomes: IntCounterVec,
     /// Time until the complete response, or until the first event of a stream, in seconds.
     pub latency: HistogramVec,
-    /// Number of attempts beyond the first of a request, by service and cause.
-    pub repeats: IntCounterVec,
-    /// Number of repeats that the budget denied, by service.
-    pub budget_denials: IntCounterVec,
-    /// Number of repeats left in the budget, by service.
-    pub saved_repeats: GaugeVec,
+    /// Repeated attempts and their budget.
+    pub repeats: RepeatMetrics,
     /// Number of checks of streams without events, by what was found.
     pub silences: IntCounterVec,
     /// Number of runs of streams that broke, by how far the response had come.
     pub stream_breaks: IntCounterVec,
-    /// Number of bytes of response bodies that are being read.
-    pub body_bytes: IntGauge,
-    /// Number of response bodies that were given up for want of memory.
-    pub body_denials: IntGauge,
+    /// Memory that bodies take while they are read.
+    pub bodies: BodyMetrics,
     /// Number of failed calls to the platform's store, by kind and by what failed.
     pub store_failures: IntCounterVec,
     /// Number of orders to engines by reply.
@@ -79,11 +75,6 @@
             "Ended requests by service and outcome.",
             &["service", "outcome"],
         )?;
-        let repeats = counters(
-            "dandeliondeal_relay_repeats_total",
-            "Attempts beyond the first of a request, by service and cause.",
-            &["service", "cause"],
-        )?;
         let silences = counters(
             "dandeliondeal_relay_silences_total",
             "Checks of streams without events, by what was found.",
@@ -111,17 +102,6 @@
         let latency = HistogramVec::new(options.buckets(LATENCY_BUCKETS.to_vec()), &["service"])?;
         registry.register(Box::new(latency.clone()))?;
         let counter = |name, help| register_counter(&registry, name, help);
-        let budget_denials = counters(
-            "dandeliondeal_repeat_denials_total",
-            "Repeats that the budget did not allow, by service.",
-            &["service"],
-        )?;
-        let options = Opts::new(
-            "dandeliondeal_saved_repeats",
-            "Repeats that are left in the budget, by service.",
-        );
-        let saved_repeats = GaugeVec::new(options, &["service"])?;
-        registry.register(Box::new(saved_repeats.clone()))?;
         let dropped_logs = counter(
             "dandeliondeal_dropped_log_lines_total",
             "Log lines that were left out under load.",
@@ -149,14 +129,6 @@
             "dandeliondeal_quarantined_parts",
             "Parts of prompts that are refused because they crash engines.",
         )?;
-        let body_bytes = gauge(
-            "dandeliondeal_body_bytes",
-            "Bytes of response bodies that are being read.",
-        )?;
-        let body_denials = gauge(
-            "dandeliondeal_body_denials",
-            "Response bodies that were given up for want of memory.",
-        )?;
         let limited_endpoints = gauge(
             "dandeliondeal_limited_endpoints",
             "Endpoints that state a request limit.",
@@ -165,16 +137,13 @@
         Ok(Self {
             admission: AdmissionMetrics::new(&registry)?,
             backoffs: BackoffMetrics::new(&registry)?,
+            bodies: BodyMetrics::new(&registry)?,
+            repeats: RepeatMetrics::new(&registry)?,
             registry,
             outcomes,
             latency,
-            repeats,
-            budget_denials,
-            saved_repeats,
             silences,
             stream_breaks,
-            body_bytes,
-            body_denials,
             store_failures,
             orders,
             config_version,
--- a/crates/dandeliondeal_relay/src/repeat_allowance.rs
+++ b/crates/dandeliondeal_relay/src/repeat_allowance.rs
@@ -53,11 +53,11 @@
     pub fn acquire_repeat(&self, service: &ServiceId, cause: &str) -> bool {
         self.check_pause();
         let is_allowed = self.with_budget(service, RetryBudget::try_take);
-        let metrics = self.metrics();
+        let metrics = &self.metrics().repeats;
         if is_allowed {
-            metrics.repeats.with_label_values(&[service, cause]).inc();
+            metrics.sent.with_label_values(&[service, cause]).inc();
         } else {
-            metrics.budget_denials.with_label_values(&[service]).inc();
+            metrics.denied.with_label_values(&[service]).inc();
         }
         is_allowed
     }
@@ -74,10 +74,8 @@
     /// Updates the metric of the repeats that are left.
     pub(crate) fn update_repeat_metrics(&self) {
         for (service, budget) in &*self.repeats().budgets.borrow() {
-            let gauge = &self.metrics().saved_repeats;
-            gauge
-                .with_label_values(&[service])
-                .set(budget.saved_retries());
+            let gauge = self.metrics().repeats.saved.with_label_values(&[service]);
+            gauge.set(budget.saved_retries());
         }
     }
 
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -307,11 +307,7 @@
     Time: Clock,
 {
     context.update_repeat_metrics();
-    let memory = context.body_memory();
-    let metrics = context.metrics();
-    let to_metric = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
-    metrics.body_bytes.set(to_metric(memory.held() as u64));
-    metrics.body_denials.set(to_metric(memory.denials()));
+    context.metrics().bodies.update(context.body_memory());
     let (status, text) = match context.metrics().encode() {
         Ok(text) => (StatusCode::OK, text),
         Err(error) => {
--- a/crates/dandeliondeal_relay/tests/outage_tracker.rs
+++ b/crates/dandeliondeal_relay/tests/outage_tracker.rs
@@ -19,7 +19,8 @@
 /// Records an outage from `start`, whose last call is refused shortly before `recovered`.
 fn play_outage(tracker: &mut OutageTracker, start: Instant, recovered: Instant) {
     refuse_call(tracker, start);
-    refuse_call(tracker, recovered - Duration::from_millis(200));
+    let last_call = recovered.checked_sub(Duration::from_millis(200));
+    refuse_call(tracker, last_call.unwrap_or(start));
     tracker.record_success(recovered);
 }
 
