Register runs with the processes that hold them; log those given up

Each run is registered with all processes of its chain until it is settled; 'run given up' names the endpoints, the stage of the answer and the features. No decision uses it yet.

--- /dev/null
+++ b/crates/dandeliondeal_quarantine/src/held_runs.rs
@@ -0,0 +1,220 @@
+//! Requests that processes hold, and those that were given up shortly before.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use dandeliondeal_types::{FeatureId, RequestId, ServiceId};
+use derive_more::Display;
+
+use crate::crash_evidence::ProcessId;
+
+/// How far the answer to a run has come.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
+pub enum RunStage {
+    /// The process has not begun an answer.
+    #[default]
+    #[display("waiting")]
+    Waiting,
+    /// The process has sent the head of the answer, but no event.
+    #[display("head")]
+    Head,
+    /// The process has sent events.
+    #[display("events")]
+    Events,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RunState {
+    Open,
+    /// The caller left, or the instance stopped waiting; the process may still work on it.
+    GivenUp(Instant),
+    /// The answer was complete, or the process stated that it did not run the request.
+    Settled,
+}
+
+/// One run of a request, which one or several processes hold.
+#[derive(Debug)]
+pub struct RunRecord {
+    /// Request, for logs.
+    pub request: RequestId,
+    /// Service that runs the request.
+    pub service: ServiceId,
+    /// What the request may have in common with others.
+    pub features: Vec<FeatureId>,
+    /// Hash that tells different requests apart.
+    pub session: u64,
+    stage: Cell<RunStage>,
+    state: Cell<RunState>,
+}
+
+impl RunRecord {
+    /// Creates the record of a run that starts.
+    pub fn new(
+        request: RequestId,
+        service: ServiceId,
+        features: Vec<FeatureId>,
+        session: u64,
+    ) -> Self {
+        Self {
+            request,
+            service,
+            features,
+            session,
+            stage: Cell::default(),
+            state: Cell::new(RunState::Open),
+        }
+    }
+
+    /// Returns how far the answer has come.
+    pub fn stage(&self) -> RunStage {
+        self.stage.get()
+    }
+
+    /// Records how far the answer has come.
+    pub fn set_stage(&self, stage: RunStage) {
+        self.stage.set(stage);
+    }
+
+    /// Records that the processes are done with the request.
+    pub fn settle(&self) {
+        self.state.set(RunState::Settled);
+    }
+
+    /// Records that nobody waits for the run any more; returns `false` if it was settled before.
+    pub fn give_up(&self, now: Instant) -> bool {
+        let is_open = self.state.get() == RunState::Open;
+        if is_open {
+            self.state.set(RunState::GivenUp(now));
+        }
+        is_open
+    }
+
+    /// Returns whether an end of a process at `end` may be due to this run.
+    fn is_suspect(&self, end: Instant, given_up_time: Duration) -> bool {
+        match self.state.get() {
+            RunState::Open => true,
+            RunState::GivenUp(at) => end.saturating_duration_since(at) <= given_up_time,
+            RunState::Settled => false,
+        }
+    }
+}
+
+/// Limits of [`HeldRuns`].
+#[derive(Clone, Debug)]
+pub struct HoldSettings {
+    /// Time after a run was given up in which the end of its process may be due to it.
+    pub given_up_time: Duration,
+    /// Time for which the runs of a process that does not answer are kept, until another process in
+    /// its place shows that it ended.
+    pub unanswered_time: Duration,
+    /// Maximum number of runs that are kept for a process.
+    pub max_runs: usize,
+}
+
+impl Default for HoldSettings {
+    fn default() -> Self {
+        Self {
+            given_up_time: Duration::from_secs(1),
+            unanswered_time: Duration::from_secs(10),
+            max_runs: 512,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct ProcessRuns {
+    runs: Vec<Rc<RunRecord>>,
+    /// Time since which the process accepts no connection, without refusing one.
+    unanswered_since: Option<Instant>,
+}
+
+/// Runs by the process that holds them.
+#[derive(Debug, Default)]
+pub struct HeldRuns {
+    settings: HoldSettings,
+    processes: HashMap<ProcessId, ProcessRuns>,
+}
+
+impl HeldRuns {
+    /// Creates an empty table.
+    pub fn new(settings: HoldSettings) -> Self {
+        Self {
+            settings,
+            processes: HashMap::new(),
+        }
+    }
+
+    /// Records that a process holds a run.
+    pub fn add(&mut self, process: &ProcessId, run: &Rc<RunRecord>) {
+        let held = self.processes.entry(ProcessId::clone(process)).or_default();
+        if held.runs.len() >= self.settings.max_runs {
+            let is_open = |run: &Rc<RunRecord>| run.state.get() == RunState::Open;
+            let index = held.runs.iter().position(|run| !is_open(run));
+            held.runs.remove(index.unwrap_or(0));
+        }
+        held.runs.push(Rc::clone(run));
+    }
+
+    /// Returns whether a process holds runs, or held some that were given up a short while ago.
+    pub fn holds_suspects(&self, process: &str, now: Instant) -> bool {
+        let given_up_time = self.settings.given_up_time;
+        let held = self.processes.get(process);
+        held.is_some_and(|held| {
+            let mut runs = held.runs.iter();
+            runs.any(|run| run.is_suspect(now, given_up_time))
+        })
+    }
+
+    /// Records that a process accepts no connection although none is refused: it may have ended
+    /// together with its machine.
+    pub fn record_unanswered(&mut self, process: &str, now: Instant) {
+        if let Some(held) = self.processes.get_mut(process) {
+            held.unanswered_since.get_or_insert(now);
+        }
+    }
+
+    /// Records that a process accepts connections.
+    pub fn record_contact(&mut self, process: &str) {
+        if let Some(held) = self.processes.get_mut(process) {
+            held.unanswered_since = None;
+        }
+    }
+
+    /// Removes and returns the runs that a process held when it ended.
+    pub fn take_ended(&mut self, process: &str, now: Instant) -> Vec<Rc<RunRecord>> {
+        let Some(held) = self.processes.remove(process) else {
+            return Vec::new();
+        };
+        let end = held.unanswered_since.unwrap_or(now);
+        let given_up_time = self.settings.given_up_time;
+        let runs = held.runs.into_iter();
+        runs.filter(|run| run.is_suspect(end, given_up_time))
+            .collect()
+    }
+
+    /// Forgets the runs that cannot become suspects any more.
+    pub fn sweep(&mut self, now: Instant) {
+        let settings = &self.settings;
+        self.processes.retain(|_, held| {
+            let is_recent =
+                |at: &Instant| now.saturating_duration_since(*at) < settings.unanswered_time;
+            held.unanswered_since = held.unanswered_since.filter(is_recent);
+            let end = held.unanswered_since.unwrap_or(now);
+            let is_kept = |run: &Rc<RunRecord>| run.is_suspect(end, settings.given_up_time);
+            held.runs.retain(is_kept);
+            !held.runs.is_empty()
+        });
+    }
+
+    /// Returns the number of processes with runs.
+    pub fn len(&self) -> usize {
+        self.processes.len()
+    }
+
+    /// Returns whether no process has runs.
+    pub fn is_empty(&self) -> bool {
+        self.processes.is_empty()
+    }
+}
--- a/crates/dandeliondeal_quarantine/src/lib.rs
+++ b/crates/dandeliondeal_quarantine/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod crash_report;
 pub mod crash_table;
 pub mod crash_verdict;
+pub mod held_runs;
 mod process_memory;
 pub mod request_fingerprint;
 
@@ -32,4 +33,6 @@
 #[doc(inline)]
 pub use crash_verdict::{FeatureVerdict, find_verdicts};
 #[doc(inline)]
+pub use held_runs::{HeldRuns, HoldSettings, RunRecord, RunStage};
+#[doc(inline)]
 pub use request_fingerprint::{RequestIdentity, is_fingerprint};
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod handover_entrance;
 mod handover_stream;
 pub mod handover_wire;
+mod held_run;
 pub mod hub_capacity;
 pub mod hub_selection;
 pub mod instance_registry;
--- a/crates/dandeliondeal_relay/src/plain_attempt.rs
+++ b/crates/dandeliondeal_relay/src/plain_attempt.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use dandeliondeal_balance::{CallResult, FailureSignal};
 use dandeliondeal_http::{ConnectionError, EndpointConnection, ResponseHead};
+use dandeliondeal_quarantine::RunStage;
 use dandeliondeal_route::RepeatClass;
 use dandeliondeal_types::{Clock, EndpointId, EndpointRecord};
 
@@ -16,6 +17,7 @@
     ConnectionChoice, EndpointExchange, MAX_RESPONSE_BYTES, build_attempt, open_connection,
 };
 use crate::endpoint_limits::record_limit;
+use crate::held_run::HeldRun;
 use crate::relay_context::RelayContext;
 use crate::request_intake::RelayRequest;
 
@@ -100,6 +102,9 @@
 {
     let no_answer = CallResult::Failed(FailureSignal::NoAnswer);
     let mut guard = CallGuard::start(context, vec![EndpointId::clone(&endpoint.id)]);
+    let held = HeldRun::start(context, request, [&endpoint.id]);
+    // Whether the replica has begun to answer is not known, as it answers all at once.
+    held.set_stage(RunStage::Head);
     let limit = request.time_left(context.now());
     let response = {
         let attempt = send_attempt(context, request, &endpoint, connection);
@@ -123,6 +128,9 @@
         AttemptResult::NotRun => CallResult::Failed(FailureSignal::Busy),
         AttemptResult::Lost(_) => no_answer,
     });
+    if !matches!(result, AttemptResult::Lost(_)) {
+        held.settle();
+    }
     if let AttemptResult::Lost(Some(error)) = &result
         && !error.is_invalid_answer()
     {
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -10,7 +10,7 @@
 use dandeliondeal_layout::{LayoutPlanner, LayoutSettings};
 use dandeliondeal_limit::{EndpointRates, RunTimes};
 use dandeliondeal_peer::PeerSettings;
-use dandeliondeal_quarantine::CrashTable;
+use dandeliondeal_quarantine::{CrashTable, HeldRuns};
 use dandeliondeal_route::RouteTable;
 use dandeliondeal_types::{Clock, ServiceId};
 use rand::rngs::StdRng;
@@ -79,6 +79,7 @@
     survey: EngineSurvey,
     first_engines: FirstEngineHealth,
     crashes: RefCell<CrashTable>,
+    held_runs: RefCell<HeldRuns>,
     process_checks: ProcessChecks,
     links: LinkMonitor,
     losses: LossBoard,
@@ -148,6 +149,7 @@
             survey: EngineSurvey::default(),
             first_engines: FirstEngineHealth::default(),
             crashes: RefCell::default(),
+            held_runs: RefCell::default(),
             process_checks: ProcessChecks::default(),
             links: LinkMonitor::default(),
             losses: LossBoard::default(),
@@ -295,6 +297,11 @@
         &self.shared.crashes
     }
 
+    /// Returns the requests that processes hold.
+    pub fn held_runs(&self) -> &RefCell<HeldRuns> {
+        &self.shared.held_runs
+    }
+
     /// Returns the request limits that endpoints state.
     pub fn rates(&self) -> &RefCell<EndpointRates> {
         self.check_pause();
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -29,6 +29,8 @@
     pub silences: IntCounterVec,
     /// Number of runs of streams that broke, by how far the response had come.
     pub stream_breaks: IntCounterVec,
+    /// Runs that were given up before their answers were complete, by the stage of the answer.
+    pub runs_given_up: IntCounterVec,
     /// Memory that bodies take while they are read.
     pub bodies: BodyMetrics,
     /// Number of failed calls to the platform's store, by kind and by what failed.
@@ -80,6 +82,11 @@
             "Checks of streams without events, by what was found.",
             &["finding"],
         )?;
+        let runs_given_up = counters(
+            "dandeliondeal_runs_given_up_total",
+            "Runs that were given up before their answers were complete.",
+            &["stage"],
+        )?;
         let stream_breaks = counters(
             "dandeliondeal_stream_breaks_total",
             "Runs of streams that broke, by how far the response had come.",
@@ -144,6 +151,7 @@
             latency,
             silences,
             stream_breaks,
+            runs_given_up,
             store_failures,
             orders,
             config_version,
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -280,6 +280,7 @@
         context.check_pause();
         context.pool().borrow_mut().close_expired();
         let now = context.now();
+        context.held_runs().borrow_mut().sweep(now);
         let changes = context.fleet().borrow_mut().tick(now);
         for change in changes {
             tracing::info!(?change, "registration was not renewed after the outage");
--- a/crates/dandeliondeal_relay/src/stream_rejection.rs
+++ b/crates/dandeliondeal_relay/src/stream_rejection.rs
@@ -30,6 +30,7 @@
         facts: &ResponseFacts,
     ) -> Result<(), StreamEnd> {
         let run = self.runs.remove(index);
+        run.settle();
         let may_repeat = self.has_other_run()
             || (self.attempts < MAX_ATTEMPTS && self.acquire_repeat("rejected"));
         self.record_rejection(&run, head, facts, may_repeat);
--- a/crates/dandeliondeal_relay/src/stream_relay.rs
+++ b/crates/dandeliondeal_relay/src/stream_relay.rs
@@ -306,6 +306,7 @@
         self.record_sound();
         self.request.lifecycle.apply(LifecycleEvent::Complete);
         if let Some(run) = self.runs.pop() {
+            run.settle();
             let id = EndpointId::clone(run.first_engine());
             if let Some(connection) = run.into_connection() {
                 self.context.pool().borrow_mut().put(&id, connection);
--- a/crates/dandeliondeal_relay/src/stream_run.rs
+++ b/crates/dandeliondeal_relay/src/stream_run.rs
@@ -7,33 +7,21 @@
 use bytes::Bytes;
 use dandeliondeal_http::{ConnectionError, EndpointConnection, OutboundRequest};
 use dandeliondeal_layout::EngineChain;
+use dandeliondeal_quarantine::RunStage;
 use dandeliondeal_route::RouteMatch;
 use dandeliondeal_types::{Clock, EndpointId, RequestId, ServiceId};
-use derive_more::Display;
 use tokio::task::JoinHandle;
 
 use crate::chain_watch::{SilenceCause, watch_chain};
 use crate::dialect::{FleetDialect, RequestDialect};
+use crate::held_run::HeldRun;
 use crate::load_tracker::LoadReservation;
 use crate::move_order::MoveNeed;
 use crate::relay_context::RelayContext;
+use crate::request_intake::RelayRequest;
 use crate::run_source::{RunSource, SourceStep};
 use crate::silence_watch::{StreamSilence, wait_for_move};
 
-/// How far the response of a run has come.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-pub(crate) enum ResponseStage {
-    /// The engine has not begun a response.
-    #[display("waiting")]
-    Waiting,
-    /// The engine has sent the head of the response, but no event.
-    #[display("head")]
-    Head,
-    /// The engine has sent events.
-    #[display("events")]
-    Events,
-}
-
 /// Progress of a run.
 #[derive(Debug)]
 pub(crate) enum RunStep {
@@ -87,6 +75,8 @@
     /// Evidence on the silence of the chain, and the urgency and the pause objective of the request,
     /// if the service is graded.
     grade: Option<RunGrade<Time, Dialect>>,
+    /// Registration with the processes of the chain.
+    held: HeldRun<Time, Dialect>,
 }
 
 /// What distinguishes a run of a graded service.
@@ -115,11 +105,12 @@
         connection: EndpointConnection,
         chain: EngineChain,
         reservation: LoadReservation,
-        request: (&OutboundRequest, &RequestId),
+        (request, outbound): (&RelayRequest, &OutboundRequest),
         last_event: Option<u64>,
     ) -> Result<Self, ConnectionError> {
-        let (outbound, id) = request;
+        let id = &request.facts.request;
         let source = RunSource::start(context, connection, &chain, (outbound, id), last_event)?;
+        let held = HeldRun::start(context, request, chain.hops.iter().map(|hop| &hop.id));
         Ok(Self {
             context: context.clone(),
             request: RequestId::clone(id),
@@ -131,6 +122,7 @@
             is_move_refused: false,
             has_conflict: false,
             grade: None,
+            held,
         })
     }
 
@@ -176,7 +168,10 @@
         };
         let moved = tokio::select! {
             biased;
-            step = self.source.next_step() => return RunStep::Response(step),
+            step = self.source.next_step() => {
+                self.held.set_stage(self.stage());
+                return RunStep::Response(step);
+            }
             cause = watch, if is_watched => return RunStep::Silent(cause),
             result = moved => result,
         };
@@ -208,11 +203,11 @@
     }
 
     /// Returns how far the response has come.
-    pub(crate) fn stage(&self) -> ResponseStage {
+    pub(crate) fn stage(&self) -> RunStage {
         match (self.source.has_events(), self.source.has_head()) {
-            (true, _) => ResponseStage::Events,
-            (false, true) => ResponseStage::Head,
-            (false, false) => ResponseStage::Waiting,
+            (true, _) => RunStage::Events,
+            (false, true) => RunStage::Head,
+            (false, false) => RunStage::Waiting,
         }
     }
 
@@ -241,6 +236,11 @@
         }
     }
 
+    /// Records that the answer is complete, or that the request was not run.
+    pub(crate) fn settle(&self) {
+        self.held.settle();
+    }
+
     /// Ends the run; returns its connection if the headers of the response were received.
     pub(crate) fn into_connection(self) -> Option<EndpointConnection> {
         self.source.into_connection()
@@ -291,6 +291,8 @@
         if let Some(grade) = &mut self.grade {
             grade.evidence.set_chain(&chain);
         }
+        self.held
+            .add_endpoints(chain.hops.iter().map(|hop| &hop.id));
         self.chain = Rc::new(chain);
         self.reservation = reservation;
         self.silent_since = self.context.now();
--- a/crates/dandeliondeal_relay/src/stream_standing.rs
+++ b/crates/dandeliondeal_relay/src/stream_standing.rs
@@ -2,12 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use dandeliondeal_quarantine::RequestStanding;
+use dandeliondeal_quarantine::{RequestStanding, RunStage};
 use dandeliondeal_types::Clock;
 
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::stream_relay::StreamRelay;
-use crate::stream_run::{ResponseStage, StreamRun};
+use crate::stream_run::StreamRun;
 
 /// Time for which an engine has to send events before its answer counts as proof that the prompt
 /// does not crash engines.
@@ -66,7 +66,7 @@
             return;
         }
         // An engine that had sent events was not about to begin, so that others are blamed first.
-        let has_begun = run.stage() == ResponseStage::Head;
+        let has_begun = run.stage() == RunStage::Head;
         let first = run.first_engine();
         let is_ended = self.request.record_end(&self.context, first, has_begun);
         if is_ended.await {
--- a/crates/dandeliondeal_relay/src/stream_start.rs
+++ b/crates/dandeliondeal_relay/src/stream_start.rs
@@ -132,7 +132,7 @@
             connection,
             chain,
             reservation,
-            (&outbound, &self.request.facts.request),
+            (&self.request, &outbound),
             self.last_event,
         )?;
         run.set_grade(&self.request.route_match, &self.request.service);
