BUDGET: record the end of a process for requests that were given up

Callers whose requests crash endpoints a few milliseconds after they left were served without end: only the task of a request looked whether its process had ended, and that task was gone. The same held for runs that the instance itself gave up (silence, hedges, hand-over, time limits, failures of a first engine).

The end of a process is now told once, for all runs that the process held or held up to a second before.

--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -446,6 +446,12 @@
         matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Waits until the endpoint closes an idle connection, or sends something unasked.
+    pub async fn wait_until_closed(&self) {
+        // An error means that the connection is of no use either.
+        while self.stream.readable().await.is_ok() && self.has_nothing_to_read() {}
+    }
+
     /// Records that the connection is idle from now on.
     pub fn mark_idle<Time>(&mut self, clock: &Time)
     where
--- a/crates/dandeliondeal_quarantine/src/crash_table.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_table.rs
@@ -136,15 +136,28 @@
         is_confirmed: bool,
         now: Instant,
     ) {
-        for feature in request.features {
-            let end = ProcessEnd {
-                process: ProcessId::clone(process),
-                at: now,
-                session: request.session,
-                has_begun: request.has_begun,
-                is_confirmed,
-            };
-            self.add_end(FeatureKey::new(request.service, feature), end, now);
+        self.record_ends(process, &[request], is_confirmed, now);
+    }
+
+    /// Like [`Self::record_end`], for all requests that the process held.
+    pub fn record_ends(
+        &mut self,
+        process: &ProcessId,
+        requests: &[SuspectRequest<'_>],
+        is_confirmed: bool,
+        now: Instant,
+    ) {
+        for request in requests {
+            for feature in request.features {
+                let end = ProcessEnd {
+                    process: ProcessId::clone(process),
+                    at: now,
+                    session: request.session,
+                    has_begun: request.has_begun,
+                    is_confirmed,
+                };
+                self.add_end(FeatureKey::new(request.service, feature), end, now);
+            }
         }
         self.update(now);
     }
--- a/crates/dandeliondeal_quarantine/src/held_runs.rs
+++ b/crates/dandeliondeal_quarantine/src/held_runs.rs
@@ -9,6 +9,7 @@
 use derive_more::Display;
 
 use crate::crash_evidence::ProcessId;
+use crate::crash_table::SuspectRequest;
 
 /// How far the answer to a run has come.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
@@ -91,6 +92,21 @@
         is_open
     }
 
+    /// Returns whether nobody waited for the run any more.
+    pub fn is_given_up(&self) -> bool {
+        matches!(self.state.get(), RunState::GivenUp(_))
+    }
+
+    /// Returns the run as one under which a process ended.
+    pub fn suspect(&self) -> SuspectRequest<'_> {
+        SuspectRequest {
+            service: &self.service,
+            features: &self.features,
+            session: self.session,
+            has_begun: self.stage() == RunStage::Head,
+        }
+    }
+
     /// Returns whether an end of a process at `end` may be due to this run.
     fn is_suspect(&self, end: Instant, given_up_time: Duration) -> bool {
         match self.state.get() {
@@ -167,6 +183,17 @@
         })
     }
 
+    /// Returns whether a process held runs that were given up a short while ago.
+    pub fn holds_given_up(&self, process: &str, now: Instant) -> bool {
+        let given_up_time = self.settings.given_up_time;
+        let held = self.processes.get(process);
+        held.is_some_and(|held| {
+            let runs = held.runs.iter();
+            let mut given_up = runs.filter(|run| run.state.get() != RunState::Open);
+            given_up.any(|run| run.is_suspect(now, given_up_time))
+        })
+    }
+
     /// Records that a process accepts no connection although none is refused: it may have ended
     /// together with its machine.
     pub fn record_unanswered(&mut self, process: &str, now: Instant) {
--- a/crates/dandeliondeal_relay/src/crash_watch.rs
+++ b/crates/dandeliondeal_relay/src/crash_watch.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use dandeliondeal_quarantine::{ProcessId, QuarantineChange, is_fingerprint};
+use dandeliondeal_quarantine::{ProcessId, QuarantineChange, SuspectRequest, is_fingerprint};
 use dandeliondeal_types::{Clock, EndpointId, EndpointRecord};
 use futures_util::future::select_ok;
 use tokio::sync::OnceCell;
@@ -25,17 +25,10 @@
 /// Time for which the result of a check is used for other requests that the process held.
 const RESULT_LIFE: Duration = Duration::from_secs(2);
 
-/// Unexpected end of an endpoint's process.
-#[derive(Clone, Debug)]
-pub(crate) struct EndedProcess {
-    pub(crate) process: ProcessId,
-    /// Whether another endpoint accepted a connection after the end.
-    ///
-    /// Otherwise this instance may have lost its links to the endpoints.
-    pub(crate) is_confirmed: bool,
-}
-
-/// Result of a check, which the requests that a process held share.
+/// Whether a process has ended, which the requests that it held share; `Some(true)` if another
+/// endpoint accepted a connection after the end.
+///
+/// Otherwise this instance may have lost its links to the endpoints.
 type SharedResult = Rc<OnceCell<Option<bool>>>;
 
 /// Checks whether processes have ended.
@@ -64,7 +57,7 @@
     format!("{}@{}", record.id, record.started_at_ms).into()
 }
 
-/// Returns the end of an endpoint's process if it has ended unexpectedly.
+/// Returns an endpoint's process if it has ended unexpectedly, and records its end.
 ///
 /// A broken connection alone does not show that: endpoints and links reset connections as well. A
 /// process has ended if its address refuses connections; an endpoint that does not answer may be
@@ -72,7 +65,7 @@
 pub(crate) async fn find_end<Time, Dialect>(
     context: &RelayContext<Time, Dialect>,
     endpoint: &EndpointId,
-) -> Option<EndedProcess>
+) -> Option<ProcessId>
 where
     Time: Clock,
 {
@@ -87,10 +80,38 @@
         .shared_result(&process, context.now());
     let is_confirmed = result.get_or_init(|| check_process(context, &record));
     let is_confirmed = (*is_confirmed.await)?;
-    Some(EndedProcess {
-        process,
-        is_confirmed,
-    })
+    record_process_end(context, &process, is_confirmed);
+    Some(process)
+}
+
+/// Records the end of a process for all requests that it held, also those that were given up shortly
+/// before.
+pub(crate) fn record_process_end<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    process: &ProcessId,
+    is_confirmed: bool,
+) where
+    Time: Clock,
+{
+    let now = context.now();
+    let runs = context.held_runs().borrow_mut().take_ended(process, now);
+    if runs.is_empty() {
+        return;
+    }
+    for run in &runs {
+        tracing::info!(
+            request = %run.request, process = &**process, stage = %run.stage(),
+            is_given_up = run.is_given_up(), is_confirmed, features = run.features.join(","),
+            "process ended under a request"
+        );
+    }
+    let suspects: Vec<SuspectRequest<'_>> = runs.iter().map(|run| run.suspect()).collect();
+    let crashes = context.crashes();
+    crashes
+        .borrow_mut()
+        .record_ends(process, &suspects, is_confirmed, now);
+    log_changes(context);
+    context.request_report();
 }
 
 /// Returns whether the end of a process is certain; `None` if it has not ended.
@@ -121,7 +142,13 @@
         };
         record_loss(context, &record.id, evidence);
     }
-    error.is_refused().then_some(is_confirmed)
+    if !error.is_refused() {
+        let process = process_id(record);
+        let mut held_runs = context.held_runs().borrow_mut();
+        held_runs.record_unanswered(&process, context.now());
+        return None;
+    }
+    Some(is_confirmed)
 }
 
 /// Returns whether another endpoint accepts connections; one of the same service is preferred.
--- a/crates/dandeliondeal_relay/src/fleet_sinks.rs
+++ b/crates/dandeliondeal_relay/src/fleet_sinks.rs
@@ -5,7 +5,7 @@
 use dandeliondeal_route::RouteTable;
 use dandeliondeal_types::{Clock, EndpointRecord, KindChanges, KindSnapshot, ObjectValue};
 
-use crate::crash_watch::{log_changes, process_id};
+use crate::crash_watch::{log_changes, process_id, record_process_end};
 use crate::dialect::FleetDialect;
 use crate::fleet_view::FleetChange;
 use crate::loss_board::publish_loss;
@@ -157,6 +157,10 @@
                 .crashes()
                 .borrow_mut()
                 .confirm_end(&process, now);
+            if !record.is_draining {
+                let is_confirmed = true;
+                record_process_end(&self.context, &process, is_confirmed);
+            }
             let is_engine = self.context.fleet().borrow().is_engine(record);
             if is_engine && !record.is_draining && self.context.losses().is_shared() {
                 let incarnation = Some(record.started_at_ms);
--- a/crates/dandeliondeal_relay/src/held_run.rs
+++ b/crates/dandeliondeal_relay/src/held_run.rs
@@ -93,5 +93,8 @@
             request = %self.record.request, stage, endpoints = self.endpoints.join(","),
             features = self.record.features.join(","), "run given up"
         );
+        for endpoint in &self.endpoints {
+            self.context.process_watch().add(endpoint);
+        }
     }
 }
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -57,6 +57,7 @@
 mod plain_attempt;
 pub mod plain_relay;
 mod process_pause;
+pub mod process_watch;
 pub mod quarantine_store;
 pub mod refusal;
 pub mod relay_body;
--- a/crates/dandeliondeal_relay/src/plain_attempt.rs
+++ b/crates/dandeliondeal_relay/src/plain_attempt.rs
@@ -12,6 +12,7 @@
 use dandeliondeal_types::{Clock, EndpointId, EndpointRecord};
 
 use crate::call_guard::CallGuard;
+use crate::crash_watch::find_end;
 use crate::dialect::{AttemptFacts, RequestDialect};
 use crate::endpoint_exchange::{
     ConnectionChoice, EndpointExchange, MAX_RESPONSE_BYTES, build_attempt, open_connection,
@@ -134,9 +135,8 @@
     if let AttemptResult::Lost(Some(error)) = &result
         && !error.is_invalid_answer()
     {
-        // Whether the replica had begun to answer is not known, as it answers all at once.
-        let has_begun = true;
-        request.record_end(context, &endpoint.id, has_begun).await;
+        // The end is recorded for all requests that the process held.
+        find_end(context, &endpoint.id).await;
     }
     if let Some(connection) = connection {
         context.pool().borrow_mut().put(&endpoint.id, connection);
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -29,6 +29,7 @@
 use crate::load_tracker::LoadTracker;
 use crate::loss_board::LossBoard;
 use crate::process_pause::ProcessPause;
+use crate::process_watch::ProcessWatch;
 use crate::relay_error::RelayError;
 use crate::relay_lifecycle::{LifecycleTable, lifecycle_table};
 use crate::relay_metrics::RelayMetrics;
@@ -81,6 +82,7 @@
     crashes: RefCell<CrashTable>,
     held_runs: RefCell<HeldRuns>,
     process_checks: ProcessChecks,
+    process_watch: ProcessWatch,
     links: LinkMonitor,
     losses: LossBoard,
     peer_secret: SecretText,
@@ -151,6 +153,7 @@
             crashes: RefCell::default(),
             held_runs: RefCell::default(),
             process_checks: ProcessChecks::default(),
+            process_watch: ProcessWatch::default(),
             links: LinkMonitor::default(),
             losses: LossBoard::default(),
             peer_secret: PeerSettings::default().secret,
@@ -277,6 +280,11 @@
         &self.shared.process_checks
     }
 
+    /// Returns the endpoints whose processes are watched.
+    pub fn process_watch(&self) -> &ProcessWatch {
+        &self.shared.process_watch
+    }
+
     /// Returns the secret that instances share.
     pub fn peer_secret(&self) -> &SecretText {
         &self.shared.peer_secret
--- a/crates/dandeliondeal_relay/src/request_standing.rs
+++ b/crates/dandeliondeal_relay/src/request_standing.rs
@@ -1,10 +1,9 @@
-//! Ties the answers to a request, and the ends of processes under it, to its features.
+//! Ties the answers to a request to its features, and decides how it is treated.
 
-use dandeliondeal_quarantine::{RequestStanding, SuspectRequest};
+use dandeliondeal_quarantine::RequestStanding;
 use dandeliondeal_types::{Clock, EndpointId};
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::crash_watch::{EndedProcess, find_end, log_changes, process_id};
+use crate::crash_watch::{log_changes, process_id};
 use crate::relay_context::RelayContext;
 use crate::request_intake::RelayRequest;
 
@@ -58,45 +57,4 @@
         drop(crashes);
         log_changes(context);
     }
-
-    /// Records the end of an endpoint's process if that is why the response broke off; returns
-    /// whether it is.
-    ///
-    /// `has_begun` states whether the process had begun to answer, as far as is known.
-    pub(crate) async fn record_end<Time, Dialect>(
-        &self,
-        context: &RelayContext<Time, Dialect>,
-        endpoint: &EndpointId,
-        has_begun: bool,
-    ) -> bool
-    where
-        Time: Clock,
-    {
-        let Some(ended) = find_end(context, endpoint).await else {
-            return false;
-        };
-        let EndedProcess {
-            process,
-            is_confirmed,
-        } = ended;
-        let own_part = self.facts.own_part.as_ref().unwrap_or(&self.facts.request);
-        let suspect = SuspectRequest {
-            service: &self.service,
-            features: &self.features,
-            session: xxh3_64(own_part.as_bytes()),
-            has_begun,
-        };
-        tracing::info!(
-            request = %self.facts.request, process = &*process, has_begun, is_confirmed,
-            features = self.features.join(","), "process ended under a request"
-        );
-        let now = context.now();
-        let crashes = context.crashes();
-        crashes
-            .borrow_mut()
-            .record_end(&process, suspect, is_confirmed, now);
-        log_changes(context);
-        context.request_report();
-        true
-    }
 }
--- a/crates/dandeliondeal_relay/src/router_server.rs
+++ b/crates/dandeliondeal_relay/src/router_server.rs
@@ -23,6 +23,7 @@
 use crate::link_monitor::watch_links;
 use crate::load_exchange::LoadExchange;
 use crate::loss_exchange::LossExchange;
+use crate::process_watch::run_process_watch;
 use crate::quarantine_store::run_quarantine_store;
 use crate::relay_body::RelayBody;
 use crate::relay_context::RelayContext;
@@ -265,6 +266,7 @@
         actix_rt::spawn(instance_registry::run_registry(context.clone(), status)),
         actix_rt::spawn(controller.run()),
         actix_rt::spawn(sweep(context.clone())),
+        actix_rt::spawn(run_process_watch(context.clone())),
         actix_rt::spawn(watch_links(context.clone())),
         actix_rt::spawn(watch_timer(context.clone())),
     ])
--- a/crates/dandeliondeal_relay/src/stream_standing.rs
+++ b/crates/dandeliondeal_relay/src/stream_standing.rs
@@ -2,9 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use dandeliondeal_quarantine::{RequestStanding, RunStage};
+use dandeliondeal_quarantine::RequestStanding;
 use dandeliondeal_types::Clock;
 
+use crate::crash_watch::find_end;
 use crate::dialect::{FleetDialect, RequestDialect};
 use crate::stream_relay::StreamRelay;
 use crate::stream_run::StreamRun;
@@ -65,11 +66,7 @@
         if self.standing.is_sound {
             return;
         }
-        // An engine that had sent events was not about to begin, so that others are blamed first.
-        let has_begun = run.stage() == RunStage::Head;
-        let first = run.first_engine();
-        let is_ended = self.request.record_end(&self.context, first, has_begun);
-        if is_ended.await {
+        if find_end(&self.context, run.first_engine()).await.is_some() {
             // A later run has to show anew that the request is harmless.
             self.standing.writing_since = None;
         }
