--- a/crates/dandeliondeal_quarantine/src/crash_evidence.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_evidence.rs
@@ -6,6 +6,8 @@
 use dandeliondeal_types::{FeatureId, ServiceId};
 use serde::{Deserialize, Serialize};
 
+use crate::held_runs::RunStage;
+
 /// Id of an endpoint's process; a restarted endpoint has a new one.
 pub type ProcessId = Arc<str>;
 
@@ -38,8 +40,8 @@
     pub at: Instant,
     /// Hash that tells different requests apart.
     pub session: u64,
-    /// Whether the process had begun the response to the request.
-    pub has_begun: bool,
+    /// How far the answer to the request had come.
+    pub stage: RunStage,
     /// Whether it is certain that the process ended; otherwise the instance that reported it may
     /// have lost its links.
     pub is_confirmed: bool,
@@ -63,9 +65,16 @@
 /// Limits of the evidence, and how much of it is required.
 #[derive(Clone, Debug)]
 pub struct CrashSettings {
-    /// Number of ended processes from which a part without a known answer is blamed, if a process
-    /// had begun a response under it.
+    /// Number of ended processes from which a part without a known answer is blamed, if they were about
+    /// to begin an answer under it; for a fingerprint also if they had sent events.
     pub unproven_ends: usize,
+    /// Number of ended processes from which such a part is blamed if they had sent events.
+    pub writing_ends: usize,
+    /// Minimum number of moments at which these ended.
+    pub writing_moments: usize,
+    /// Number of certain ends in the midst of answers from which copies of a request do not run
+    /// twice.
+    pub suspect_ends: usize,
     /// Number of ended processes from which a part that was answered before is blamed, if a process
     /// had begun a response under it.
     pub proven_ends: usize,
@@ -112,6 +121,9 @@
     fn default() -> Self {
         Self {
             unproven_ends: 3,
+            writing_ends: 5,
+            writing_moments: 2,
+            suspect_ends: 2,
             proven_ends: 5,
             waiting_ends: 5,
             min_confirmed_ends: 2,
--- a/crates/dandeliondeal_quarantine/src/crash_exchange.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_exchange.rs
@@ -8,6 +8,7 @@
 };
 use crate::crash_table::{CrashTable, QuarantineChange};
 use crate::crash_verdict::FeatureVerdict;
+use crate::held_runs::RunStage;
 
 impl CrashTable {
     /// Returns what this instance reports to the others; empty unless processes have ended.
@@ -24,7 +25,8 @@
                     process: ProcessId::clone(&end.process),
                     age_ms: age_ms(now, end.at),
                     session: end.session,
-                    has_begun: end.has_begun,
+                    has_begun: end.stage == RunStage::Head,
+                    is_writing: end.stage == RunStage::Events,
                     is_confirmed: end.is_confirmed,
                 })
                 .collect();
@@ -82,7 +84,7 @@
                     process: ProcessId::clone(&end.process),
                     at: time_of(end.age_ms),
                     session: end.session,
-                    has_begun: end.has_begun,
+                    stage: end.stage(),
                     is_confirmed: end.is_confirmed,
                 };
                 self.add_end(claim.key.clone(), end, now);
--- a/crates/dandeliondeal_quarantine/src/crash_report.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_report.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crash_evidence::{FeatureKey, ProcessId};
+use crate::held_runs::RunStage;
 
 /// Maximum number of parts and of verdicts that are kept of several reports.
 const MAX_MERGED: usize = 64;
@@ -24,13 +25,27 @@
     pub age_ms: u64,
     /// Hash of the prompt's own part.
     pub session: u64,
-    /// Whether the process had begun the response to the request.
+    /// Whether the process was about to begin the answer to the request.
     pub has_begun: bool,
+    /// Whether the process had sent events of the answer.
+    #[serde(default)]
+    pub is_writing: bool,
     /// Whether it is certain that the process ended.
     #[serde(default = "is_confirmed_by_default")]
     pub is_confirmed: bool,
 }
 
+impl EndClaim {
+    /// Returns how far the answer had come.
+    pub(crate) fn stage(&self) -> RunStage {
+        match (self.has_begun, self.is_writing) {
+            (true, _) => RunStage::Head,
+            (false, true) => RunStage::Events,
+            (false, false) => RunStage::Waiting,
+        }
+    }
+}
+
 /// Instances of earlier versions report only ends that they count.
 fn is_confirmed_by_default() -> bool {
     true
@@ -147,7 +162,7 @@
 
 impl FeatureClaim {
     fn weight(&self) -> (usize, usize) {
-        let begun = self.ends.iter().filter(|end| end.has_begun);
+        let begun = self.ends.iter().filter(|end| end.stage().has_begun());
         (begun.count(), self.ends.len())
     }
 
@@ -159,6 +174,7 @@
             // Each hop loses the time on the way, so the highest age is the most exact.
             known.age_ms = known.age_ms.max(end.age_ms);
             known.has_begun |= end.has_begun;
+            known.is_writing |= end.is_writing;
             known.is_confirmed |= end.is_confirmed;
         }
         self.ends = ends.into_values().collect();
--- a/crates/dandeliondeal_quarantine/src/crash_table.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_table.rs
@@ -8,6 +8,7 @@
 use crate::answer_memory::AnswerMemory;
 use crate::crash_evidence::{CrashSettings, FeatureEvidence, FeatureKey, ProcessEnd, ProcessId};
 use crate::crash_verdict::{FeatureVerdict, find_explained, find_verdicts};
+use crate::held_runs::RunStage;
 use crate::process_memory::ProcessMemory;
 use crate::request_fingerprint::is_fingerprint;
 
@@ -31,8 +32,8 @@
     pub features: &'request [FeatureId],
     /// Hash that tells different requests apart.
     pub session: u64,
-    /// Whether the process had begun to answer the request, as far as is known.
-    pub has_begun: bool,
+    /// How far the answer had come, as far as is known.
+    pub stage: RunStage,
 }
 
 /// Change of the verdicts.
@@ -73,7 +74,8 @@
 
     /// Returns how much the entry tells; the one that tells least is dropped first.
     fn weight(&self) -> (usize, usize, Option<Instant>) {
-        let begun = self.recent_ends().filter(|end| end.has_begun).count();
+        let begun = self.recent_ends().filter(|end| end.stage.has_begun());
+        let begun = begun.count();
         let last_end = self.ends.iter().map(|end| end.at).max();
         (begun, self.recent_ends().count(), last_end)
     }
@@ -153,7 +155,7 @@
                     process: ProcessId::clone(process),
                     at: now,
                     session: request.session,
-                    has_begun: request.has_begun,
+                    stage: request.stage,
                     is_confirmed,
                 };
                 self.add_end(FeatureKey::new(request.service, feature), end, now);
@@ -246,16 +248,7 @@
         if self.find_verdict(service, features).is_some() {
             return RequestStanding::Quarantined;
         }
-        let is_suspect = |feature: &FeatureId| {
-            let entry = self.entries.get(&FeatureKey::new(service, feature));
-            entry.is_some_and(|entry| {
-                entry.answered.is_none()
-                    && entry
-                        .ends
-                        .iter()
-                        .any(|end| end.has_begun && end.is_confirmed)
-            })
-        };
+        let is_suspect = |feature: &FeatureId| self.is_suspect(service, feature);
         if !self.entries.is_empty() && features.iter().any(is_suspect) {
             RequestStanding::Suspect
         } else {
@@ -263,6 +256,26 @@
         }
     }
 
+    /// Returns whether a request is suspect because of its own copies, not only of what it shares
+    /// with other requests.
+    pub fn is_suspect_copy(&self, service: &ServiceId, features: &[FeatureId]) -> bool {
+        let mut fingerprints = features.iter().filter(|feature| is_fingerprint(feature));
+        fingerprints.any(|feature| self.is_suspect(service, feature))
+    }
+
+    /// Returns whether processes certainly ended under a feature that was never answered: one that was
+    /// about to begin an answer, or several in the midst of answers to copies of one request.
+    fn is_suspect(&self, service: &ServiceId, feature: &FeatureId) -> bool {
+        let entry = self.entries.get(&FeatureKey::new(service, feature));
+        let Some(entry) = entry.filter(|entry| entry.answered.is_none()) else {
+            return false;
+        };
+        let confirmed = entry.ends.iter().filter(|end| end.is_confirmed);
+        let begun = confirmed.filter(|end| end.stage.has_begun());
+        let has_head = begun.clone().any(|end| end.stage == RunStage::Head);
+        has_head || (is_fingerprint(feature) && begun.count() >= self.settings.suspect_ends)
+    }
+
     /// Admits a request that is refused as a trial, if one was opened; returns whether it
     /// did.
     pub fn take_trial(&mut self, service: &ServiceId, features: &[FeatureId]) -> bool {
@@ -396,7 +409,7 @@
             .find(|known| known.process == end.process);
         if let Some(known) = known {
             known.at = known.at.min(end.at);
-            known.has_begun |= end.has_begun;
+            known.stage = known.stage.stronger(end.stage);
             known.is_confirmed |= end.is_confirmed;
             return;
         }
--- a/crates/dandeliondeal_quarantine/src/crash_verdict.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_verdict.rs
@@ -6,6 +6,7 @@
 use dandeliondeal_types::FeatureId;
 
 use crate::crash_evidence::{CrashSettings, FeatureEvidence, FeatureKey, ProcessEnd, ProcessId};
+use crate::held_runs::RunStage;
 use crate::request_fingerprint::is_fingerprint;
 
 /// Requests that are refused: those with the blamed part and all of its companions.
@@ -65,26 +66,39 @@
             || sessions.len() >= settings.min_sessions
             || ends.len() >= settings.proven_ends;
         let is_settled = now.saturating_duration_since(first) >= settings.settle_time;
-        let has_begun = ends.iter().any(|end| end.has_begun);
-        let required = match (has_begun, self.evidence.is_proven) {
-            (true, false) => settings.unproven_ends,
-            (true, true) => settings.proven_ends,
-            // Requests that wait at engines which others end meet several crashes as well.
-            (false, _) => settings.waiting_ends,
-        };
-        let has_others = self.evidence.other_answers >= settings.min_other_answers
-            || (has_begun && self.evidence.is_rare);
-        let is_separate = last.saturating_duration_since(first) >= settings.min_span && has_others;
-        let is_fresh = has_begun && !self.evidence.is_proven;
         // Processes that end together have a common cause other than a prompt.
-        let count = if is_fresh {
-            ends.len()
+        let moments = count_moments(ends, settings.joint_time);
+        let is_long = last.saturating_duration_since(first) >= settings.min_span;
+        let has_begun = ends.iter().any(|end| end.stage.has_begun());
+        let has_ends = if has_begun && !self.evidence.is_proven {
+            let is_written = ends.len() >= settings.writing_ends
+                && moments >= settings.writing_moments
+                && is_long;
+            self.count_telling(ends) >= settings.unproven_ends || is_written
         } else {
-            count_moments(ends, settings.joint_time)
+            let required = if has_begun {
+                settings.proven_ends
+            } else {
+                // Requests that wait at engines which others end meet several crashes as well.
+                settings.waiting_ends
+            };
+            let is_rare = self.evidence.is_rare && self.count_telling(ends) > 0;
+            let has_others = self.evidence.other_answers >= settings.min_other_answers || is_rare;
+            moments >= required && is_long && has_others
         };
-        let has_ends = count >= required && (is_fresh || is_separate);
         has_ends && has_sessions && is_settled
     }
+
+    /// Counts the ends that tell most; none if no process had begun an answer.
+    ///
+    /// A process sends events to many requests that have a part in common, but to few copies of one.
+    fn count_telling(&self, ends: &[&ProcessEnd]) -> usize {
+        let is_copy = is_fingerprint(&self.evidence.key.feature);
+        let is_telling = |end: &ProcessEnd| is_copy || end.stage != RunStage::Events;
+        let telling = ends.iter().filter(|end| is_telling(end));
+        let has_begun = telling.clone().any(|end| end.stage.has_begun());
+        if has_begun { telling.count() } else { 0 }
+    }
 }
 
 /// Counts ends, those within `joint_time` of an earlier one only once.
@@ -202,20 +216,20 @@
     explained.map(|part| part.evidence.key.clone()).collect()
 }
 
-/// Selects the ends that count: if a process had begun responses, only the requests that it had
-/// begun to answer are suspects.
+/// Selects the ends that count: if a process was about to begin answers, the requests that waited are
+/// no suspects.
 fn count_ends<'evidence>(
     evidence: &'evidence [FeatureEvidence],
     settings: &CrashSettings,
     now: Instant,
 ) -> Vec<CountedFeature<'evidence>> {
     let ends = evidence.iter().flat_map(|part| &part.ends);
-    let begun = ends.filter(|end| end.has_begun).map(|end| &end.process);
-    let begun: HashSet<&ProcessId> = begun.collect();
+    let heads = ends.filter(|end| end.stage == RunStage::Head);
+    let begun: HashSet<&ProcessId> = heads.map(|end| &end.process).collect();
     let counts = |end: &ProcessEnd| {
         // Another instance may still report that the process had begun another response.
         let is_settled = now.saturating_duration_since(end.at) >= settings.settle_time;
-        end.has_begun || (is_settled && !begun.contains(&end.process))
+        end.stage.has_begun() || (is_settled && !begun.contains(&end.process))
     };
     let parts = evidence.iter().map(|evidence| CountedFeature {
         evidence,
--- a/crates/dandeliondeal_quarantine/src/held_runs.rs
+++ b/crates/dandeliondeal_quarantine/src/held_runs.rs
@@ -26,6 +26,24 @@
     Events,
 }
 
+impl RunStage {
+    /// Returns the stage that tells more about why a process ended under a request.
+    ///
+    /// A process sends events to many requests at a time, and is about to begin the answers to few.
+    pub(crate) fn stronger(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Head, _) | (_, Self::Head) => Self::Head,
+            (Self::Events, _) | (_, Self::Events) => Self::Events,
+            _ => Self::Waiting,
+        }
+    }
+
+    /// Returns whether the process had begun the answer.
+    pub(crate) fn has_begun(self) -> bool {
+        self != Self::Waiting
+    }
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum RunState {
     Open,
@@ -103,7 +121,7 @@
             service: &self.service,
             features: &self.features,
             session: self.session,
-            has_begun: self.stage() == RunStage::Head,
+            stage: self.stage(),
         }
     }
 
--- a/crates/dandeliondeal_quarantine/tests/crash_fleet.rs
+++ b/crates/dandeliondeal_quarantine/tests/crash_fleet.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_quarantine::{
-    CrashReport, CrashTable, ProcessId, QuarantineChange, RequestStanding, SuspectRequest,
+    CrashReport, CrashTable, ProcessId, QuarantineChange, RequestStanding, RunStage, SuspectRequest,
 };
 use dandeliondeal_types::{FeatureId, ServiceId};
 use rand::rngs::StdRng;
@@ -253,12 +253,16 @@
         self.runs = rest;
         let open: Vec<Run> = open;
         for run in open {
-            let head = WAITING_STEPS..=WAITING_STEPS + HEAD_STEPS;
+            let stage = match run.age {
+                age if age > WAITING_STEPS + HEAD_STEPS => RunStage::Events,
+                age if age >= WAITING_STEPS && !self.case.has_late_heads => RunStage::Head,
+                _ => RunStage::Waiting,
+            };
             let prompt = SuspectRequest {
                 service: &self.service,
                 features: &run.parts,
                 session: run.session,
-                has_begun: !self.case.has_late_heads && head.contains(&run.age),
+                stage,
             };
             self.tables[run.instance].record_end(&process, prompt, true, self.now);
         }
--- a/crates/dandeliondeal_quarantine/tests/crash_table.rs
+++ b/crates/dandeliondeal_quarantine/tests/crash_table.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_quarantine::{
-    CrashReport, CrashSettings, CrashTable, FeatureKey, FeatureVerdict, RequestStanding,
+    CrashReport, CrashSettings, CrashTable, FeatureKey, FeatureVerdict, RequestStanding, RunStage,
     SuspectRequest,
 };
 use dandeliondeal_types::{FeatureId, ServiceId};
@@ -35,7 +35,11 @@
             service: &self.service,
             features: &parts,
             session,
-            has_begun,
+            stage: if has_begun {
+                RunStage::Head
+            } else {
+                RunStage::Waiting
+            },
         };
         self.table
             .record_end(&process.into(), prompt, true, self.now);
--- a/crates/dandeliondeal_quarantine/tests/crash_verdict.rs
+++ b/crates/dandeliondeal_quarantine/tests/crash_verdict.rs
@@ -5,7 +5,7 @@
 
 use bolero_generator::TypeGenerator;
 use dandeliondeal_quarantine::{
-    CrashSettings, FeatureEvidence, FeatureKey, FeatureVerdict, ProcessEnd, find_verdicts,
+    CrashSettings, FeatureEvidence, FeatureKey, FeatureVerdict, ProcessEnd, RunStage, find_verdicts,
 };
 
 /// Evidence about one part: which of eight processes ended under it, and how.
@@ -26,7 +26,11 @@
             process: format!("process-{process}").into(),
             at: first_end + Duration::from_millis(300 * (8 - process)),
             session: (u64::from(part.session) >> process) & 3,
-            has_begun: part.begun & (1 << process) != 0,
+            stage: if part.begun & (1 << process) != 0 {
+                RunStage::Head
+            } else {
+                RunStage::Waiting
+            },
             is_confirmed: true,
         });
         FeatureEvidence {
--- a/crates/dandeliondeal_quarantine/tests/request_features.rs
+++ b/crates/dandeliondeal_quarantine/tests/request_features.rs
@@ -5,7 +5,8 @@
 
 use bolero_generator::TypeGenerator;
 use dandeliondeal_quarantine::{
-    CrashReport, CrashSettings, CrashTable, RequestIdentity, RequestStanding, SuspectRequest,
+    CrashReport, CrashSettings, CrashTable, RequestIdentity, RequestStanding, RunStage,
+    SuspectRequest,
 };
 use dandeliondeal_types::{FeatureId, OrganisationId, ServiceId};
 
@@ -40,7 +41,11 @@
             service: &self.service,
             features: &features,
             session: 7,
-            has_begun,
+            stage: if has_begun {
+                RunStage::Head
+            } else {
+                RunStage::Waiting
+            },
         };
         self.table
             .record_end(&process.into(), suspect, is_confirmed, self.now);
--- a/crates/dandeliondeal_quarantine/tests/request_fleet.rs
+++ b/crates/dandeliondeal_quarantine/tests/request_fleet.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_quarantine::{
-    CrashReport, CrashTable, ProcessId, RequestStanding, SuspectRequest,
+    CrashReport, CrashTable, ProcessId, RequestStanding, RunStage, SuspectRequest,
 };
 use dandeliondeal_types::{FeatureId, ServiceId};
 use rand::rngs::StdRng;
@@ -230,7 +230,7 @@
             service: &self.service,
             features,
             session: self.request_count,
-            has_begun: true,
+            stage: RunStage::Head,
         };
         self.tables[instance].record_end(process, suspect, is_confirmed, self.now);
     }
--- a/crates/dandeliondeal_relay/src/request_standing.rs
+++ b/crates/dandeliondeal_relay/src/request_standing.rs
@@ -20,6 +20,18 @@
         crashes.standing(&self.service, &self.features)
     }
 
+    /// Returns whether processes ended under copies of the request.
+    pub(crate) fn is_suspect_copy<Time, Dialect>(
+        &self,
+        context: &RelayContext<Time, Dialect>,
+    ) -> bool
+    where
+        Time: Clock,
+    {
+        let crashes = context.crashes().borrow();
+        crashes.is_suspect_copy(&self.service, &self.features)
+    }
+
     /// Returns whether the request may be sent to an endpoint.
     pub(crate) fn is_admitted<Time, Dialect>(&self, context: &RelayContext<Time, Dialect>) -> bool
     where
