BUDGET: find the end of a later engine while the first one is silent

Streams that end the second engine of their chain were served without end: the first engine stays, and its report shows nothing ('Idle'). The processes of all engines of a silent chain, and of engines that fail a check, are now watched for their end.

--- a/crates/dandeliondeal_relay/src/chain_watch.rs
+++ b/crates/dandeliondeal_relay/src/chain_watch.rs
@@ -109,6 +109,10 @@
             }
             if !is_logged {
                 is_logged = true;
+                // The first engine may be silent because the process of a later one has ended.
+                for hop in &chain.hops {
+                    context.process_watch().add(&hop.id);
+                }
                 count_silence(context, "none");
                 tracing::info!(
                     request,
@@ -230,7 +234,7 @@
         };
     };
     let now = context.now();
-    context.fleet().borrow_mut().mark_failed(&engine, now);
+    context.mark_failed(&engine);
     context.engine_checks().add_suspect(&engine, now);
     tracing::info!(request, %engine, "engine does not answer; taken out of use");
     if context.losses().is_shared() {
--- a/crates/dandeliondeal_relay/src/engine_check.rs
+++ b/crates/dandeliondeal_relay/src/engine_check.rs
@@ -161,7 +161,7 @@
     let report = reports.fetch_new(context, engine, address).await;
     let now = context.now();
     let Some(report) = report else {
-        context.fleet().borrow_mut().mark_failed(engine, now);
+        context.mark_failed(engine);
         context.engine_checks().add_suspect(engine, now);
         tracing::info!(%engine, %cause, "engine does not answer; taken out of use");
         // A retest finds an engine failed of which the other instances know.
--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -16,6 +16,7 @@
 use dandeliondeal_types::{EndpointId, EndpointRecord, InstanceId, ServiceId};
 use rand::Rng;
 
+use crate::departed_records::DepartedRecords;
 pub use crate::fleet_change::FleetChange;
 use crate::fleet_health;
 use crate::load_tracker::LoadTracker;
@@ -45,6 +46,8 @@
     /// Registrations of processes in whose place another one has started since
     /// [`Self::take_superseded`].
     superseded: Vec<EndpointRecord>,
+    /// Registrations that went away.
+    departed: DepartedRecords,
     /// Pauses that endpoints asked this instance to make.
     pub(crate) backoffs: EndpointBackoffs,
 }
@@ -72,6 +75,7 @@
             engine_services: HashSet::new(),
             excluded: HashMap::new(),
             superseded: Vec::new(),
+            departed: DepartedRecords::default(),
             backoffs: EndpointBackoffs::default(),
         })
     }
@@ -162,6 +166,7 @@
         }
         self.excluded.remove(&id);
         self.remove_superseded(&record);
+        self.superseded.extend(self.departed.take_replaced(&record));
         self.records.insert(EndpointId::clone(&id), record);
         Some(if is_draining {
             FleetChange::Draining(id)
@@ -227,7 +232,9 @@
             self.lapsing.entry(EndpointId::clone(id)).or_insert(until);
             return FleetChange::Lapsing(EndpointId::clone(id));
         }
-        self.records.remove(id);
+        if let Some(record) = self.records.remove(id) {
+            self.departed.add(&record, now);
+        }
         self.lapsing.remove(id);
         self.slowness.remove(id);
         FleetChange::Gone(EndpointId::clone(id))
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod chain_watch;
 pub mod change_feed;
 mod crash_watch;
+mod departed_records;
 pub mod dialect;
 mod endpoint_backoff;
 pub mod endpoint_exchange;
--- a/crates/dandeliondeal_relay/src/loss_board.rs
+++ b/crates/dandeliondeal_relay/src/loss_board.rs
@@ -303,7 +303,7 @@
     let opened = open_connection(context, engine, address, choice, CONNECT_LIMIT).await;
     let now = context.now();
     if opened.as_ref().is_err_and(ConnectionError::is_refused) {
-        context.fleet().borrow_mut().mark_failed(engine, now);
+        context.mark_failed(engine);
         context.engine_checks().add_suspect(engine, now);
         record_loss(context, engine, evidence);
         return ConnectionCheck::Lost;
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -12,7 +12,7 @@
 use dandeliondeal_peer::PeerSettings;
 use dandeliondeal_quarantine::{CrashTable, HeldRuns};
 use dandeliondeal_route::RouteTable;
-use dandeliondeal_types::{Clock, ServiceId};
+use dandeliondeal_types::{Clock, EndpointId, ServiceId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, watch};
@@ -280,6 +280,13 @@
         &self.shared.process_checks
     }
 
+    /// Takes an engine that failed out of use, and finds out whether its process ended under requests.
+    pub(crate) fn mark_failed(&self, engine: &EndpointId) {
+        let now = self.now();
+        self.fleet().borrow_mut().mark_failed(engine, now);
+        self.process_watch().add(engine);
+    }
+
     /// Returns the endpoints whose processes are watched.
     pub fn process_watch(&self) -> &ProcessWatch {
         &self.shared.process_watch
--- a/crates/dandeliondeal_relay/src/stream_replacement.rs
+++ b/crates/dandeliondeal_relay/src/stream_replacement.rs
@@ -51,6 +51,10 @@
     pub(crate) fn handle_silence(&mut self, index: usize, cause: SilenceCause) {
         let retry_at = self.context.now() + SILENCE_RETRY_DELAY;
         self.runs[index].set_silent_since(retry_at);
+        // The first engine may be silent because the process of a later one has ended.
+        for hop in &self.runs[index].chain().hops {
+            self.context.process_watch().add(&hop.id);
+        }
         if let SilenceCause::Unresponsive(engine) | SilenceCause::Suspected(engine) = &cause
             && self.runs[index].may_move()
         {
--- a/crates/dandeliondeal_relay/src/stream_start.rs
+++ b/crates/dandeliondeal_relay/src/stream_start.rs
@@ -95,7 +95,7 @@
             request = %self.request.facts.request, %engine, %error, "connection failed"
         );
         let now = self.context.now();
-        self.context.fleet().borrow_mut().mark_failed(engine, now);
+        self.context.mark_failed(engine);
         let evidence = if error.is_refused() {
             LossEvidence::Refused
         } else {
