BUDGET: several deadly requests on busy engines do not displace one another

An engine that ends holds up to dozens of sound requests in the midst of answers, and all of them are suspects for a while. A table kept 64 features and a report 32, so that twelve deadly requests at a time displaced one another's ends and were served without end.

A table keeps 1,024 features, a report 128, merged reports 256: those with several ends or a known answer first. A feature with a single end is reported for three seconds, by the instance that saw it; the others remember it.

--- a/crates/dandeliondeal_quarantine/src/answer_memory.rs
+++ b/crates/dandeliondeal_quarantine/src/answer_memory.rs
@@ -54,9 +54,14 @@
         self.find(key).map(|answers| answers.latest)
     }
 
+    /// Returns the number of answers of a service.
+    pub fn total(&self, service: &ServiceId) -> u64 {
+        self.totals.get(service).copied().unwrap_or(0)
+    }
+
     /// Returns the share of the service's answers that were given under a part, from 0 to 1.
     pub fn share(&self, key: &FeatureKey) -> f64 {
-        let total = self.totals.get(&key.service).copied().unwrap_or(0);
+        let total = self.total(&key.service);
         self.count(key) as f64 / total.max(1) as f64
     }
 
--- a/crates/dandeliondeal_quarantine/src/crash_evidence.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_evidence.rs
@@ -106,6 +106,9 @@
     pub max_ends: usize,
     /// Maximum number of parts in a report.
     pub max_reported_features: usize,
+    /// Time for which a part with a single end is reported, by the instance that saw the end; the
+    /// others remember it.
+    pub single_report_time: Duration,
     /// Maximum number of processes that are remembered as ended or as still running.
     pub max_processes: usize,
     /// Time after a reported end from which an answer proves that the process still runs; it covers
@@ -134,9 +137,10 @@
             min_sessions: 2,
             settle_time: Duration::from_millis(500),
             end_max_age: Duration::from_mins(2),
-            max_features: 64,
+            max_features: 1_024,
             max_ends: 8,
-            max_reported_features: 32,
+            max_reported_features: 128,
+            single_report_time: Duration::from_secs(3),
             max_processes: 64,
             contact_margin: Duration::from_millis(500),
             max_verdicts: 64,
--- a/crates/dandeliondeal_quarantine/src/crash_exchange.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_exchange.rs
@@ -13,8 +13,8 @@
 impl CrashTable {
     /// Returns what this instance reports to the others; empty unless processes have ended.
     ///
-    /// Ends that other instances reported are passed on, so that they outlive the instance that saw
-    /// them. Answers are not, as each hop would make them look more recent than they are.
+    /// Ends that other instances reported are passed on if a feature has several, so that they outlive
+    /// the instance that saw them. Answers are not, as each hop would make them look more recent than they are.
     pub fn report(&self, now: Instant) -> CrashReport {
         let mut parts: Vec<FeatureClaim> = Vec::new();
         for (key, entry) in &self.entries {
@@ -32,7 +32,7 @@
                 .collect();
             // Others count ends of this part for want of an answer that this instance knows.
             let is_awaited = self.reported.contains(key) && own_answer.is_some();
-            if !ends.is_empty() || is_awaited {
+            if ends.len() > 1 || (!ends.is_empty() && entry.is_news(now)) || is_awaited {
                 parts.push(FeatureClaim {
                     key: key.clone(),
                     ends,
--- a/crates/dandeliondeal_quarantine/src/crash_report.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_report.rs
@@ -2,7 +2,8 @@
 //!
 //! Times are ages in milliseconds, as the clocks of instances differ.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use dandeliondeal_types::FeatureId;
@@ -11,7 +12,9 @@
 use crate::crash_evidence::{FeatureKey, ProcessId};
 use crate::held_runs::RunStage;
 
-/// Maximum number of parts and of verdicts that are kept of several reports.
+/// Maximum number of parts that are kept of several reports.
+const MAX_MERGED_PARTS: usize = 256;
+/// Maximum number of verdicts, and of running processes, that are kept of several reports.
 const MAX_MERGED: usize = 64;
 /// Maximum number of ends that are kept for a part of several reports.
 const MAX_MERGED_ENDS: usize = 16;
@@ -104,15 +107,18 @@
 
     /// Adds another report.
     pub fn add(&mut self, other: &Self) {
-        for claim in &other.parts {
-            let known = self.parts.iter().position(|known| known.key == claim.key);
-            if let Some(index) = known {
-                self.parts[index].add(claim);
-            } else {
-                self.parts.push(claim.clone());
+        if !other.parts.is_empty() {
+            let indices = self.parts.iter().map(|claim| claim.key.clone()).zip(0..);
+            let indices: HashMap<FeatureKey, usize> = indices.collect();
+            for claim in &other.parts {
+                if let Some(index) = indices.get(&claim.key) {
+                    self.parts[*index].add(claim);
+                } else {
+                    self.parts.push(claim.clone());
+                }
             }
+            keep_heaviest(&mut self.parts, MAX_MERGED_PARTS);
         }
-        keep_heaviest(&mut self.parts, MAX_MERGED);
         for (process, age_ms) in &other.running {
             if self.running.len() < MAX_MERGED || self.running.contains_key(process) {
                 let known = self.running.entry(ProcessId::clone(process));
@@ -148,9 +154,10 @@
     }
 }
 
-/// Keeps the claims that tell most: those with most ends under begun responses, then most ends.
+/// Keeps the claims that tell most: those with several ends or with an answer, then those with most
+/// ends under begun answers, then most ends, then the latest ones.
 ///
-/// Requests that only waited at an ended endpoint are many, and must not displace the one that ended
+/// The sound requests that an ended process held are many, and must not displace the one that ended
 /// it.
 pub(crate) fn keep_heaviest(claims: &mut Vec<FeatureClaim>, count: usize) {
     claims.sort_by(|one, other| {
@@ -161,9 +168,16 @@
 }
 
 impl FeatureClaim {
-    fn weight(&self) -> (usize, usize) {
+    fn weight(&self) -> (bool, usize, usize, Option<Reverse<u64>>) {
+        let is_telling = self.answered_ms.is_some() || self.ends.len() > 1;
         let begun = self.ends.iter().filter(|end| end.stage().has_begun());
-        (begun.count(), self.ends.len())
+        let latest = self.ends.iter().map(|end| end.age_ms).min();
+        (
+            is_telling,
+            begun.count(),
+            self.ends.len(),
+            latest.map(Reverse),
+        )
     }
 
     fn add(&mut self, other: &Self) {
--- a/crates/dandeliondeal_quarantine/src/crash_table.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_table.rs
@@ -6,8 +6,8 @@
 use dandeliondeal_types::{FeatureId, ServiceId};
 
 use crate::answer_memory::AnswerMemory;
-use crate::crash_evidence::{CrashSettings, FeatureEvidence, FeatureKey, ProcessEnd, ProcessId};
-use crate::crash_verdict::{FeatureVerdict, find_explained, find_verdicts};
+use crate::crash_evidence::{CrashSettings, FeatureKey, ProcessEnd, ProcessId};
+use crate::crash_verdict::FeatureVerdict;
 use crate::held_runs::RunStage;
 use crate::process_memory::ProcessMemory;
 use crate::request_fingerprint::is_fingerprint;
@@ -50,7 +50,11 @@
     pub(crate) ends: Vec<ProcessEnd>,
     /// Latest answer under the feature that is known, of any instance.
     pub(crate) answered: Option<Instant>,
-    other_answers: u32,
+    /// Number of the service's answers when the entry was made, or at the latest answer under the
+    /// feature.
+    pub(crate) earlier_answers: u64,
+    /// Time until which this instance reports a single end that it has seen.
+    report_until: Option<Instant>,
 }
 
 impl FeatureEntry {
@@ -65,13 +69,18 @@
     /// `min_confirmed` or more, the others as well.
     ///
     /// All endpoints of a service may end at once, so that none is left to confirm the last end.
-    fn counted_ends(&self, min_confirmed: usize) -> impl Iterator<Item = &ProcessEnd> {
+    pub(crate) fn counted_ends(&self, min_confirmed: usize) -> impl Iterator<Item = &ProcessEnd> {
         let confirmed = self.recent_ends().filter(|end| end.is_confirmed);
         let counts_all = confirmed.count() >= min_confirmed;
         self.recent_ends()
             .filter(move |end| counts_all || end.is_confirmed)
     }
 
+    /// Returns whether a single end is reported.
+    pub(crate) fn is_news(&self, now: Instant) -> bool {
+        self.report_until.is_some_and(|until| now < until)
+    }
+
     /// Returns how much the entry tells; the one that tells least is dropped first.
     fn weight(&self) -> (usize, usize, Option<Instant>) {
         let begun = self.recent_ends().filter(|end| end.stage.has_begun());
@@ -89,14 +98,14 @@
 pub struct CrashTable {
     pub(crate) settings: CrashSettings,
     /// Answers by part of a prompt.
-    answers: AnswerMemory,
+    pub(crate) answers: AnswerMemory,
     /// Answers by fingerprint, apart, as most requests have one of their own.
-    answered_requests: AnswerMemory,
+    pub(crate) answered_requests: AnswerMemory,
     pub(crate) processes: ProcessMemory,
     pub(crate) entries: HashMap<FeatureKey, FeatureEntry>,
     pub(crate) verdicts: HashMap<FeatureKey, FeatureVerdict>,
     /// Features whose next request is admitted to find out whether they still crash endpoints.
-    trials: HashSet<FeatureKey>,
+    pub(crate) trials: HashSet<FeatureKey>,
     /// Features that were served again, with the time until which older verdicts are void.
     pub(crate) lifted: HashMap<FeatureKey, Instant>,
     /// Features with ends or a verdict in the latest report of the fleet.
@@ -158,7 +167,11 @@
                     stage: request.stage,
                     is_confirmed,
                 };
-                self.add_end(FeatureKey::new(request.service, feature), end, now);
+                let key = FeatureKey::new(request.service, feature);
+                self.add_end(key.clone(), end, now);
+                if let Some(entry) = self.entries.get_mut(&key) {
+                    entry.report_until = Some(now + self.settings.single_report_time);
+                }
             }
         }
         self.update(now);
@@ -229,18 +242,18 @@
         if self.entries.is_empty() && self.verdicts.is_empty() {
             return;
         }
-        for (key, entry) in &mut self.entries {
-            if key.service != *service {
-                continue;
-            }
-            if features.contains(&key.feature) {
+        let answers = self.answers.total(service);
+        let mut is_changed = !self.verdicts.is_empty();
+        for feature in features {
+            if let Some(entry) = self.entries.get_mut(&FeatureKey::new(service, feature)) {
                 entry.answered = Some(now);
-                entry.other_answers = 0;
-            } else {
-                entry.other_answers = entry.other_answers.saturating_add(1);
+                entry.earlier_answers = answers;
+                is_changed = true;
             }
         }
-        self.update(now);
+        if is_changed {
+            self.update(now);
+        }
     }
 
     /// Returns how a request is treated.
@@ -401,7 +414,11 @@
             oldest.map(|key| self.entries.remove(&key));
         }
         let answered = self.memory_of(&key.feature).latest(&key);
-        let entry = self.entries.entry(key).or_default();
+        let earlier_answers = self.answers.total(&key.service);
+        let entry = self.entries.entry(key).or_insert_with(|| FeatureEntry {
+            earlier_answers,
+            ..FeatureEntry::default()
+        });
         entry.answered = entry.answered.max(answered);
         let known = entry
             .ends
@@ -425,90 +442,4 @@
             self.update(now);
         }
     }
-
-    pub(crate) fn update(&mut self, now: Instant) {
-        let max_age = self.settings.end_max_age;
-        let min_confirmed = self.settings.min_confirmed_ends;
-        for entry in self.entries.values_mut() {
-            let is_recent = |end: &ProcessEnd| now.saturating_duration_since(end.at) < max_age;
-            entry.ends.retain(is_recent);
-        }
-        self.entries.retain(|_, entry| !entry.ends.is_empty());
-        self.processes.drop_old(now);
-        for (key, verdict) in &mut self.verdicts {
-            let entry = self.entries.get(key);
-            let last_end =
-                entry.and_then(|entry| entry.counted_ends(min_confirmed).map(|end| end.at).max());
-            verdict.last_end = last_end.map_or(verdict.last_end, |at| at.max(verdict.last_end));
-        }
-        self.lift_answered(now);
-        let evidence = self.entries.iter().map(|(key, entry)| FeatureEvidence {
-            key: key.clone(),
-            ends: entry.counted_ends(min_confirmed).cloned().collect(),
-            is_proven: entry.answered.is_some(),
-            other_answers: entry.other_answers,
-            is_rare: self.memory_of(&key.feature).share(key) <= self.settings.rare_share,
-        });
-        let evidence: Vec<FeatureEvidence> = evidence
-            .filter(|evidence| !evidence.ends.is_empty())
-            .collect();
-        for found in find_verdicts(&evidence, &self.verdicts(), &self.settings, now) {
-            let has_room = self.has_room();
-            match self.verdicts.get_mut(&found.key) {
-                Some(verdict) => {
-                    let count = verdict.companions.len();
-                    verdict
-                        .companions
-                        .retain(|feature| found.companions.contains(feature));
-                    verdict.last_end = verdict.last_end.max(found.last_end);
-                    verdict.processes.clone_from(&found.processes);
-                    if verdict.companions.len() < count {
-                        let change = QuarantineChange::Added(verdict.clone());
-                        self.changes.push(change);
-                    }
-                }
-                None if has_room => {
-                    self.verdicts.insert(found.key.clone(), found.clone());
-                    self.changes.push(QuarantineChange::Added(found));
-                }
-                None => {}
-            }
-        }
-        for key in find_explained(&evidence, &self.verdicts(), &self.settings, now) {
-            self.verdicts.remove(&key);
-            self.trials.remove(&key);
-            self.changes.push(QuarantineChange::Lifted(key));
-        }
-    }
-
-    /// Lifts verdicts whose feature was answered after the last end, and removes companions that were.
-    fn lift_answered(&mut self, now: Instant) {
-        let entries = &self.entries;
-        let (answers, answered_requests) = (&self.answers, &self.answered_requests);
-        let answered = |key: &FeatureKey| {
-            let learned = entries.get(key).and_then(|entry| entry.answered);
-            let own = answers.latest(key).max(answered_requests.latest(key));
-            learned.max(own)
-        };
-        let mut lifted = Vec::new();
-        for (key, verdict) in &mut self.verdicts {
-            let last_end = verdict.last_end;
-            let is_sound = |key: &FeatureKey| answered(key).is_some_and(|at| at > last_end);
-            if is_sound(key) {
-                lifted.push(key.clone());
-                continue;
-            }
-            let service = &key.service;
-            let count = verdict.companions.len();
-            let is_open = |feature: &FeatureId| !is_sound(&FeatureKey::new(service, feature));
-            verdict.companions.retain(is_open);
-            if verdict.companions.len() < count {
-                let change = QuarantineChange::Added(verdict.clone());
-                self.changes.push(change);
-            }
-        }
-        for key in lifted {
-            self.lift(&key, now);
-        }
-    }
 }
--- a/crates/dandeliondeal_quarantine/src/lib.rs
+++ b/crates/dandeliondeal_quarantine/src/lib.rs
@@ -13,6 +13,7 @@
 //! to the endpoints sees all of them end.
 
 pub mod answer_memory;
+mod crash_decision;
 pub mod crash_evidence;
 mod crash_exchange;
 pub mod crash_report;
