BUDGET: a failure of a replica does not prove a request harmless

Requests that end some replicas, and get a failure from another one which did not run them to an end, were served without end: any complete answer withdrew the ends before it. Only a successful answer does now.

--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -346,7 +346,10 @@
                 let links = self.context.links();
                 links.record_traffic(&self.request.service, self.context.now());
                 self.lifecycle.apply(LifecycleEvent::Start);
-                self.request.record_sound(self.context, &endpoint.id);
+                // A replica that fails for its own reasons has not shown what the request does.
+                if head.status.is_success() {
+                    self.request.record_sound(self.context, &endpoint.id);
+                }
                 let response = build_response(self.context, &head, RelayBody::Complete(body));
                 if !head.status.is_server_error() || !self.is_repeatable {
                     return Some(response);
