--- a/crates/dandeliondeal_quarantine/src/held_runs.rs
+++ b/crates/dandeliondeal_quarantine/src/held_runs.rs
@@ -191,13 +191,12 @@
         held.runs.push(Rc::clone(run));
     }
 
-    /// Returns whether a process holds runs, or held some that were given up a short while ago.
-    pub fn holds_suspects(&self, process: &str, now: Instant) -> bool {
-        let given_up_time = self.settings.given_up_time;
+    /// Returns whether a process holds runs that are waited for.
+    pub fn holds_open(&self, process: &str) -> bool {
         let held = self.processes.get(process);
         held.is_some_and(|held| {
             let mut runs = held.runs.iter();
-            runs.any(|run| run.is_suspect(now, given_up_time))
+            runs.any(|run| run.state.get() == RunState::Open)
         })
     }
 
--- a/crates/dandeliondeal_relay/src/chain_watch.rs
+++ b/crates/dandeliondeal_relay/src/chain_watch.rs
@@ -11,6 +11,7 @@
 use crate::engine_check::{CheckCause, check_engine};
 use crate::loss_board::{confirm_loss, record_loss};
 use crate::loss_notice::LossEvidence;
+use crate::process_watch::WatchCause;
 use crate::relay_context::RelayContext;
 use crate::silence_watch::StreamSilence;
 
@@ -111,7 +112,8 @@
                 is_logged = true;
                 // The first engine may be silent because the process of a later one has ended.
                 for hop in &chain.hops {
-                    context.process_watch().add(&hop.id);
+                    let watch = context.process_watch();
+                    watch.add(&hop.id, WatchCause::Failure);
                 }
                 count_silence(context, "none");
                 tracing::info!(
--- a/crates/dandeliondeal_relay/src/held_run.rs
+++ b/crates/dandeliondeal_relay/src/held_run.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::crash_watch::process_id;
+use crate::process_watch::WatchCause;
 use crate::relay_context::RelayContext;
 use crate::request_intake::RelayRequest;
 
@@ -94,7 +95,8 @@
             features = self.record.features.join(","), "run given up"
         );
         for endpoint in &self.endpoints {
-            self.context.process_watch().add(endpoint);
+            let watch = self.context.process_watch();
+            watch.add(endpoint, WatchCause::GivenUp);
         }
     }
 }
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -29,7 +29,7 @@
 use crate::load_tracker::LoadTracker;
 use crate::loss_board::LossBoard;
 use crate::process_pause::ProcessPause;
-use crate::process_watch::ProcessWatch;
+use crate::process_watch::{ProcessWatch, WatchCause};
 use crate::relay_error::RelayError;
 use crate::relay_lifecycle::{LifecycleTable, lifecycle_table};
 use crate::relay_metrics::RelayMetrics;
@@ -284,7 +284,7 @@
     pub(crate) fn mark_failed(&self, engine: &EndpointId) {
         let now = self.now();
         self.fleet().borrow_mut().mark_failed(engine, now);
-        self.process_watch().add(engine);
+        self.process_watch().add(engine, WatchCause::Failure);
     }
 
     /// Returns the endpoints whose processes are watched.
--- a/crates/dandeliondeal_relay/src/stream_replacement.rs
+++ b/crates/dandeliondeal_relay/src/stream_replacement.rs
@@ -13,6 +13,7 @@
 use crate::endpoint_exchange::open_connection;
 use crate::engine_calls::{send_move_order, send_order};
 use crate::load_tracker::LoadReservation;
+use crate::process_watch::WatchCause;
 use crate::stream_rejection::MAX_ATTEMPTS;
 use crate::stream_relay::StreamRelay;
 use crate::stream_run::{MoveOrder, MoveResult, StreamRun};
@@ -53,7 +54,8 @@
         self.runs[index].set_silent_since(retry_at);
         // The first engine may be silent because the process of a later one has ended.
         for hop in &self.runs[index].chain().hops {
-            self.context.process_watch().add(&hop.id);
+            let watch = self.context.process_watch();
+            watch.add(&hop.id, WatchCause::Failure);
         }
         if let SilenceCause::Unresponsive(engine) | SilenceCause::Suspected(engine) = &cause
             && self.runs[index].may_move()
