--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -11,7 +11,7 @@
 use actix_http::{Method, RequestHead, RequestHeadType, StatusCode, Uri};
 use actix_rt::time::timeout;
 use bytes::{Buf, Bytes, BytesMut};
-use dandeliondeal_types::Clock;
+use dandeliondeal_types::{Clock, is_answer_status};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder};
@@ -248,6 +248,11 @@
                         }
                         continue;
                     }
+                    Ok(Some(head)) if !is_answer_status(head.status.as_u16()) => {
+                        self.state = ReadState::Broken;
+                        let problem = format!("{} is no status of an answer", head.status.as_u16());
+                        return Err(ConnectionError::invalid_answer(&problem));
+                    }
                     Ok(Some(head)) => break head,
                     Ok(None) => {}
                     Err(error) => {
--- a/crates/dandeliondeal_types/src/lib.rs
+++ b/crates/dandeliondeal_types/src/lib.rs
@@ -4,6 +4,7 @@
 //! the result of a request ([`Outcome`]) and its errors ([`RouteError`]). Traits abstract the
 //! platform ([`ObjectStore`], [`InstanceList`]) and the engines ([`EngineClient`]).
 
+pub mod answer_status;
 pub mod clock;
 pub mod endpoint_record;
 pub mod endpoint_view;
@@ -19,6 +20,8 @@
 pub mod sheet_model;
 pub mod token_step;
 
+#[doc(inline)]
+pub use answer_status::is_answer_status;
 #[doc(inline)]
 pub use clock::{Clock, ManualClock, SystemClock};
 #[doc(inline)]
