One end a run: an outage of a chain's engines does not blame the request

An outage of a domain ends several engines of a chain, and each counted as an end under the same run. A run ends one process now, until it moves to another chain.

--- a/crates/dandeliondeal_quarantine/src/crash_report.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_report.rs
@@ -13,7 +13,7 @@
 use crate::held_runs::RunStage;
 
 /// Maximum number of parts that are kept of several reports.
-const MAX_MERGED_PARTS: usize = 256;
+const MAX_MERGED_PARTS: usize = 128;
 /// Maximum number of verdicts, and of running processes, that are kept of several reports.
 const MAX_MERGED: usize = 64;
 /// Maximum number of ends that are kept for a part of several reports.
--- a/crates/dandeliondeal_quarantine/src/held_runs.rs
+++ b/crates/dandeliondeal_quarantine/src/held_runs.rs
@@ -66,6 +66,8 @@
     pub session: u64,
     stage: Cell<RunStage>,
     state: Cell<RunState>,
+    /// Whether the end of a process was attributed to the run.
+    is_blamed: Cell<bool>,
 }
 
 impl RunRecord {
@@ -83,6 +85,7 @@
             session,
             stage: Cell::default(),
             state: Cell::new(RunState::Open),
+            is_blamed: Cell::new(false),
         }
     }
 
@@ -96,6 +99,11 @@
         self.stage.set(stage);
     }
 
+    /// Records that the run goes on at other processes, each of which may end because of it.
+    pub fn record_move(&self) {
+        self.is_blamed.set(false);
+    }
+
     /// Records that the processes are done with the request.
     pub fn settle(&self) {
         self.state.set(RunState::Settled);
@@ -128,6 +136,7 @@
     /// Returns whether an end of a process at `end` may be due to this run.
     fn is_suspect(&self, end: Instant, given_up_time: Duration) -> bool {
         match self.state.get() {
+            _ if self.is_blamed.get() => false,
             RunState::Open => true,
             RunState::GivenUp(at) => end.saturating_duration_since(at) <= given_up_time,
             RunState::Settled => false,
@@ -226,7 +235,10 @@
         }
     }
 
-    /// Removes and returns the runs that a process held when it ended.
+    /// Removes and returns the runs that a process held when it ended, unless they were returned for
+    /// another process.
+    ///
+    /// A run ends one process of its chain. If others end as well, they have a common cause.
     pub fn take_ended(&mut self, process: &str, now: Instant) -> Vec<Rc<RunRecord>> {
         let Some(held) = self.processes.remove(process) else {
             return Vec::new();
@@ -235,6 +247,7 @@
         let given_up_time = self.settings.given_up_time;
         let runs = held.runs.into_iter();
         runs.filter(|run| run.is_suspect(end, given_up_time))
+            .inspect(|run| run.is_blamed.set(true))
             .collect()
     }
 
--- a/crates/dandeliondeal_relay/src/chain_watch.rs
+++ b/crates/dandeliondeal_relay/src/chain_watch.rs
@@ -111,7 +111,7 @@
             if !is_logged {
                 is_logged = true;
                 // The first engine may be silent because the process of a later one has ended.
-                for hop in &chain.hops {
+                for hop in chain.hops.iter().skip(1) {
                     let watch = context.process_watch();
                     watch.add(&hop.id, WatchCause::Failure);
                 }
--- a/crates/dandeliondeal_relay/src/held_run.rs
+++ b/crates/dandeliondeal_relay/src/held_run.rs
@@ -51,11 +51,7 @@
         held
     }
 
-    /// Registers the run with further endpoints, if it moves to another chain.
-    pub(crate) fn add_endpoints<'id>(
-        &mut self,
-        endpoints: impl IntoIterator<Item = &'id EndpointId>,
-    ) {
+    fn add_endpoints<'id>(&mut self, endpoints: impl IntoIterator<Item = &'id EndpointId>) {
         let fleet = self.context.fleet().borrow();
         let mut held_runs = self.context.held_runs().borrow_mut();
         for endpoint in endpoints {
@@ -68,6 +64,15 @@
         }
     }
 
+    /// Registers the run with the endpoints of the chain that it moves to.
+    pub(crate) fn record_move<'id>(
+        &mut self,
+        endpoints: impl IntoIterator<Item = &'id EndpointId>,
+    ) {
+        self.record.record_move();
+        self.add_endpoints(endpoints);
+    }
+
     /// Records how far the answer has come.
     pub(crate) fn set_stage(&self, stage: RunStage) {
         self.record.set_stage(stage);
--- a/crates/dandeliondeal_relay/src/stream_replacement.rs
+++ b/crates/dandeliondeal_relay/src/stream_replacement.rs
@@ -53,7 +53,7 @@
         let retry_at = self.context.now() + SILENCE_RETRY_DELAY;
         self.runs[index].set_silent_since(retry_at);
         // The first engine may be silent because the process of a later one has ended.
-        for hop in &self.runs[index].chain().hops {
+        for hop in self.runs[index].chain().hops.iter().skip(1) {
             let watch = self.context.process_watch();
             watch.add(&hop.id, WatchCause::Failure);
         }
--- a/crates/dandeliondeal_relay/src/stream_run.rs
+++ b/crates/dandeliondeal_relay/src/stream_run.rs
@@ -291,8 +291,7 @@
         if let Some(grade) = &mut self.grade {
             grade.evidence.set_chain(&chain);
         }
-        self.held
-            .add_endpoints(chain.hops.iter().map(|hop| &hop.id));
+        self.held.record_move(chain.hops.iter().map(|hop| &hop.id));
         self.chain = Rc::new(chain);
         self.reservation = reservation;
         self.silent_since = self.context.now();
