--- a/crates/dandeliondeal_relay/src/crash_watch.rs
+++ b/crates/dandeliondeal_relay/src/crash_watch.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use dandeliondeal_quarantine::{ProcessId, QuarantineChange, SuspectRequest, is_fingerprint};
+use dandeliondeal_quarantine::{
+    ProcessId, QuarantineChange, RunStage, SuspectRequest, is_fingerprint,
+};
 use dandeliondeal_types::{Clock, EndpointId, EndpointRecord};
 use futures_util::future::select_ok;
 use tokio::sync::OnceCell;
@@ -99,8 +101,9 @@
         return;
     }
     for run in &runs {
+        let has_begun = run.stage() != RunStage::Waiting;
         tracing::info!(
-            request = %run.request, process = &**process, stage = %run.stage(),
+            request = %run.request, process = &**process, has_begun, stage = %run.stage(),
             is_given_up = run.is_given_up(), is_confirmed, features = run.features.join(","),
             "process ended under a request"
         );
