The end of a later engine does not keep a stream from being moved on

The end of a later engine counted like that of an engine which is about to begin the answer, so that streams of the other chains' lost engines were not sent once more. Only the process that got the request is about to begin its answer; the end of a later one counts like one in the midst of the answer.

--- a/crates/dandeliondeal_quarantine/src/held_runs.rs
+++ b/crates/dandeliondeal_quarantine/src/held_runs.rs
@@ -1,6 +1,6 @@
 //! Requests that processes hold, and those that were given up shortly before.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -66,6 +66,8 @@
     pub session: u64,
     stage: Cell<RunStage>,
     state: Cell<RunState>,
+    /// Process that got the request.
+    first_process: OnceCell<ProcessId>,
     /// Whether the end of a process was attributed to the run.
     is_blamed: Cell<bool>,
 }
@@ -85,6 +87,7 @@
             session,
             stage: Cell::default(),
             state: Cell::new(RunState::Open),
+            first_process: OnceCell::new(),
             is_blamed: Cell::new(false),
         }
     }
@@ -124,12 +127,22 @@
     }
 
     /// Returns the run as one under which a process ended.
-    pub fn suspect(&self) -> SuspectRequest<'_> {
+    ///
+    /// Only the process that got the request can be about to begin the answer.
+    pub fn suspect(&self, process: &str) -> SuspectRequest<'_> {
+        let is_first = self
+            .first_process
+            .get()
+            .is_none_or(|first| **first == *process);
+        let stage = match self.stage() {
+            RunStage::Head if !is_first => RunStage::Events,
+            stage => stage,
+        };
         SuspectRequest {
             service: &self.service,
             features: &self.features,
             session: self.session,
-            stage: self.stage(),
+            stage,
         }
     }
 
@@ -191,6 +204,7 @@
 
     /// Records that a process holds a run.
     pub fn add(&mut self, process: &ProcessId, run: &Rc<RunRecord>) {
+        run.first_process.get_or_init(|| ProcessId::clone(process));
         let held = self.processes.entry(ProcessId::clone(process)).or_default();
         if held.runs.len() >= self.settings.max_runs {
             let is_open = |run: &Rc<RunRecord>| run.state.get() == RunState::Open;
--- a/crates/dandeliondeal_quarantine/tests/crash_schedules.rs
+++ b/crates/dandeliondeal_quarantine/tests/crash_schedules.rs
@@ -303,7 +303,8 @@
         let has_witness = (0..self.endpoints.len()).any(|other| self.is_up(other));
         for instance in &mut self.instances {
             let runs = instance.held.take_ended(&process, self.now);
-            let suspects: Vec<SuspectRequest<'_>> = runs.iter().map(|run| run.suspect()).collect();
+            let suspects: Vec<SuspectRequest<'_>> =
+                runs.iter().map(|run| run.suspect(&process)).collect();
             let table = &mut instance.table;
             table.record_ends(&process, &suspects, has_witness, self.now);
         }
--- a/crates/dandeliondeal_quarantine/tests/held_runs.rs
+++ b/crates/dandeliondeal_quarantine/tests/held_runs.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use dandeliondeal_quarantine::{HeldRuns, ProcessId, RunRecord};
+use dandeliondeal_quarantine::{HeldRuns, ProcessId, RunRecord, RunStage};
 
 fn held_run(held: &mut HeldRuns, processes: &[&str]) -> Rc<RunRecord> {
     let features = vec!["request:1".into()];
@@ -55,3 +55,14 @@
     held.sweep(later);
     assert_eq!(held.take_ended("a", later).len(), 1);
 }
+
+/// Guards against sound streams that are not moved on after the end of a later engine: it counted like
+/// the end of an engine that is about to begin the answer.
+#[test]
+fn later_engine() {
+    let mut held = HeldRuns::default();
+    let run = held_run(&mut held, &["first", "later"]);
+    run.set_stage(RunStage::Head);
+    assert_eq!(run.suspect("first").stage, RunStage::Head);
+    assert_eq!(run.suspect("later").stage, RunStage::Events);
+}
--- a/crates/dandeliondeal_relay/src/crash_watch.rs
+++ b/crates/dandeliondeal_relay/src/crash_watch.rs
@@ -108,7 +108,7 @@
             "process ended under a request"
         );
     }
-    let suspects: Vec<SuspectRequest<'_>> = runs.iter().map(|run| run.suspect()).collect();
+    let suspects: Vec<SuspectRequest<'_>> = runs.iter().map(|run| run.suspect(process)).collect();
     let crashes = context.crashes();
     crashes
         .borrow_mut()
