Reports of ends leave the stage out unless events were sent

Readers ignore unknown fields, so that no exchange failed, but the recorded messages are the contract between versions.

The field is left out when it is false, its default. recorded_messages passes (5 of 5 of the file); it failed before.

--- a/crates/dandeliondeal_quarantine/src/crash_report.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_report.rs
@@ -4,6 +4,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
+use std::ops::Not;
 use std::time::{Duration, Instant};
 
 use dandeliondeal_types::FeatureId;
@@ -31,7 +32,7 @@
     /// Whether the process was about to begin the answer to the request.
     pub has_begun: bool,
     /// Whether the process had sent events of the answer.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Not::not")]
     pub is_writing: bool,
     /// Whether it is certain that the process ended.
     #[serde(default = "is_confirmed_by_default")]
