A router that was suspended reads a report of the fleet before it serves

What callers saw: a router was suspended while copies of a request ended three engines, and went on after the others refused it. The copies that waited at it were sent at once: 10 late arrivals, 3 allowed, and one more end.

Cause: after a pause, requests wait until the configuration was read, but not for what the other instances know. The wait now covers an exchange of reports with a hub (as a hub, with one of another domain), which a pause asks for at once; its limit of 1 s is unchanged.

--- a/crates/dandeliondeal_relay/src/first_reads.rs
+++ b/crates/dandeliondeal_relay/src/first_reads.rs
@@ -29,8 +29,9 @@
     /// read, but not later than after `limit`.
     ///
     /// The two are read independently: a configuration without the list refuses each request for
-    /// want of an endpoint. After a pause of the process, the configuration is read again first: it
-    /// may have been replaced meanwhile.
+    /// want of an endpoint. After a pause of the process, the configuration and a report of the
+    /// fleet are read first: the configuration may have been replaced meanwhile, and copies of the
+    /// request may have ended endpoints.
     pub async fn wait_for_table(&self, limit: Duration) -> Option<Arc<RouteTable>> {
         self.check_pause();
         if self.table().is_none() || self.fleet().borrow().is_empty() {
@@ -41,10 +42,10 @@
                 _ = actix_rt::time::timeout(limit, complete) => {}
                 () = self.wait_for_final_responses() => {}
             }
-        } else if let Some(wait) = self.pauses().config_wait(self.now()) {
-            let config_read = self.pauses().wait_for_config();
+        } else if let Some(wait) = self.pauses().recheck_time(self.now()) {
+            let complete = self.pauses().wait_for_reads();
             tokio::select! {
-                _ = actix_rt::time::timeout(limit.min(wait), config_read) => {}
+                _ = actix_rt::time::timeout(limit.min(wait), complete) => {}
                 () = self.wait_for_final_responses() => {}
             }
         }
--- a/crates/dandeliondeal_relay/src/load_exchange.rs
+++ b/crates/dandeliondeal_relay/src/load_exchange.rs
@@ -243,10 +243,11 @@
 
     async fn send_report(&self) {
         let settings = &self.context.settings().instance;
+        let sent_at = self.context.now();
         let Some(hub) = self.hubs.hub_of(&settings.failure_domain) else {
+            self.context.pauses().record_report(sent_at);
             return;
         };
-        let sent_at = self.context.now();
         let mut local = self.context.tracker().local_load(sent_at);
         local.suspects = self
             .context
@@ -262,11 +263,12 @@
         local.slow_engines = self.context.survey().slow_engines(sent_at);
         self.context.admission().write_report(&mut local, sent_at);
         let id = InstanceId::clone(&settings.id);
+        let mut is_exchanged = true;
         let fleet = if hub.id == id {
             self.hub_state
                 .borrow_mut()
                 .record_instance(id, local.clone(), sent_at);
-            self.exchange_domains().await;
+            is_exchanged = self.exchange_domains().await;
             Some(self.hub_state.borrow_mut().fleet_total(self.context.now()))
         } else {
             let report = LoadReport {
@@ -283,6 +285,9 @@
             let now = self.context.now();
             let crashes = self.context.crashes();
             crashes.borrow_mut().add_report(&fleet.crashes, now);
+            if is_exchanged {
+                self.context.pauses().record_report(sent_at);
+            }
             self.context.links().set_fleet(&fleet.lost_links);
             apply_slow_engines(&self.context, &fleet.slow_engines);
             set_fleet_rates(&self.context, &fleet.rates, &local.rates);
@@ -310,8 +315,9 @@
         }
     }
 
-    /// Exchanges this domain's total with the hubs of all other domains concurrently.
-    async fn exchange_domains(&self) {
+    /// Exchanges this domain's total with the hubs of all other domains concurrently; returns whether
+    /// one of them answered, or there is none.
+    async fn exchange_domains(&self) -> bool {
         let own_domain = FailureDomain::clone(&self.context.settings().instance.failure_domain);
         let peers = self.context.peers();
         let mut domains: Vec<&FailureDomain> = peers
@@ -335,7 +341,8 @@
                 .record_domain(domain, total, now);
             Some(())
         });
-        futures_util::future::join_all(calls).await;
+        let results = futures_util::future::join_all(calls).await;
+        results.is_empty() || results.iter().any(Option::is_some)
     }
 
     async fn call_hub(
--- a/crates/dandeliondeal_relay/src/process_pause.rs
+++ b/crates/dandeliondeal_relay/src/process_pause.rs
@@ -1,8 +1,8 @@
 //! Pauses of this process, as gaps between two looks at the clock.
 //!
 //! After a pause, what was known before may have ended meanwhile: the limits that endpoints state
-//! would count as ended, the instances that share the repeat budget may be more, and the
-//! configuration may have been replaced.
+//! would count as ended, the instances that share the repeat budget may be more, the configuration
+//! may have been replaced, and processes may have ended under copies of the requests that wait.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
@@ -17,10 +17,24 @@
 ///
 /// The sweep looks at the clock four times a second. Known facts are used for 1.2 s anyway.
 const MAX_GAP: Duration = Duration::from_secs(1);
-/// Time after a pause in which requests wait for the configuration; after it, the last known one is
-/// used, as it is while the store does not answer.
+/// Time after a pause in which requests wait for the configuration and for a report of the fleet;
+/// after it, what is known is used, as it is while the store or the hubs do not answer.
 const MAX_RECHECK_TIME: Duration = Duration::from_secs(1);
 
+/// What has been read since the last pause.
+#[derive(Clone, Copy, Debug, Default)]
+struct RecheckState {
+    has_config: bool,
+    /// Whether a hub, or as a hub other ones, reported what the fleet knows.
+    has_report: bool,
+}
+
+impl RecheckState {
+    fn is_complete(self) -> bool {
+        self.has_config && self.has_report
+    }
+}
+
 /// Last look at the clock, and what was read since the last pause.
 #[derive(Debug, Default)]
 pub(crate) struct ProcessPause {
@@ -28,8 +42,7 @@
     resumed_at: Cell<Option<Instant>>,
     /// Whether the instances have been counted since the pause.
     is_counted: Cell<bool>,
-    /// Whether the configuration has been read since the pause.
-    is_config_read: watch::Sender<bool>,
+    reads: watch::Sender<RecheckState>,
     /// Asks for the configuration.
     recheck: Notify,
 }
@@ -43,7 +56,7 @@
         }
         self.resumed_at.set(Some(now));
         self.is_counted.set(false);
-        self.is_config_read.send_replace(false);
+        self.reads.send_replace(RecheckState::default());
         self.recheck.notify_one();
         Some(seen_at)
     }
@@ -60,23 +73,34 @@
 
     /// Records an answer to a call for the configuration that started at `started`.
     pub(crate) fn record_config_read(&self, started: Instant) {
-        if self.resumed_at.get().is_some_and(|at| started >= at) {
-            self.is_config_read.send_replace(true);
+        if self.is_after_pause(started) {
+            self.reads.send_modify(|reads| reads.has_config = true);
         }
     }
 
-    /// Returns for how long requests still wait for the configuration; `None` if they do not.
-    pub(crate) fn config_wait(&self, now: Instant) -> Option<Duration> {
+    /// Records an exchange of reports with the fleet that started at `started`.
+    pub(crate) fn record_report(&self, started: Instant) {
+        if self.is_after_pause(started) {
+            self.reads.send_modify(|reads| reads.has_report = true);
+        }
+    }
+
+    fn is_after_pause(&self, started: Instant) -> bool {
+        self.resumed_at.get().is_some_and(|at| started >= at)
+    }
+
+    /// Returns for how long requests still wait for what has to be read; `None` if they do not.
+    pub(crate) fn recheck_time(&self, now: Instant) -> Option<Duration> {
         let resumed_at = self.resumed_at.get()?;
         let wait = MAX_RECHECK_TIME.checked_sub(now.saturating_duration_since(resumed_at))?;
-        (!*self.is_config_read.borrow()).then_some(wait)
+        (!self.reads.borrow().is_complete()).then_some(wait)
     }
 
-    /// Waits until the configuration has been read since the last pause.
-    pub(crate) async fn wait_for_config(&self) {
-        let mut is_config_read = self.is_config_read.subscribe();
+    /// Waits until everything has been read since the last pause.
+    pub(crate) async fn wait_for_reads(&self) {
+        let mut reads = self.reads.subscribe();
         // The sender lives as long as this state, so the wait does not fail.
-        drop(is_config_read.wait_for(|is_read| *is_read).await);
+        drop(reads.wait_for(|reads| reads.is_complete()).await);
     }
 
     /// Waits until the configuration has to be read because of a pause.
@@ -99,5 +123,6 @@
         tracing::warn!(%gap_ms, "process was paused");
         restate_limits(self, seen_at, now);
         self.share_slack();
+        self.request_report();
     }
 }
