The answer of a restarted process does not withdraw the end before it

Cause: a process is known by its registration. One that was started again at the same address answers before its new registration is known, or for as long as the store is away. Its answer, 500 ms after the end or later, counted as one of the process before and showed that the reported end was none, so that the end and the verdict were dropped everywhere.

A certain end is now refuted only by an answer over a connection that was open before it. Contacts carry that time; reports do in a new optional field, without which a contact refutes uncertain ends only. Uncertain ends are refuted by any later answer, as before.

--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -111,6 +111,7 @@
     interim_heads: usize,
     /// Framing of the current body beyond the usual size of its chunks, in bytes.
     extra_framing_bytes: usize,
+    opened_at: Instant,
     idle_since: Instant,
 }
 
@@ -149,6 +150,7 @@
             is_head_request: false,
             interim_heads: 0,
             extra_framing_bytes: 0,
+            opened_at: now,
             idle_since: now,
         })
     }
@@ -465,6 +467,11 @@
         self.idle_since = clock.now();
     }
 
+    /// Returns the time at which the connection was opened.
+    pub fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
     /// Returns the time since which the connection is idle.
     pub fn idle_since(&self) -> Instant {
         self.idle_since
--- a/crates/dandeliondeal_quarantine/src/crash_exchange.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_exchange.rs
@@ -9,12 +9,14 @@
 use crate::crash_table::{CrashTable, QuarantineChange};
 use crate::crash_verdict::FeatureVerdict;
 use crate::held_runs::RunStage;
+use crate::process_memory::ProcessContact;
 
 impl CrashTable {
     /// Returns what this instance reports to the others; empty unless processes have ended.
     ///
     /// Ends that other instances reported are passed on if a feature has several, so that they outlive
-    /// the instance that saw them. Answers are not, as each hop would make them look more recent than they are.
+    /// the instance that saw them. Answers are not: each hop would make them look more recent than
+    /// they are.
     pub fn report(&self, now: Instant) -> CrashReport {
         let mut parts: Vec<FeatureClaim> = Vec::new();
         for (key, entry) in &self.entries {
@@ -62,6 +64,7 @@
             parts,
             verdicts: verdicts.collect(),
             running: self.processes.own_contacts(now),
+            running_since: self.processes.own_spans(now),
         }
     }
 
@@ -104,14 +107,23 @@
             self.merge_verdict(claim, time_of(claim.age_ms));
         }
         for (process, age_ms) in &report.running {
-            self.refute_end(process, time_of(*age_ms), false);
+            let at = time_of(*age_ms);
+            // Instances of earlier versions do not report since when the process ran.
+            let since = report.running_since.get(process);
+            let contact = ProcessContact {
+                since: since.map_or(at, |since_ms| time_of(*since_ms)),
+                at,
+                is_own: false,
+            };
+            self.refute_end(process, contact);
         }
         self.update(now);
     }
 
     fn merge_verdict(&mut self, claim: &VerdictClaim, last_end: Instant) {
         let lifted = self.lifted.get(&claim.key);
-        let is_refuted = self.processes.refutes_any(&claim.processes, last_end);
+        let mut processes = claim.processes.iter();
+        let is_refuted = processes.any(|process| self.is_refuted(&claim.key, process, last_end));
         if is_refuted || lifted.is_some_and(|lifted| *lifted >= last_end) {
             return;
         }
--- a/crates/dandeliondeal_quarantine/src/crash_report.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_report.rs
@@ -98,6 +98,9 @@
     /// Processes that answered after their end was reported, with the time since, in milliseconds.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub running: BTreeMap<ProcessId, u64>,
+    /// Times since which these processes certainly ran, in milliseconds.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub running_since: BTreeMap<ProcessId, u64>,
 }
 
 impl CrashReport {
@@ -121,10 +124,16 @@
             keep_heaviest(&mut self.parts, MAX_MERGED_PARTS);
         }
         for (process, age_ms) in &other.running {
-            if self.running.len() < MAX_MERGED || self.running.contains_key(process) {
-                let known = self.running.entry(ProcessId::clone(process));
-                let known = known.or_insert(*age_ms);
-                *known = (*known).min(*age_ms);
+            let known = self.running.get(process);
+            // The times of one process come from one answer, the latest.
+            let is_kept = known.map_or(self.running.len() < MAX_MERGED, |known| age_ms < known);
+            if is_kept {
+                self.running.insert(ProcessId::clone(process), *age_ms);
+                self.running_since.remove(process);
+                if let Some(since_ms) = other.running_since.get(process) {
+                    let process = ProcessId::clone(process);
+                    self.running_since.insert(process, *since_ms);
+                }
             }
         }
         for claim in &other.verdicts {
@@ -151,7 +160,8 @@
         for claim in &mut self.verdicts {
             add(&mut claim.age_ms);
         }
-        self.running.values_mut().for_each(add);
+        let running = self.running.values_mut();
+        running.chain(self.running_since.values_mut()).for_each(add);
     }
 }
 
--- a/crates/dandeliondeal_quarantine/src/crash_table.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_table.rs
@@ -9,7 +9,7 @@
 use crate::crash_evidence::{CrashSettings, FeatureKey, ProcessEnd, ProcessId};
 use crate::crash_verdict::FeatureVerdict;
 use crate::held_runs::RunStage;
-use crate::process_memory::ProcessMemory;
+use crate::process_memory::{ProcessContact, ProcessMemory};
 use crate::request_fingerprint::is_fingerprint;
 
 /// How a request is treated.
@@ -193,37 +193,48 @@
         }
     }
 
-    /// Records an answer of a process: an earlier report of its end was wrong.
+    /// Records an answer of a process over a connection that was open since `since`: an earlier report
+    /// of its end was wrong.
     ///
     /// Such a report comes from an instance that has lost its links to the endpoints.
-    pub fn record_contact(&mut self, process: &str, now: Instant) {
+    pub fn record_contact(&mut self, process: &ProcessId, since: Instant, now: Instant) {
         if self.entries.is_empty() {
             return;
         }
+        let contact = ProcessContact {
+            since,
+            at: now,
+            is_own: true,
+        };
         let mut ends = self.entries.values().flat_map(|entry| &entry.ends);
-        let refuted =
-            ends.find(|end| *end.process == *process && self.processes.is_refuted_by(end.at, now));
-        if let Some(process) = refuted.map(|end| ProcessId::clone(&end.process)) {
-            self.refute_end(&process, now, true);
+        let processes = &self.processes;
+        if ends.any(|end| end.process == *process && processes.is_refuted_by(end, contact)) {
+            self.refute_end(process, contact);
             self.update(now);
         }
     }
 
-    /// Drops the ends of a process that answered later, and the verdicts that rest on them.
-    pub(crate) fn refute_end(&mut self, process: &ProcessId, contact: Instant, is_own: bool) {
-        if !self.processes.add_contact(process, contact, is_own) {
+    /// Drops the ends of a process that ran after them, and the verdicts that rest on them.
+    pub(crate) fn refute_end(&mut self, process: &ProcessId, contact: ProcessContact) {
+        if !self.processes.add_contact(process, contact) {
             return;
         }
         let processes = &self.processes;
-        for entry in self.entries.values_mut() {
+        let mut refuted: HashSet<FeatureKey> = HashSet::new();
+        for (key, entry) in &mut self.entries {
+            let count = entry.ends.len();
             entry.ends.retain(|end| !processes.refutes(end));
+            if entry.ends.len() < count {
+                refuted.insert(key.clone());
+            }
         }
         // A verdict that has enough ends without this one is found again.
-        let verdicts = self.verdicts.iter().filter(|(_, verdict)| {
+        let verdicts = self.verdicts.values().filter(|verdict| {
             verdict.processes.contains(process)
-                && processes.is_refuted_by(verdict.last_end, contact)
+                && (refuted.contains(&verdict.key)
+                    || self.is_refuted(&verdict.key, process, verdict.last_end))
         });
-        let void: Vec<FeatureKey> = verdicts.map(|(key, _)| key.clone()).collect();
+        let void: Vec<FeatureKey> = verdicts.map(|verdict| verdict.key.clone()).collect();
         for key in void {
             self.verdicts.remove(&key);
             self.trials.remove(&key);
@@ -231,6 +242,19 @@
         }
     }
 
+    /// Returns whether a process ran before and after its end under a feature, which was at the latest
+    /// at `last_end` if it is not known.
+    pub(crate) fn is_refuted(
+        &self,
+        key: &FeatureKey,
+        process: &ProcessId,
+        last_end: Instant,
+    ) -> bool {
+        let ends = self.entries.get(key).map(|entry| &entry.ends);
+        let mut known = ends.into_iter().flatten();
+        !known.any(|end| end.process == *process) && self.processes.spans(process, last_end)
+    }
+
     /// Records that a request with these features was answered.
     pub fn record_answer(&mut self, service: &ServiceId, features: &[FeatureId], now: Instant) {
         self.answers.record_answer(service);
--- a/crates/dandeliondeal_quarantine/src/held_runs.rs
+++ b/crates/dandeliondeal_quarantine/src/held_runs.rs
@@ -102,6 +102,11 @@
         self.stage.set(stage);
     }
 
+    /// Returns the process that got the request.
+    pub fn first_process(&self) -> Option<&ProcessId> {
+        self.first_process.get()
+    }
+
     /// Records that the run goes on at other processes, each of which may end because of it.
     pub fn record_move(&self) {
         self.is_blamed.set(false);
--- a/crates/dandeliondeal_quarantine/src/process_memory.rs
+++ b/crates/dandeliondeal_quarantine/src/process_memory.rs
@@ -6,13 +6,23 @@
 use crate::crash_evidence::{CrashSettings, ProcessEnd, ProcessId};
 use crate::crash_report::age_ms;
 
-/// Latest answer of a process whose end was reported before.
+/// Time in which a process certainly ran, although its end was reported.
 #[derive(Clone, Copy, Debug)]
-struct ProcessContact {
-    at: Instant,
+pub(crate) struct ProcessContact {
+    /// Time since which the connection of the answer was open.
+    pub(crate) since: Instant,
+    /// Time of the answer.
+    pub(crate) at: Instant,
     /// Whether this instance got the answer. Only then it reports it, as each hop makes it look more
     /// recent.
-    is_own: bool,
+    pub(crate) is_own: bool,
+}
+
+impl ProcessContact {
+    /// Returns whether the process ran before and after an end.
+    fn spans(&self, end: Instant, margin: Duration) -> bool {
+        self.since <= end && end + margin < self.at
+    }
 }
 
 /// What is known for certain about processes whose end was reported.
@@ -56,39 +66,44 @@
     }
 
     /// Records an answer of a process; returns `false` if a later one is known.
-    pub(crate) fn add_contact(&mut self, process: &ProcessId, at: Instant, is_own: bool) -> bool {
+    pub(crate) fn add_contact(&mut self, process: &ProcessId, contact: ProcessContact) -> bool {
         let known = self.running.get(process);
-        if known.is_some_and(|known| known.at >= at || (known.is_own && !is_own)) {
+        if known.is_some_and(|known| known.at >= contact.at || (known.is_own && !contact.is_own)) {
             return false;
         }
+        // Two connections that were open at the same time led to the same process.
+        let since = known
+            .filter(|known| contact.since <= known.at)
+            .map_or(contact.since, |known| known.since.min(contact.since));
         if self.running.len() >= self.capacity && known.is_none() {
             let oldest = self.running.iter().min_by_key(|(_, contact)| contact.at);
             let oldest = oldest.map(|(process, _)| ProcessId::clone(process));
             oldest.map(|process| self.running.remove(&process));
         }
-        let contact = ProcessContact { at, is_own };
+        let contact = ProcessContact { since, ..contact };
         self.running.insert(ProcessId::clone(process), contact);
         true
     }
 
-    /// Returns whether an answer at `contact` shows that the reported end was no end.
-    pub(crate) fn is_refuted_by(&self, end: Instant, contact: Instant) -> bool {
-        end + self.contact_margin < contact
+    /// Returns whether an answer shows that a reported end was no end.
+    ///
+    /// A process that was started again may answer before its new registration is known. So only an
+    /// answer over a connection that is older refutes a certain end.
+    pub(crate) fn is_refuted_by(&self, end: &ProcessEnd, contact: ProcessContact) -> bool {
+        let is_later = end.at + self.contact_margin < contact.at;
+        is_later && (!end.is_confirmed || contact.spans(end.at, self.contact_margin))
     }
 
     /// Returns whether the process is known to have answered after its reported end.
     pub(crate) fn refutes(&self, end: &ProcessEnd) -> bool {
         let contact = self.running.get(&end.process);
-        contact.is_some_and(|contact| self.is_refuted_by(end.at, contact.at))
+        contact.is_some_and(|contact| self.is_refuted_by(end, *contact))
     }
 
-    /// Returns whether one of the processes answered later than its end, at the latest `last_end`.
-    pub(crate) fn refutes_any(&self, processes: &[ProcessId], last_end: Instant) -> bool {
-        let contacts = processes
-            .iter()
-            .filter_map(|process| self.running.get(process));
-        let mut contacts = contacts.map(|contact| contact.at);
-        contacts.any(|contact| self.is_refuted_by(last_end, contact))
+    /// Returns whether a process ran before and after a reported end.
+    pub(crate) fn spans(&self, process: &ProcessId, end: Instant) -> bool {
+        let contact = self.running.get(process);
+        contact.is_some_and(|contact| contact.spans(end, self.contact_margin))
     }
 
     /// Returns the processes that answered this instance, with the time since then in milliseconds.
@@ -98,6 +113,13 @@
             .collect()
     }
 
+    /// Like [`Self::own_contacts`], with the times for which their connections had been open.
+    pub(crate) fn own_spans(&self, now: Instant) -> BTreeMap<ProcessId, u64> {
+        let own = self.running.iter().filter(|(_, contact)| contact.is_own);
+        own.map(|(process, contact)| (ProcessId::clone(process), age_ms(now, contact.since)))
+            .collect()
+    }
+
     /// Forgets contacts that are older than any end that is kept.
     pub(crate) fn drop_old(&mut self, now: Instant) {
         let max_age = self.max_age;
--- a/crates/dandeliondeal_quarantine/tests/crash_schedules.rs
+++ b/crates/dandeliondeal_quarantine/tests/crash_schedules.rs
@@ -287,7 +287,9 @@
                 let process = self.process(run.endpoint);
                 let table = &mut self.instances[run.instance].table;
                 table.record_answer(&self.service, &run.record.features, now);
-                table.record_contact(&process, now);
+                let age = STEP * (step - run.started);
+                let since = now.checked_sub(age).expect("a later time");
+                table.record_contact(&process, since, now);
             }
         }
     }
--- a/crates/dandeliondeal_quarantine/tests/request_features.rs
+++ b/crates/dandeliondeal_quarantine/tests/request_features.rs
@@ -56,6 +56,13 @@
             .record_answer(&self.service, &list(features), self.now);
     }
 
+    /// Records an answer over a connection that was open for a while.
+    fn contact(&mut self, process: &str, open_ms: u64) {
+        let open_time = Duration::from_millis(open_ms);
+        let since = self.now.checked_sub(open_time).expect("a later time");
+        self.table.record_contact(&process.into(), since, self.now);
+    }
+
     fn standing(&self, features: &str) -> RequestStanding {
         self.table.standing(&self.service, &list(features))
     }
@@ -198,7 +205,7 @@
     test.report_to(&mut peer);
     assert_eq!(peer.standing("request:7"), RequestStanding::Quarantined);
     let stale = test.table.report(test.now);
-    peer.table.record_contact("two", peer.now);
+    peer.contact("two", 900);
     assert_ne!(peer.standing("request:7"), RequestStanding::Quarantined);
     peer.report_to(&mut test);
     assert_ne!(test.standing("request:7"), RequestStanding::Quarantined);
@@ -213,6 +220,32 @@
     assert_eq!(peer.standing("request:7"), RequestStanding::Quarantined);
 }
 
+/// Guards against ends that answers of the processes started in the same places withdrew, before
+/// their registrations were known.
+#[test]
+fn restarted_processes() {
+    let (mut test, mut peer) = (TestTable::new(), TestTable::new());
+    peer.now = test.now;
+    for process in ["one", "two", "three"] {
+        test.end(process, "request:7", true);
+        for table in [&mut test, &mut peer] {
+            table.wait(700);
+            table.contact(process, 100);
+        }
+        test.report_to(&mut peer);
+        peer.report_to(&mut test);
+    }
+    for table in [&mut test, &mut peer] {
+        assert_eq!(table.standing("request:7"), RequestStanding::Quarantined);
+    }
+    // An uncertain end is withdrawn by any later answer.
+    test.end("four", "request:9", false);
+    test.wait(700);
+    test.contact("four", 0);
+    test.table.confirm_end(&"four".into(), test.now);
+    assert_eq!(test.standing("request:9"), RequestStanding::Sound);
+}
+
 /// Guards against a deadly request that is displaced by those that only waited at ended endpoints.
 #[test]
 fn crowded_endpoints() {
@@ -345,8 +378,7 @@
                 replaced.insert(process % 8);
             }
             HistoryStep::Contact { process } => {
-                test.table
-                    .record_contact(&format!("process-{}", process % 8), test.now);
+                test.contact(&format!("process-{}", process % 8), 30_000);
             }
             HistoryStep::Answer { request } => {
                 test.answer(&format!("request:{}", request % 3));
--- a/crates/dandeliondeal_quarantine/tests/request_fleet.rs
+++ b/crates/dandeliondeal_quarantine/tests/request_fleet.rs
@@ -257,7 +257,10 @@
             let process = self.process(run.replica);
             let table = &mut self.tables[run.instance];
             table.record_answer(&self.service, &[run.feature], self.now);
-            table.record_contact(&process, self.now);
+            // Connections are kept for as long as the process runs.
+            let age = STEP * (self.step - self.replicas[run.replica].0);
+            let since = self.now.checked_sub(age).expect("a later time");
+            table.record_contact(&process, since, self.now);
         }
     }
 
--- a/crates/dandeliondeal_relay/src/held_run.rs
+++ b/crates/dandeliondeal_relay/src/held_run.rs
@@ -1,12 +1,13 @@
 //! Run of a request that one or several processes hold.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use dandeliondeal_quarantine::{RunRecord, RunStage};
 use dandeliondeal_types::{Clock, EndpointId, RequestId, ServiceId};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::crash_watch::process_id;
+use crate::crash_watch::{log_changes, process_id};
 use crate::process_watch::WatchCause;
 use crate::relay_context::RelayContext;
 use crate::request_intake::RelayRequest;
@@ -22,16 +23,19 @@
     context: RelayContext<Time, Dialect>,
     record: Rc<RunRecord>,
     endpoints: Vec<EndpointId>,
+    /// Time since which the connection to the first endpoint is open.
+    open_since: Instant,
 }
 
 impl<Time, Dialect> HeldRun<Time, Dialect>
 where
     Time: Clock,
 {
-    /// Registers a run that starts.
+    /// Registers a run that starts over a connection that is open since `open_since`.
     pub(crate) fn start<'id>(
         context: &RelayContext<Time, Dialect>,
         request: &RelayRequest,
+        open_since: Instant,
         endpoints: impl IntoIterator<Item = &'id EndpointId>,
     ) -> Self {
         let own_part = request.facts.own_part.as_ref();
@@ -46,6 +50,7 @@
             context: context.clone(),
             record: Rc::new(record),
             endpoints: Vec::new(),
+            open_since,
         };
         held.add_endpoints(endpoints);
         held
@@ -78,6 +83,18 @@
         self.record.set_stage(stage);
     }
 
+    /// Records that the first endpoint answered: its process ran all the time.
+    pub(crate) fn record_contact(&self) {
+        let Some(process) = self.record.first_process() else {
+            return;
+        };
+        let (now, crashes) = (self.context.now(), self.context.crashes());
+        let mut crashes = crashes.borrow_mut();
+        crashes.record_contact(process, self.open_since, now);
+        drop(crashes);
+        log_changes(&self.context);
+    }
+
     /// Records that the answer is complete, or that the request was not run.
     pub(crate) fn settle(&self) {
         self.record.settle();
--- a/crates/dandeliondeal_relay/src/plain_attempt.rs
+++ b/crates/dandeliondeal_relay/src/plain_attempt.rs
@@ -103,7 +103,8 @@
 {
     let no_answer = CallResult::Failed(FailureSignal::NoAnswer);
     let mut guard = CallGuard::start(context, vec![EndpointId::clone(&endpoint.id)]);
-    let held = HeldRun::start(context, request, [&endpoint.id]);
+    let open_since = connection.opened_at();
+    let held = HeldRun::start(context, request, open_since, [&endpoint.id]);
     // Whether the replica has begun to answer is not known, as it answers all at once.
     held.set_stage(RunStage::Head);
     let limit = request.time_left(context.now());
@@ -132,6 +133,11 @@
     if !matches!(result, AttemptResult::Lost(_)) {
         held.settle();
     }
+    if let AttemptResult::Complete(head, _) = &result
+        && head.status.is_success()
+    {
+        held.record_contact();
+    }
     if let AttemptResult::Lost(Some(error)) = &result
         && !error.is_invalid_answer()
     {
--- a/crates/dandeliondeal_relay/src/plain_relay.rs
+++ b/crates/dandeliondeal_relay/src/plain_relay.rs
@@ -348,7 +348,7 @@
                 self.lifecycle.apply(LifecycleEvent::Start);
                 // A replica that fails for its own reasons has not shown what the request does.
                 if head.status.is_success() {
-                    self.request.record_sound(self.context, &endpoint.id);
+                    self.request.record_sound(self.context);
                 }
                 let response = build_response(self.context, &head, RelayBody::Complete(body));
                 if !head.status.is_server_error() || !self.is_repeatable {
--- a/crates/dandeliondeal_relay/src/request_standing.rs
+++ b/crates/dandeliondeal_relay/src/request_standing.rs
@@ -1,9 +1,9 @@
 //! Ties the answers to a request to its features, and decides how it is treated.
 
 use dandeliondeal_quarantine::RequestStanding;
-use dandeliondeal_types::{Clock, EndpointId};
+use dandeliondeal_types::Clock;
 
-use crate::crash_watch::{log_changes, process_id};
+use crate::crash_watch::log_changes;
 use crate::relay_context::RelayContext;
 use crate::request_intake::RelayRequest;
 
@@ -52,20 +52,13 @@
     }
 
     /// Records that an endpoint answered the request without harm.
-    pub(crate) fn record_sound<Time, Dialect>(
-        &self,
-        context: &RelayContext<Time, Dialect>,
-        endpoint: &EndpointId,
-    ) where
+    pub(crate) fn record_sound<Time, Dialect>(&self, context: &RelayContext<Time, Dialect>)
+    where
         Time: Clock,
     {
         let now = context.now();
-        let process = context.fleet().borrow().record(endpoint).map(process_id);
         let mut crashes = context.crashes().borrow_mut();
         crashes.record_answer(&self.service, &self.features, now);
-        if let Some(process) = process {
-            crashes.record_contact(&process, now);
-        }
         drop(crashes);
         log_changes(context);
     }
--- a/crates/dandeliondeal_relay/src/stream_run.rs
+++ b/crates/dandeliondeal_relay/src/stream_run.rs
@@ -109,8 +109,10 @@
         last_event: Option<u64>,
     ) -> Result<Self, ConnectionError> {
         let id = &request.facts.request;
+        let open_since = connection.opened_at();
         let source = RunSource::start(context, connection, &chain, (outbound, id), last_event)?;
-        let held = HeldRun::start(context, request, chain.hops.iter().map(|hop| &hop.id));
+        let engines = chain.hops.iter().map(|hop| &hop.id);
+        let held = HeldRun::start(context, request, open_since, engines);
         Ok(Self {
             context: context.clone(),
             request: RequestId::clone(id),
@@ -236,6 +238,11 @@
         }
     }
 
+    /// Records that the first engine answered.
+    pub(crate) fn record_contact(&self) {
+        self.held.record_contact();
+    }
+
     /// Records that the answer is complete, or that the request was not run.
     pub(crate) fn settle(&self) {
         self.held.settle();
--- a/crates/dandeliondeal_relay/src/stream_standing.rs
+++ b/crates/dandeliondeal_relay/src/stream_standing.rs
@@ -30,8 +30,10 @@
     /// Returns how the request is treated by now.
     pub(crate) fn request_standing(&self) -> RequestStanding {
         let standing = self.request.standing(&self.context);
-        let is_cleared = self.standing.is_writing && !self.request.is_suspect_copy(&self.context);
-        if standing == RequestStanding::Suspect && is_cleared {
+        if standing == RequestStanding::Suspect
+            && self.standing.is_writing
+            && !self.request.is_suspect_copy(&self.context)
+        {
             return RequestStanding::Sound;
         }
         standing
@@ -52,7 +54,8 @@
     /// Records that the request was answered completely.
     pub(crate) fn record_sound(&mut self) {
         if let Some(run) = self.runs.first() {
-            self.request.record_sound(&self.context, run.first_engine());
+            self.request.record_sound(&self.context);
+            run.record_contact();
         }
     }
 
