One check for the status of an answer; smaller repetitions

check_answer_status returns an error with the text that three callers wrote. The processes that were about to begin an answer are collected by one function. No behaviour changes. New test odd_status: the store's client takes 000, 099, 600 and 999 for a lost answer.

--- a/crates/dandeliondeal_entry/src/service_dispatch.rs
+++ b/crates/dandeliondeal_entry/src/service_dispatch.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use dandeliondeal_claim::ClaimAnswer;
 use dandeliondeal_types::{
-    Clock, EndpointId, ErrorKind, Outcome, RequestId, RequestStep, RouteError, is_answer_status,
+    Clock, EndpointId, ErrorKind, Outcome, RequestId, RequestStep, RouteError, check_answer_status,
 };
 
 use crate::entry_context::EntryContext;
@@ -161,10 +161,8 @@
     let mut answer = sent
         .map_err(|_elapsed| timeout_error())?
         .map_err(|error| call_failure(&error, RequestStep::Dispatch, endpoint))?;
-    if !is_answer_status(answer.status().as_u16()) {
-        let problem = format!("{} is no status of an answer", answer.status().as_u16());
-        return Err(dispatch_error(ErrorKind::NoAnswer, problem));
-    }
+    check_answer_status(answer.status().as_u16())
+        .map_err(|error| dispatch_error(ErrorKind::NoAnswer, error.to_string()))?;
     let remaining = attempt
         .deadline
         .saturating_duration_since(context.clock().now());
--- a/crates/dandeliondeal_http/src/endpoint_connection.rs
+++ b/crates/dandeliondeal_http/src/endpoint_connection.rs
@@ -11,7 +11,7 @@
 use actix_http::{Method, RequestHead, RequestHeadType, StatusCode, Uri};
 use actix_rt::time::timeout;
 use bytes::{Buf, Bytes, BytesMut};
-use dandeliondeal_types::{Clock, is_answer_status};
+use dandeliondeal_types::{Clock, check_answer_status};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder};
@@ -250,12 +250,13 @@
                         }
                         continue;
                     }
-                    Ok(Some(head)) if !is_answer_status(head.status.as_u16()) => {
-                        self.state = ReadState::Broken;
-                        let problem = format!("{} is no status of an answer", head.status.as_u16());
-                        return Err(ConnectionError::invalid_answer(&problem));
+                    Ok(Some(head)) => {
+                        if let Err(error) = check_answer_status(head.status.as_u16()) {
+                            self.state = ReadState::Broken;
+                            return Err(ConnectionError::invalid_answer(&error));
+                        }
+                        break head;
                     }
-                    Ok(Some(head)) => break head,
                     Ok(None) => {}
                     Err(error) => {
                         self.state = ReadState::Broken;
--- a/crates/dandeliondeal_quarantine/src/crash_decision.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_decision.rs
@@ -1,14 +1,12 @@
 //! Decides from what a table knows which features are blamed, and which verdicts are lifted.
 
-use std::collections::HashSet;
 use std::time::Instant;
 
 use dandeliondeal_types::FeatureId;
 
-use crate::crash_evidence::{FeatureEvidence, FeatureKey, ProcessEnd, ProcessId};
+use crate::crash_evidence::{FeatureEvidence, FeatureKey, ProcessEnd, head_processes};
 use crate::crash_table::{CrashTable, FeatureEntry, QuarantineChange};
 use crate::crash_verdict::{find_explained, find_verdicts};
-use crate::held_runs::RunStage;
 
 impl CrashTable {
     pub(crate) fn update(&mut self, now: Instant) {
@@ -72,8 +70,7 @@
         candidates.sort_by_key(|(key, _)| *key);
         let ends = self.entries.values();
         let ends = ends.flat_map(|entry| entry.counted_ends(min_confirmed));
-        let heads = ends.filter(|end| end.stage == RunStage::Head);
-        let heads: HashSet<&ProcessId> = heads.map(|end| &end.process).collect();
+        let heads = head_processes(ends);
         let evidence = candidates.into_iter().map(|(key, entry)| {
             let answers = self.answers.total(&key.service);
             let other_answers = answers.saturating_sub(entry.earlier_answers);
--- a/crates/dandeliondeal_quarantine/src/crash_evidence.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_evidence.rs
@@ -1,5 +1,6 @@
 //! What is known of the crashes and answers under one feature of requests.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -48,6 +49,14 @@
     pub is_confirmed: bool,
 }
 
+/// Returns the processes that were about to begin an answer when they ended.
+pub(crate) fn head_processes<'end>(
+    ends: impl Iterator<Item = &'end ProcessEnd>,
+) -> HashSet<&'end ProcessId> {
+    let heads = ends.filter(|end| end.stage == RunStage::Head);
+    heads.map(|end| &end.process).collect()
+}
+
 /// Evidence about one feature.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FeatureEvidence {
--- a/crates/dandeliondeal_quarantine/src/crash_verdict.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_verdict.rs
@@ -5,7 +5,9 @@
 
 use dandeliondeal_types::FeatureId;
 
-use crate::crash_evidence::{CrashSettings, FeatureEvidence, FeatureKey, ProcessEnd, ProcessId};
+use crate::crash_evidence::{
+    CrashSettings, FeatureEvidence, FeatureKey, ProcessEnd, ProcessId, head_processes,
+};
 use crate::held_runs::RunStage;
 use crate::request_fingerprint::is_fingerprint;
 
@@ -223,13 +225,11 @@
     settings: &CrashSettings,
     now: Instant,
 ) -> Vec<CountedFeature<'evidence>> {
-    let ends = evidence.iter().flat_map(|part| &part.ends);
-    let heads = ends.filter(|end| end.stage == RunStage::Head);
-    let begun: HashSet<&ProcessId> = heads.map(|end| &end.process).collect();
+    let heads = head_processes(evidence.iter().flat_map(|part| &part.ends));
     let counts = |evidence: &FeatureEvidence, end: &ProcessEnd| {
         // Another instance may still report that the process had begun another response.
         let is_settled = now.saturating_duration_since(end.at) >= settings.settle_time;
-        evidence.is_telling(end) || (is_settled && !begun.contains(&end.process))
+        evidence.is_telling(end) || (is_settled && !heads.contains(&end.process))
     };
     let parts = evidence.iter().map(|evidence| {
         let ends = evidence.ends.iter().filter(|end| counts(evidence, end));
--- a/crates/dandeliondeal_store/src/platform_client.rs
+++ b/crates/dandeliondeal_store/src/platform_client.rs
@@ -11,7 +11,7 @@
 use awc::{Client, Connector};
 use dandeliondeal_types::{
     Clock, InstanceList, InstanceRecord, KindChanges, KindSnapshot, KindStore, ObjectStore,
-    ObjectValue, PutCondition, ReadFreshness, StoreError, Version, is_answer_status,
+    ObjectValue, PutCondition, ReadFreshness, StoreError, Version, check_answer_status,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -253,11 +253,9 @@
             SendFailure::NotSent => StoreError::unavailable(name, &error),
             SendFailure::AnswerLost => StoreError::response_lost(name, &error),
         })?;
-        if !is_answer_status(answer.status().as_u16()) {
-            // The HTTP library returns an interim head as the answer; the final one may follow.
-            let reason = format!("{} is no status of an answer", answer.status().as_u16());
-            return Err(StoreError::response_lost(name, &reason));
-        }
+        // The HTTP library returns an interim head as the answer; the final one may follow.
+        check_answer_status(answer.status().as_u16())
+            .map_err(|error| StoreError::response_lost(name, &error))?;
         let body_future = answer.body().limit(settings.answer_limit);
         let body = actix_rt::time::timeout(timeout, body_future)
             .await
--- a/crates/dandeliondeal_store/tests/endless_answers.rs
+++ b/crates/dandeliondeal_store/tests/endless_answers.rs
@@ -122,3 +122,26 @@
     let second = client.get("second").await;
     assert!(second.is_err(), "{second:?}");
 }
+
+/// Guards against a status that HTTP does not have and that counts as the answer of the store.
+#[actix_rt::test]
+async fn odd_status() {
+    for status in ["000", "099", "600", "999"] {
+        let text =
+            format!("HTTP/1.1 {status} None\r\nETag: \"7\"\r\nContent-Length: 4\r\n\r\ntext");
+        let answer = RawAnswer::complete(&text);
+        let endpoint = RawEndpoint::start(move |_| answer.clone());
+        let client = new_client(&endpoint);
+        let write = client.put("object", PutCondition::Absent, "text".into());
+        let write = write.await;
+        let is_lost = matches!(write, Err(StoreError::ResponseLost { .. }));
+        assert!(is_lost, "{status}: {write:?}");
+        let read = client.get("object").await;
+        assert!(read.is_err(), "{status}: {read:?}");
+        assert_eq!(
+            endpoint.requests().len(),
+            2,
+            "{status}: a call is sent once"
+        );
+    }
+}
--- a/crates/dandeliondeal_types/src/lib.rs
+++ b/crates/dandeliondeal_types/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod token_step;
 
 #[doc(inline)]
-pub use answer_status::is_answer_status;
+pub use answer_status::{StatusError, check_answer_status};
 #[doc(inline)]
 pub use clock::{Clock, ManualClock, SystemClock};
 #[doc(inline)]
