crash_schedules draws registrations that arrive late

In half of the schedules, processes that were started again answer for up to 2 s before the instances know their registrations.

--- a/crates/dandeliondeal_quarantine/tests/crash_schedules.rs
+++ b/crates/dandeliondeal_quarantine/tests/crash_schedules.rs
@@ -1,6 +1,6 @@
 //! Schedules of copies of a deadly request: callers that leave, ends at any moment of an answer,
-//! instances that restart and reports that are lost. Counted is what reaches the endpoints of all
-//! instances.
+//! instances that restart, reports that are lost and registrations that arrive late. Counted is what
+//! reaches the endpoints of all instances.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -50,6 +50,8 @@
     sound_rate: f64,
     /// Mean number of copies of the deadly request in a step.
     deadly_rate: f64,
+    /// Steps after which the instances know the registration of a process that was started.
+    registration_steps: u32,
 }
 
 impl Schedule {
@@ -71,6 +73,11 @@
             } else {
                 0.0
             },
+            registration_steps: if random.random_bool(0.5) {
+                random.random_range(0..100)
+            } else {
+                0
+            },
         }
     }
 }
@@ -103,6 +110,7 @@
 
 struct Endpoint {
     up_from: u32,
+    /// Number of starts whose registration is known.
     starts: u32,
 }
 
@@ -321,10 +329,13 @@
         }
     }
 
-    /// Starts processes whose time is over; their registrations show that the earlier ones ended.
+    /// Makes known which processes were started; their registrations show that the earlier ones
+    /// ended.
     fn confirm_restarts(&mut self) {
+        let delay = self.schedule.registration_steps;
         for endpoint in 0..self.endpoints.len() {
-            if self.endpoints[endpoint].up_from == self.step && self.step > 0 {
+            let up_from = self.endpoints[endpoint].up_from;
+            if up_from > 0 && up_from + delay == self.step {
                 let process = self.process(endpoint);
                 self.endpoints[endpoint].starts += 1;
                 for instance in &mut self.instances {
