Runs that began before a registration are runs of the registered process

Cause: runs are held by process, and a process is known by its registration. What was sent to a restarted process before its registration was known was held by the process before it. Sound requests in progress counted as suspects of an end that they could not cause.

HeldRuns remembers which processes ended. If a later registration takes the place of such a process, the runs that were added since then move to the later one. Without a known end, the runs are those of the earlier process, as before.

--- a/crates/dandeliondeal_quarantine/src/held_runs.rs
+++ b/crates/dandeliondeal_quarantine/src/held_runs.rs
@@ -1,6 +1,6 @@
 //! Requests that processes hold, and those that were given up shortly before.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -67,7 +67,7 @@
     stage: Cell<RunStage>,
     state: Cell<RunState>,
     /// Process that got the request.
-    first_process: OnceCell<ProcessId>,
+    first_process: RefCell<Option<ProcessId>>,
     /// Whether the end of a process was attributed to the run.
     is_blamed: Cell<bool>,
 }
@@ -87,7 +87,7 @@
             session,
             stage: Cell::default(),
             state: Cell::new(RunState::Open),
-            first_process: OnceCell::new(),
+            first_process: RefCell::default(),
             is_blamed: Cell::new(false),
         }
     }
@@ -103,8 +103,8 @@
     }
 
     /// Returns the process that got the request.
-    pub fn first_process(&self) -> Option<&ProcessId> {
-        self.first_process.get()
+    pub fn first_process(&self) -> Option<ProcessId> {
+        self.first_process.borrow().clone()
     }
 
     /// Records that the run goes on at other processes, each of which may end because of it.
@@ -135,10 +135,8 @@
     ///
     /// Only the process that got the request can be about to begin the answer.
     pub fn suspect(&self, process: &str) -> SuspectRequest<'_> {
-        let is_first = self
-            .first_process
-            .get()
-            .is_none_or(|first| **first == *process);
+        let first = self.first_process.borrow();
+        let is_first = first.as_ref().is_none_or(|first| **first == *process);
         let stage = match self.stage() {
             RunStage::Head if !is_first => RunStage::Events,
             stage => stage,
@@ -170,6 +168,8 @@
     /// Time for which the runs of a process that does not answer are kept, until another process in
     /// its place shows that it ended.
     pub unanswered_time: Duration,
+    /// Time for which a process is remembered as ended, until a later one in its place is known.
+    pub ended_time: Duration,
     /// Maximum number of runs that are kept for a process.
     pub max_runs: usize,
 }
@@ -179,6 +179,7 @@
         Self {
             given_up_time: Duration::from_secs(1),
             unanswered_time: Duration::from_secs(10),
+            ended_time: Duration::from_mins(2),
             max_runs: 512,
         }
     }
@@ -196,6 +197,8 @@
 pub struct HeldRuns {
     settings: HoldSettings,
     processes: HashMap<ProcessId, ProcessRuns>,
+    /// Processes that ended, with the time at which that was known.
+    ended: HashMap<ProcessId, Instant>,
 }
 
 impl HeldRuns {
@@ -204,12 +207,15 @@
         Self {
             settings,
             processes: HashMap::new(),
+            ended: HashMap::new(),
         }
     }
 
     /// Records that a process holds a run.
     pub fn add(&mut self, process: &ProcessId, run: &Rc<RunRecord>) {
-        run.first_process.get_or_init(|| ProcessId::clone(process));
+        let mut first = run.first_process.borrow_mut();
+        first.get_or_insert_with(|| ProcessId::clone(process));
+        drop(first);
         let held = self.processes.entry(ProcessId::clone(process)).or_default();
         if held.runs.len() >= self.settings.max_runs {
             let is_open = |run: &Rc<RunRecord>| run.state.get() == RunState::Open;
@@ -258,7 +264,8 @@
     /// another process.
     ///
     /// A run ends one process of its chain. If others end as well, they have a common cause.
-    pub fn take_ended(&mut self, process: &str, now: Instant) -> Vec<Rc<RunRecord>> {
+    pub fn take_ended(&mut self, process: &ProcessId, now: Instant) -> Vec<Rc<RunRecord>> {
+        self.ended.insert(ProcessId::clone(process), now);
         let Some(held) = self.processes.remove(process) else {
             return Vec::new();
         };
@@ -270,9 +277,38 @@
             .collect()
     }
 
+    /// Records that the registration of a later process in the place of `process` is known; returns the
+    /// runs that the earlier one held, like [`Self::take_ended`], unless its end was known before.
+    ///
+    /// If it was, the runs that were added since then are runs of the later process.
+    pub fn supersede(
+        &mut self,
+        process: &ProcessId,
+        successor: &ProcessId,
+        now: Instant,
+    ) -> Vec<Rc<RunRecord>> {
+        if self.ended.remove(process).is_none() {
+            let runs = self.take_ended(process, now);
+            self.ended.remove(process);
+            return runs;
+        }
+        let held = self.processes.remove(process).unwrap_or_default();
+        for run in &held.runs {
+            let mut first = run.first_process.borrow_mut();
+            if first.as_ref() == Some(process) {
+                *first = Some(ProcessId::clone(successor));
+            }
+            drop(first);
+            self.add(successor, run);
+        }
+        Vec::new()
+    }
+
     /// Forgets the runs that cannot become suspects any more.
     pub fn sweep(&mut self, now: Instant) {
         let settings = &self.settings;
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < settings.ended_time;
+        self.ended.retain(|_, at| is_recent(*at));
         self.processes.retain(|_, held| {
             let is_recent =
                 |at: &Instant| now.saturating_duration_since(*at) < settings.unanswered_time;
--- a/crates/dandeliondeal_quarantine/tests/crash_schedules.rs
+++ b/crates/dandeliondeal_quarantine/tests/crash_schedules.rs
@@ -292,7 +292,7 @@
         for run in complete {
             if run.leaves > step {
                 run.record.settle();
-                let process = self.process(run.endpoint);
+                let process = run.record.first_process().expect("a process");
                 let table = &mut self.instances[run.instance].table;
                 table.record_answer(&self.service, &run.record.features, now);
                 let age = STEP * (step - run.started);
@@ -338,8 +338,13 @@
             if up_from > 0 && up_from + delay == self.step {
                 let process = self.process(endpoint);
                 self.endpoints[endpoint].starts += 1;
-                for instance in &mut self.instances {
-                    instance.table.confirm_end(&process, self.now);
+                let successor = self.process(endpoint);
+                for Instance { table, held } in &mut self.instances {
+                    table.confirm_end(&process, self.now);
+                    let runs = held.supersede(&process, &successor, self.now);
+                    let suspects: Vec<SuspectRequest<'_>> =
+                        runs.iter().map(|run| run.suspect(&process)).collect();
+                    table.record_ends(&process, &suspects, true, self.now);
                 }
             }
         }
--- a/crates/dandeliondeal_relay/src/crash_watch.rs
+++ b/crates/dandeliondeal_relay/src/crash_watch.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_quarantine::{
-    ProcessId, QuarantineChange, RunStage, SuspectRequest, is_fingerprint,
+    ProcessId, QuarantineChange, RunRecord, RunStage, SuspectRequest, is_fingerprint,
 };
 use dandeliondeal_types::{Clock, EndpointId, EndpointRecord};
 use futures_util::future::select_ok;
@@ -97,10 +97,38 @@
 {
     let now = context.now();
     let runs = context.held_runs().borrow_mut().take_ended(process, now);
+    record_ended_runs(context, process, &runs, is_confirmed);
+}
+
+/// Records that a process has ended in whose place another one was started.
+pub(crate) fn record_successor<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    process: &ProcessId,
+    successor: &ProcessId,
+) where
+    Time: Clock,
+{
+    let now = context.now();
+    let mut held_runs = context.held_runs().borrow_mut();
+    let runs = held_runs.supersede(process, successor, now);
+    drop(held_runs);
+    let is_confirmed = true;
+    record_ended_runs(context, process, &runs, is_confirmed);
+}
+
+fn record_ended_runs<Time, Dialect>(
+    context: &RelayContext<Time, Dialect>,
+    process: &ProcessId,
+    runs: &[Rc<RunRecord>],
+    is_confirmed: bool,
+) where
+    Time: Clock,
+{
     if runs.is_empty() {
         return;
     }
-    for run in &runs {
+    let now = context.now();
+    for run in runs {
         let has_begun = run.stage() != RunStage::Waiting;
         tracing::info!(
             request = %run.request, process = &**process, has_begun, stage = %run.stage(),
--- a/crates/dandeliondeal_relay/src/fleet_sinks.rs
+++ b/crates/dandeliondeal_relay/src/fleet_sinks.rs
@@ -5,7 +5,7 @@
 use dandeliondeal_route::RouteTable;
 use dandeliondeal_types::{Clock, EndpointRecord, KindChanges, KindSnapshot, ObjectValue};
 
-use crate::crash_watch::{log_changes, process_id, record_process_end};
+use crate::crash_watch::{log_changes, process_id, record_successor};
 use crate::dialect::FleetDialect;
 use crate::fleet_view::FleetChange;
 use crate::loss_board::publish_loss;
@@ -157,9 +157,15 @@
                 .crashes()
                 .borrow_mut()
                 .confirm_end(&process, now);
-            if !record.is_draining {
-                let is_confirmed = true;
-                record_process_end(&self.context, &process, is_confirmed);
+            let successor = {
+                let fleet = self.context.fleet().borrow();
+                let mut records = fleet.records();
+                let successor =
+                    records.find(|later| later.address == record.address || later.id == record.id);
+                successor.map(process_id)
+            };
+            if let Some(successor) = successor.filter(|_| !record.is_draining) {
+                record_successor(&self.context, &process, &successor);
             }
             let is_engine = self.context.fleet().borrow().is_engine(record);
             if is_engine && !record.is_draining && self.context.losses().is_shared() {
--- a/crates/dandeliondeal_relay/src/held_run.rs
+++ b/crates/dandeliondeal_relay/src/held_run.rs
@@ -90,7 +90,7 @@
         };
         let (now, crashes) = (self.context.now(), self.context.crashes());
         let mut crashes = crashes.borrow_mut();
-        crashes.record_contact(process, self.open_since, now);
+        crashes.record_contact(&process, self.open_since, now);
         drop(crashes);
         log_changes(&self.context);
     }
