A superseded registration names its successor; less work per answer

- The sink searched all registrations for the one that took the place of another.
FleetView knows both when it supersedes one, and returns them together.
It returns if no verdict changed; each change of their number is recorded.
- own_contacts and own_spans were one loop over two times, take_ended was undone by its only other caller, three tests made the same pair of tables.

--- a/crates/dandeliondeal_quarantine/src/crash_exchange.rs
+++ b/crates/dandeliondeal_quarantine/src/crash_exchange.rs
@@ -63,8 +63,8 @@
         CrashReport {
             parts,
             verdicts: verdicts.collect(),
-            running: self.processes.own_contacts(now),
-            running_since: self.processes.own_spans(now),
+            running: self.processes.own_ages(now, |contact| contact.at),
+            running_since: self.processes.own_ages(now, |contact| contact.since),
         }
     }
 
--- a/crates/dandeliondeal_quarantine/src/held_runs.rs
+++ b/crates/dandeliondeal_quarantine/src/held_runs.rs
@@ -213,9 +213,9 @@
 
     /// Records that a process holds a run.
     pub fn add(&mut self, process: &ProcessId, run: &Rc<RunRecord>) {
-        let mut first = run.first_process.borrow_mut();
-        first.get_or_insert_with(|| ProcessId::clone(process));
-        drop(first);
+        run.first_process
+            .borrow_mut()
+            .get_or_insert_with(|| ProcessId::clone(process));
         let held = self.processes.entry(ProcessId::clone(process)).or_default();
         if held.runs.len() >= self.settings.max_runs {
             let is_open = |run: &Rc<RunRecord>| run.state.get() == RunState::Open;
@@ -266,6 +266,10 @@
     /// A run ends one process of its chain. If others end as well, they have a common cause.
     pub fn take_ended(&mut self, process: &ProcessId, now: Instant) -> Vec<Rc<RunRecord>> {
         self.ended.insert(ProcessId::clone(process), now);
+        self.remove_suspects(process, now)
+    }
+
+    fn remove_suspects(&mut self, process: &str, now: Instant) -> Vec<Rc<RunRecord>> {
         let Some(held) = self.processes.remove(process) else {
             return Vec::new();
         };
@@ -288,9 +292,7 @@
         now: Instant,
     ) -> Vec<Rc<RunRecord>> {
         if self.ended.remove(process).is_none() {
-            let runs = self.take_ended(process, now);
-            self.ended.remove(process);
-            return runs;
+            return self.remove_suspects(process, now);
         }
         let held = self.processes.remove(process).unwrap_or_default();
         for run in &held.runs {
--- a/crates/dandeliondeal_quarantine/src/process_memory.rs
+++ b/crates/dandeliondeal_quarantine/src/process_memory.rs
@@ -106,17 +106,15 @@
         contact.is_some_and(|contact| contact.spans(end, self.contact_margin))
     }
 
-    /// Returns the processes that answered this instance, with the time since then in milliseconds.
-    pub(crate) fn own_contacts(&self, now: Instant) -> BTreeMap<ProcessId, u64> {
+    /// Returns the processes that answered this instance, with the age in milliseconds of a time of
+    /// their contact.
+    pub(crate) fn own_ages(
+        &self,
+        now: Instant,
+        time_of: fn(&ProcessContact) -> Instant,
+    ) -> BTreeMap<ProcessId, u64> {
         let own = self.running.iter().filter(|(_, contact)| contact.is_own);
-        own.map(|(process, contact)| (ProcessId::clone(process), age_ms(now, contact.at)))
-            .collect()
-    }
-
-    /// Like [`Self::own_contacts`], with the times for which their connections had been open.
-    pub(crate) fn own_spans(&self, now: Instant) -> BTreeMap<ProcessId, u64> {
-        let own = self.running.iter().filter(|(_, contact)| contact.is_own);
-        own.map(|(process, contact)| (ProcessId::clone(process), age_ms(now, contact.since)))
+        own.map(|(process, contact)| (ProcessId::clone(process), age_ms(now, time_of(contact))))
             .collect()
     }
 
--- a/crates/dandeliondeal_quarantine/tests/request_features.rs
+++ b/crates/dandeliondeal_quarantine/tests/request_features.rs
@@ -26,6 +26,13 @@
         }
     }
 
+    /// Creates two tables with the same time.
+    fn pair() -> (Self, Self) {
+        let (one, mut other) = (Self::new(), Self::new());
+        other.now = one.now;
+        (one, other)
+    }
+
     fn wait(&mut self, time_ms: u64) {
         self.now += Duration::from_millis(time_ms);
         self.table.refresh(self.now);
@@ -169,8 +176,7 @@
 /// was real: a process that is started in its place shows it, or the other ends do.
 #[test]
 fn whole_service() {
-    let (mut test, mut peer) = (TestTable::new(), TestTable::new());
-    peer.now = test.now;
+    let (mut test, mut peer) = TestTable::pair();
     test.end("one", "request:7", true);
     test.end("two", "request:7", false);
     test.end("three", "request:7", false);
@@ -194,8 +200,7 @@
 /// on them that comes back with reports under way.
 #[test]
 fn refuted_ends() {
-    let (mut test, mut peer) = (TestTable::new(), TestTable::new());
-    peer.now = test.now;
+    let (mut test, mut peer) = TestTable::pair();
     for process in ["one", "two", "three"] {
         test.end(process, "request:7", true);
     }
@@ -224,8 +229,7 @@
 /// their registrations were known.
 #[test]
 fn restarted_processes() {
-    let (mut test, mut peer) = (TestTable::new(), TestTable::new());
-    peer.now = test.now;
+    let (mut test, mut peer) = TestTable::pair();
     for process in ["one", "two", "three"] {
         test.end(process, "request:7", true);
         for table in [&mut test, &mut peer] {
--- a/crates/dandeliondeal_relay/src/crash_watch.rs
+++ b/crates/dandeliondeal_relay/src/crash_watch.rs
@@ -225,11 +225,10 @@
 where
     Time: Clock,
 {
-    let (changes, count) = {
-        let mut crashes = context.crashes().borrow_mut();
-        let changes = crashes.take_changes();
-        (changes, crashes.verdicts().len())
-    };
+    let changes = context.crashes().borrow_mut().take_changes();
+    if changes.is_empty() {
+        return;
+    }
     for change in &changes {
         match change {
             QuarantineChange::Added(verdict) if is_fingerprint(&verdict.key.feature) => {
@@ -254,6 +253,7 @@
             ),
         }
     }
+    let count = context.crashes().borrow().verdicts().len();
     let gauge = &context.metrics().quarantined_parts;
     gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
 }
--- a/crates/dandeliondeal_relay/src/fleet_sinks.rs
+++ b/crates/dandeliondeal_relay/src/fleet_sinks.rs
@@ -151,21 +151,14 @@
     /// Records the ends of processes in whose place another one has started.
     fn confirm_ends(&self, now: Instant) {
         let superseded = self.context.fleet().borrow_mut().take_superseded();
-        for record in &superseded {
+        for (record, later) in &superseded {
             let process = process_id(record);
             self.context
                 .crashes()
                 .borrow_mut()
                 .confirm_end(&process, now);
-            let successor = {
-                let fleet = self.context.fleet().borrow();
-                let mut records = fleet.records();
-                let successor =
-                    records.find(|later| later.address == record.address || later.id == record.id);
-                successor.map(process_id)
-            };
-            if let Some(successor) = successor.filter(|_| !record.is_draining) {
-                record_successor(&self.context, &process, &successor);
+            if !record.is_draining {
+                record_successor(&self.context, &process, &process_id(later));
             }
             let is_engine = self.context.fleet().borrow().is_engine(record);
             if is_engine && !record.is_draining && self.context.losses().is_shared() {
--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -44,8 +44,8 @@
     /// Engines excluded from new chains, with the end of the exclusion.
     pub(crate) excluded: HashMap<EndpointId, Instant>,
     /// Registrations of processes in whose place another one has started since
-    /// [`Self::take_superseded`].
-    superseded: Vec<EndpointRecord>,
+    /// [`Self::take_superseded`], each with that of the later process.
+    superseded: Vec<(EndpointRecord, EndpointRecord)>,
     /// Registrations that went away.
     departed: DepartedRecords,
     /// Pauses that endpoints asked this instance to make.
@@ -162,11 +162,15 @@
         if is_new_start {
             self.slowness.remove(&id);
             self.backoffs.record_restart(&id, now);
-            self.superseded.extend(previous.cloned());
+            let former = previous.cloned();
+            self.superseded
+                .extend(former.map(|former| (former, record.clone())));
         }
         self.excluded.remove(&id);
         self.remove_superseded(&record);
-        self.superseded.extend(self.departed.take_replaced(&record));
+        let departed = self.departed.take_replaced(&record);
+        self.superseded
+            .extend(departed.map(|departed| (departed, record.clone())));
         self.records.insert(EndpointId::clone(&id), record);
         Some(if is_draining {
             FleetChange::Draining(id)
@@ -183,15 +187,15 @@
                 && *id != record.id;
             if is_superseded {
                 tracing::info!(endpoint = %id, by = %record.id, "registration superseded");
-                self.superseded.push(existing.clone());
+                self.superseded.push((existing.clone(), record.clone()));
             }
             !is_superseded
         });
     }
 
     /// Returns the registrations of processes in whose place another one has started since the last
-    /// call.
-    pub fn take_superseded(&mut self) -> Vec<EndpointRecord> {
+    /// call, each with that of the later process.
+    pub fn take_superseded(&mut self) -> Vec<(EndpointRecord, EndpointRecord)> {
         std::mem::take(&mut self.superseded)
     }
 
--- a/crates/dandeliondeal_relay/tests/fleet_view.rs
+++ b/crates/dandeliondeal_relay/tests/fleet_view.rs
@@ -77,6 +77,32 @@
     );
 }
 
+/// Guards against the end of a process that is lost because the registration of the later one goes away
+/// before anyone asks.
+#[test]
+fn superseded_processes() {
+    let now = Instant::now();
+    let mut view = view();
+    view.update(record("a", 1), now);
+    for (id, started_at_ms) in [("a", 2_000), ("b", 3_000)] {
+        let mut later = record(id, 2);
+        later.started_at_ms = started_at_ms;
+        view.update(later, now);
+    }
+    view.delete("b", None, now);
+    let superseded = view.take_superseded();
+    let starts = superseded.iter().map(|(former, later)| {
+        let later = (&*later.id, later.started_at_ms);
+        (&*former.id, former.started_at_ms, later)
+    });
+    let starts: Vec<_> = starts.collect();
+    assert_eq!(
+        starts,
+        [("a", 1_000, ("a", 2_000)), ("a", 2_000, ("b", 3_000))]
+    );
+    assert!(view.take_superseded().is_empty());
+}
+
 #[test]
 fn plain_deletion() {
     let now = Instant::now();
