--- a/review/cases_2/http.rs
+++ b/review/cases_2/http.rs
@@ -49,13 +49,16 @@
     }
 }
 
-fn find_header<'headers>(headers: &'headers [(String, String)], name: &str) -> Option<&'headers str> {
+fn find_header<'headers>(
+    headers: &'headers [(String, String)],
+    name: &str,
+) -> Option<&'headers str> {
     let mut headers = headers.iter();
     let found = headers.find(|(key, _)| key.eq_ignore_ascii_case(name));
     found.map(|(_, value)| value.as_str())
 }
 
-/// Server that answers requests with a handler until it is stopped.
+/// Server that answers requests with a handler.
 ///
 /// A handler that returns `None` closes the connection without an answer.
 pub struct Server {
@@ -65,7 +68,6 @@
 
 #[derive(Default)]
 struct ServerState {
-    is_stopped: AtomicBool,
     is_away: AtomicBool,
     next_connection: AtomicU64,
     connections: Mutex<Vec<(u64, TcpStream)>>,
@@ -83,9 +85,6 @@
         let handler = Arc::new(handler);
         thread::spawn(move || {
             for stream in listener.incoming() {
-                if accept_state.is_stopped.load(Ordering::SeqCst) {
-                    return;
-                }
                 let Ok(stream) = stream else { continue };
                 if accept_state.is_away.load(Ordering::SeqCst) {
                     continue;
@@ -99,7 +98,11 @@
                 thread::spawn(move || {
                     let _ = serve(&stream, &*handler);
                     let _ = stream.shutdown(Shutdown::Both);
-                    state.connections.lock().unwrap().retain(|(other, _)| *other != id);
+                    state
+                        .connections
+                        .lock()
+                        .unwrap()
+                        .retain(|(other, _)| *other != id);
                 });
             }
         });
@@ -118,14 +121,6 @@
         }
     }
 
-    /// Stops listening and ends all connections, as the end of a process does.
-    pub fn stop(&self) {
-        self.state.is_stopped.store(true, Ordering::SeqCst);
-        // Wakes the thread that accepts, which then drops the listener.
-        drop(TcpStream::connect_timeout(&self.address, Duration::from_millis(200)));
-        self.close_connections();
-    }
-
     fn close_connections(&self) {
         for (_, stream) in self.state.connections.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
@@ -225,7 +220,10 @@
     (&mut &stream).write_all(text.as_bytes())?;
     let mut reader = BufReader::new(stream);
     let line = read_line(&mut reader)?;
-    let status = line.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let status = line
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
     let status = status.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
     let headers = read_headers(&mut reader)?;
     let body = read_body(&mut reader, &headers)?;
--- a/review/cases_2/main.rs
+++ b/review/cases_2/main.rs
@@ -5,7 +5,6 @@
 
 mod http;
 mod json;
-mod leaving_replica;
 mod record;
 mod replica;
 mod restored_store;
@@ -41,7 +40,6 @@
     };
     let outcome = match name.as_str() {
         "restored-store" => restored_store::play(&record, has_trouble),
-        "leaving-replica" => leaving_replica::play(&record, has_trouble),
         _ => Outcome::NotRun(format!("no case {name}")),
     };
     match outcome {
--- a/review/cases_2/restored_store.rs
+++ b/review/cases_2/restored_store.rs
@@ -44,7 +44,11 @@
     let store = Store::start((router::address(network, 200, 1), 0).into());
     let quoted = |key: &str| format!("\"{key}\"");
     let (kept, revoked) = (quoted(KEPT_KEY), quoted(REVOKED_KEY));
-    store.write("config", "main", &config(3, &[("workshop-a", &kept), ("workshop-b", &revoked)]));
+    store.write(
+        "config",
+        "main",
+        &config(3, &[("workshop-a", &kept), ("workshop-b", &revoked)]),
+    );
     let replicas: Vec<Replica> = (1_u8..=3)
         .map(|index| {
             let address = (router::address(network, 100, index), 0).into();
@@ -64,7 +68,9 @@
             let name = format!("front-{zone}-{machine}");
             let ip = router::address(network, zone_index, machine);
             let address = store.address();
-            routers.push(Router::start(&folder, &name, zone, ip, ports, address, FIGURES));
+            routers.push(Router::start(
+                &folder, &name, zone, ip, ports, address, FIGURES,
+            ));
         }
     }
     record.tell(&format!("{} routers started", routers.len()));
@@ -80,10 +86,15 @@
     ));
     let first = ask_all(record, &routers, "before", REVOKED_KEY);
     if first.iter().any(|status| *status != Some(200)) {
-        return Outcome::NotRun(format!("not all routers serve before the disruption: {first:?}"));
+        return Outcome::NotRun(format!(
+            "not all routers serve before the disruption: {first:?}"
+        ));
     }
     let copy = store.copy();
-    record.tell(&format!("copy of the store taken at revision {}", store.revision()));
+    record.tell(&format!(
+        "copy of the store taken at revision {}",
+        store.revision()
+    ));
     thread::sleep(COPY_AGE);
     let revision = store.revision();
     if has_trouble {
@@ -93,7 +104,11 @@
             AWAY_TIME.as_millis()
         ));
         // The operator and the replicas write again what they wrote last; the copy holds it already.
-        store.write("config", "main", &config(3, &[("workshop-a", &kept), ("workshop-b", &revoked)]));
+        store.write(
+            "config",
+            "main",
+            &config(3, &[("workshop-a", &kept), ("workshop-b", &revoked)]),
+        );
         for replica in &replicas {
             replica.register(&store);
         }
@@ -105,19 +120,33 @@
         served.iter().filter(|status| **status == Some(200)).count(),
         served.len()
     ));
-    let revision = store.write("config", "main", &config(4, &[("workshop-a", &kept), ("workshop-b", "")]));
+    let revision = store.write(
+        "config",
+        "main",
+        &config(4, &[("workshop-a", &kept), ("workshop-b", "")]),
+    );
     record.tell(&format!(
         "version 4 takes the key of workshop-b away; acknowledged at revision {revision}"
     ));
     let mut broken = 0;
     for round in 1_u32..=3 {
         // Sent later than `config-apply-ms` after the acknowledgement.
-        thread::sleep(if round == 1 { CONFIG_APPLY + MARGIN } else { Duration::from_secs(3) });
+        thread::sleep(if round == 1 {
+            CONFIG_APPLY + MARGIN
+        } else {
+            Duration::from_secs(3)
+        });
         let label = format!("late{round}");
         let statuses = ask_all(record, &routers, &label, REVOKED_KEY);
-        let count = statuses.iter().filter(|status| **status == Some(200)).count();
+        let count = statuses
+            .iter()
+            .filter(|status| **status == Some(200))
+            .count();
         let kept_count = ask_all(record, &routers, &format!("kept{round}"), KEPT_KEY);
-        let kept_count = kept_count.iter().filter(|status| **status == Some(200)).count();
+        let kept_count = kept_count
+            .iter()
+            .filter(|status| **status == Some(200))
+            .count();
         record.tell(&format!(
             "round {round}: {count} of {} routers still serve the key that was taken away; \
              {kept_count} serve the other one; revision {}",
@@ -133,10 +162,19 @@
         .count();
     let versions: Vec<String> = routers
         .iter()
-        .map(|router| router.metric("config_version").unwrap_or_else(|| "?".to_owned()))
+        .map(|router| {
+            router
+                .metric("config_version")
+                .unwrap_or_else(|| "?".to_owned())
+        })
         .collect();
-    record.tell(&format!("configuration in force by router: {}", versions.join(" ")));
-    record.tell(&format!("{late_runs} requests with the key ran after the bound"));
+    record.tell(&format!(
+        "configuration in force by router: {}",
+        versions.join(" ")
+    ));
+    record.tell(&format!(
+        "{late_runs} requests with the key ran after the bound"
+    ));
     if routers.iter_mut().any(|router| !router.is_running()) {
         return Outcome::NotRun("a router has exited".to_owned());
     }
@@ -164,12 +202,15 @@
             .to_vec(),
             body: "amount=100".to_owned(),
         };
-        record.line(&format!("sent     router={} request={id} key={key}", router.name));
+        record.line(&format!(
+            "sent     router={} request={id} key={key}",
+            router.name
+        ));
         let answer = http::call(router.front(), &request, Duration::from_millis(1_500));
         let status = answer.as_ref().ok().map(|answer| answer.status);
-        let seal = answer.ok().and_then(|answer| {
-            answer.header("replica-seal").map(str::to_owned)
-        });
+        let seal = answer
+            .ok()
+            .and_then(|answer| answer.header("replica-seal").map(str::to_owned));
         record.line(&format!(
             "answered router={} request={id} status={status:?} seal={}",
             router.name,
--- a/review/cases_2/router.rs
+++ b/review/cases_2/router.rs
@@ -38,7 +38,9 @@
 pub fn free_ports(ip: Ipv4Addr) -> Ports {
     let is_free = |port: u16| TcpListener::bind((ip, port)).is_ok();
     let mut ports = (20_000..30_000).step_by(20).filter(|port| {
-        [0, 1, 5, 6].into_iter().all(|offset| is_free(port + offset))
+        [0, 1, 5, 6]
+            .into_iter()
+            .all(|offset| is_free(port + offset))
     });
     let front = ports.next().expect("free ports");
     Ports {
@@ -111,7 +113,10 @@
         let text = values.iter().fold(template, |text, (key, value)| {
             text.replace(&format!("{{{{{key}}}}}"), value)
         });
-        assert!(!text.contains("{{"), "a placeholder without a value:\n{text}");
+        assert!(
+            !text.contains("{{"),
+            "a placeholder without a value:\n{text}"
+        );
         let settings = folder.path().join(format!("{name}.ini"));
         fs::write(&settings, text).expect("settings written");
         let log = File::create(folder.path().join(format!("{name}.log"))).expect("a log");
@@ -152,7 +157,11 @@
         let metrics = SocketAddr::new(IpAddr::V4(self.ip), 9464);
         let answer = get(metrics, "/metrics")?;
         let mut lines = answer.body.lines();
-        let line = lines.find(|line| line.split(' ').next().is_some_and(|key| key.ends_with(name)))?;
+        let line = lines.find(|line| {
+            line.split(' ')
+                .next()
+                .is_some_and(|key| key.ends_with(name))
+        })?;
         line.split(' ').nth(1).map(str::to_owned)
     }
 }
--- a/review/cases_2/store.rs
+++ b/review/cases_2/store.rs
@@ -29,18 +29,14 @@
 #[derive(Default)]
 struct StoreState {
     content: Content,
-    /// Value of `Store-Era`; watches that began in an earlier era are cut.
+    /// Value of `Store-Era`; watches that began in an earlier era get 410.
     era: u64,
-    /// Machines, by the first path segment of their calls' `Host`, that are turned away.
-    refused: Vec<String>,
 }
 
 /// Store on loopback.
 pub struct Store {
     shared: Arc<(Mutex<StoreState>, Condvar)>,
     server: Server,
-    /// Further listeners that lead to the same store, one for a machine that can be turned away.
-    doors: Mutex<HashMap<String, Server>>,
 }
 
 /// Copy of a store's content.
@@ -54,7 +50,6 @@
                 ..Content::default()
             },
             era: 1,
-            refused: Vec::new(),
         };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let handler = Arc::clone(&shared);
@@ -62,39 +57,6 @@
         Self {
             shared,
             server: server.expect("a free port for the store"),
-            doors: Mutex::default(),
-        }
-    }
-
-    /// Opens another address of the store, for calls of one machine.
-    pub fn open_door(&self, machine: &str, address: SocketAddr) -> SocketAddr {
-        let shared = Arc::clone(&self.shared);
-        let name = machine.to_owned();
-        let server = Server::start(address, move |request| {
-            let is_refused = shared.0.lock().unwrap().refused.contains(&name);
-            Some(if is_refused {
-                Response::new(503, "{\"error\":\"busy\"}")
-            } else {
-                answer(&shared, request)
-            })
-        });
-        let server = server.expect("a free port for a door of the store");
-        let address = server.address();
-        self.doors.lock().unwrap().insert(machine.to_owned(), server);
-        address
-    }
-
-    /// Turns a machine away with 503, or serves it again; waiting watches are cut.
-    pub fn set_refused(&self, machine: &str, is_refused: bool) {
-        let mut state = self.shared.0.lock().unwrap();
-        state.refused.retain(|name| name != machine);
-        if is_refused {
-            state.refused.push(machine.to_owned());
-        }
-        drop(state);
-        if is_refused && let Some(door) = self.doors.lock().unwrap().get(machine) {
-            door.set_away(true);
-            door.set_away(false);
         }
     }
 
@@ -114,15 +76,14 @@
         revision
     }
 
-    pub fn delete(&self, kind: &str, name: &str) {
-        let mut state = self.shared.0.lock().unwrap();
-        state.content.delete(kind, name);
-        self.shared.1.notify_all();
-    }
-
     pub fn count(&self, kind: &str) -> usize {
         let state = self.shared.0.lock().unwrap();
-        state.content.objects.keys().filter(|(other, _)| other == kind).count()
+        state
+            .content
+            .objects
+            .keys()
+            .filter(|(other, _)| other == kind)
+            .count()
     }
 
     pub fn copy(&self) -> StoreCopy {
@@ -158,7 +119,8 @@
         };
         let text = object_text(name, &object);
         self.objects.insert(key, object);
-        self.events.push((self.revision, kind.to_owned(), text, false));
+        self.events
+            .push((self.revision, kind.to_owned(), text, false));
         self.revision
     }
 
@@ -167,7 +129,8 @@
         if let Some(object) = self.objects.remove(&key) {
             self.revision += 1;
             let text = object_text(name, &object);
-            self.events.push((self.revision, kind.to_owned(), text, true));
+            self.events
+                .push((self.revision, kind.to_owned(), text, true));
         }
     }
 }
@@ -212,8 +175,14 @@
             let mut state = shared.0.lock().unwrap();
             let found = read(&state.content, kind, name);
             let key = (kind.to_owned(), name.to_owned());
-            let held = state.content.objects.get(&key).map(|object| object.revision);
-            let asked = query.get("revision").and_then(|revision| revision.parse().ok());
+            let held = state
+                .content
+                .objects
+                .get(&key)
+                .map(|object| object.revision);
+            let asked = query
+                .get("revision")
+                .and_then(|revision| revision.parse().ok());
             if held.is_some() && asked.is_some() && held != asked {
                 return (409, found.1);
             }
@@ -235,7 +204,11 @@
     let mut state = shared.0.lock().unwrap();
     let found = read(&state.content, kind, name);
     let key = (kind.to_owned(), name.to_owned());
-    let held = state.content.objects.get(&key).map(|object| object.revision);
+    let held = state
+        .content
+        .objects
+        .get(&key)
+        .map(|object| object.revision);
     let asked = json::field(body, "meta").and_then(|meta| json::field(meta, "revision"));
     let asked: Option<u64> = asked.and_then(|revision| revision.parse().ok());
     match held {
