--- a/crates/dandeliondeal_claim/src/shard_log.rs
+++ b/crates/dandeliondeal_claim/src/shard_log.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use dandeliondeal_types::{ObjectName, ObjectValue, PutCondition, Version};
+use dandeliondeal_types::{ObjectName, ObjectValue, PutCondition, StoreVersion};
 
 use crate::claim_error::ClaimError;
 use crate::claim_key::ShardIndex;
@@ -43,13 +43,13 @@
 #[derive(Debug, Default)]
 struct SegmentTail {
     index: SegmentIndex,
-    version: Option<Version>,
+    version: Option<StoreVersion>,
     text: String,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct SealedSegment {
-    version: Version,
+    version: StoreVersion,
     age: Duration,
 }
 
@@ -193,7 +193,7 @@
     pub fn apply_append(
         &mut self,
         write: &SegmentWrite,
-        version: Version,
+        version: StoreVersion,
         now: Instant,
     ) -> Result<(), ClaimError> {
         let value = ObjectValue {
@@ -205,7 +205,7 @@
     }
 
     /// Returns the oldest segment and its version if all its claims are older than `retention`.
-    pub fn expired_segment(&self, retention: Duration) -> Option<(ObjectName, Version)> {
+    pub fn expired_segment(&self, retention: Duration) -> Option<(ObjectName, StoreVersion)> {
         let (index, segment) = self.sealed_segments.first_key_value()?;
         let age = self.table.age().saturating_sub(segment.age);
         (age >= retention).then(|| (self.segment_name(*index), segment.version))
--- a/crates/dandeliondeal_claim/src/shard_task.rs
+++ b/crates/dandeliondeal_claim/src/shard_task.rs
@@ -4,7 +4,7 @@
 
 use std::time::Instant;
 
-use dandeliondeal_types::{ObjectName, ObjectValue, RequestId, StoreError, Version};
+use dandeliondeal_types::{ObjectName, ObjectValue, RequestId, StoreError, StoreVersion};
 
 use crate::claim_record::{ClaimRecord, OutcomeRecord};
 use crate::claim_table::ClaimView;
@@ -88,7 +88,7 @@
     /// Result of [`ShardAction::Get`].
     Read(Result<Option<ObjectValue>, StoreError>),
     /// Result of [`ShardAction::Put`].
-    Written(Result<Version, StoreError>),
+    Written(Result<StoreVersion, StoreError>),
     /// Result of [`ShardAction::Delete`].
     Deleted(Result<(), StoreError>),
     /// The time requested by [`ShardAction::Wake`] was reached.
@@ -105,7 +105,7 @@
     /// Sends this write.
     Put(SegmentWrite),
     /// Deletes this object if it has this version.
-    Delete(ObjectName, Version),
+    Delete(ObjectName, StoreVersion),
     /// Delivers the reply to this task.
     Reply(TicketId, ShardReply),
     /// Requests a [`ShardEvent::Tick`] at this time.
--- a/crates/dandeliondeal_claim/src/shard_writer.rs
+++ b/crates/dandeliondeal_claim/src/shard_writer.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use dandeliondeal_types::{ObjectValue, Outcome, StoreError, Version};
+use dandeliondeal_types::{ObjectValue, Outcome, StoreError, StoreVersion};
 
 use crate::claim_error::ClaimError;
 use crate::claim_key::ShardIndex;
@@ -179,7 +179,7 @@
 
     fn handle_written(
         &mut self,
-        result: Result<Version, StoreError>,
+        result: Result<StoreVersion, StoreError>,
         now: Instant,
         actions: &mut Vec<ShardAction>,
     ) -> Result<(), ClaimError> {
--- a/crates/dandeliondeal_config/src/sheet_manifest.rs
+++ b/crates/dandeliondeal_config/src/sheet_manifest.rs
@@ -57,7 +57,7 @@
     /// Head object.
     pub head: SheetHead,
     /// Version of the head object; `None` if it does not exist.
-    pub version: Option<dandeliondeal_types::Version>,
+    pub version: Option<dandeliondeal_types::StoreVersion>,
     /// Manifest of the revision; `None` before the first acceptance.
     pub manifest: Option<SheetManifest>,
     /// Rows of the sheet.
--- a/crates/dandeliondeal_config/src/store_session.rs
+++ b/crates/dandeliondeal_config/src/store_session.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 
 use dandeliondeal_store::{ResolvedWrite, WriteVerdict, put_resolved};
-use dandeliondeal_types::{Clock, ObjectStore, ObjectValue, PutCondition, Version};
+use dandeliondeal_types::{Clock, ObjectStore, ObjectValue, PutCondition, StoreVersion};
 
 use crate::accept_error::AcceptError;
 
@@ -52,7 +52,10 @@
     /// # Errors
     ///
     /// Returns the errors of [`StoreSession::read`], or an error if the object cannot be parsed.
-    pub async fn read_json<Body>(&self, name: &str) -> Result<(Option<Version>, Body), AcceptError>
+    pub async fn read_json<Body>(
+        &self,
+        name: &str,
+    ) -> Result<(Option<StoreVersion>, Body), AcceptError>
     where
         Body: DeserializeOwned + Default,
     {
@@ -74,7 +77,7 @@
     pub async fn write<IsOurs>(
         &self,
         name: &str,
-        version: Option<Version>,
+        version: Option<StoreVersion>,
         body: Arc<str>,
         is_ours: IsOurs,
     ) -> Result<WriteVerdict, AcceptError>
--- a/crates/dandeliondeal_config/tests/common/mod.rs
+++ b/crates/dandeliondeal_config/tests/common/mod.rs
@@ -10,7 +10,9 @@
 
 use dandeliondeal_config::{ChangeRequest, SheetRows, StoreSession, example_sheet, read_sheet};
 use dandeliondeal_store::{MemoryStore, StoreFault};
-use dandeliondeal_types::{Clock, ObjectStore, ObjectValue, PutCondition, StoreError, Version};
+use dandeliondeal_types::{
+    Clock, ObjectStore, ObjectValue, PutCondition, StoreError, StoreVersion,
+};
 
 /// Maximum time that a change may take, measured with the paused clock.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -94,12 +96,12 @@
         name: &str,
         condition: PutCondition,
         body: Arc<str>,
-    ) -> Result<Version, StoreError> {
+    ) -> Result<StoreVersion, StoreError> {
         self.pause().await;
         self.memory.put(name, condition, body).await
     }
 
-    async fn delete(&self, name: &str, version: Version) -> Result<(), StoreError> {
+    async fn delete(&self, name: &str, version: StoreVersion) -> Result<(), StoreError> {
         self.pause().await;
         self.memory.delete(name, version).await
     }
@@ -112,7 +114,7 @@
     async fn watch(
         &self,
         name: &str,
-        known_version: Version,
+        known_version: StoreVersion,
         timeout: Duration,
     ) -> Result<Option<ObjectValue>, StoreError> {
         self.pause().await;
--- a/crates/dandeliondeal_entry/src/rollout.rs
+++ b/crates/dandeliondeal_entry/src/rollout.rs
@@ -11,7 +11,7 @@
     RolloutMachine, SheetHead,
 };
 use dandeliondeal_store::PlatformClient;
-use dandeliondeal_types::{Clock, InstanceId, ObjectStore, ObjectValue, StoreError, Version};
+use dandeliondeal_types::{Clock, InstanceId, ObjectStore, ObjectValue, StoreError, StoreVersion};
 
 use tokio::sync::Notify;
 
@@ -131,7 +131,7 @@
 
     async fn follow(self) {
         let settings = self.inner.context.settings().clone();
-        let mut last_version: Version = 0;
+        let mut last_version = StoreVersion::default();
         let mut is_first = true;
         while !self.inner.is_stopped.get() {
             // An instance that is not a watcher still reads occasionally, in case its peers fail.
@@ -159,7 +159,7 @@
         }
     }
 
-    fn apply_head(&self, result: Result<Option<ObjectValue>, StoreError>) -> Option<Version> {
+    fn apply_head(&self, result: Result<Option<ObjectValue>, StoreError>) -> Option<StoreVersion> {
         let value = match result {
             Ok(value) => value,
             Err(error) => {
@@ -170,7 +170,7 @@
         };
         let Some(value) = value else {
             self.apply_readiness(ReadinessEvent::PlatformHead { revision: 0 });
-            return Some(0);
+            return Some(StoreVersion::default());
         };
         match serde_json::from_str::<SheetHead>(&value.body) {
             Ok(head) => {
--- a/crates/dandeliondeal_measure/src/claim_testbed.rs
+++ b/crates/dandeliondeal_measure/src/claim_testbed.rs
@@ -15,7 +15,7 @@
 use dandeliondeal_peer::{PeerServer, PeerSettings};
 use dandeliondeal_standin::PlatformStandin;
 use dandeliondeal_store::{BudgetSettings, CallClass, PlatformClient, PlatformSettings};
-use dandeliondeal_types::{ObjectStore, Outcome, PutCondition, SystemClock};
+use dandeliondeal_types::{ObjectStore, Outcome, PutCondition, StoreVersion, SystemClock};
 use serde::Serialize;
 
 use crate::MeasureError;
@@ -192,7 +192,7 @@
     condition: PutCondition,
     body: Arc<str>,
     start: Instant,
-) -> Option<u64> {
+) -> Option<StoreVersion> {
     while start.elapsed() < CLAIM_TIMEOUT {
         match client.put(name, condition, Arc::clone(&body)).await {
             Ok(version) => return Some(version),
--- a/crates/dandeliondeal_relay/src/change_feed.rs
+++ b/crates/dandeliondeal_relay/src/change_feed.rs
@@ -3,8 +3,9 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use dandeliondeal_types::{KindChanges, KindEvent, Version};
-use serde::{Deserialize, Serialize};
+use dandeliondeal_types::{KindChanges, KindEvent, StoreVersion};
+
+use crate::feed_reply::{FeedReply, MemberPosition};
 
 /// Maximum age of the store's last answer for which a hub serves changes; beyond it the hub may be
 /// cut off from the store.
@@ -21,41 +22,44 @@
 /// Members read larger ones from the store, whose network link has more bandwidth than a hub's.
 const MAX_REPLY_BYTES: usize = 24 * 1024;
 
-/// Reply of a hub to a member that asks for changes.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum FeedReply {
-    /// The store has not answered the hub recently, or the hub does not follow the kind.
-    Unproven,
-    /// The hub's changes do not reach back to the requested version, or are too large.
-    ReadStore,
-    /// The changes since the requested version, possibly none.
-    Changes(KindChanges),
-}
+/// Time after a restore of the store in which a member that states no era may still be at a version from
+/// before it.
+///
+/// It covers the longest time between two replies to a member.
+const UNSTATED_ERA_TIME: Duration = Duration::from_secs(2);
 
 /// Changes of one kind, in the batches in which the store returned them.
 #[derive(Debug, Default)]
 pub struct ChangeFeed {
     /// Version after which all changes are stored.
-    complete_after: Version,
-    version: Version,
-    batches: VecDeque<(Version, Vec<KindEvent>)>,
+    complete_after: StoreVersion,
+    version: StoreVersion,
+    batches: VecDeque<(StoreVersion, Vec<KindEvent>)>,
     event_count: usize,
     last_store_answer: Option<Instant>,
+    /// Time at which the feed continued in a later era.
+    restored_at: Option<Instant>,
 }
 
 impl ChangeFeed {
     /// Discards all stored changes and restarts the feed at `version`.
-    pub fn restart(&mut self, version: Version, now: Instant) {
+    pub fn restart(&mut self, version: StoreVersion, now: Instant) {
+        let is_restored = self.last_store_answer.is_some() && self.version.era != version.era;
         *self = Self {
             complete_after: version,
             version,
             last_store_answer: Some(now),
+            restored_at: if is_restored {
+                Some(now)
+            } else {
+                self.restored_at
+            },
             ..Self::default()
         };
     }
 
     /// Adds the store's changes since the version `seen`.
-    pub fn extend(&mut self, seen: Version, changes: &KindChanges, now: Instant) {
+    pub fn extend(&mut self, seen: StoreVersion, changes: &KindChanges, now: Instant) {
         if seen != self.version {
             self.restart(seen, now);
         }
@@ -75,21 +79,51 @@
         }
     }
 
-    /// Returns whether there are changes that a member at version `seen` does not have.
-    pub fn has_changes_since(&self, seen: Version) -> bool {
-        let last_batch = self.batches.back();
-        last_batch.is_some_and(|(version, _)| *version > seen) || self.complete_after > seen
+    /// Returns whether there are changes that a member at `position` does not have.
+    pub fn has_changes_since(&self, position: MemberPosition, now: Instant) -> bool {
+        match self.version_at(position, now) {
+            Some(seen) => {
+                let last_batch = self.batches.back();
+                last_batch.is_some_and(|(version, _)| *version > seen) || self.complete_after > seen
+            }
+            None => true,
+        }
+    }
+
+    /// Returns the version of a position; `None` if its era is uncertain.
+    ///
+    /// A member that states no era is in the era of the feed, unless it has not asked since the
+    /// restore or has a revision that the era has not reached.
+    fn version_at(&self, position: MemberPosition, now: Instant) -> Option<StoreVersion> {
+        match position {
+            MemberPosition::Version(version) => Some(version),
+            MemberPosition::Revision(revision) => {
+                let seen = StoreVersion::new(self.version.era, revision);
+                let is_restored = self
+                    .restored_at
+                    .is_some_and(|at| now.saturating_duration_since(at) < UNSTATED_ERA_TIME);
+                let is_ahead = self.version.era != 0 && seen > self.version;
+                (!is_restored && !is_ahead).then_some(seen)
+            }
+        }
     }
 
-    /// Returns the reply to a member at version `seen`.
-    pub fn reply_since(&self, seen: Version, now: Instant) -> FeedReply {
+    /// Returns the reply to a member at `position`.
+    pub fn reply_since(&self, position: MemberPosition, now: Instant) -> FeedReply {
         let is_current = self
             .last_store_answer
             .is_some_and(|at| now.saturating_duration_since(at) < MAX_STORE_SILENCE);
         if !is_current {
             return FeedReply::Unproven;
         }
-        if self.complete_after > seen {
+        let Some(seen) = self.version_at(position, now) else {
+            return FeedReply::ReadStore;
+        };
+        if self.version.era > seen.era && matches!(position, MemberPosition::Version(_)) {
+            return FeedReply::Restored;
+        }
+        // A member in a later era knows of a restore that this instance has not noticed yet.
+        if self.version.era < seen.era || self.complete_after > seen {
             return FeedReply::ReadStore;
         }
         let batches = self.batches.iter().filter(|(version, _)| *version > seen);
--- a/crates/dandeliondeal_relay/src/fleet_sinks.rs
+++ b/crates/dandeliondeal_relay/src/fleet_sinks.rs
@@ -3,7 +3,9 @@
 use std::time::Instant;
 
 use dandeliondeal_route::RouteTable;
-use dandeliondeal_types::{Clock, EndpointRecord, KindChanges, KindSnapshot, ObjectValue};
+use dandeliondeal_types::{
+    Clock, EndpointRecord, KindChanges, KindSnapshot, ObjectValue, StoreVersion,
+};
 
 use crate::crash_watch::{log_changes, process_id, record_successor};
 use crate::dialect::FleetDialect;
@@ -42,7 +44,8 @@
             Err(error) => {
                 tracing::warn!(
                     %error,
-                    revision = object.version,
+                    revision = object.version.revision,
+                    era = object.version.era,
                     "configuration cannot be decoded; keeping the active one"
                 );
                 return;
@@ -54,7 +57,8 @@
         tracing::info!(
             version,
             routes,
-            revision = object.version,
+            revision = object.version.revision,
+            era = object.version.era,
             in_force,
             "configuration read"
         );
@@ -115,7 +119,8 @@
             Err(error) => {
                 tracing::warn!(
                     %error,
-                    revision = object.version,
+                    revision = object.version.revision,
+                    era = object.version.era,
                     "registration cannot be decoded; skipped"
                 );
                 None
@@ -123,7 +128,7 @@
         }
     }
 
-    fn publish_change(&self, change: &FleetChange, revision: u64) {
+    fn publish_change(&self, change: &FleetChange, version: StoreVersion) {
         let (event, id) = match change {
             FleetChange::Changed(id) => ("changed", id),
             FleetChange::Draining(id) => ("draining", id),
@@ -140,7 +145,8 @@
         let record = fleet.record(id);
         let layers = record.and_then(|record| record.layers);
         let layers = layers.map(|layers| layers.to_string());
-        tracing::info!(endpoint = %id, event, layers, revision, "endpoint registration");
+        let StoreVersion { era, revision } = version;
+        tracing::info!(endpoint = %id, event, layers, revision, era, "endpoint registration");
     }
 }
 
--- a/crates/dandeliondeal_relay/src/instance_registry.rs
+++ b/crates/dandeliondeal_relay/src/instance_registry.rs
@@ -71,7 +71,11 @@
                 let count = peers.len();
                 if last_count != Some(count) {
                     last_count = Some(count);
-                    tracing::info!(count, revision = snapshot.version, "instances counted");
+                    tracing::info!(
+                        count,
+                        revision = snapshot.version.revision,
+                        "instances counted"
+                    );
                 }
                 context.set_peers(peers);
             }
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod engine_check;
 pub mod engine_survey;
 pub mod event_splitter;
+pub mod feed_reply;
 pub mod first_engine_health;
 mod first_reads;
 pub mod fleet_change;
--- a/crates/dandeliondeal_relay/src/shared_store.rs
+++ b/crates/dandeliondeal_relay/src/shared_store.rs
@@ -9,15 +9,16 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dandeliondeal_peer::{PeerClient, PeerError};
 use dandeliondeal_types::{
-    Clock, KindChanges, KindSnapshot, KindStore, ReadFreshness, StoreError, Version,
+    Clock, InstanceId, KindChanges, KindSnapshot, KindStore, ReadFreshness, StoreError,
+    StoreVersion,
 };
-use serde::{Deserialize, Serialize};
 
-use crate::change_feed::{ChangeFeed, FeedReply};
+use crate::change_feed::ChangeFeed;
+use crate::feed_reply::{FeedReply, FeedRequest};
 use crate::hub_selection::HubSelector;
 use crate::instance_registry::PeerInstance;
 use crate::outage_probe::{HubAccess, OutageProbe};
@@ -40,16 +41,13 @@
 const MEMBER_HOLD_TIME: Duration = Duration::from_millis(600);
 /// Maximum wait of a member for its hub's reply.
 const MEMBER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time for which a hub of an earlier build, which states no era, is not asked again.
+const EARLIER_BUILD_TIME: Duration = Duration::from_mins(1);
+/// Mean delay between the news of a restore and the new list.
+const RELIST_DELAY: Duration = Duration::from_millis(500);
 /// Interval at which a hub checks for changes while a member waits.
 const FEED_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Request of a member for changes.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct FeedRequest {
-    kind: String,
-    seen: Version,
-}
-
 /// Follows kinds of store objects through hubs; clones share the state.
 #[derive(Debug)]
 pub struct SharedStore<Time, Dialect, Store> {
@@ -59,6 +57,8 @@
     hubs: HubSelector<Time, Dialect>,
     feeds: FeedTable,
     probes: Rc<RefCell<HashMap<String, OutageProbe>>>,
+    /// Hubs of an earlier build, which state no era, with the time until which they are not asked.
+    earlier_builds: Rc<RefCell<HashMap<InstanceId, Instant>>>,
 }
 
 /// Change feeds by kind; clones share the state.
@@ -79,6 +79,7 @@
             hubs: self.hubs.clone(),
             feeds: self.feeds.clone(),
             probes: Rc::clone(&self.probes),
+            earlier_builds: Rc::clone(&self.earlier_builds),
         }
     }
 }
@@ -109,13 +110,14 @@
         let refuse =
             |error: serde_json::Error| PeerError::refused(CHANGES_METHOD, error.to_string());
         let request: FeedRequest = serde_json::from_str(body).map_err(refuse)?;
+        let position = request.position();
         let until = context.now() + MEMBER_HOLD_TIME;
         loop {
             let now = context.now();
             let (has_changes, reply) = self.with_feed(&request.kind, |feed| {
                 (
-                    feed.has_changes_since(request.seen),
-                    feed.reply_since(request.seen, now),
+                    feed.has_changes_since(position, now),
+                    feed.reply_since(position, now),
                 )
             });
             if has_changes || reply == FeedReply::Unproven || now >= until {
@@ -147,21 +149,29 @@
             hubs,
             feeds,
             probes: Rc::default(),
+            earlier_builds: Rc::default(),
         }
     }
 
     /// Returns the hub to ask; `None` if this instance watches the store itself.
     fn hub(&self) -> Option<PeerInstance> {
         let own = &self.context.settings().instance;
-        let hub = self.hubs.hub_of(&own.failure_domain)?;
+        let now = self.context.now();
+        let mut earlier_builds = self.earlier_builds.borrow_mut();
+        earlier_builds.retain(|_, until| now < *until);
+        let hub = if earlier_builds.is_empty() {
+            self.hubs.hub_of(&own.failure_domain)?
+        } else {
+            let count = earlier_builds.len() + 1;
+            let ranked = self.hubs.ranked_hubs(&own.failure_domain, count);
+            let mut usable = ranked.into_iter();
+            usable.find(|hub| !earlier_builds.contains_key(&hub.id))?
+        };
         (self.context.instance_count() >= MIN_HUB_FLEET && hub.id != own.id).then_some(hub)
     }
 
-    async fn ask_hub(&self, hub: &PeerInstance, kind: &str, seen: Version) -> FeedReply {
-        let request = FeedRequest {
-            kind: kind.to_owned(),
-            seen,
-        };
+    async fn ask_hub(&self, hub: &PeerInstance, kind: &str, seen: StoreVersion) -> FeedReply {
+        let request = FeedRequest::new(kind, seen);
         let reply =
             self.client
                 .call_with_timeout(hub.address, CHANGES_METHOD, &request, MEMBER_TIMEOUT);
@@ -171,6 +181,14 @@
                 self.hubs.exclude(&hub.id);
                 FeedReply::Unproven
             }
+            Ok(FeedReply::Changes(changes)) if changes.version.era != seen.era => {
+                // Without the era its reply does not show whether changes are missing.
+                tracing::info!(hub = %hub.id, kind, era = seen.era, "hub states no era");
+                let until = self.context.now() + EARLIER_BUILD_TIME;
+                let id = InstanceId::clone(&hub.id);
+                self.earlier_builds.borrow_mut().insert(id, until);
+                FeedReply::Unproven
+            }
             Ok(reply) => reply,
             Err(error) => {
                 tracing::info!(hub = %hub.id, kind, %error, "call to hub failed");
@@ -183,7 +201,7 @@
     /// Asks the hubs of all failure domains in turn until one returns changes.
     ///
     /// Used after a failed call to the store.
-    async fn changes_from_hubs(&self, kind: &str, seen: Version) -> Option<KindChanges> {
+    async fn changes_from_hubs(&self, kind: &str, seen: StoreVersion) -> Option<KindChanges> {
         let own = &self.context.settings().instance;
         for hub in self.hubs.preferred_hubs(&own.failure_domain) {
             if hub.id == own.id {
@@ -199,7 +217,7 @@
     async fn watch_store(
         &self,
         kind: &str,
-        seen: Version,
+        seen: StoreVersion,
         limit: Duration,
     ) -> Result<KindChanges, StoreError> {
         let changes = self
@@ -249,17 +267,16 @@
             return true;
         }
         let index = self.with_probe(kind, |probe| probe.next_hub(hubs.len()));
-        let request = FeedRequest {
-            kind: kind.to_owned(),
-            seen: Version::default(),
-        };
+        let request = FeedRequest::new(kind, StoreVersion::default());
         let address = hubs[index].address;
         let reply =
             self.client
                 .call_with_timeout(address, CHANGES_METHOD, &request, MEMBER_TIMEOUT);
         let access = match reply.await {
             Ok(FeedReply::Unproven) => HubAccess::Lost,
-            Ok(FeedReply::ReadStore | FeedReply::Changes(_)) => HubAccess::Reached,
+            Ok(FeedReply::ReadStore | FeedReply::Restored | FeedReply::Changes(_)) => {
+                HubAccess::Reached
+            }
             Err(error) => {
                 tracing::debug!(hub = %hubs[index].id, kind, %error, "call to hub failed");
                 HubAccess::Unknown
@@ -295,16 +312,23 @@
     async fn changes(
         &self,
         kind: &str,
-        since: Version,
+        since: StoreVersion,
         timeout: Duration,
     ) -> Result<KindChanges, StoreError> {
         if self.context.instance_count() < MIN_HUB_FLEET {
             return self.watch_store(kind, since, timeout).await;
         }
-        if let Some(hub) = self.hub()
-            && let FeedReply::Changes(changes) = self.ask_hub(&hub, kind, since).await
-        {
-            return Ok(changes);
+        if let Some(hub) = self.hub() {
+            match self.ask_hub(&hub, kind, since).await {
+                FeedReply::Changes(changes) => return Ok(changes),
+                FeedReply::Restored => {
+                    tracing::info!(hub = %hub.id, kind, era = since.era, "hub is in a later era");
+                    // All members learn of a restore at once; their lists are spread in time.
+                    actix_rt::time::sleep(self.context.jitter(RELIST_DELAY)).await;
+                    return Err(StoreError::HistoryExpired { name: kind.into() });
+                }
+                FeedReply::Unproven | FeedReply::ReadStore => {}
+            }
         }
         let mut result = self.watch_store(kind, since, HUB_WATCH_TIMEOUT).await;
         if matches!(result, Err(StoreError::ResponseLost { .. })) {
--- a/crates/dandeliondeal_relay/src/store_watch.rs
+++ b/crates/dandeliondeal_relay/src/store_watch.rs
@@ -4,7 +4,7 @@
 
 use dandeliondeal_config::{CHANGE_PAUSE, FIRST_BACKOFF};
 use dandeliondeal_types::{
-    Clock, KindChanges, KindSnapshot, KindStore, ReadFreshness, StoreError, Version,
+    Clock, KindChanges, KindSnapshot, KindStore, ReadFreshness, StoreError, StoreVersion,
 };
 
 use crate::fleet_view::LAPSE_GRACE;
@@ -176,7 +176,7 @@
     Sink: KindSink,
 {
     let limit = context.settings().store.watch_limit;
-    let mut seen: Option<Version> = None;
+    let mut seen: Option<StoreVersion> = None;
     let mut tracker = OutageTracker::default();
     let mut backoff = FIRST_BACKOFF;
     let mut is_first = true;
@@ -236,7 +236,13 @@
                 }
             }
             Err(StoreError::HistoryExpired { .. }) => {
-                tracing::info!(kind, seen, "change history is gone; reading a new list");
+                let (revision, era) = seen.map_or((0, 0), |seen| (seen.revision, seen.era));
+                tracing::info!(
+                    kind,
+                    seen = revision,
+                    era,
+                    "change history is gone; reading a new list"
+                );
                 seen = None;
             }
             Err(StoreError::OverBudget { wait }) => {
@@ -268,7 +274,7 @@
 }
 
 impl KindUpdate {
-    fn version(&self) -> Version {
+    fn version(&self) -> StoreVersion {
         match self {
             Self::Snapshot(snapshot) => snapshot.version,
             Self::Changes(changes) => changes.version,
--- a/crates/dandeliondeal_relay/tests/first_watch.rs
+++ b/crates/dandeliondeal_relay/tests/first_watch.rs
@@ -9,14 +9,14 @@
 use dandeliondeal_relay::RelayContext;
 use dandeliondeal_relay::store_watch::{KindSink, follow_kind};
 use dandeliondeal_types::{
-    KindChanges, KindSnapshot, KindStore, ReadFreshness, StoreError, SystemClock, Version,
+    KindChanges, KindSnapshot, KindStore, ReadFreshness, StoreError, StoreVersion, SystemClock,
 };
 
 /// A call to the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StoreCall {
     List(ReadFreshness),
-    Watch(Version),
+    Watch(StoreVersion),
 }
 
 /// Store that records its calls; the first watch may fail because the history is lost.
@@ -40,7 +40,7 @@
     ) -> Result<KindSnapshot, StoreError> {
         self.record(StoreCall::List(freshness));
         Ok(KindSnapshot {
-            version: 7,
+            version: 7.into(),
             ..KindSnapshot::default()
         })
     }
@@ -48,7 +48,7 @@
     async fn changes(
         &self,
         kind: &str,
-        since: Version,
+        since: StoreVersion,
         _timeout: Duration,
     ) -> Result<KindChanges, StoreError> {
         self.record(StoreCall::Watch(since));
@@ -96,7 +96,7 @@
 async fn delayed_watch() {
     let calls = first_calls(CountedStore::default(), 2).await;
     assert_eq!(calls[0].0, StoreCall::List(ReadFreshness::Relaxed));
-    assert_eq!(calls[1].0, StoreCall::Watch(7));
+    assert_eq!(calls[1].0, StoreCall::Watch(7.into()));
     let delay = calls[1].1 - calls[0].1;
     assert!(delay >= Duration::from_millis(500), "{delay:?}");
 }
--- a/crates/dandeliondeal_relay/tests/hub_silence.rs
+++ b/crates/dandeliondeal_relay/tests/hub_silence.rs
@@ -15,7 +15,7 @@
 use dandeliondeal_relay::instance_registry::PeerInstance;
 use dandeliondeal_relay::shared_store::{FeedTable, SharedStore};
 use dandeliondeal_types::{
-    KindChanges, KindSnapshot, KindStore, ReadFreshness, StoreError, SystemClock, Version,
+    KindChanges, KindSnapshot, KindStore, ReadFreshness, StoreError, StoreVersion, SystemClock,
 };
 
 /// Number of instances of a fleet that uses hubs.
@@ -43,7 +43,7 @@
     async fn changes(
         &self,
         kind: &str,
-        _since: Version,
+        _since: StoreVersion,
         timeout: Duration,
     ) -> Result<KindChanges, StoreError> {
         self.watches.set(self.watches.get() + 1);
@@ -52,7 +52,7 @@
             return Err(StoreError::response_lost(kind, "timed out"));
         }
         Ok(KindChanges {
-            version: 9,
+            version: 9.into(),
             ..KindChanges::default()
         })
     }
@@ -92,8 +92,10 @@
         FeedTable::default(),
     );
     let started = Instant::now();
-    let changes = store.changes("endpoints", 7, Duration::from_secs(1)).await;
+    let changes = store
+        .changes("endpoints", 7.into(), Duration::from_secs(1))
+        .await;
     let elapsed = started.elapsed();
-    assert_eq!(changes.map(|changes| changes.version), Ok(9));
+    assert_eq!(changes.map(|changes| changes.version), Ok(9.into()));
     assert!(elapsed < CONTACT_WINDOW, "known after {elapsed:?}");
 }
--- a/crates/dandeliondeal_relay/tests/mixed_versions.rs
+++ b/crates/dandeliondeal_relay/tests/mixed_versions.rs
@@ -4,13 +4,13 @@
 
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use dandeliondeal_quarantine::CrashReport;
-use dandeliondeal_relay::change_feed::FeedReply;
+use dandeliondeal_relay::feed_reply::{FeedReply, FeedRequest};
 use dandeliondeal_relay::handover_wire::{HandoverFacts, HandoverRefusal};
 use dandeliondeal_relay::instance_registry::InstanceEntry;
 use dandeliondeal_relay::load_exchange::{LoadReport, LoadSummary};
 use dandeliondeal_relay::quarantine_store::StoredVerdict;
 use dandeliondeal_relay::refusal::RefusalCause;
-use dandeliondeal_relay::shared_store::FeedRequest;
+use dandeliondeal_types::StoreVersion;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
@@ -91,6 +91,23 @@
     }
 }
 
+// Guards against versions with an era that instances without it cannot read.
+#[test]
+fn stated_era() {
+    let seen = StoreVersion::new(3, 41);
+    let request = serde_json::to_value(FeedRequest::new("servers", seen)).expect("a request");
+    assert_eq!(request, json!({"kind": "servers", "seen": 41, "era": 3}));
+    let mut recorded = parse(FEED_CHANGES);
+    recorded["Changes"]["era"] = json!(3);
+    check::<FeedReply>(&recorded);
+    let reply: FeedReply = serde_json::from_value(recorded).expect("a reply");
+    let FeedReply::Changes(changes) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(changes.version, StoreVersion::new(3, 42));
+    assert_eq!(changes.events[0].object.version, StoreVersion::new(3, 42));
+}
+
 // Guards against stored records that one of the versions cannot read.
 #[test]
 fn stored_records() {
--- a/crates/dandeliondeal_relay/tests/stored_verdicts.rs
+++ b/crates/dandeliondeal_relay/tests/stored_verdicts.rs
@@ -10,7 +10,7 @@
 use dandeliondeal_relay::quarantine_store::run_quarantine_store;
 use dandeliondeal_types::{
     KindChanges, KindSnapshot, KindStore, ObjectStore, ObjectValue, PutCondition, ReadFreshness,
-    StoreError, SystemClock, Version,
+    StoreError, StoreVersion, SystemClock,
 };
 use tokio::sync::Notify;
 
@@ -40,7 +40,7 @@
     async fn changes(
         &self,
         _kind: &str,
-        _since: Version,
+        _since: StoreVersion,
         _timeout: Duration,
     ) -> Result<KindChanges, StoreError> {
         std::future::pending().await
@@ -57,11 +57,11 @@
         _name: &str,
         _condition: PutCondition,
         _body: Arc<str>,
-    ) -> Result<Version, StoreError> {
-        Ok(1)
+    ) -> Result<StoreVersion, StoreError> {
+        Ok(1.into())
     }
 
-    async fn delete(&self, _name: &str, _version: Version) -> Result<(), StoreError> {
+    async fn delete(&self, _name: &str, _version: StoreVersion) -> Result<(), StoreError> {
         Ok(())
     }
 
@@ -72,7 +72,7 @@
     async fn watch(
         &self,
         _name: &str,
-        _known_version: Version,
+        _known_version: StoreVersion,
         _timeout: Duration,
     ) -> Result<Option<ObjectValue>, StoreError> {
         std::future::pending().await
--- a/crates/dandeliondeal_replay/src/replay_sheets.rs
+++ b/crates/dandeliondeal_replay/src/replay_sheets.rs
@@ -12,7 +12,7 @@
 };
 use dandeliondeal_store::{MemoryStore, StoreFault};
 use dandeliondeal_types::{
-    InstanceId, ObjectStore, ObjectValue, PutCondition, Revision, StoreError, Version,
+    InstanceId, ObjectStore, ObjectValue, PutCondition, Revision, StoreError, StoreVersion,
 };
 use futures_util::FutureExt;
 
@@ -64,12 +64,12 @@
         name: &str,
         condition: PutCondition,
         body: Arc<str>,
-    ) -> Result<Version, StoreError> {
+    ) -> Result<StoreVersion, StoreError> {
         self.set_next_fault(name, true);
         self.objects.put_now(name, condition, body)
     }
 
-    async fn delete(&self, name: &str, version: Version) -> Result<(), StoreError> {
+    async fn delete(&self, name: &str, version: StoreVersion) -> Result<(), StoreError> {
         self.set_next_fault(name, true);
         self.objects.delete_now(name, version)
     }
@@ -82,7 +82,7 @@
     async fn watch(
         &self,
         name: &str,
-        _seen: Version,
+        _seen: StoreVersion,
         _limit: Duration,
     ) -> Result<Option<ObjectValue>, StoreError> {
         self.get(name).await
--- a/crates/dandeliondeal_standin/src/platform/object_table.rs
+++ b/crates/dandeliondeal_standin/src/platform/object_table.rs
@@ -4,7 +4,7 @@
 use std::ops::Bound;
 use std::sync::Arc;
 
-use dandeliondeal_types::{ObjectName, ObjectValue, PutCondition, Version};
+use dandeliondeal_types::{ObjectName, ObjectValue, PutCondition, StoreVersion};
 use serde::{Deserialize, Serialize};
 
 /// Ledger entry for one write that took effect.
@@ -15,18 +15,18 @@
     /// Name of the object, or id of the instance.
     pub name: ObjectName,
     /// Version that the write assigned; 0 for instances.
-    pub version: Version,
+    pub version: StoreVersion,
 }
 
 /// Error of a write whose condition is not met, with the current version of the object.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct FailedCondition(pub(crate) Option<Version>);
+pub(crate) struct FailedCondition(pub(crate) Option<StoreVersion>);
 
 /// Objects with versions that always increase, even if an object is deleted and created again.
 #[derive(Debug, Default)]
 pub(crate) struct ObjectTable {
-    objects: BTreeMap<ObjectName, (Version, Arc<str>)>,
-    last_version: Version,
+    objects: BTreeMap<ObjectName, (StoreVersion, Arc<str>)>,
+    last_version: StoreVersion,
     pub(crate) ledger: Vec<PlatformEntry>,
 }
 
@@ -41,8 +41,10 @@
     }
 
     /// Returns the version of an object, or 0 if it does not exist.
-    pub(crate) fn version(&self, name: &str) -> Version {
-        self.objects.get(name).map_or(0, |(version, _)| *version)
+    pub(crate) fn version(&self, name: &str) -> StoreVersion {
+        self.objects
+            .get(name)
+            .map_or_else(StoreVersion::default, |(version, _)| *version)
     }
 
     pub(crate) fn list(&self, prefix: &str) -> Vec<ObjectValue> {
@@ -62,23 +64,27 @@
         name: &str,
         condition: PutCondition,
         body: Arc<str>,
-    ) -> Result<Version, FailedCondition> {
+    ) -> Result<StoreVersion, FailedCondition> {
         self.check_condition(name, condition)?;
-        self.last_version += 1;
+        self.last_version = self.last_version.next();
         self.objects.insert(name.into(), (self.last_version, body));
         self.append_to_ledger("put", name, self.last_version);
         Ok(self.last_version)
     }
 
-    pub(crate) fn delete(&mut self, name: &str, version: Version) -> Result<(), FailedCondition> {
+    pub(crate) fn delete(
+        &mut self,
+        name: &str,
+        version: StoreVersion,
+    ) -> Result<(), FailedCondition> {
         self.check_condition(name, PutCondition::Version(version))?;
-        self.last_version += 1;
+        self.last_version = self.last_version.next();
         self.objects.remove(name);
         self.append_to_ledger("delete", name, self.last_version);
         Ok(())
     }
 
-    pub(crate) fn append_to_ledger(&mut self, call: &str, name: &str, version: Version) {
+    pub(crate) fn append_to_ledger(&mut self, call: &str, name: &str, version: StoreVersion) {
         self.ledger.push(PlatformEntry {
             call: call.into(),
             name: name.into(),
--- a/crates/dandeliondeal_standin/src/platform/platform_handler.rs
+++ b/crates/dandeliondeal_standin/src/platform/platform_handler.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::time::{sleep, timeout};
-use dandeliondeal_types::{InstanceRecord, ObjectValue, PutCondition, Version};
+use dandeliondeal_types::{InstanceRecord, ObjectValue, PutCondition, StoreVersion};
 use serde_json::json;
 use tokio::sync::Notify;
 
@@ -73,7 +73,7 @@
 #[derive(Clone, Debug)]
 enum ObjectWrite {
     Put(PutCondition, Arc<str>),
-    Delete(Version),
+    Delete(StoreVersion),
 }
 
 impl PlatformHandler {
@@ -91,13 +91,13 @@
 
     pub(crate) fn put_instance(&self, record: InstanceRecord) {
         let mut table = self.table.borrow_mut();
-        table.append_to_ledger("put-instance", &record.id, 0);
+        table.append_to_ledger("put-instance", &record.id, StoreVersion::default());
         self.instances.borrow_mut().put(record, Instant::now());
     }
 
     pub(crate) fn remove_instance(&self, id: &str) -> bool {
         let mut table = self.table.borrow_mut();
-        table.append_to_ledger("delete-instance", id, 0);
+        table.append_to_ledger("delete-instance", id, StoreVersion::default());
         self.instances.borrow_mut().remove(id, Instant::now())
     }
 
@@ -116,8 +116,12 @@
                     return reply;
                 }
                 let wait_limit = Duration::from_millis(call.number("limit_ms").unwrap_or(0));
-                self.watch_reply(name, seen_version, wait_limit.min(MAX_WATCH_DURATION))
-                    .await
+                self.watch_reply(
+                    name,
+                    seen_version.into(),
+                    wait_limit.min(MAX_WATCH_DURATION),
+                )
+                .await
             }
         }
     }
@@ -125,7 +129,7 @@
     async fn watch_reply(
         &self,
         name: &str,
-        seen_version: Version,
+        seen_version: StoreVersion,
         wait_limit: Duration,
     ) -> StandinReply {
         let changed = async {
@@ -297,8 +301,8 @@
     match (call.header("if-match"), call.header("if-none-match")) {
         (Some(etag), None) => etag
             .trim_matches('"')
-            .parse()
-            .map(PutCondition::Version)
+            .parse::<u64>()
+            .map(|revision| PutCondition::Version(revision.into()))
             .map_err(|_| StandinReply::error(400, "malformed", "`If-Match`", None)),
         (None, Some("*")) => Ok(PutCondition::Absent),
         _ => Err(missing_condition_reply()),
@@ -323,6 +327,6 @@
     }
 }
 
-fn with_version(reply: StandinReply, version: Version) -> StandinReply {
-    reply.with_header("etag", format!("\"{version}\""))
+fn with_version(reply: StandinReply, version: StoreVersion) -> StandinReply {
+    reply.with_header("etag", format!("\"{}\"", version.revision))
 }
--- a/crates/dandeliondeal_store/src/lease_machine.rs
+++ b/crates/dandeliondeal_store/src/lease_machine.rs
@@ -2,8 +2,8 @@
 //!
 //! The holder measures its term from the time before it sent the write that acquired or renewed
 //! the lease, and subtracts a margin. A contender measures the term from the time it read that
-//! write, and adds the margin. Clocks of different processes are never compared. The version of
-//! the lease object serves as the fencing number, since each write increases it.
+//! write, and adds the margin. Clocks of different processes are never compared. The fencing
+//! number follows from the version of the lease object, since each write increases it.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
@@ -11,7 +11,7 @@
 use dandeliondeal_chart::{ChartError, ChartMachine};
 use dandeliondeal_types::{
     Clock, FencingNumber, Incarnation, InstanceId, ObjectName, ObjectValue, PutCondition,
-    StoreError, Version,
+    StoreError, StoreVersion,
 };
 use serde::{Deserialize, Serialize};
 
@@ -89,7 +89,7 @@
     /// Result of [`LeaseAction::Get`].
     Read(Result<Option<ObjectValue>, StoreError>),
     /// Result of [`LeaseAction::Put`].
-    Written(Result<Version, StoreError>),
+    Written(Result<StoreVersion, StoreError>),
     /// The process releases the lease.
     Release,
 }
@@ -132,7 +132,7 @@
     machine: ChartMachine<LeaseState, LeaseTrigger>,
     stamps: StampSource,
     /// Version of the object when it was last read or written.
-    version: Option<Version>,
+    version: Option<StoreVersion>,
     /// Time at which `version` was first read or written.
     version_known_since: Option<Instant>,
     term_end: Option<Instant>,
@@ -178,8 +178,8 @@
     /// Has to be called immediately before each action.
     pub fn fencing_number(&mut self, time: LeaseTime) -> Option<FencingNumber> {
         self.check_clock(time);
-        self.version
-            .filter(|_version| self.state() == LeaseState::Held)
+        let version = self.version.filter(|_| self.state() == LeaseState::Held);
+        version.map(|version| version.revision)
     }
 
     /// Returns the number of terms started so far.
@@ -273,7 +273,7 @@
         }
     }
 
-    fn handle_written(&mut self, result: Result<Version, StoreError>, now: Instant) {
+    fn handle_written(&mut self, result: Result<StoreVersion, StoreError>, now: Instant) {
         self.is_call_pending = false;
         self.next_call_at = Some(now + self.settings.renewal_interval);
         match result {
--- a/crates/dandeliondeal_store/src/memory_store.rs
+++ b/crates/dandeliondeal_store/src/memory_store.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use dandeliondeal_types::{
-    ObjectName, ObjectStore, ObjectValue, PutCondition, StoreError, Version,
+    ObjectName, ObjectStore, ObjectValue, PutCondition, StoreError, StoreVersion,
 };
 
 /// Fault injected into one call.
@@ -39,7 +39,7 @@
     objects: BTreeMap<ObjectName, ObjectValue>,
     faults: VecDeque<StoreFault>,
     late_writes: Vec<StoreWrite>,
-    last_version: Version,
+    last_version: StoreVersion,
     write_count: u64,
     read_count: u64,
 }
@@ -102,7 +102,7 @@
         name: &str,
         condition: PutCondition,
         body: Arc<str>,
-    ) -> Result<Version, StoreError> {
+    ) -> Result<StoreVersion, StoreError> {
         let write = StoreWrite {
             name: name.into(),
             condition,
@@ -116,7 +116,7 @@
     /// # Errors
     ///
     /// Returns the error of the next fault, or a conflict if the condition does not hold.
-    pub fn delete_now(&self, name: &str, version: Version) -> Result<(), StoreError> {
+    pub fn delete_now(&self, name: &str, version: StoreVersion) -> Result<(), StoreError> {
         let write = StoreWrite {
             name: name.into(),
             condition: PutCondition::Version(version),
@@ -162,7 +162,7 @@
         }
     }
 
-    fn write(&mut self, write: StoreWrite) -> Result<Version, StoreError> {
+    fn write(&mut self, write: StoreWrite) -> Result<StoreVersion, StoreError> {
         self.write_count += 1;
         match self.faults.pop_front().unwrap_or_default() {
             StoreFault::None => self.apply(&write),
@@ -180,7 +180,7 @@
         }
     }
 
-    fn apply(&mut self, write: &StoreWrite) -> Result<Version, StoreError> {
+    fn apply(&mut self, write: &StoreWrite) -> Result<StoreVersion, StoreError> {
         let found = self.objects.get(&write.name).map(|value| value.version);
         let is_condition_met = match write.condition {
             PutCondition::Absent => found.is_none(),
@@ -192,7 +192,7 @@
                 found,
             });
         }
-        self.last_version += 1;
+        self.last_version = self.last_version.next();
         let version = self.last_version;
         match &write.body {
             None => {
@@ -221,11 +221,11 @@
         name: &str,
         condition: PutCondition,
         body: Arc<str>,
-    ) -> Result<Version, StoreError> {
+    ) -> Result<StoreVersion, StoreError> {
         self.put_now(name, condition, body)
     }
 
-    async fn delete(&self, name: &str, version: Version) -> Result<(), StoreError> {
+    async fn delete(&self, name: &str, version: StoreVersion) -> Result<(), StoreError> {
         self.delete_now(name, version)
     }
 
@@ -237,7 +237,7 @@
     async fn watch(
         &self,
         name: &str,
-        _seen: Version,
+        _seen: StoreVersion,
         _limit: Duration,
     ) -> Result<Option<ObjectValue>, StoreError> {
         self.get_now(name)
--- a/crates/dandeliondeal_store/src/object_record.rs
+++ b/crates/dandeliondeal_store/src/object_record.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use dandeliondeal_types::{ObjectName, ObjectValue, Version};
+use dandeliondeal_types::{ObjectName, ObjectValue, StoreVersion};
 use serde::Deserialize;
 
 /// Entry of a list answer.
 #[derive(Debug, Deserialize)]
 pub(crate) struct ObjectRecord {
     name: ObjectName,
-    version: Version,
+    version: StoreVersion,
     body: Arc<str>,
 }
 
--- a/crates/dandeliondeal_store/src/plain_dialect.rs
+++ b/crates/dandeliondeal_store/src/plain_dialect.rs
@@ -1,7 +1,7 @@
 //! Dialect of the stand-in platform servers: versions in entity tags, object names without kinds.
 
 use awc::http::{Method, StatusCode, header};
-use dandeliondeal_types::{KindChanges, ObjectValue, PutCondition, StoreError, Version};
+use dandeliondeal_types::{KindChanges, ObjectValue, PutCondition, StoreError, StoreVersion};
 use serde::de::DeserializeOwned;
 
 use crate::object_record::ObjectRecord;
@@ -26,13 +26,13 @@
             } => HttpCall {
                 headers: vec![match condition {
                     PutCondition::Absent => (header::IF_NONE_MATCH, "*".to_owned()),
-                    PutCondition::Version(version) => (header::IF_MATCH, format!("\"{version}\"")),
+                    PutCondition::Version(version) => (header::IF_MATCH, entity_tag(*version)),
                 }],
                 body: (*body).to_owned(),
                 ..HttpCall::without_body(Method::PUT, object_path(name))
             },
             StoreRequest::Delete { name, version } => HttpCall {
-                headers: vec![(header::IF_MATCH, format!("\"{version}\""))],
+                headers: vec![(header::IF_MATCH, entity_tag(*version))],
                 ..HttpCall::without_body(Method::DELETE, object_path(name))
             },
             StoreRequest::List { prefix } => {
@@ -45,8 +45,9 @@
                 timeout,
             } => {
                 let timeout_ms = timeout.as_millis();
+                let revision = known_version.revision;
                 let path = format!(
-                    "{}?watch={known_version}&limit_ms={timeout_ms}",
+                    "{}?watch={revision}&limit_ms={timeout_ms}",
                     object_path(name)
                 );
                 HttpCall::without_body(Method::GET, path)
@@ -90,7 +91,7 @@
         }))
     }
 
-    fn read_version(&self, name: &str, answer: &HttpAnswer) -> Result<Version, StoreError> {
+    fn read_version(&self, name: &str, answer: &HttpAnswer) -> Result<StoreVersion, StoreError> {
         match entity_version(answer) {
             Some(version) if answer.status.is_success() => Ok(version),
             _ => Err(unexpected_answer(name, answer)),
@@ -139,9 +140,14 @@
     format!("/objects/{}", encode_path(name))
 }
 
-fn entity_version(answer: &HttpAnswer) -> Option<Version> {
-    let entity_tag = answer.headers.get(header::ETAG)?;
-    entity_tag.to_str().ok()?.trim_matches('"').parse().ok()
+fn entity_tag(version: StoreVersion) -> String {
+    format!("\"{}\"", version.revision)
+}
+
+fn entity_version(answer: &HttpAnswer) -> Option<StoreVersion> {
+    let entity_tag = answer.headers.get(header::ETAG)?.to_str().ok()?;
+    let revision: u64 = entity_tag.trim_matches('"').parse().ok()?;
+    Some(revision.into())
 }
 
 fn unexpected_answer(name: &str, answer: &HttpAnswer) -> StoreError {
--- a/crates/dandeliondeal_store/src/platform_client.rs
+++ b/crates/dandeliondeal_store/src/platform_client.rs
@@ -8,10 +8,12 @@
 use std::time::Duration;
 
 use awc::http::Method;
+use awc::http::header::HeaderMap;
 use awc::{Client, Connector};
 use dandeliondeal_types::{
     Clock, InstanceList, InstanceRecord, KindChanges, KindSnapshot, KindStore, ObjectStore,
-    ObjectValue, PutCondition, ReadFreshness, StoreError, Version, check_answer_status,
+    ObjectValue, PutCondition, ReadFreshness, StoreEra, StoreError, StoreVersion,
+    check_answer_status,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -85,6 +87,8 @@
     budget: RefCell<CallBudget>,
     jitter: RefCell<StdRng>,
     call_count: Cell<u64>,
+    /// Era that the store stated last; 0 before.
+    era: Cell<StoreEra>,
 }
 
 impl<Time, Dialect> std::fmt::Debug for PlatformClient<Time, Dialect> {
@@ -123,6 +127,7 @@
             budget: RefCell::new(budget),
             jitter: RefCell::new(jitter),
             call_count: Cell::new(0),
+            era: Cell::new(0),
         };
         Self {
             shared: Rc::new(shared),
@@ -267,8 +272,22 @@
             status: answer.status(),
             headers: answer.headers().clone(),
             body,
+            era: self.record_era(answer.headers()),
         })
     }
+
+    /// Records the era that an answer states; returns the one in force.
+    fn record_era(&self, headers: &HeaderMap) -> StoreEra {
+        let previous = self.shared.era.get();
+        let era = self.dialect.read_era(headers).unwrap_or(previous);
+        if era != previous {
+            self.shared.era.set(era);
+            if previous != 0 {
+                tracing::warn!(era, previous, "store was restored from a copy");
+            }
+        }
+        era
+    }
 }
 
 impl<Time, Dialect> ObjectStore for PlatformClient<Time, Dialect>
@@ -286,7 +305,7 @@
         name: &str,
         condition: PutCondition,
         body: Arc<str>,
-    ) -> Result<Version, StoreError> {
+    ) -> Result<StoreVersion, StoreError> {
         let request = StoreRequest::Put {
             name,
             condition,
@@ -296,6 +315,7 @@
         let version = self.dialect.read_version(name, &answer)?;
         match condition {
             PutCondition::Version(replaced) if version <= replaced => {
+                let (version, replaced) = (version.revision, replaced.revision);
                 let reason = format!("answer with version {version} to a write over {replaced}");
                 Err(StoreError::response_lost(name, &reason))
             }
@@ -303,7 +323,7 @@
         }
     }
 
-    async fn delete(&self, name: &str, version: Version) -> Result<(), StoreError> {
+    async fn delete(&self, name: &str, version: StoreVersion) -> Result<(), StoreError> {
         let answer = self.write(StoreRequest::Delete { name, version }).await?;
         if answer.status.is_success() {
             return Ok(());
@@ -325,7 +345,7 @@
     async fn watch(
         &self,
         name: &str,
-        known_version: Version,
+        known_version: StoreVersion,
         timeout: Duration,
     ) -> Result<Option<ObjectValue>, StoreError> {
         let call = self.dialect.encode(&StoreRequest::Watch {
@@ -353,7 +373,7 @@
     /// Reads all pages of a kind.
     ///
     /// The version is that of the first page, so changes made while later pages were read are
-    /// reported again by the following watch.
+    /// reported again by the following watch. Pages of different eras are not one list.
     async fn snapshot(
         &self,
         kind: &str,
@@ -371,6 +391,8 @@
             let page = self.dialect.read_page(kind, &answer)?;
             if after.is_none() {
                 snapshot.version = page.version;
+            } else if page.version.era != snapshot.version.era {
+                return Err(StoreError::HistoryExpired { name: kind.into() });
             }
             snapshot.objects.extend(page.objects);
             if page.next.is_none() || page.next == after {
@@ -386,7 +408,7 @@
     async fn changes(
         &self,
         kind: &str,
-        since: Version,
+        since: StoreVersion,
         timeout: Duration,
     ) -> Result<KindChanges, StoreError> {
         let call = self.dialect.encode(&StoreRequest::KindWatch {
@@ -397,8 +419,13 @@
         let call_timeout = timeout + self.shared.settings.call_timeout;
         let answer = self.call(kind, call, call_timeout, CallKind::Read).await?;
         let changes = self.dialect.read_changes(kind, &answer)?;
+        if changes.version.era != since.era {
+            // The revision of `since` denotes other content now, or none.
+            return Err(StoreError::HistoryExpired { name: kind.into() });
+        }
         if changes.version < since {
-            let reason = format!("changes up to {} in answer to {since}", changes.version);
+            let (last, since) = (changes.version.revision, since.revision);
+            let reason = format!("changes up to {last} in answer to {since}");
             return Err(StoreError::response_lost(kind, &reason));
         }
         Ok(changes)
--- a/crates/dandeliondeal_store/src/resolved_write.rs
+++ b/crates/dandeliondeal_store/src/resolved_write.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use dandeliondeal_types::{
-    Clock, ObjectName, ObjectStore, ObjectValue, PutCondition, StoreError, Version,
+    Clock, ObjectName, ObjectStore, ObjectValue, PutCondition, StoreError, StoreVersion,
 };
 
 /// Delay before the first retry while the platform does not answer; it doubles with each retry.
@@ -34,7 +34,7 @@
 pub enum WriteVerdict {
     /// The write took effect; contains the version that it created, or a later one that retains
     /// its stamp.
-    Written(Version),
+    Written(StoreVersion),
     /// The write did not take effect and never will; contains the current object, if it exists.
     NotWritten(Option<ObjectValue>),
 }
@@ -112,7 +112,7 @@
     }
 }
 
-fn condition_holds(condition: PutCondition, found: Option<Version>) -> bool {
+fn condition_holds(condition: PutCondition, found: Option<StoreVersion>) -> bool {
     match condition {
         PutCondition::Absent => found.is_none(),
         PutCondition::Version(version) => found == Some(version),
--- a/crates/dandeliondeal_store/src/store_dialect.rs
+++ b/crates/dandeliondeal_store/src/store_dialect.rs
@@ -7,7 +7,7 @@
 use awc::http::{Method, StatusCode};
 use bytes::Bytes;
 use dandeliondeal_types::{
-    KindChanges, ObjectValue, PutCondition, ReadFreshness, StoreError, Version,
+    KindChanges, ObjectValue, PutCondition, ReadFreshness, StoreEra, StoreError, StoreVersion,
 };
 
 /// Call to the object API, independent of its encoding.
@@ -32,7 +32,7 @@
         /// Name of the object.
         name: &'call str,
         /// Version that the object must have.
-        version: Version,
+        version: StoreVersion,
     },
     /// Lists the objects whose names start with a prefix.
     List {
@@ -44,7 +44,7 @@
         /// Name of the object.
         name: &'call str,
         /// Version that the caller already has.
-        known_version: Version,
+        known_version: StoreVersion,
         /// Maximum time to wait.
         timeout: Duration,
     },
@@ -62,7 +62,7 @@
         /// Name of the kind.
         kind: &'call str,
         /// Version of the store after which changes are returned.
-        since: Version,
+        since: StoreVersion,
         /// Maximum time to wait.
         timeout: Duration,
     },
@@ -116,6 +116,8 @@
     pub headers: HeaderMap,
     /// Response body.
     pub body: Bytes,
+    /// Era of the store's content; the last one that the store stated if this answer states none.
+    pub era: StoreEra,
 }
 
 /// Page of the list of a kind's objects.
@@ -126,7 +128,7 @@
     /// Name after which the next page starts; `None` if this is the last page.
     pub next: Option<String>,
     /// Version of the store that the page was read at.
-    pub version: Version,
+    pub version: StoreVersion,
 }
 
 /// Encoder of calls to an object API and decoder of its answers.
@@ -137,6 +139,13 @@
     /// Encodes a call.
     fn encode(&self, request: &StoreRequest<'_>) -> HttpCall;
 
+    /// Decodes the era that an answer states.
+    ///
+    /// Returns `None` if it states none, or none that can be decoded.
+    fn read_era(&self, _headers: &HeaderMap) -> Option<StoreEra> {
+        None
+    }
+
     /// Checks whether the status of an answer indicates a failed call.
     ///
     /// # Errors
@@ -160,7 +169,7 @@
     /// # Errors
     ///
     /// Returns an error if the answer cannot be decoded.
-    fn read_version(&self, name: &str, answer: &HttpAnswer) -> Result<Version, StoreError>;
+    fn read_version(&self, name: &str, answer: &HttpAnswer) -> Result<StoreVersion, StoreError>;
 
     /// Decodes the objects of a list by prefix.
     ///
--- a/crates/dandeliondeal_store/tests/lost_answers.rs
+++ b/crates/dandeliondeal_store/tests/lost_answers.rs
@@ -8,7 +8,7 @@
 use dandeliondeal_store::{
     MemoryStore, ResolvedWrite, StampSource, StoreFault, WriteVerdict, put_resolved,
 };
-use dandeliondeal_types::{PutCondition, StoreError, SystemClock};
+use dandeliondeal_types::{PutCondition, StoreError, StoreVersion, SystemClock};
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
 
@@ -51,7 +51,10 @@
     store.add_faults([StoreFault::AnswerLost]);
     assert!(matches!(
         put_and_resolve(&store, "a"),
-        Ok(WriteVerdict::Written(1))
+        Ok(WriteVerdict::Written(StoreVersion {
+            era: 0,
+            revision: 1
+        }))
     ));
     assert_eq!(store.writes(), 1);
 }
@@ -62,7 +65,10 @@
     store.add_faults([StoreFault::CallLost]);
     assert!(matches!(
         put_and_resolve(&store, "a"),
-        Ok(WriteVerdict::Written(1))
+        Ok(WriteVerdict::Written(StoreVersion {
+            era: 0,
+            revision: 1
+        }))
     ));
 }
 
@@ -72,7 +78,10 @@
     store.add_faults([StoreFault::Late]);
     assert!(matches!(
         put_and_resolve(&store, "a"),
-        Ok(WriteVerdict::Written(1))
+        Ok(WriteVerdict::Written(StoreVersion {
+            era: 0,
+            revision: 1
+        }))
     ));
     assert_eq!(
         store.apply_late_writes(),
@@ -100,7 +109,10 @@
     store.add_faults([StoreFault::Late, StoreFault::Refused, StoreFault::Refused]);
     assert!(matches!(
         put_and_resolve(&store, "a"),
-        Ok(WriteVerdict::Written(1))
+        Ok(WriteVerdict::Written(StoreVersion {
+            era: 0,
+            revision: 1
+        }))
     ));
     assert_eq!(store.apply_late_writes(), 0);
 }
--- a/crates/dandeliondeal_types/src/id.rs
+++ b/crates/dandeliondeal_types/src/id.rs
@@ -11,7 +11,7 @@
 pub type FeatureId = Arc<str>;
 /// Name of a failure domain, for example `didube`.
 pub type FailureDomain = Arc<str>;
-/// Version of a lease object; orders that carry an older version are refused.
+/// Number of a lease term; orders that carry a lower one are refused.
 pub type FencingNumber = u64;
 /// Number of the process start of an instance; each later process has a higher number.
 pub type Incarnation = u64;
@@ -43,7 +43,8 @@
 pub type RouteId = Arc<str>;
 /// Name of a plain service.
 pub type ServiceId = Arc<str>;
+/// Number of restores of the platform's store from a copy, starting at 1; 0 if the store does not state
+/// it.
+pub type StoreEra = u64;
 /// Id of a token in the vocabulary.
 pub type Token = u32;
-/// Version of a platform object; each write increases it.
-pub type Version = u64;
--- a/crates/dandeliondeal_types/src/kind_store.rs
+++ b/crates/dandeliondeal_types/src/kind_store.rs
@@ -4,8 +4,8 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
-use crate::id::Version;
 use crate::object_store::{ObjectValue, StoreError};
+use crate::store_version::StoreVersion;
 
 /// All objects of one kind as of one version of the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -13,7 +13,7 @@
     /// The objects; their names do not include the kind.
     pub objects: Vec<ObjectValue>,
     /// Version of the store from which changes continue.
-    pub version: Version,
+    pub version: StoreVersion,
 }
 
 /// One change of an object.
@@ -31,7 +31,7 @@
     /// The changes in the order in which they occurred.
     pub events: Vec<KindEvent>,
     /// Version of the store from which changes continue.
-    pub version: Version,
+    pub version: StoreVersion,
 }
 
 /// Required freshness of a list.
@@ -58,7 +58,7 @@
     fn changes(
         &self,
         kind: &str,
-        since: Version,
+        since: StoreVersion,
         timeout: Duration,
     ) -> impl Future<Output = Result<KindChanges, StoreError>>;
 }
--- a/crates/dandeliondeal_types/src/lib.rs
+++ b/crates/dandeliondeal_types/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod rendezvous;
 pub mod route_error;
 pub mod sheet_model;
+pub mod store_version;
 pub mod token_step;
 
 #[doc(inline)]
@@ -47,4 +48,6 @@
 #[doc(inline)]
 pub use sheet_model::SheetModel;
 #[doc(inline)]
+pub use store_version::StoreVersion;
+#[doc(inline)]
 pub use token_step::{SessionStatus, StepAnswer, StepCall, StepName};
--- a/crates/dandeliondeal_types/src/object_store.rs
+++ b/crates/dandeliondeal_types/src/object_store.rs
@@ -7,7 +7,8 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::id::{ObjectName, Version};
+use crate::id::ObjectName;
+use crate::store_version::StoreVersion;
 
 /// An object as read from the platform.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -15,7 +16,7 @@
     /// Name of the object.
     pub name: ObjectName,
     /// Version that the last write assigned.
-    pub version: Version,
+    pub version: StoreVersion,
     /// Content, at most one megabyte.
     pub body: Arc<str>,
 }
@@ -26,7 +27,7 @@
     /// The object does not exist.
     Absent,
     /// The object has exactly this version.
-    Version(Version),
+    Version(StoreVersion),
 }
 
 /// An error of a call to the platform.
@@ -38,7 +39,7 @@
         /// The object.
         name: ObjectName,
         /// Current version, or `None` if the object does not exist.
-        found: Option<Version>,
+        found: Option<StoreVersion>,
     },
     /// No connection was made, or the platform refused the call; nothing was written.
     #[display("platform refused {name}: {reason}")]
@@ -56,7 +57,8 @@
         /// Error on the connection.
         reason: Arc<str>,
     },
-    /// The platform no longer stores the changes since the requested version.
+    /// The platform no longer stores the changes since the requested version, or was restored from a
+    /// copy since then.
     #[display("the platform's history of {name} no longer reaches back far enough")]
     HistoryExpired {
         /// The kind of object.
@@ -122,10 +124,14 @@
         name: &str,
         condition: PutCondition,
         body: Arc<str>,
-    ) -> impl Future<Output = Result<Version, StoreError>>;
+    ) -> impl Future<Output = Result<StoreVersion, StoreError>>;
 
     /// Deletes one object if it has exactly this version.
-    fn delete(&self, name: &str, version: Version) -> impl Future<Output = Result<(), StoreError>>;
+    fn delete(
+        &self,
+        name: &str,
+        version: StoreVersion,
+    ) -> impl Future<Output = Result<(), StoreError>>;
 
     /// Lists the objects whose names start with `prefix`, in order of name.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Vec<ObjectValue>, StoreError>>;
@@ -134,7 +140,7 @@
     fn watch(
         &self,
         name: &str,
-        known_version: Version,
+        known_version: StoreVersion,
         timeout: Duration,
     ) -> impl Future<Output = Result<Option<ObjectValue>, StoreError>>;
 }
