Instances register again when a restore of the store loses their registrations

What callers saw: after a restore from a copy that is older than the registrations, each router counted one instance, and all together sent repeats for several budgets (the users: 3,052 of 1,436 allowed in 10 s, nine routers).

Cause: register ran once at the start of the process. What the system wrote after the copy is gone, and nothing wrote it again; the count took the missing registrations for instances that had left.

Evidence: lost_registrations failed on (instance_count 1 in place of 3, routers 0 registrations).

Change: an instance that learns of a later era reads the registry, spread over 0.25 to 0.75 s and not from a relaxed list, and registers again if it is missing; a missing own registration in any later list does the same. Earlier builds don't register again, and drop out of the count after that. The era is a metric, dandeliondeal_store_era; the log line of the count has the number of listed instances and the era.

--- a/crates/dandeliondeal_relay/src/instance_registry.rs
+++ b/crates/dandeliondeal_relay/src/instance_registry.rs
@@ -6,10 +6,11 @@
 
 use dandeliondeal_types::{
     Clock, FailureDomain, InstanceId, KindStore, ObjectStore, ObjectValue, PutCondition,
-    ReadFreshness, StoreError,
+    ReadFreshness, StoreError, StoreVersion,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::peer_roster::PeerRoster;
 use crate::relay_context::RelayContext;
 
 /// Kind of the store objects with which instances register.
@@ -19,6 +20,8 @@
 /// Time until the second count; it is short because instances often start together, and each needs
 /// one call to register.
 const INITIAL_COUNT_INTERVAL: Duration = Duration::from_millis(700);
+/// Mean delay between the news of a restore of the store and the check of the registration.
+const RESTORE_CHECK_DELAY: Duration = Duration::from_millis(500);
 /// Time between two attempts to register.
 const REGISTER_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -53,36 +56,55 @@
 /// Registers this instance and counts all instances until the task is dropped.
 ///
 /// Registrations of killed instances are not removed; they only reduce each instance's share of the
-/// shared budgets.
+/// shared budgets. A registration that is missing in the list was lost when the store was restored from
+/// a copy, and is written again.
 pub async fn run_registry<Time, Dialect, Store>(context: RelayContext<Time, Dialect>, store: Store)
 where
     Time: Clock,
     Store: ObjectStore + KindStore,
 {
     register(&context, &store).await;
+    let own_id = &context.settings().instance.id;
+    let mut roster = PeerRoster::default();
     let mut last_count = None;
     let mut interval = INITIAL_COUNT_INTERVAL;
+    let mut freshness = ReadFreshness::Relaxed;
     loop {
-        let list = store.snapshot(REGISTRY_KIND, ReadFreshness::Relaxed);
-        match list.await {
+        let era = context.store_era();
+        let mut is_registered = true;
+        match store.snapshot(REGISTRY_KIND, freshness).await {
             Ok(snapshot) => {
+                freshness = ReadFreshness::Relaxed;
+                let StoreVersion { era, revision } = snapshot.version;
+                is_registered = snapshot.objects.iter().any(|object| object.name == *own_id);
                 let peers = snapshot.objects.iter().filter_map(decode_entry);
-                let peers: Vec<PeerInstance> = peers.collect();
+                let peers = roster.update(peers.collect(), era, context.now());
                 let count = peers.len();
                 if last_count != Some(count) {
                     last_count = Some(count);
-                    tracing::info!(
-                        count,
-                        revision = snapshot.version.revision,
-                        "instances counted"
-                    );
+                    let listed = snapshot.objects.len();
+                    tracing::info!(count, listed, revision, era, "instances counted");
                 }
                 context.set_peers(peers);
             }
             Err(error) => tracing::info!(%error, "instances cannot be listed"),
         }
-        actix_rt::time::sleep(context.jitter(interval)).await;
-        interval = (interval * 2).min(MAX_COUNT_INTERVAL);
+        if !is_registered {
+            tracing::info!("registration of this instance is missing; registering again");
+            register(&context, &store).await;
+            interval = INITIAL_COUNT_INTERVAL;
+        }
+        tokio::select! {
+            () = actix_rt::time::sleep(context.jitter(interval)) => {
+                interval = (interval * 2).min(MAX_COUNT_INTERVAL);
+            }
+            () = context.wait_for_era_after(era) => {
+                // All instances learn of a restore at once. A relaxed list may still hold what is lost.
+                actix_rt::time::sleep(context.jitter(RESTORE_CHECK_DELAY)).await;
+                freshness = ReadFreshness::Latest;
+                interval = INITIAL_COUNT_INTERVAL;
+            }
+        }
     }
 }
 
--- a/crates/dandeliondeal_relay/src/relay_context.rs
+++ b/crates/dandeliondeal_relay/src/relay_context.rs
@@ -12,7 +12,7 @@
 use dandeliondeal_peer::PeerSettings;
 use dandeliondeal_quarantine::{CrashTable, HeldRuns};
 use dandeliondeal_route::RouteTable;
-use dandeliondeal_types::{Clock, EndpointId, ServiceId};
+use dandeliondeal_types::{Clock, EndpointId, ServiceId, StoreEra};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, watch};
@@ -68,6 +68,7 @@
     dialect: Dialect,
     table: RefCell<Option<Arc<RouteTable>>>,
     first_reads: watch::Sender<FirstReads>,
+    store_eras: watch::Sender<StoreEra>,
     fleet: RefCell<FleetView>,
     pool: RefCell<ConnectionPool<Time>>,
     repeats: RepeatAllowance,
@@ -139,6 +140,7 @@
             dialect,
             table: RefCell::default(),
             first_reads: watch::Sender::default(),
+            store_eras: watch::Sender::default(),
             fleet: RefCell::new(fleet),
             pool: RefCell::new(pool),
             repeats,
@@ -230,6 +232,11 @@
         &self.shared.first_reads
     }
 
+    /// Returns the era of the store's content.
+    pub(crate) fn store_eras(&self) -> &watch::Sender<StoreEra> {
+        &self.shared.store_eras
+    }
+
     /// Returns the endpoints.
     pub fn fleet(&self) -> &RefCell<FleetView> {
         &self.shared.fleet
--- a/crates/dandeliondeal_relay/src/relay_metrics.rs
+++ b/crates/dandeliondeal_relay/src/relay_metrics.rs
@@ -39,6 +39,8 @@
     pub orders: IntCounterVec,
     /// Version of the active configuration.
     pub config_version: IntGauge,
+    /// Number of the store's restores from a copy, as its answers state it.
+    pub store_era: IntGauge,
     /// Number of parts of prompts that are refused because they crash engines.
     pub quarantined_parts: IntGauge,
     /// Number of services whose endpoints this instance cannot reach.
@@ -118,6 +120,7 @@
             "dandeliondeal_config_version",
             "Version of the configuration in force.",
         )?;
+        let store_era = gauge("dandeliondeal_store_era", "Era that the store states.")?;
         let lost_services = gauge(
             "dandeliondeal_lost_services",
             "Services whose endpoints this instance cannot reach.",
@@ -155,6 +158,7 @@
             store_failures,
             orders,
             config_version,
+            store_era,
             quarantined_parts,
             lost_services,
             handovers,
--- a/crates/dandeliondeal_relay/src/store_watch.rs
+++ b/crates/dandeliondeal_relay/src/store_watch.rs
@@ -219,6 +219,7 @@
                 }
                 let lapse_until = tracker.lapse_until(now);
                 backoff = FIRST_BACKOFF;
+                context.record_store_era(update.version().era);
                 seen = Some(update.version());
                 match update {
                     KindUpdate::Snapshot(snapshot) => {
