Leaves that an instance has read hold after a restore of the store

Cause: the entry of the copy was taken for news. A drain was undone by an entry of the same start and write count; a removed entry was inserted as a new endpoint, since the view forgets what is gone. The second removal then counted as an expiry in the outage, which kept the endpoint for up to 1.3 s more.

Change: AcknowledgedLeaves remembers each drain and removal with its era, for a minute. An entry of the same process that is read in another era and is no later write is held back for 10 s after the restore: by then the leave is written again. An entry that still stands is used again. Drains and removals of the same era are untouched.

The exclusions of engines moved to a file of their own, unchanged.

--- a/crates/dandeliondeal_relay/src/fleet_sinks.rs
+++ b/crates/dandeliondeal_relay/src/fleet_sinks.rs
@@ -193,6 +193,7 @@
         let now = self.context.now();
         let changes = {
             let mut fleet = self.context.fleet().borrow_mut();
+            fleet.record_store_era(snapshot.version.era, now);
             fleet.replace(records, lapse_until, now)
         };
         self.context.record_endpoint_list();
--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -13,9 +13,10 @@
 };
 use dandeliondeal_limit::EndpointBackoffs;
 use dandeliondeal_route::RouteTable;
-use dandeliondeal_types::{EndpointId, EndpointRecord, InstanceId, ServiceId};
+use dandeliondeal_types::{EndpointId, EndpointRecord, InstanceId, ServiceId, StoreEra};
 use rand::Rng;
 
+use crate::acknowledged_leaves::AcknowledgedLeaves;
 use crate::departed_records::DepartedRecords;
 pub use crate::fleet_change::FleetChange;
 use crate::fleet_health;
@@ -48,14 +49,12 @@
     superseded: Vec<(EndpointRecord, EndpointRecord)>,
     /// Registrations that went away.
     departed: DepartedRecords,
+    /// Endpoints that a restored store lists although they leave.
+    leaves: AcknowledgedLeaves,
     /// Pauses that endpoints asked this instance to make.
     pub(crate) backoffs: EndpointBackoffs,
 }
 
-/// Maximum time for which an engine's own statement overrides its registration, which is about one
-/// heartbeat late.
-const EXCLUSION_TIME: Duration = Duration::from_secs(3);
-
 /// Time for which an engine's reported slowness is used; reports are at most one second apart.
 const SLOWNESS_MAX_AGE: Duration = Duration::from_secs(3);
 
@@ -76,6 +75,7 @@
             excluded: HashMap::new(),
             superseded: Vec::new(),
             departed: DepartedRecords::default(),
+            leaves: AcknowledgedLeaves::default(),
             backoffs: EndpointBackoffs::default(),
         })
     }
@@ -92,6 +92,11 @@
         fleet_health::set_instance_count(&mut self.plain, instance_count);
     }
 
+    /// Records the era in which the store was read.
+    pub fn record_store_era(&mut self, era: StoreEra, now: Instant) {
+        self.leaves.record_era(era, now);
+    }
+
     /// Applies the full list of registrations; missing ones are kept until `lapse_until` if it is
     /// set.
     pub fn replace(
@@ -117,6 +122,7 @@
         for id in missing {
             changes.push(self.remove(&id, lapse_until, now));
         }
+        self.leaves.retain(&present);
         self.rebuild(now);
         changes
     }
@@ -136,6 +142,7 @@
         now: Instant,
     ) -> Option<FleetChange> {
         let id = EndpointId::from(id);
+        self.leaves.release(&id);
         let change = self
             .records
             .contains_key(&id)
@@ -150,6 +157,9 @@
         if previous.is_some_and(|previous| record.is_older_than(previous)) {
             return None;
         }
+        if self.leaves.hold(&record, now) {
+            return None;
+        }
         self.lapsing.remove(&id);
         if previous.is_some_and(|previous| record.has_same_content(previous)) {
             self.records.insert(id, record);
@@ -171,6 +181,9 @@
         let departed = self.departed.take_replaced(&record);
         self.superseded
             .extend(departed.map(|departed| (departed, record.clone())));
+        if is_draining {
+            self.leaves.add(&record, now);
+        }
         self.records.insert(EndpointId::clone(&id), record);
         Some(if is_draining {
             FleetChange::Draining(id)
@@ -199,29 +212,6 @@
         std::mem::take(&mut self.superseded)
     }
 
-    /// Excludes an engine that does not hold the layers that it registered.
-    pub fn exclude_mismatched(&mut self, engine: &EndpointId, now: Instant) {
-        self.exclude_until(engine, now + EXCLUSION_TIME);
-    }
-
-    /// Excludes an engine from new chains until `until`, or until [`Self::readmit`] is called.
-    pub fn exclude_until(&mut self, engine: &EndpointId, until: Instant) {
-        self.excluded.insert(EndpointId::clone(engine), until);
-    }
-
-    /// Excludes an engine from new chains until `until` while it is checked, unless it is excluded
-    /// already.
-    pub fn exclude_for_check(&mut self, engine: &EndpointId, until: Instant) {
-        let engine = EndpointId::clone(engine);
-        let end = self.excluded.entry(engine).or_insert(until);
-        *end = until.max(*end);
-    }
-
-    /// Ends the exclusion of an engine that holds the layers that it registered.
-    pub fn readmit(&mut self, engine: &str) {
-        self.excluded.remove(engine);
-    }
-
     fn remove(
         &mut self,
         id: &EndpointId,
@@ -238,6 +228,7 @@
         }
         if let Some(record) = self.records.remove(id) {
             self.departed.add(&record, now);
+            self.leaves.add(&record, now);
         }
         self.lapsing.remove(id);
         self.slowness.remove(id);
@@ -256,7 +247,13 @@
             .iter()
             .map(|id| self.remove(id, None, now))
             .collect();
-        if !changes.is_empty() {
+        let due = self.leaves.take_due(now);
+        let is_changed = !changes.is_empty() || !due.is_empty();
+        for record in due {
+            tracing::info!(endpoint = %record.id, "registration is used again");
+            self.insert(record, now);
+        }
+        if is_changed {
             self.rebuild(now);
         }
         self.plain.tick(now);
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`LayoutController`] orders engines to hold layers. [`RequestDialect`] and [`FleetDialect`]
 //! convert from and to the wire format of a deployment.
 
+mod acknowledged_leaves;
 pub mod admission_metrics;
 mod admission_news;
 pub mod backoff_metrics;
@@ -23,6 +24,7 @@
 pub mod engine_absence;
 pub mod engine_calls;
 pub mod engine_check;
+mod engine_exclusion;
 pub mod engine_survey;
 mod era_watch;
 pub mod event_splitter;
