Endpoints that a restored store lacks are kept until they register again

What callers saw: nothing by a rule; a replica that had registered after the copy was taken was dropped at the restore and its capacity lost until its next write.

Cause: a registration that is missing in a list counts as gone unless the store was away for 0.7 s or more. A store that comes back from a copy lacks what was written since, however short it was away.

Evidence: lost_endpoint on: 6 endpoints in place of 7 right after the restore.

Change: the first list of a later era keeps missing endpoints for the 2.2 s that the platform states for the return of entries. Deletions that the new era reports are taken at once, as before. An endpoint that registers again and serves is no longer one that left (returned_endpoint).

Result: lost_endpoint, acknowledged_leaves and outage_tracker pass.

--- a/crates/dandeliondeal_relay/src/acknowledged_leaves.rs
+++ b/crates/dandeliondeal_relay/src/acknowledged_leaves.rs
@@ -82,6 +82,9 @@
             }
         } else {
             self.held.remove(&record.id);
+            if !record.is_draining {
+                self.leaves.remove(&record.id);
+            }
         }
         is_copied
     }
--- a/crates/dandeliondeal_relay/src/store_watch.rs
+++ b/crates/dandeliondeal_relay/src/store_watch.rs
@@ -4,7 +4,7 @@
 
 use dandeliondeal_config::{CHANGE_PAUSE, FIRST_BACKOFF};
 use dandeliondeal_types::{
-    Clock, KindChanges, KindSnapshot, KindStore, ReadFreshness, StoreError, StoreVersion,
+    Clock, KindChanges, KindSnapshot, KindStore, ReadFreshness, StoreEra, StoreError, StoreVersion,
 };
 
 use crate::fleet_view::LAPSE_GRACE;
@@ -101,6 +101,9 @@
 pub struct OutageTracker {
     loss: Option<StoreLoss>,
     lapse_until: Option<Instant>,
+    era: StoreEra,
+    /// Time until which registrations that a restored store lacks may be written again.
+    restored_until: Option<Instant>,
 }
 
 impl OutageTracker {
@@ -141,6 +144,16 @@
         Some(duration)
     }
 
+    /// Records the era of an answer.
+    ///
+    /// A store that was restored from a copy lacks what was written after it.
+    pub fn record_era(&mut self, era: StoreEra, now: Instant) {
+        let previous = std::mem::replace(&mut self.era, era);
+        if previous != era && previous != 0 {
+            self.restored_until = Some(now + LAPSE_GRACE);
+        }
+    }
+
     /// Returns whether calls have failed since the last answer.
     pub fn is_lost(&self) -> bool {
         self.loss.is_some()
@@ -149,14 +162,15 @@
     /// Returns the time until which an endpoint may merely have expired whose deletion is reported
     /// now, after the store's return; `None` if it is gone.
     pub fn deletion_lapse_until(&self, now: Instant) -> Option<Instant> {
-        let until = self.lapse_until(now)?;
+        let until = self.lapse_until.filter(|until| now < *until)?;
         Some(until.min(now + DELETION_GRACE))
     }
 
-    /// Returns the time until which missing registrations may merely have expired; `None` if they
-    /// are gone.
+    /// Returns the time until which missing registrations may merely have expired or been lost;
+    /// `None` if they are gone.
     pub fn lapse_until(&self, now: Instant) -> Option<Instant> {
-        self.lapse_until.filter(|until| now < *until)
+        let until = self.lapse_until.max(self.restored_until);
+        until.filter(|until| now < *until)
     }
 }
 
@@ -217,6 +231,7 @@
                 } else if was_lost {
                     tracing::info!(kind, "store answers over a new connection");
                 }
+                tracker.record_era(update.version().era, now);
                 let lapse_until = tracker.lapse_until(now);
                 backoff = FIRST_BACKOFF;
                 context.record_store_era(update.version().era);
--- a/crates/dandeliondeal_relay/tests/acknowledged_leaves.rs
+++ b/crates/dandeliondeal_relay/tests/acknowledged_leaves.rs
@@ -145,3 +145,14 @@
     view.update(record(), now);
     assert!(is_used(&view, now));
 }
+
+#[test]
+fn returned_endpoint() {
+    // An endpoint that was missing for a while and serves again has not left.
+    let now = Instant::now();
+    let mut view = view(now);
+    view.delete("a", None, now);
+    view.update(record(), now);
+    read(&mut view, 2, vec![record()], now);
+    assert!(is_used(&view, now));
+}
