Conditional writes do not cross a restore of the store

Fault: a restored store assigns revisions again, so that a write or deletion conditional on a revision of the earlier era could replace other content (ABA): the layout lease, registrations, verdicts.

Change: the client refuses a condition of another era as a conflict, without a call, so that its caller reads the object first. If the answer to the write brings the news, the write counts as one without a response. Between the restore and the first answer, the store itself accepts such a write; its protocol has no condition on the era.

--- a/crates/dandeliondeal_store/src/platform_client.rs
+++ b/crates/dandeliondeal_store/src/platform_client.rs
@@ -288,6 +288,25 @@
         }
         era
     }
+
+    /// Checks that a version may be the condition of a write.
+    ///
+    /// A restored store assigns revisions again, so that an earlier one may belong to other content.
+    fn check_condition(&self, name: &str, version: StoreVersion) -> Result<(), StoreError> {
+        if version.era == self.shared.era.get() {
+            return Ok(());
+        }
+        Err(StoreError::Conflict {
+            name: name.into(),
+            found: None,
+        })
+    }
+}
+
+/// Creates the error of a write during which the store was restored; it may have replaced content that
+/// the writer has not read.
+fn restored_error(name: &str) -> StoreError {
+    StoreError::response_lost(name, "the store was restored from a copy meanwhile")
 }
 
 impl<Time, Dialect> ObjectStore for PlatformClient<Time, Dialect>
@@ -306,6 +325,9 @@
         condition: PutCondition,
         body: Arc<str>,
     ) -> Result<StoreVersion, StoreError> {
+        if let PutCondition::Version(replaced) = condition {
+            self.check_condition(name, replaced)?;
+        }
         let request = StoreRequest::Put {
             name,
             condition,
@@ -314,6 +336,9 @@
         let answer = self.write(request).await?;
         let version = self.dialect.read_version(name, &answer)?;
         match condition {
+            PutCondition::Version(replaced) if version.era != replaced.era => {
+                Err(restored_error(name))
+            }
             PutCondition::Version(replaced) if version <= replaced => {
                 let (version, replaced) = (version.revision, replaced.revision);
                 let reason = format!("answer with version {version} to a write over {replaced}");
@@ -324,7 +349,11 @@
     }
 
     async fn delete(&self, name: &str, version: StoreVersion) -> Result<(), StoreError> {
+        self.check_condition(name, version)?;
         let answer = self.write(StoreRequest::Delete { name, version }).await?;
+        if answer.era != version.era {
+            return Err(restored_error(name));
+        }
         if answer.status.is_success() {
             return Ok(());
         }
