Leases of an earlier era are not held, and later fencing numbers are higher

What callers saw: after a restore the holder of the layout lease went on for up to its term although the copy held another lease or none, and engines refused its successor's orders until the revision had passed the old one: a lost engine was not replaced.

Cause: the fencing number was the revision, which goes back; the machine learned of the restore only by its next renewal.

Change: the machine doubts a lease whose version is of an earlier era than the context knows, and reads it again. The fencing number rises by 2^40 with each era after the first; it is the plain revision on a store that was never restored or states no era. Instances of earlier builds that take the lease after a restore have lower numbers, and their orders are refused while newer ones were obeyed.

--- a/crates/dandeliondeal_relay/src/layout_controller.rs
+++ b/crates/dandeliondeal_relay/src/layout_controller.rs
@@ -193,6 +193,7 @@
     fn fencing_number(&self) -> Option<FencingNumber> {
         let time = LeaseTime::of(self.context.clock());
         let mut state = self.state.borrow_mut();
+        state.lease.observe_era(self.context.store_era());
         let fencing_number = state.lease.fencing_number(time)?;
         let is_rejected = state
             .rejected_fencing_number
--- a/crates/dandeliondeal_store/src/lease_machine.rs
+++ b/crates/dandeliondeal_store/src/lease_machine.rs
@@ -10,7 +10,7 @@
 
 use dandeliondeal_chart::{ChartError, ChartMachine};
 use dandeliondeal_types::{
-    Clock, FencingNumber, Incarnation, InstanceId, ObjectName, ObjectValue, PutCondition,
+    Clock, FencingNumber, Incarnation, InstanceId, ObjectName, ObjectValue, PutCondition, StoreEra,
     StoreError, StoreVersion,
 };
 use serde::{Deserialize, Serialize};
@@ -179,7 +179,19 @@
     pub fn fencing_number(&mut self, time: LeaseTime) -> Option<FencingNumber> {
         self.check_clock(time);
         let version = self.version.filter(|_| self.state() == LeaseState::Held);
-        version.map(|version| version.revision)
+        version.map(StoreVersion::fencing_number)
+    }
+
+    /// Ends a term of an earlier era; the restored store may hold another lease, or none.
+    ///
+    /// The lease is read again before it is written.
+    pub fn observe_era(&mut self, era: StoreEra) {
+        if self.version.is_some_and(|version| version.era < era) {
+            self.version = None;
+            self.version_known_since = None;
+            self.apply(LeaseTrigger::Doubt);
+            self.next_call_at = None;
+        }
     }
 
     /// Returns the number of terms started so far.
--- a/crates/dandeliondeal_types/src/store_version.rs
+++ b/crates/dandeliondeal_types/src/store_version.rs
@@ -2,7 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::StoreEra;
+use crate::id::{FencingNumber, StoreEra};
+
+/// Distance between the fencing numbers of two eras; revisions are far lower.
+const ERA_DISTANCE: FencingNumber = 1 << 40;
 
 /// Version of the store or of one of its objects; each write increases it.
 ///
@@ -34,6 +37,16 @@
             ..self
         }
     }
+
+    /// Returns the fencing number of a lease whose object has this version.
+    ///
+    /// It is higher than those of all earlier eras. The eras 0 and 1 both denote a store that was
+    /// never restored.
+    pub fn fencing_number(self) -> FencingNumber {
+        let restores = self.era.saturating_sub(1);
+        let base = restores.saturating_mul(ERA_DISTANCE);
+        base.saturating_add(self.revision)
+    }
 }
 
 /// Creates a version of a store that states no era.
