Verdicts about crashing prompts outlast a restore of the store

Fault: the holder of the lease took a stored verdict that is missing after a restore for one that an operator had deleted, and lifted it: requests that crash engines were served again.

Change: the first read in a later era lifts nothing, so that the missing verdicts are written again; the holder reads at once when the era changes. Deletions by an operator are noticed by later reads, as before (deleted_verdict). Each instance knows an era from its first read; one that starts after the restore and hears of a verdict before that read ends may still lift it.

--- a/crates/dandeliondeal_relay/src/era_watch.rs
+++ b/crates/dandeliondeal_relay/src/era_watch.rs
@@ -14,7 +14,7 @@
     }
 
     /// Records the era of an answer of the store or of a hub.
-    pub(crate) fn record_store_era(&self, era: StoreEra) {
+    pub fn record_store_era(&self, era: StoreEra) {
         let is_changed = self.store_eras().send_if_modified(|known| {
             let previous = std::mem::replace(known, era);
             previous != era
--- a/crates/dandeliondeal_relay/src/quarantine_store.rs
+++ b/crates/dandeliondeal_relay/src/quarantine_store.rs
@@ -9,7 +9,8 @@
 
 use dandeliondeal_quarantine::{FeatureKey, FeatureVerdict, ProcessId};
 use dandeliondeal_types::{
-    Clock, FeatureId, KindStore, ObjectStore, ObjectValue, PutCondition, ReadFreshness, StoreError,
+    Clock, FeatureId, KindStore, ObjectStore, ObjectValue, PutCondition, ReadFreshness, StoreEra,
+    StoreError,
 };
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -84,6 +85,7 @@
         store,
         stored: HashMap::new(),
         read_at: None,
+        era: None,
     };
     keeper.read_first().await;
     loop {
@@ -116,6 +118,8 @@
     stored: HashMap<FeatureKey, StoredVerdict>,
     /// Time of the last read since this instance got the lease.
     read_at: Option<Instant>,
+    /// Era of the last read.
+    era: Option<StoreEra>,
 }
 
 impl<Time, Dialect, Store> VerdictKeeper<Time, Dialect, Store>
@@ -136,7 +140,8 @@
     /// Puts the stored verdicts in force, and lifts those that an operator deleted.
     ///
     /// Only verdicts that were known to be stored before the call are lifted: one that is written
-    /// meanwhile may be missing in the answer, although a report already says that it is stored.
+    /// meanwhile may be missing in the answer, although a report already says that it is stored. After
+    /// a restore of the store from a copy, missing verdicts are lost ones.
     async fn read(&mut self) -> Result<(), StoreError> {
         let held = self.context.crashes().borrow().verdicts();
         let held = held.into_iter().filter(|verdict| verdict.is_stored);
@@ -151,7 +156,9 @@
             crashes.add_verdict(stored.to_verdict(now));
             crashes.mark_stored(&stored.key);
         }
-        for key in earlier {
+        let era = snapshot.version.era;
+        let is_restored = self.era.replace(era).is_some_and(|known| known != era);
+        for key in earlier.into_iter().filter(|_| !is_restored) {
             if !self.stored.contains_key(&key) {
                 tracing::info!(part = %key.feature, "verdict was deleted from the store");
                 crashes.lift(&key, now);
@@ -169,7 +176,8 @@
             return Ok(());
         }
         let read_age = self.read_at.map(|at| now.saturating_duration_since(at));
-        if read_age.is_none_or(|age| age >= READ_INTERVAL) {
+        let is_outdated = self.era.is_some_and(|era| era < self.context.store_era());
+        if is_outdated || read_age.is_none_or(|age| age >= READ_INTERVAL) {
             self.read().await?;
             self.read_at = Some(now);
         }
