Endpoints that state their leave in an answer get no further requests

Cause: nothing read the header; a leave was known from the registration alone.

Evidence: announced_leaves on: partitioned_router, ready_registration and restarted_replica failed.

Change: a response, also a late one, that states the leave makes its endpoint draining in this instance, for its choice and for the layout. The statement belongs to the process that was registered when the request was queued: a registration of the same start does not lift it, another start does. Other values than 1 are ignored.

--- a/crates/dandeliondeal_relay/src/acknowledged_leaves.rs
+++ b/crates/dandeliondeal_relay/src/acknowledged_leaves.rs
@@ -22,6 +22,8 @@
     write_count: u64,
     era: StoreEra,
     known_at: Instant,
+    /// Whether the process itself stated its leave.
+    is_announced: bool,
 }
 
 /// Leaves that were read from the store, and the registrations that are held back because of them.
@@ -59,14 +61,32 @@
                 write_count: record.write_count,
                 era: self.era,
                 known_at: now,
+                is_announced: known.is_some_and(|leave| {
+                    leave.is_announced && leave.started_at_ms == record.started_at_ms
+                }),
             };
             self.leaves.insert(EndpointId::clone(&record.id), leave);
         }
     }
 
-    /// Holds a registration back if it comes from a copy that does not hold the endpoint's leave;
-    /// returns whether it does.
+    /// Records that the process of `record` stated its leave.
+    pub(crate) fn announce(&mut self, record: &EndpointRecord, now: Instant) {
+        self.add(record, now);
+        if let Some(leave) = self.leaves.get_mut(&record.id) {
+            leave.is_announced = true;
+        }
+    }
+
+    /// Holds a registration back if its process stated its leave, or if it comes from a copy that does
+    /// not hold the endpoint's leave; returns whether it does.
     pub(crate) fn hold(&mut self, record: &EndpointRecord, now: Instant) -> bool {
+        let is_announced = self
+            .leaves
+            .get(&record.id)
+            .is_some_and(|leave| leave.is_announced && leave.started_at_ms == record.started_at_ms);
+        if is_announced && !record.is_draining {
+            return true;
+        }
         let is_copied = self.is_restoring(now)
             && !record.is_draining
             && self.leaves.get(&record.id).is_some_and(|leave| {
--- a/crates/dandeliondeal_relay/src/dialect.rs
+++ b/crates/dandeliondeal_relay/src/dialect.rs
@@ -68,6 +68,10 @@
 }
 
 /// Values from the headers of an endpoint's response.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "headers that are independent of one another"
+)]
 #[derive(Clone, Debug, Default)]
 pub struct ResponseFacts {
     /// Id of the request that the response belongs to.
@@ -86,6 +90,8 @@
     /// Time for which the endpoint wants no further requests from this instance; `None` if it asks
     /// for none, or if its value is invalid.
     pub backoff: Option<Duration>,
+    /// Whether the endpoint states that it leaves and is to get no further requests.
+    pub is_leaving: bool,
     /// Whether the body has a content encoding, so that it differs from what the endpoint signed.
     pub is_encoded: bool,
 }
--- a/crates/dandeliondeal_relay/src/endpoint_exchange.rs
+++ b/crates/dandeliondeal_relay/src/endpoint_exchange.rs
@@ -11,6 +11,7 @@
 
 use crate::dialect::{AttemptFacts, RequestDialect, ResponseFacts};
 use crate::endpoint_backoff::record_backoff;
+use crate::endpoint_leave::record_leave;
 use crate::relay_context::RelayContext;
 use crate::request_intake::RelayRequest;
 
@@ -75,7 +76,7 @@
 
 /// Request on a connection that waits for the headers of its response.
 ///
-/// Pauses that the endpoint asks for are recorded from every response that arrives, also from late
+/// Leaves that the endpoint states and pauses that it asks for are recorded from every response that arrives, also from late
 /// ones to other requests, and from one that has arrived when the exchange is dropped.
 #[derive(Debug)]
 pub struct EndpointExchange<Time, Dialect>
@@ -85,6 +86,8 @@
 {
     context: RelayContext<Time, Dialect>,
     endpoint: EndpointId,
+    /// Start of the endpoint's process, as registered when the request was queued.
+    started_at_ms: Option<u64>,
     request: RequestId,
     /// The connection, until the headers of the response were read.
     connection: Option<EndpointConnection>,
@@ -111,7 +114,10 @@
         request: &RequestId,
     ) -> Result<Self, ConnectionError> {
         connection.queue_request(outbound)?;
+        let fleet = context.fleet().borrow();
+        let started_at_ms = fleet.record(endpoint).map(|record| record.started_at_ms);
         Ok(Self {
+            started_at_ms,
             context: context.clone(),
             endpoint: EndpointId::clone(endpoint),
             request: RequestId::clone(request),
@@ -157,6 +163,10 @@
             if !is_late || facts.backoff.is_some() {
                 record_backoff(&self.context, &self.request, &self.endpoint, facts.backoff);
             }
+            if facts.is_leaving {
+                let request = &self.request;
+                record_leave(&self.context, request, &self.endpoint, self.started_at_ms);
+            }
             if !is_late {
                 if response_to.is_none() {
                     // A second copy of this response could not be told from the next one.
--- a/crates/dandeliondeal_relay/src/fleet_view.rs
+++ b/crates/dandeliondeal_relay/src/fleet_view.rs
@@ -50,7 +50,7 @@
     /// Registrations that went away.
     departed: DepartedRecords,
     /// Endpoints that a restored store lists although they leave.
-    leaves: AcknowledgedLeaves,
+    pub(crate) leaves: AcknowledgedLeaves,
     /// Pauses that endpoints asked this instance to make.
     pub(crate) backoffs: EndpointBackoffs,
 }
--- a/crates/dandeliondeal_relay/src/lib.rs
+++ b/crates/dandeliondeal_relay/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod dialect;
 mod endpoint_backoff;
 pub mod endpoint_exchange;
+mod endpoint_leave;
 mod endpoint_limits;
 pub mod engine_absence;
 pub mod engine_calls;
