A missing own registration counts as lost only in a current list

A relaxed list may be seconds old: instances that start together would not find themselves in it, and each would write again and count in short intervals. A registration that was listed before and is missing leads to a current list, and is written again if that lacks it too; after a restore the first list is a current one.

--- a/crates/dandeliondeal_relay/src/endpoint_exchange.rs
+++ b/crates/dandeliondeal_relay/src/endpoint_exchange.rs
@@ -76,8 +76,8 @@
 
 /// Request on a connection that waits for the headers of its response.
 ///
-/// Leaves that the endpoint states and pauses that it asks for are recorded from every response that arrives, also from late
-/// ones to other requests, and from one that has arrived when the exchange is dropped.
+/// Leaves that the endpoint states and pauses that it asks for are recorded from every response that
+/// arrives, also from late ones to other requests, and from one that has arrived when the exchange is dropped.
 #[derive(Debug)]
 pub struct EndpointExchange<Time, Dialect>
 where
--- a/crates/dandeliondeal_relay/src/endpoint_leave.rs
+++ b/crates/dandeliondeal_relay/src/endpoint_leave.rs
@@ -13,12 +13,10 @@
     /// The statement belongs to the process that started at `started_at_ms`, and holds until another
     /// one registers.
     pub fn record_leave(&mut self, endpoint: &str, started_at_ms: u64, now: Instant) -> bool {
-        let record = self.record(endpoint);
-        let is_same = |start| start == started_at_ms;
-        let Some(record) = record.filter(|record| is_same(record.started_at_ms)) else {
+        let record = self.record(endpoint).cloned();
+        let Some(mut record) = record.filter(|record| record.started_at_ms == started_at_ms) else {
             return false;
         };
-        let mut record = record.clone();
         let is_new = !record.is_draining;
         record.is_draining = true;
         self.leaves.announce(&record, now);
--- a/crates/dandeliondeal_relay/src/instance_registry.rs
+++ b/crates/dandeliondeal_relay/src/instance_registry.rs
@@ -69,14 +69,22 @@
     let mut last_count = None;
     let mut interval = INITIAL_COUNT_INTERVAL;
     let mut freshness = ReadFreshness::Relaxed;
+    let mut was_listed = false;
     loop {
         let era = context.store_era();
-        let mut is_registered = true;
+        let mut is_lost = false;
         match store.snapshot(REGISTRY_KIND, freshness).await {
             Ok(snapshot) => {
-                freshness = ReadFreshness::Relaxed;
                 let StoreVersion { era, revision } = snapshot.version;
-                is_registered = snapshot.objects.iter().any(|object| object.name == *own_id);
+                let is_listed = snapshot.objects.iter().any(|object| object.name == *own_id);
+                // A relaxed list may be from before the registration.
+                is_lost = !is_listed && freshness == ReadFreshness::Latest;
+                freshness = if was_listed && !is_listed && !is_lost {
+                    ReadFreshness::Latest
+                } else {
+                    ReadFreshness::Relaxed
+                };
+                was_listed |= is_listed;
                 let peers = snapshot.objects.iter().filter_map(decode_entry);
                 let peers = roster.update(peers.collect(), era, context.now());
                 let count = peers.len();
@@ -89,7 +97,7 @@
             }
             Err(error) => tracing::info!(%error, "instances cannot be listed"),
         }
-        if !is_registered {
+        if is_lost {
             tracing::info!("registration of this instance is missing; registering again");
             register(&context, &store).await;
             interval = INITIAL_COUNT_INTERVAL;
