--- a/review/stand_in_3/deployment.rs
+++ b/review/stand_in_3/deployment.rs
@@ -30,6 +30,7 @@
 pub fn write_config(version: u64, timeout_ms: u64, more_routes: usize) -> String {
     let mut routes = vec![
         format!("{{\"name\":\"r-deposit\",\"host\":\"desk.example\",\"path-prefix\":\"/deposit/\",\"kind\":\"unsafe\",\"timeout-ms\":{timeout_ms},\"slo-ms\":100,\"priority\":2,\"service\":\"order-desk\",\"attempts\":1,\"public\":false,\"sticky\":false,\"resumable\":false}}"),
+        "{\"name\":\"r-status\",\"host\":\"desk.example\",\"path-prefix\":\"/status/\",\"kind\":\"safe\",\"timeout-ms\":800,\"slo-ms\":100,\"priority\":2,\"service\":\"order-desk\",\"attempts\":2,\"public\":false,\"sticky\":false,\"resumable\":false}".to_owned(),
         "{\"name\":\"r-quote\",\"host\":\"desk.example\",\"path-prefix\":\"/quote/\",\"kind\":\"stream\",\"timeout-ms\":20000,\"slo-ms\":500,\"priority\":1,\"service\":\"drafting-desk\",\"attempts\":2,\"public\":false,\"sticky\":true,\"resumable\":true,\"gap-aim-ms\":250}".to_owned(),
     ];
     routes.extend((0..more_routes).map(|index| {
@@ -45,14 +46,25 @@
 impl Deployment {
     /// Starts everything with a configuration; waits until the routers are ready.
     pub fn start(record: &Record, config: &str, engines: &[&str]) -> Result<Self, String> {
+        let deployment = Self::start_without_desk(record, config, engines)?;
+        for index in 1..=3 {
+            let id = format!("i-desk-{index}");
+            Replica::start(&deployment.store, record, &id, "order-desk", None);
+        }
+        Ok(deployment)
+    }
+
+    /// Starts everything but the replicas of the plain service.
+    pub fn start_without_desk(
+        record: &Record,
+        config: &str,
+        engines: &[&str],
+    ) -> Result<Self, String> {
         let program = Path::new(PROGRAM);
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let store = Store::start();
         store.put("config", "main", config);
-        for index in 1..=3 {
-            Replica::start(&store, record, &format!("i-desk-{index}"), "order-desk", None);
-        }
         let engines = engines.iter().enumerate().map(|(index, kind)| {
             Replica::start(&store, record, &format!("i-draft-{index}"), "drafting-desk", Some(*kind))
         });
--- a/review/stand_in_3/http.rs
+++ b/review/stand_in_3/http.rs
@@ -93,24 +93,30 @@
 {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let serve = serve.clone();
-            std::thread::spawn(move || {
-                let _ = stream.set_nodelay(true);
-                let Ok(mut writer) = stream.try_clone() else { return };
-                let mut reader = BufReader::new(stream);
-                while let Ok(Some(message)) = read_message(&mut reader) {
-                    if !message.is_whole || serve(&message, &mut writer).is_err() {
-                        break;
-                    }
-                }
-            });
-        }
-    });
+    std::thread::spawn(move || self::serve(listener, serve));
     address
 }
 
+/// Serves each connection on a thread of its own, for ever.
+pub fn serve<Serve>(listener: TcpListener, serve: Serve)
+where
+    Serve: Fn(&Message, &mut TcpStream) -> io::Result<()> + Clone + Send + 'static,
+{
+    for stream in listener.incoming().flatten() {
+        let serve = serve.clone();
+        std::thread::spawn(move || {
+            let _ = stream.set_nodelay(true);
+            let Ok(mut writer) = stream.try_clone() else { return };
+            let mut reader = BufReader::new(stream);
+            while let Ok(Some(message)) = read_message(&mut reader) {
+                if !message.is_whole || serve(&message, &mut writer).is_err() {
+                    break;
+                }
+            }
+        });
+    }
+}
+
 /// Sends a request over a new connection and reads the response.
 pub fn call(address: SocketAddr, head: &str, body: &[u8], limit: Duration) -> io::Result<Message> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
--- a/review/stand_in_3/main.rs
+++ b/review/stand_in_3/main.rs
@@ -3,6 +3,7 @@
 //! usage: case NAME RECORD. Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 
 mod config_feed;
+mod deadly_request;
 mod deployment;
 mod http;
 mod json;
@@ -26,6 +27,12 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
+    if let [_, role, replica @ ..] = &arguments[..]
+        && role == "replica"
+    {
+        let served = deadly_request::serve_replica(replica);
+        return ExitCode::from(u8::from(served.is_err()));
+    }
     let [_, name, path] = &arguments[..] else {
         eprintln!("usage: case NAME RECORD");
         return ExitCode::from(2);
@@ -34,6 +41,7 @@
     let verdict = Record::create(path).map_err(|error| error.to_string()).and_then(|record| {
         let verdict = match &**name {
             "config-feed" => config_feed::play(&record, has_trouble),
+            "deadly-request" => deadly_request::play(&record, has_trouble),
             "large-bodies" => large_bodies::play(&record, has_trouble),
             _ => Err(format!("no case {name}")),
         };
