--- a/review/stand_in_3/json.rs
+++ b/review/stand_in_3/json.rs
@@ -16,7 +16,10 @@
 impl Value {
     /// Parses a document; `None` if it is not valid JSON.
     pub fn parse(text: &str) -> Option<Self> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = reader.value()?;
         reader.skip_space();
         (reader.at == reader.bytes.len()).then_some(value)
@@ -59,7 +62,8 @@
             }
             Self::Object(members) => {
                 let members = members.iter();
-                let members = members.map(|(name, value)| format!("{}:{}", quote(name), value.write()));
+                let members =
+                    members.map(|(name, value)| format!("{}:{}", quote(name), value.write()));
                 format!("{{{}}}", members.collect::<Vec<_>>().join(","))
             }
         }
--- a/review/stand_in_3/main.rs
+++ b/review/stand_in_3/main.rs
@@ -38,16 +38,18 @@
         return ExitCode::from(2);
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let verdict = Record::create(path).map_err(|error| error.to_string()).and_then(|record| {
-        let verdict = match &**name {
-            "config-feed" => config_feed::play(&record, has_trouble),
-            "deadly-request" => deadly_request::play(&record, has_trouble),
-            "large-bodies" => large_bodies::play(&record, has_trouble),
-            _ => Err(format!("no case {name}")),
-        };
-        record.flush();
-        verdict
-    });
+    let verdict = Record::create(path)
+        .map_err(|error| error.to_string())
+        .and_then(|record| {
+            let verdict = match &**name {
+                "config-feed" => config_feed::play(&record, has_trouble),
+                "deadly-request" => deadly_request::play(&record, has_trouble),
+                "large-bodies" => large_bodies::play(&record, has_trouble),
+                _ => Err(format!("no case {name}")),
+            };
+            record.flush();
+            verdict
+        });
     match verdict {
         Ok(Verdict::Held) => ExitCode::SUCCESS,
         Ok(Verdict::Broken) => ExitCode::FAILURE,
--- a/review/stand_in_3/record.rs
+++ b/review/stand_in_3/record.rs
@@ -16,7 +16,10 @@
     /// Creates the file.
     pub fn create(path: &str) -> std::io::Result<Self> {
         let file = BufWriter::new(File::create(path)?);
-        Ok(Self { file: Arc::new(Mutex::new(file)), started: Instant::now() })
+        Ok(Self {
+            file: Arc::new(Mutex::new(file)),
+            started: Instant::now(),
+        })
     }
 
     /// Returns the seconds since the start of the case.
@@ -44,6 +47,8 @@
 
 /// Returns the Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
 }
